Lay out modules, checks and core interfaces

The library holds value types for ids, the configuration records, failures that carry step and peer, the interface of the key-value service and the seams between gateway, dispatch, claims, usage and keys.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/AttemptId.java
@@ -0,0 +1,34 @@
+package org.cactusshift.id;
+
+/**
+ * Identifies one dispatch of a request to an upstream.
+ *
+ * @param value the identifier, 1 to 128 characters of letters, digits, '.', '_', ':' and '-'
+ */
+public record AttemptId(String value) implements Comparable<AttemptId> {
+    /** Checks the form of the identifier. */
+    public AttemptId {
+        Identifiers.check(value, "attempt id");
+    }
+
+    /**
+     * Returns the attempt id with the given text.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is empty, too long or has other characters
+     */
+    public static AttemptId fromString(String value) {
+        return new AttemptId(value);
+    }
+
+    @Override
+    public int compareTo(AttemptId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/FailureDomainId.java
@@ -0,0 +1,34 @@
+package org.cactusshift.id;
+
+/**
+ * Identifies a failure domain of a site.
+ *
+ * @param value the identifier, 1 to 128 characters of letters, digits, '.', '_', ':' and '-'
+ */
+public record FailureDomainId(String value) implements Comparable<FailureDomainId> {
+    /** Checks the form of the identifier. */
+    public FailureDomainId {
+        Identifiers.check(value, "failuredomain id");
+    }
+
+    /**
+     * Returns the failuredomain id with the given text.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is empty, too long or has other characters
+     */
+    public static FailureDomainId fromString(String value) {
+        return new FailureDomainId(value);
+    }
+
+    @Override
+    public int compareTo(FailureDomainId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/IncarnationId.java
@@ -0,0 +1,34 @@
+package org.cactusshift.id;
+
+/**
+ * Identifies one start of an instance; a restarted instance has a new one.
+ *
+ * @param value the identifier, 1 to 128 characters of letters, digits, '.', '_', ':' and '-'
+ */
+public record IncarnationId(String value) implements Comparable<IncarnationId> {
+    /** Checks the form of the identifier. */
+    public IncarnationId {
+        Identifiers.check(value, "incarnation id");
+    }
+
+    /**
+     * Returns the incarnation id with the given text.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is empty, too long or has other characters
+     */
+    public static IncarnationId fromString(String value) {
+        return new IncarnationId(value);
+    }
+
+    @Override
+    public int compareTo(IncarnationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/InstanceId.java
@@ -0,0 +1,34 @@
+package org.cactusshift.id;
+
+/**
+ * Identifies one entry instance of the system.
+ *
+ * @param value the identifier, 1 to 128 characters of letters, digits, '.', '_', ':' and '-'
+ */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+    /** Checks the form of the identifier. */
+    public InstanceId {
+        Identifiers.check(value, "instance id");
+    }
+
+    /**
+     * Returns the instance id with the given text.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is empty, too long or has other characters
+     */
+    public static InstanceId fromString(String value) {
+        return new InstanceId(value);
+    }
+
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/OrderId.java
@@ -0,0 +1,34 @@
+package org.cactusshift.id;
+
+/**
+ * Identifies an order sent to an engine or to an ordering interface.
+ *
+ * @param value the identifier, 1 to 128 characters of letters, digits, '.', '_', ':' and '-'
+ */
+public record OrderId(String value) implements Comparable<OrderId> {
+    /** Checks the form of the identifier. */
+    public OrderId {
+        Identifiers.check(value, "order id");
+    }
+
+    /**
+     * Returns the order id with the given text.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is empty, too long or has other characters
+     */
+    public static OrderId fromString(String value) {
+        return new OrderId(value);
+    }
+
+    @Override
+    public int compareTo(OrderId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/RequestId.java
@@ -0,0 +1,34 @@
+package org.cactusshift.id;
+
+/**
+ * Identifies a request received from a caller.
+ *
+ * @param value the identifier, 1 to 128 characters of letters, digits, '.', '_', ':' and '-'
+ */
+public record RequestId(String value) implements Comparable<RequestId> {
+    /** Checks the form of the identifier. */
+    public RequestId {
+        Identifiers.check(value, "request id");
+    }
+
+    /**
+     * Returns the request id with the given text.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is empty, too long or has other characters
+     */
+    public static RequestId fromString(String value) {
+        return new RequestId(value);
+    }
+
+    @Override
+    public int compareTo(RequestId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/ServiceId.java
@@ -0,0 +1,34 @@
+package org.cactusshift.id;
+
+/**
+ * Identifies a service, either a model or a plain service.
+ *
+ * @param value the identifier, 1 to 128 characters of letters, digits, '.', '_', ':' and '-'
+ */
+public record ServiceId(String value) implements Comparable<ServiceId> {
+    /** Checks the form of the identifier. */
+    public ServiceId {
+        Identifiers.check(value, "service id");
+    }
+
+    /**
+     * Returns the service id with the given text.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is empty, too long or has other characters
+     */
+    public static ServiceId fromString(String value) {
+        return new ServiceId(value);
+    }
+
+    @Override
+    public int compareTo(ServiceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/SiteId.java
@@ -0,0 +1,34 @@
+package org.cactusshift.id;
+
+/**
+ * Identifies a site.
+ *
+ * @param value the identifier, 1 to 128 characters of letters, digits, '.', '_', ':' and '-'
+ */
+public record SiteId(String value) implements Comparable<SiteId> {
+    /** Checks the form of the identifier. */
+    public SiteId {
+        Identifiers.check(value, "site id");
+    }
+
+    /**
+     * Returns the site id with the given text.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is empty, too long or has other characters
+     */
+    public static SiteId fromString(String value) {
+        return new SiteId(value);
+    }
+
+    @Override
+    public int compareTo(SiteId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/UpstreamId.java
@@ -0,0 +1,34 @@
+package org.cactusshift.id;
+
+/**
+ * Identifies one upstream: a model engine or an instance of a plain service.
+ *
+ * @param value the identifier, 1 to 128 characters of letters, digits, '.', '_', ':' and '-'
+ */
+public record UpstreamId(String value) implements Comparable<UpstreamId> {
+    /** Checks the form of the identifier. */
+    public UpstreamId {
+        Identifiers.check(value, "upstream id");
+    }
+
+    /**
+     * Returns the upstream id with the given text.
+     *
+     * @param value the text of the identifier
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is empty, too long or has other characters
+     */
+    public static UpstreamId fromString(String value) {
+        return new UpstreamId(value);
+    }
+
+    @Override
+    public int compareTo(UpstreamId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable value types for identifiers. */
+package org.cactusshift.id;
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/key/KeyVerdict.java
@@ -0,0 +1,47 @@
+package org.cactusshift.internal.coordination.key;
+
+import java.util.Optional;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.KeyId;
+
+/**
+ * The answer to a presented key.
+ *
+ * @param status whether the key is honoured
+ * @param account the client account of an accepted key
+ * @param key the id of an accepted key
+ */
+public record KeyVerdict(Status status, Optional<AccountId> account, Optional<KeyId> key) {
+    /** Whether a presented key is honoured. */
+    public enum Status {
+        /** The key is valid. */
+        ACCEPTED,
+        /** No key was presented. */
+        MISSING,
+        /** The key is unknown, wrong or withdrawn. */
+        INVALID,
+        /** The node can't show that its view of the keys is recent. */
+        STALE_VIEW
+    }
+
+    /**
+     * Returns a verdict without account.
+     *
+     * @param status the status
+     * @return the verdict
+     */
+    public static KeyVerdict of(Status status) {
+        return new KeyVerdict(status, Optional.empty(), Optional.empty());
+    }
+
+    /**
+     * Returns the verdict on a valid key.
+     *
+     * @param account the client account
+     * @param key the key's id
+     * @return the verdict
+     */
+    public static KeyVerdict accepted(AccountId account, KeyId key) {
+        return new KeyVerdict(Status.ACCEPTED, Optional.of(account), Optional.of(key));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/WatchListener.java
@@ -0,0 +1,30 @@
+package org.cactusshift.internal.coordination.store;
+
+import java.util.Optional;
+import org.cactusshift.errors.Failure;
+
+/** Receives the events of a watch, one call at a time. */
+public interface WatchListener {
+    /**
+     * Reports a change of one key.
+     *
+     * @param key the key that changed
+     * @param value the new value; empty when the key was deleted or its lease ended
+     * @param revision the store revision of the change
+     */
+    void onChange(String key, Optional<VersionedValue> value, long revision);
+
+    /**
+     * Reports that the watch is alive and has delivered everything up to a revision.
+     *
+     * @param revision the store's revision
+     */
+    void onProgress(long revision);
+
+    /**
+     * Reports that the watch ended; the owner reads the range again and opens a new watch.
+     *
+     * @param failure why it ended
+     */
+    void onEnd(Failure failure);
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageRecord.java
@@ -0,0 +1,23 @@
+package org.cactusshift.internal.coordination.usage;
+
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.AttemptId;
+import org.cactusshift.id.ServiceId;
+
+/**
+ * The usage of one finished or abandoned attempt.
+ *
+ * @param account the client account
+ * @param service the service
+ * @param attempt the attempt
+ * @param promptTokens prompt tokens billed
+ * @param completionTokens output tokens delivered to the caller
+ * @param requests 1 when a request ended with this attempt, else 0
+ */
+public record UsageRecord(
+        AccountId account,
+        ServiceId service,
+        AttemptId attempt,
+        long promptTokens,
+        long completionTokens,
+        long requests) {}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/package-info.java
@@ -0,0 +1,2 @@
+/** Usage counts: hand-over, sealed windows and reports. */
+package org.cactusshift.internal.coordination.usage;
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Protocol layer: codecs of the wire formats. */
+package org.cactusshift.internal.protocol;
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Transport layer: HTTP and gRPC connections. */
+package org.cactusshift.internal.transport;
