Add the key-value state machine and the in-memory store

Authority, claims and configuration are decided by what the key-value service answers, so their tests need a store with the same semantics: one counter of revisions, leases that delete their keys at one revision, a bounded history for watches, and answers that are lost after effect. A map with a version for each key was ruled out, as it can show neither compaction nor a write that lands after a read-back. The state machine takes the time as an argument, so a served stand-in can share it.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/InMemoryKeyValueStore.java
@@ -0,0 +1,326 @@
+package org.cactusshift.internal.coordination.store;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.cactusshift.errors.Failure;
+
+/**
+ * Key-value store in memory, with faults chosen by a hook.
+ *
+ * <p>Leases end by the time that the given supplier shows at the next call or at {@link #expireLeases()}. Watch
+ * listeners run in the thread of the call that made the change, after the call took effect. Safe for use by several
+ * threads.
+ */
+public final class InMemoryKeyValueStore implements KeyValueStore {
+    private static final System.Logger LOGGER = System.getLogger(InMemoryKeyValueStore.class.getName());
+
+    private static final String PEER = "in-memory store";
+
+    private static final int HISTORY_LIMIT_CHANGES = 100_000;
+
+    private final Object lock = new Object();
+
+    private final KeyValueState state = KeyValueState.create(HISTORY_LIMIT_CHANGES);
+
+    private final Queue<Runnable> delayed = new ArrayDeque<>();
+
+    private final List<InMemoryWatch> watches = new CopyOnWriteArrayList<>();
+
+    private final LongSupplier nowMillis;
+
+    private volatile StoreFaults faults = StoreFaults.NONE;
+
+    private InMemoryKeyValueStore(LongSupplier nowMillis) {
+        this.nowMillis = Objects.requireNonNull(nowMillis, "nowMillis");
+    }
+
+    /**
+     * Creates an empty store.
+     *
+     * @param nowMillis shows the present time, in milliseconds
+     * @return the store
+     */
+    public static InMemoryKeyValueStore create(LongSupplier nowMillis) {
+        return new InMemoryKeyValueStore(nowMillis);
+    }
+
+    /**
+     * Sets the hook that chooses the faults of later calls.
+     *
+     * @param faults the hook
+     * @return this store
+     */
+    public InMemoryKeyValueStore setFaults(StoreFaults faults) {
+        this.faults = Objects.requireNonNull(faults, "faults");
+        return this;
+    }
+
+    /**
+     * Lets the writes take effect that {@link StoreFault#DELAY_EFFECT} held back, in their order.
+     *
+     * @return the number of writes
+     */
+    public int applyDelayed() {
+        List<Runnable> due;
+        synchronized (lock) {
+            due = new ArrayList<>(delayed);
+            delayed.clear();
+            due.forEach(Runnable::run);
+        }
+        deliver();
+        return due.size();
+    }
+
+    /**
+     * Ends every lease whose time has passed and tells the watches.
+     *
+     * @return the number of leases that ended
+     */
+    public int expireLeases() {
+        int ended;
+        synchronized (lock) {
+            ended = state.expireLeases(nowMillis.getAsLong());
+        }
+        deliver();
+        return ended;
+    }
+
+    /** Reports progress to every watch. */
+    public void reportProgress() {
+        deliver();
+        long revision;
+        synchronized (lock) {
+            revision = state.revision();
+        }
+        watches.forEach(watch -> watch.progress(revision));
+    }
+
+    /** Ends every watch, as a lost connection does. */
+    public void endWatches() {
+        watches.forEach(watch -> watch.end(Failure.noEffect("watch", PEER, "connection lost")));
+    }
+
+    @Override
+    public Either<Failure, Optional<VersionedValue>> get(String key) {
+        return call(StoreCallKind.GET, key, () -> Either.right(state.get(key)));
+    }
+
+    @Override
+    public Either<Failure, RangeResult> list(String prefix) {
+        return call(StoreCallKind.LIST, prefix, () -> Either.right(state.list(prefix)));
+    }
+
+    @Override
+    public Either<Failure, SwapResult> compareAndSwap(
+            String key, long expectedModRevision, byte[] value, LeaseGrant lease) {
+        byte[] copy = value.clone();
+        return call(
+                StoreCallKind.SWAP, key, () -> state.compareAndSwap(key, expectedModRevision, copy, lease.leaseId()));
+    }
+
+    @Override
+    public Either<Failure, SwapResult> compareAndDelete(String key, long expectedModRevision) {
+        return call(StoreCallKind.DELETE, key, () -> Either.right(state.compareAndDelete(key, expectedModRevision)));
+    }
+
+    @Override
+    public Either<Failure, LeaseGrant> grantLease(long ttlMillis) {
+        return call(
+                StoreCallKind.LEASE_GRANT, "", () -> Either.right(state.grantLease(ttlMillis, nowMillis.getAsLong())));
+    }
+
+    @Override
+    public Either<Failure, LeaseGrant> keepAlive(LeaseGrant lease) {
+        return call(
+                StoreCallKind.LEASE_RENEWAL,
+                Long.toString(lease.leaseId()),
+                () -> state.keepAlive(lease.leaseId(), nowMillis.getAsLong()));
+    }
+
+    @Override
+    public Either<Failure, LeaseGrant> revokeLease(LeaseGrant lease) {
+        return call(
+                StoreCallKind.LEASE_REVOKE, Long.toString(lease.leaseId()), () -> state.revokeLease(lease.leaseId()));
+    }
+
+    @Override
+    public Either<Failure, Watch> watch(String prefix, long fromRevision, WatchListener listener) {
+        InMemoryWatch watch = new InMemoryWatch(prefix, fromRevision, listener);
+        Either<Failure, Watch> opened = call(StoreCallKind.WATCH, prefix, () -> {
+            watches.add(watch);
+            return Either.right(watch);
+        });
+        watch.deliver();
+        return opened;
+    }
+
+    private <T> Either<Failure, T> call(StoreCallKind kind, String key, Supplier<Either<Failure, T>> effect) {
+        StoreFault fault = faults.next(kind, key);
+        Either<Failure, T> result;
+        synchronized (lock) {
+            state.expireLeases(nowMillis.getAsLong());
+            result = callLocked(kind, fault, effect);
+        }
+        deliver();
+        return result;
+    }
+
+    private <T> Either<Failure, T> callLocked(
+            StoreCallKind kind, StoreFault fault, Supplier<Either<Failure, T>> effect) {
+        switch (fault) {
+            case UNAVAILABLE:
+                return Either.left(Failure.noEffect(stepOf(kind), PEER, "unavailable"));
+            case LOSE_REQUEST:
+                return Either.left(lost(kind));
+            case LOSE_ANSWER:
+                if (kind.isWrite()) {
+                    effect.get();
+                }
+                return Either.left(lost(kind));
+            case DELAY_EFFECT:
+                if (kind.isWrite()) {
+                    delayed.add(effect::get);
+                }
+                return Either.left(lost(kind));
+            default:
+                return effect.get();
+        }
+    }
+
+    private static Failure lost(StoreCallKind kind) {
+        String message = "no answer before the timeout";
+        return kind.isWrite()
+                ? Failure.unknownEffect(stepOf(kind), PEER, message)
+                : Failure.noEffect(stepOf(kind), PEER, message);
+    }
+
+    private static String stepOf(StoreCallKind kind) {
+        return "store call " + kind;
+    }
+
+    private void deliver() {
+        watches.forEach(InMemoryWatch::deliver);
+    }
+
+    /** One watch; at most one thread at a time runs its listener, and no thread waits for another to do so. */
+    private final class InMemoryWatch implements Watch {
+        private final String prefix;
+
+        private final WatchListener listener;
+
+        private final Queue<Runnable> events = new ArrayDeque<>();
+
+        private long nextRevision;
+
+        private Thread runner;
+
+        private boolean closed;
+
+        InMemoryWatch(String prefix, long fromRevision, WatchListener listener) {
+            this.prefix = prefix;
+            this.nextRevision = Math.max(1, fromRevision);
+            this.listener = Objects.requireNonNull(listener, "listener");
+        }
+
+        void deliver() {
+            synchronized (lock) {
+                Either<Failure, List<KeyChange>> changes = state.changes(prefix, nextRevision);
+                nextRevision = Math.max(nextRevision, state.revision() + 1);
+                if (changes.isLeft()) {
+                    addEnd(changes.getLeft());
+                } else {
+                    changes.get().forEach(this::addChange);
+                }
+            }
+            runEvents();
+        }
+
+        void progress(long revision) {
+            synchronized (lock) {
+                events.add(() -> listener.onProgress(revision));
+            }
+            runEvents();
+        }
+
+        void end(Failure failure) {
+            synchronized (lock) {
+                addEnd(failure);
+            }
+            runEvents();
+        }
+
+        @Override
+        public void close() {
+            watches.remove(this);
+            synchronized (lock) {
+                closed = true;
+                try {
+                    while (runner != null && runner != Thread.currentThread()) {
+                        lock.wait();
+                    }
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        }
+
+        private void addChange(KeyChange change) {
+            events.add(() -> listener.onChange(change.key(), change.value(), change.revision()));
+        }
+
+        private void addEnd(Failure failure) {
+            watches.remove(this);
+            events.add(() -> {
+                markClosed();
+                listener.onEnd(failure);
+            });
+        }
+
+        private void markClosed() {
+            synchronized (lock) {
+                closed = true;
+            }
+        }
+
+        private void runEvents() {
+            synchronized (lock) {
+                if (runner != null) {
+                    return;
+                }
+                runner = Thread.currentThread();
+            }
+            Runnable event = nextEvent();
+            while (event != null) {
+                run(event);
+                event = nextEvent();
+            }
+        }
+
+        private void run(Runnable event) {
+            try {
+                event.run();
+            } catch (RuntimeException e) {
+                LOGGER.log(System.Logger.Level.ERROR, "watch listener failed", e);
+            }
+        }
+
+        private Runnable nextEvent() {
+            synchronized (lock) {
+                Runnable event = closed ? null : events.poll();
+                if (event == null) {
+                    runner = null;
+                    lock.notifyAll();
+                }
+                return event;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/KeyValueState.java
@@ -0,0 +1,269 @@
+package org.cactusshift.internal.coordination.store;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.cactusshift.errors.Failure;
+
+/**
+ * The state machine of a key-value service with revisions, leases and a history of changes.
+ *
+ * <p>Follows the semantics of etcd v3: a single counter of revisions, a comparison of the last write's revision in
+ * which an absent key has revision 0, and leases whose end deletes their keys. Takes the present time as an argument
+ * and is not safe for use by several threads; its owner holds a lock.
+ */
+public final class KeyValueState {
+    private static final String PEER = "local";
+
+    private final TreeMap<String, Stored> values = new TreeMap<>();
+
+    private final Map<Long, Lease> leases = new HashMap<>();
+
+    private final Deque<KeyChange> history = new ArrayDeque<>();
+
+    private final int historyLimit;
+
+    private long revision = 1;
+
+    private long compactedRevision;
+
+    private long nextLeaseId = 1;
+
+    private KeyValueState(int historyLimit) {
+        this.historyLimit = historyLimit;
+    }
+
+    /**
+     * Creates an empty state.
+     *
+     * @param historyLimit how many changes to keep for watches
+     * @return the state, at revision 1
+     */
+    public static KeyValueState create(int historyLimit) {
+        if (historyLimit < 1) {
+            throw new IllegalArgumentException("history limit is below 1");
+        }
+        return new KeyValueState(historyLimit);
+    }
+
+    /**
+     * Returns the revision of the last write.
+     *
+     * @return the revision, 1 before any write
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Reads one key.
+     *
+     * @param key the full key
+     * @return the value, empty when absent
+     */
+    public Optional<VersionedValue> get(String key) {
+        return Optional.ofNullable(values.get(key)).map(Stored::value);
+    }
+
+    /**
+     * Reads all keys with a prefix.
+     *
+     * @param prefix the prefix
+     * @return the values in the order of their keys
+     */
+    public RangeResult list(String prefix) {
+        List<VersionedValue> found = new ArrayList<>();
+        for (Stored stored : values.tailMap(prefix).values()) {
+            if (!stored.value().key().startsWith(prefix)) {
+                break;
+            }
+            found.add(stored.value());
+        }
+        return new RangeResult(revision, found);
+    }
+
+    /**
+     * Writes a key if its last revision is the expected one.
+     *
+     * @param key the full key
+     * @param expectedModRevision the expected revision of the last write; 0 when the key must be absent
+     * @param value the new bytes
+     * @param leaseId the lease to attach; 0 for none
+     * @return whether it was applied, or a rejection when the lease does not exist
+     */
+    public Either<Failure, SwapResult> compareAndSwap(
+            String key, long expectedModRevision, byte[] value, long leaseId) {
+        if (modRevision(key) != expectedModRevision) {
+            return Either.right(SwapResult.conflict(revision, get(key)));
+        }
+        if (leaseId != 0 && !leases.containsKey(leaseId)) {
+            return Either.left(leaseNotFound("write key", leaseId));
+        }
+        long createRevision = get(key).map(VersionedValue::createRevision).orElse(revision + 1);
+        revision++;
+        detach(key);
+        VersionedValue written = new VersionedValue(key, value.clone(), createRevision, revision);
+        values.put(key, new Stored(written, leaseId));
+        if (leaseId != 0) {
+            leases.get(leaseId).keys.add(key);
+        }
+        record(new KeyChange(key, Optional.of(written), revision));
+        return Either.right(SwapResult.applied(revision));
+    }
+
+    /**
+     * Deletes a key if its last revision is the expected one.
+     *
+     * <p>Deleting an absent key with the expected revision 0 is applied and changes nothing.
+     *
+     * @param key the full key
+     * @param expectedModRevision the expected revision of the last write
+     * @return whether it was applied
+     */
+    public SwapResult compareAndDelete(String key, long expectedModRevision) {
+        if (modRevision(key) != expectedModRevision) {
+            return SwapResult.conflict(revision, get(key));
+        }
+        if (values.containsKey(key)) {
+            revision++;
+            delete(key);
+        }
+        return SwapResult.applied(revision);
+    }
+
+    /**
+     * Grants a lease.
+     *
+     * @param ttlMillis the time to live, in milliseconds
+     * @param nowMillis the present time, in milliseconds
+     * @return the lease
+     */
+    public LeaseGrant grantLease(long ttlMillis, long nowMillis) {
+        if (ttlMillis < 1) {
+            throw new IllegalArgumentException("time to live is below 1 ms");
+        }
+        long leaseId = nextLeaseId++;
+        leases.put(leaseId, new Lease(ttlMillis, nowMillis + ttlMillis));
+        return new LeaseGrant(leaseId, ttlMillis);
+    }
+
+    /**
+     * Renews a lease.
+     *
+     * @param leaseId the lease
+     * @param nowMillis the present time, in milliseconds
+     * @return the renewed lease, or a rejection when it has ended
+     */
+    public Either<Failure, LeaseGrant> keepAlive(long leaseId, long nowMillis) {
+        Lease lease = leases.get(leaseId);
+        if (lease == null || lease.endsAtMillis <= nowMillis) {
+            return Either.left(leaseNotFound("renew lease", leaseId));
+        }
+        lease.endsAtMillis = nowMillis + lease.ttlMillis;
+        return Either.right(new LeaseGrant(leaseId, lease.ttlMillis));
+    }
+
+    /**
+     * Ends a lease and deletes its keys at one revision.
+     *
+     * @param leaseId the lease
+     * @return the ended lease, or a rejection when it does not exist
+     */
+    public Either<Failure, LeaseGrant> revokeLease(long leaseId) {
+        Lease lease = leases.remove(leaseId);
+        if (lease == null) {
+            return Either.left(leaseNotFound("revoke lease", leaseId));
+        }
+        if (!lease.keys.isEmpty()) {
+            revision++;
+            List.copyOf(lease.keys).forEach(this::delete);
+        }
+        return Either.right(new LeaseGrant(leaseId, lease.ttlMillis));
+    }
+
+    /**
+     * Ends every lease whose time has passed.
+     *
+     * @param nowMillis the present time, in milliseconds
+     * @return the number of leases that ended
+     */
+    public int expireLeases(long nowMillis) {
+        List<Long> ended = new ArrayList<>();
+        leases.forEach((leaseId, lease) -> {
+            if (lease.endsAtMillis <= nowMillis) {
+                ended.add(leaseId);
+            }
+        });
+        ended.stream().sorted().forEach(this::revokeLease);
+        return ended.size();
+    }
+
+    /**
+     * Returns the changes of the keys with a prefix from a revision on.
+     *
+     * @param prefix the prefix
+     * @param fromRevision the first revision wanted
+     * @return the changes in the order of their revisions, or a rejection when the history no longer holds them all
+     */
+    public Either<Failure, List<KeyChange>> changes(String prefix, long fromRevision) {
+        if (fromRevision <= compactedRevision) {
+            return Either.left(Failure.rejected(
+                    "read history", PEER, "revision " + fromRevision + " was compacted at " + compactedRevision));
+        }
+        return Either.right(history.stream()
+                .filter(change ->
+                        change.revision() >= fromRevision && change.key().startsWith(prefix))
+                .toList());
+    }
+
+    private long modRevision(String key) {
+        return get(key).map(VersionedValue::modRevision).orElse(0L);
+    }
+
+    private void delete(String key) {
+        detach(key);
+        values.remove(key);
+        record(new KeyChange(key, Optional.empty(), revision));
+    }
+
+    private void detach(String key) {
+        Stored stored = values.get(key);
+        if (stored != null && leases.containsKey(stored.leaseId())) {
+            leases.get(stored.leaseId()).keys.remove(key);
+        }
+    }
+
+    private void record(KeyChange change) {
+        history.addLast(change);
+        while (history.size() > historyLimit) {
+            compactedRevision = history.removeFirst().revision();
+        }
+    }
+
+    private static Failure leaseNotFound(String step, long leaseId) {
+        return Failure.rejected(step, PEER, "lease " + leaseId + " not found");
+    }
+
+    private record Stored(VersionedValue value, long leaseId) {}
+
+    private static final class Lease {
+        private final long ttlMillis;
+
+        private final Set<String> keys = new TreeSet<>();
+
+        private long endsAtMillis;
+
+        Lease(long ttlMillis, long endsAtMillis) {
+            this.ttlMillis = ttlMillis;
+            this.endsAtMillis = endsAtMillis;
+        }
+    }
+}
