--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/AccountService.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/AccountService.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Service that one client account received from the sender since the sender's start.
+ * What one client account received of one service at the sender since the sender's start; only accounts that changed.
  * </pre>
  *
  * Protobuf type {@code cactusshift.peer.v1.AccountService}
@@ -33,6 +33,7 @@
   }
   private AccountService() {
     accountId_ = "";
+    serviceId_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -125,6 +126,45 @@
     return inFlight_;
   }
 
+  public static final int SERVICE_ID_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object serviceId_ = "";
+  /**
+   * <code>string service_id = 5;</code>
+   * @return The serviceId.
+   */
+  @java.lang.Override
+  public java.lang.String getServiceId() {
+    java.lang.Object ref = serviceId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      serviceId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string service_id = 5;</code>
+   * @return The bytes for serviceId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceIdBytes() {
+    java.lang.Object ref = serviceId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      serviceId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -151,6 +191,9 @@
     if (inFlight_ != 0) {
       output.writeUInt32(4, inFlight_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(serviceId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, serviceId_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -175,6 +218,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, inFlight_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(serviceId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, serviceId_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -198,6 +244,8 @@
         != other.getDecodeTokens()) return false;
     if (getInFlight()
         != other.getInFlight()) return false;
+    if (!getServiceId()
+        .equals(other.getServiceId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -219,6 +267,8 @@
         getDecodeTokens());
     hash = (37 * hash) + IN_FLIGHT_FIELD_NUMBER;
     hash = (53 * hash) + getInFlight();
+    hash = (37 * hash) + SERVICE_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getServiceId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -318,7 +368,7 @@
   }
   /**
    * <pre>
-   * Service that one client account received from the sender since the sender's start.
+   * What one client account received of one service at the sender since the sender's start; only accounts that changed.
    * </pre>
    *
    * Protobuf type {@code cactusshift.peer.v1.AccountService}
@@ -358,6 +408,7 @@
       prefillTokens_ = 0L;
       decodeTokens_ = 0L;
       inFlight_ = 0;
+      serviceId_ = "";
       return this;
     }
 
@@ -403,6 +454,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.inFlight_ = inFlight_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.serviceId_ = serviceId_;
+      }
     }
 
     @java.lang.Override
@@ -431,6 +485,11 @@
       if (other.getInFlight() != 0) {
         setInFlight(other.getInFlight());
       }
+      if (!other.getServiceId().isEmpty()) {
+        serviceId_ = other.serviceId_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -477,6 +536,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              serviceId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -662,6 +726,78 @@
       return this;
     }
 
+    private java.lang.Object serviceId_ = "";
+    /**
+     * <code>string service_id = 5;</code>
+     * @return The serviceId.
+     */
+    public java.lang.String getServiceId() {
+      java.lang.Object ref = serviceId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        serviceId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string service_id = 5;</code>
+     * @return The bytes for serviceId.
+     */
+    public com.google.protobuf.ByteString
+        getServiceIdBytes() {
+      java.lang.Object ref = serviceId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        serviceId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string service_id = 5;</code>
+     * @param value The serviceId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      serviceId_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string service_id = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServiceId() {
+      serviceId_ = getDefaultInstance().getServiceId();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string service_id = 5;</code>
+     * @param value The bytes for serviceId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      serviceId_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cactusshift.peer.v1.AccountService)
   }
 
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/AccountServiceOrBuilder.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/AccountServiceOrBuilder.java
@@ -39,4 +39,16 @@
    * @return The inFlight.
    */
   int getInFlight();
+
+  /**
+   * <code>string service_id = 5;</code>
+   * @return The serviceId.
+   */
+  java.lang.String getServiceId();
+  /**
+   * <code>string service_id = 5;</code>
+   * @return The bytes for serviceId.
+   */
+  com.google.protobuf.ByteString
+      getServiceIdBytes();
 }
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/PeerOuterClass.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/PeerOuterClass.java
@@ -177,77 +177,77 @@
       "rint\022\017\n\007leaving\030\010 \001(\010\"l\n\014UpstreamLoad\022\023\n" +
       "\013upstream_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\022\035\n" +
       "\025queued_prefill_tokens\030\003 \001(\004\022\025\n\rdecode_t" +
-      "okens\030\004 \001(\004\"f\n\016AccountService\022\022\n\naccount" +
+      "okens\030\004 \001(\004\"z\n\016AccountService\022\022\n\naccount" +
       "_id\030\001 \001(\t\022\026\n\016prefill_tokens\030\002 \001(\004\022\025\n\rdec" +
-      "ode_tokens\030\003 \001(\004\022\021\n\tin_flight\030\004 \001(\r\"N\n\022S" +
-      "uspectFingerprint\022\023\n\013fingerprint\030\001 \001(\014\022\017" +
-      "\n\007crashes\030\002 \001(\r\022\022\n\nage_millis\030\003 \001(\003\"W\n\022F" +
-      "etchConfigRequest\022+\n\006sender\030\001 \001(\0132\033.cact" +
-      "usshift.peer.v1.Sender\022\024\n\014have_version\030\002" +
-      " \001(\003\"x\n\023FetchConfigResponse\022\017\n\007version\030\001" +
-      " \001(\003\022.\n\005parts\030\002 \003(\0132\037.cactusshift.peer.v" +
-      "1.ConfigPart\022 \n\030store_contact_age_millis" +
-      "\030\003 \001(\003\";\n\nConfigPart\022\014\n\004name\030\001 \001(\t\022\r\n\005va" +
-      "lue\030\002 \001(\014\022\020\n\010revision\030\003 \001(\003\"A\n\022WatchConf" +
-      "igRequest\022+\n\006sender\030\001 \001(\0132\033.cactusshift." +
-      "peer.v1.Sender\"B\n\rConfigVersion\022\017\n\007versi" +
-      "on\030\001 \001(\003\022 \n\030store_contact_age_millis\030\002 \001" +
-      "(\003\"k\n\014ClaimRequest\022+\n\006sender\030\001 \001(\0132\033.cac" +
-      "tusshift.peer.v1.Sender\022.\n\006claims\030\002 \003(\0132" +
-      "\036.cactusshift.peer.v1.CallClaim\"u\n\tCallC" +
-      "laim\022\022\n\naccount_id\030\001 \001(\t\022\022\n\nservice_id\030\002" +
-      " \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\023\n\013body_di" +
-      "gest\030\004 \001(\014\022\022\n\nattempt_id\030\005 \001(\t\"B\n\rClaimR" +
-      "esponse\0221\n\007results\030\001 \003(\0132 .cactusshift.p" +
-      "eer.v1.ClaimResult\"\240\002\n\013ClaimResult\0229\n\007ve" +
-      "rdict\030\001 \001(\0162(.cactusshift.peer.v1.ClaimR" +
-      "esult.Verdict\0221\n\007outcome\030\002 \001(\0132 .cactuss" +
-      "hift.peer.v1.CallOutcome\022\031\n\021owner_instan" +
-      "ce_id\030\003 \001(\t\"\207\001\n\007Verdict\022\027\n\023VERDICT_UNSPE" +
-      "CIFIED\020\000\022\013\n\007GRANTED\020\001\022\014\n\010REPEATED\020\002\022\010\n\004O" +
-      "PEN\020\003\022\021\n\rBODY_MISMATCH\020\004\022\r\n\tNOT_OWNER\020\005\022" +
-      "\017\n\013UNAVAILABLE\020\006\022\013\n\007UNKNOWN\020\007\"R\n\013CallOut" +
-      "come\022\016\n\006status\030\001 \001(\r\022\024\n\014content_type\030\002 \001" +
-      "(\t\022\014\n\004body\030\003 \001(\014\022\017\n\007unknown\030\004 \001(\010\"{\n\024Rec" +
-      "ordOutcomeRequest\022+\n\006sender\030\001 \001(\0132\033.cact" +
-      "usshift.peer.v1.Sender\0226\n\010outcomes\030\002 \003(\013" +
-      "2$.cactusshift.peer.v1.RecordedOutcome\"\231" +
-      "\001\n\017RecordedOutcome\022\022\n\naccount_id\030\001 \001(\t\022\022" +
-      "\n\nservice_id\030\002 \001(\t\022\027\n\017idempotency_key\030\003 " +
-      "\001(\t\022\022\n\nattempt_id\030\004 \001(\t\0221\n\007outcome\030\005 \001(\013" +
-      "2 .cactusshift.peer.v1.CallOutcome\")\n\025Re" +
-      "cordOutcomeResponse\022\020\n\010recorded\030\001 \001(\r\"\213\001" +
-      "\n\nUsageBatch\022+\n\006sender\030\001 \001(\0132\033.cactusshi" +
-      "ft.peer.v1.Sender\022\020\n\010sequence\030\002 \001(\004\022\r\n\005s" +
-      "hard\030\003 \001(\r\022/\n\006counts\030\004 \003(\0132\037.cactusshift" +
-      ".peer.v1.UsageCount\"\232\001\n\nUsageCount\022\022\n\nac" +
-      "count_id\030\001 \001(\t\022\022\n\nservice_id\030\002 \001(\t\022\025\n\rpr" +
-      "ompt_tokens\030\003 \001(\004\022\031\n\021completion_tokens\030\004" +
-      " \001(\004\022\020\n\010requests\030\005 \001(\004\022 \n\030finished_at_ep" +
-      "och_millis\030\006 \001(\003\"I\n\010UsageAck\022\020\n\010accepted" +
-      "\030\001 \001(\010\022\020\n\010sequence\030\002 \001(\004\022\031\n\021owner_instan" +
-      "ce_id\030\003 \001(\t\"h\n\014DrainRequest\022+\n\006sender\030\001 " +
-      "\001(\0132\033.cactusshift.peer.v1.Sender\022\023\n\013upst" +
-      "ream_id\030\002 \001(\t\022\026\n\016config_version\030\003 \001(\003\"6\n" +
-      "\013DrainStatus\022\024\n\014acknowledged\030\001 \001(\010\022\021\n\tin" +
-      "_flight\030\002 \001(\r2\204\005\n\004Peer\022Z\n\tHeartbeat\022%.ca" +
-      "ctusshift.peer.v1.HeartbeatRequest\032&.cac" +
-      "tusshift.peer.v1.HeartbeatResponse\022`\n\013Fe" +
-      "tchConfig\022\'.cactusshift.peer.v1.FetchCon" +
-      "figRequest\032(.cactusshift.peer.v1.FetchCo" +
-      "nfigResponse\022\\\n\013WatchConfig\022\'.cactusshif" +
-      "t.peer.v1.WatchConfigRequest\032\".cactusshi" +
-      "ft.peer.v1.ConfigVersion0\001\022N\n\005Claim\022!.ca" +
-      "ctusshift.peer.v1.ClaimRequest\032\".cactuss" +
-      "hift.peer.v1.ClaimResponse\022f\n\rRecordOutc" +
-      "ome\022).cactusshift.peer.v1.RecordOutcomeR" +
-      "equest\032*.cactusshift.peer.v1.RecordOutco" +
-      "meResponse\022O\n\rHandOverUsage\022\037.cactusshif" +
-      "t.peer.v1.UsageBatch\032\035.cactusshift.peer." +
-      "v1.UsageAck\022W\n\020AcknowledgeDrain\022!.cactus" +
-      "shift.peer.v1.DrainRequest\032 .cactusshift" +
-      ".peer.v1.DrainStatusB\034\n\030org.cactusshift." +
-      "messagesP\001b\006proto3"
+      "ode_tokens\030\003 \001(\004\022\021\n\tin_flight\030\004 \001(\r\022\022\n\ns" +
+      "ervice_id\030\005 \001(\t\"N\n\022SuspectFingerprint\022\023\n" +
+      "\013fingerprint\030\001 \001(\006\022\017\n\007crashes\030\002 \001(\r\022\022\n\na" +
+      "ge_millis\030\003 \001(\003\"W\n\022FetchConfigRequest\022+\n" +
+      "\006sender\030\001 \001(\0132\033.cactusshift.peer.v1.Send" +
+      "er\022\024\n\014have_version\030\002 \001(\003\"x\n\023FetchConfigR" +
+      "esponse\022\017\n\007version\030\001 \001(\003\022.\n\005parts\030\002 \003(\0132" +
+      "\037.cactusshift.peer.v1.ConfigPart\022 \n\030stor" +
+      "e_contact_age_millis\030\003 \001(\003\";\n\nConfigPart" +
+      "\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revisio" +
+      "n\030\003 \001(\003\"A\n\022WatchConfigRequest\022+\n\006sender\030" +
+      "\001 \001(\0132\033.cactusshift.peer.v1.Sender\"B\n\rCo" +
+      "nfigVersion\022\017\n\007version\030\001 \001(\003\022 \n\030store_co" +
+      "ntact_age_millis\030\002 \001(\003\"k\n\014ClaimRequest\022+" +
+      "\n\006sender\030\001 \001(\0132\033.cactusshift.peer.v1.Sen" +
+      "der\022.\n\006claims\030\002 \003(\0132\036.cactusshift.peer.v" +
+      "1.CallClaim\"u\n\tCallClaim\022\022\n\naccount_id\030\001" +
+      " \001(\t\022\022\n\nservice_id\030\002 \001(\t\022\027\n\017idempotency_" +
+      "key\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(\014\022\022\n\nattemp" +
+      "t_id\030\005 \001(\t\"B\n\rClaimResponse\0221\n\007results\030\001" +
+      " \003(\0132 .cactusshift.peer.v1.ClaimResult\"\240" +
+      "\002\n\013ClaimResult\0229\n\007verdict\030\001 \001(\0162(.cactus" +
+      "shift.peer.v1.ClaimResult.Verdict\0221\n\007out" +
+      "come\030\002 \001(\0132 .cactusshift.peer.v1.CallOut" +
+      "come\022\031\n\021owner_instance_id\030\003 \001(\t\"\207\001\n\007Verd" +
+      "ict\022\027\n\023VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020" +
+      "\001\022\014\n\010REPEATED\020\002\022\010\n\004OPEN\020\003\022\021\n\rBODY_MISMAT" +
+      "CH\020\004\022\r\n\tNOT_OWNER\020\005\022\017\n\013UNAVAILABLE\020\006\022\013\n\007" +
+      "UNKNOWN\020\007\"R\n\013CallOutcome\022\016\n\006status\030\001 \001(\r" +
+      "\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\017\n\007" +
+      "unknown\030\004 \001(\010\"{\n\024RecordOutcomeRequest\022+\n" +
+      "\006sender\030\001 \001(\0132\033.cactusshift.peer.v1.Send" +
+      "er\0226\n\010outcomes\030\002 \003(\0132$.cactusshift.peer." +
+      "v1.RecordedOutcome\"\231\001\n\017RecordedOutcome\022\022" +
+      "\n\naccount_id\030\001 \001(\t\022\022\n\nservice_id\030\002 \001(\t\022\027" +
+      "\n\017idempotency_key\030\003 \001(\t\022\022\n\nattempt_id\030\004 " +
+      "\001(\t\0221\n\007outcome\030\005 \001(\0132 .cactusshift.peer." +
+      "v1.CallOutcome\")\n\025RecordOutcomeResponse\022" +
+      "\020\n\010recorded\030\001 \001(\r\"\213\001\n\nUsageBatch\022+\n\006send" +
+      "er\030\001 \001(\0132\033.cactusshift.peer.v1.Sender\022\020\n" +
+      "\010sequence\030\002 \001(\004\022\r\n\005shard\030\003 \001(\r\022/\n\006counts" +
+      "\030\004 \003(\0132\037.cactusshift.peer.v1.UsageCount\"" +
+      "\232\001\n\nUsageCount\022\022\n\naccount_id\030\001 \001(\t\022\022\n\nse" +
+      "rvice_id\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\004\022\031\n" +
+      "\021completion_tokens\030\004 \001(\004\022\020\n\010requests\030\005 \001" +
+      "(\004\022 \n\030finished_at_epoch_millis\030\006 \001(\003\"I\n\010" +
+      "UsageAck\022\020\n\010accepted\030\001 \001(\010\022\020\n\010sequence\030\002" +
+      " \001(\004\022\031\n\021owner_instance_id\030\003 \001(\t\"h\n\014Drain" +
+      "Request\022+\n\006sender\030\001 \001(\0132\033.cactusshift.pe" +
+      "er.v1.Sender\022\023\n\013upstream_id\030\002 \001(\t\022\026\n\016con" +
+      "fig_version\030\003 \001(\003\"6\n\013DrainStatus\022\024\n\014ackn" +
+      "owledged\030\001 \001(\010\022\021\n\tin_flight\030\002 \001(\r2\204\005\n\004Pe" +
+      "er\022Z\n\tHeartbeat\022%.cactusshift.peer.v1.He" +
+      "artbeatRequest\032&.cactusshift.peer.v1.Hea" +
+      "rtbeatResponse\022`\n\013FetchConfig\022\'.cactussh" +
+      "ift.peer.v1.FetchConfigRequest\032(.cactuss" +
+      "hift.peer.v1.FetchConfigResponse\022\\\n\013Watc" +
+      "hConfig\022\'.cactusshift.peer.v1.WatchConfi" +
+      "gRequest\032\".cactusshift.peer.v1.ConfigVer" +
+      "sion0\001\022N\n\005Claim\022!.cactusshift.peer.v1.Cl" +
+      "aimRequest\032\".cactusshift.peer.v1.ClaimRe" +
+      "sponse\022f\n\rRecordOutcome\022).cactusshift.pe" +
+      "er.v1.RecordOutcomeRequest\032*.cactusshift" +
+      ".peer.v1.RecordOutcomeResponse\022O\n\rHandOv" +
+      "erUsage\022\037.cactusshift.peer.v1.UsageBatch" +
+      "\032\035.cactusshift.peer.v1.UsageAck\022W\n\020Ackno" +
+      "wledgeDrain\022!.cactusshift.peer.v1.DrainR" +
+      "equest\032 .cactusshift.peer.v1.DrainStatus" +
+      "B\034\n\030org.cactusshift.messagesP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -282,7 +282,7 @@
     internal_static_cactusshift_peer_v1_AccountService_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_AccountService_descriptor,
-        new java.lang.String[] { "AccountId", "PrefillTokens", "DecodeTokens", "InFlight", });
+        new java.lang.String[] { "AccountId", "PrefillTokens", "DecodeTokens", "InFlight", "ServiceId", });
     internal_static_cactusshift_peer_v1_SuspectFingerprint_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_cactusshift_peer_v1_SuspectFingerprint_fieldAccessorTable = new
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/SuspectFingerprint.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/SuspectFingerprint.java
@@ -28,7 +28,6 @@
     super(builder);
   }
   private SuspectFingerprint() {
-    fingerprint_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -50,13 +49,13 @@
   }
 
   public static final int FINGERPRINT_FIELD_NUMBER = 1;
-  private com.google.protobuf.ByteString fingerprint_ = com.google.protobuf.ByteString.EMPTY;
+  private long fingerprint_ = 0L;
   /**
-   * <code>bytes fingerprint = 1;</code>
+   * <code>fixed64 fingerprint = 1;</code>
    * @return The fingerprint.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getFingerprint() {
+  public long getFingerprint() {
     return fingerprint_;
   }
 
@@ -96,8 +95,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!fingerprint_.isEmpty()) {
-      output.writeBytes(1, fingerprint_);
+    if (fingerprint_ != 0L) {
+      output.writeFixed64(1, fingerprint_);
     }
     if (crashes_ != 0) {
       output.writeUInt32(2, crashes_);
@@ -114,9 +113,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!fingerprint_.isEmpty()) {
+    if (fingerprint_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(1, fingerprint_);
+        .computeFixed64Size(1, fingerprint_);
     }
     if (crashes_ != 0) {
       size += com.google.protobuf.CodedOutputStream
@@ -141,8 +140,8 @@
     }
     org.cactusshift.messages.SuspectFingerprint other = (org.cactusshift.messages.SuspectFingerprint) obj;
 
-    if (!getFingerprint()
-        .equals(other.getFingerprint())) return false;
+    if (getFingerprint()
+        != other.getFingerprint()) return false;
     if (getCrashes()
         != other.getCrashes()) return false;
     if (getAgeMillis()
@@ -159,7 +158,8 @@
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
-    hash = (53 * hash) + getFingerprint().hashCode();
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getFingerprint());
     hash = (37 * hash) + CRASHES_FIELD_NUMBER;
     hash = (53 * hash) + getCrashes();
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
@@ -296,7 +296,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      fingerprint_ = com.google.protobuf.ByteString.EMPTY;
+      fingerprint_ = 0L;
       crashes_ = 0;
       ageMillis_ = 0L;
       return this;
@@ -355,7 +355,7 @@
 
     public Builder mergeFrom(org.cactusshift.messages.SuspectFingerprint other) {
       if (other == org.cactusshift.messages.SuspectFingerprint.getDefaultInstance()) return this;
-      if (!other.getFingerprint().isEmpty()) {
+      if (other.getFingerprint() != 0L) {
         setFingerprint(other.getFingerprint());
       }
       if (other.getCrashes() != 0) {
@@ -390,11 +390,11 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              fingerprint_ = input.readBytes();
+            case 9: {
+              fingerprint_ = input.readFixed64();
               bitField0_ |= 0x00000001;
               break;
-            } // case 10
+            } // case 9
             case 16: {
               crashes_ = input.readUInt32();
               bitField0_ |= 0x00000002;
@@ -422,34 +422,34 @@
     }
     private int bitField0_;
 
-    private com.google.protobuf.ByteString fingerprint_ = com.google.protobuf.ByteString.EMPTY;
+    private long fingerprint_ ;
     /**
-     * <code>bytes fingerprint = 1;</code>
+     * <code>fixed64 fingerprint = 1;</code>
      * @return The fingerprint.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getFingerprint() {
+    public long getFingerprint() {
       return fingerprint_;
     }
     /**
-     * <code>bytes fingerprint = 1;</code>
+     * <code>fixed64 fingerprint = 1;</code>
      * @param value The fingerprint to set.
      * @return This builder for chaining.
      */
-    public Builder setFingerprint(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
+    public Builder setFingerprint(long value) {
+
       fingerprint_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>bytes fingerprint = 1;</code>
+     * <code>fixed64 fingerprint = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearFingerprint() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      fingerprint_ = getDefaultInstance().getFingerprint();
+      fingerprint_ = 0L;
       onChanged();
       return this;
     }
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/SuspectFingerprintOrBuilder.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/SuspectFingerprintOrBuilder.java
@@ -11,10 +11,10 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>bytes fingerprint = 1;</code>
+   * <code>fixed64 fingerprint = 1;</code>
    * @return The fingerprint.
    */
-  com.google.protobuf.ByteString getFingerprint();
+  long getFingerprint();
 
   /**
    * <code>uint32 crashes = 2;</code>
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Wiring of the daemon: telemetry, heartbeats, peer calls and operator pages. */
+package org.cactusshift.node.internal;
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon that every entry instance runs. */
+package org.cactusshift.node;
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Calls between the nodes of a site over gRPC. */
+package org.cactusshift.internal.transport.peer;
