Load and check site configuration and node settings

Schema and checks of meaning both run before anything is refused, so that all faults are shown at once, each with the file that decided the value.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/config/AddressRule.java
@@ -0,0 +1,53 @@
+package org.cactusshift.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Checks the addresses in the settings of a process. */
+final class AddressRule implements ConfigRule {
+    private static final List<String> OWN = List.of("callerAddress", "operatorAddress", "peerAddress");
+    private static final List<String> OTHERS = List.of("peerAddresses", "storeAddresses");
+    private static final List<String> PLATFORM =
+            List.of("instanceListAddress", "orderingAddress", "usageAddress", "traceAddress");
+
+    @Override
+    public void check(JsonNode document, Problems problems) {
+        Map<String, String> fieldByAddress = new HashMap<>();
+        for (String field : OWN) {
+            JsonNode address = document.path(field);
+            checkForm(address, true, problems, field);
+            checkUnused(fieldByAddress, field, address, problems);
+        }
+        for (String field : OTHERS) {
+            for (int i = 0; i < document.path(field).size(); i++) {
+                checkForm(document.path(field).path(i), false, problems, field, Integer.toString(i));
+            }
+        }
+        for (String field : PLATFORM) {
+            checkForm(document.path(field), false, problems, field);
+        }
+    }
+
+    private static void checkForm(JsonNode address, boolean anyPort, Problems problems, String... path) {
+        if (!address.isTextual()) {
+            return;
+        }
+        int port = SocketAddresses.port(address.textValue()).orElse(-1);
+        if (port < 0 || (port == 0 && !anyPort)) {
+            problems.add("is not an IP address and port", path);
+        }
+    }
+
+    private static void checkUnused(
+            Map<String, String> fieldByAddress, String field, JsonNode address, Problems problems) {
+        if (!address.isTextual() || address.textValue().endsWith(":0")) {
+            return;
+        }
+        String other = fieldByAddress.putIfAbsent(address.textValue(), field);
+        if (other != null) {
+            problems.add("is the same as " + other, field);
+        }
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/config/NodeSettings.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/config/NodeSettings.java
@@ -46,4 +46,11 @@
         peerAddresses = List.copyOf(peerAddresses);
         storeAddresses = List.copyOf(storeAddresses);
     }
+
+    /** Returns a description without the secret, so that it can be logged. */
+    @Override
+    public String toString() {
+        return "NodeSettings[" + instanceId + " of " + site + " in " + failureDomain + ", callers " + callerAddress
+                + ", operators " + operatorAddress + ", peers " + peerAddress + "]";
+    }
 }
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/config/NodeSettingsLoader.java
@@ -0,0 +1,78 @@
+package org.cactusshift.config;
+
+import com.fasterxml.jackson.core.JsonPointer;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.errors.ConfigProblem;
+import org.cactusshift.errors.InvalidConfigException;
+
+/** Loads the settings of a process from a JSON file; reports all faults at once. */
+public final class NodeSettingsLoader {
+    private static final String STEP = "load settings";
+    private static final String SCHEMA = "node-settings.schema.json";
+    private static final String PEERS = "peerAddresses";
+
+    private final SchemaCheck schema;
+
+    private NodeSettingsLoader(SchemaCheck schema) {
+        this.schema = schema;
+    }
+
+    /**
+     * Returns a loader with the schema of this version.
+     *
+     * @return the loader, thread-safe
+     */
+    public static NodeSettingsLoader create() {
+        return new NodeSettingsLoader(SchemaCheck.fromResource(SCHEMA));
+    }
+
+    /**
+     * Reads and loads a file.
+     *
+     * @param path the file
+     * @return the settings
+     * @throws InvalidConfigException if the file can't be read or the settings are invalid
+     */
+    public NodeSettings load(Path path) throws InvalidConfigException {
+        return load(ConfigFile.read(path));
+    }
+
+    /**
+     * Loads settings.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws InvalidConfigException if the settings are invalid; carries every fault
+     */
+    public NodeSettings load(ConfigFile file) throws InvalidConfigException {
+        List<ConfigProblem> unreadable = new ArrayList<>();
+        JsonNode tree = ConfigLoader.parse(file, unreadable);
+        if (!unreadable.isEmpty()) {
+            throw new InvalidConfigException(STEP, unreadable);
+        }
+        Problems problems = new Problems(Provenance.ofSingleFile(file.name(), tree));
+        schema.check(tree, problems);
+        new AddressRule().check(tree, problems);
+        problems.throwIfAny(STEP);
+        return convert(tree, problems);
+    }
+
+    private static NodeSettings convert(JsonNode tree, Problems problems) throws InvalidConfigException {
+        ObjectNode copy = tree.deepCopy();
+        if (!copy.has(PEERS)) {
+            copy.putArray(PEERS);
+        }
+        try {
+            return Json.mapper().treeToValue(copy, NodeSettings.class);
+        } catch (JsonProcessingException e) {
+            problems.add(JsonPointer.empty(), e.getOriginalMessage());
+            problems.throwIfAny(STEP);
+            throw new IllegalStateException("a problem was added", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/config/Problems.java
@@ -0,0 +1,42 @@
+package org.cactusshift.config;
+
+import com.fasterxml.jackson.core.JsonPointer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.cactusshift.errors.ConfigProblem;
+import org.cactusshift.errors.InvalidConfigException;
+
+/** Collects the faults of a document. */
+final class Problems {
+    private static final Comparator<ConfigProblem> ORDER = Comparator.comparing(ConfigProblem::file)
+            .thenComparing(ConfigProblem::pointer)
+            .thenComparing(ConfigProblem::reason);
+
+    private final Provenance provenance;
+    private final List<ConfigProblem> found = new ArrayList<>();
+
+    Problems(Provenance provenance) {
+        this.provenance = provenance;
+    }
+
+    /** Adds a fault; {@code path} holds the field names from the root to the value. */
+    void add(String reason, String... path) {
+        JsonPointer pointer = JsonPointer.empty();
+        for (String name : path) {
+            pointer = pointer.appendProperty(name);
+        }
+        add(pointer, reason);
+    }
+
+    void add(JsonPointer pointer, String reason) {
+        found.add(new ConfigProblem(provenance.fileOf(pointer), pointer.toString(), reason));
+    }
+
+    void throwIfAny(String step) throws InvalidConfigException {
+        if (!found.isEmpty()) {
+            throw new InvalidConfigException(
+                    step, found.stream().distinct().sorted(ORDER).toList());
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/config/TimingRule.java
@@ -0,0 +1,47 @@
+package org.cactusshift.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.DateTimeException;
+import java.time.LocalDate;
+
+/** Checks the date and the relations between periods and timeouts. */
+final class TimingRule implements ConfigRule {
+    private static final String TIMING = "timing";
+    private static final int HEARTBEATS_BEFORE_SUSPICION = 2;
+
+    @Override
+    public void check(JsonNode document, Problems problems) {
+        checkDate(document.path("shutdownDate"), problems);
+        JsonNode timing = document.path(TIMING);
+        checkAtLeast(timing, "suspicionMillis", HEARTBEATS_BEFORE_SUSPICION, "heartbeatMillis", problems);
+        checkAtLeast(timing, "leaseTtlMillis", HEARTBEATS_BEFORE_SUSPICION, "heartbeatMillis", problems);
+        checkAtLeast(timing, "keyFreshnessMillis", HEARTBEATS_BEFORE_SUSPICION, "heartbeatMillis", problems);
+        checkAtLeast(timing, "usageWindowMillis", 1, "usageHandOverMillis", problems);
+        checkAtLeast(timing, "requestTimeoutMillis", 1, "connectTimeoutMillis", problems);
+        checkAtLeast(timing, "shutdownTimeoutMillis", 1, "drainTimeoutMillis", problems);
+    }
+
+    private static void checkDate(JsonNode date, Problems problems) {
+        if (!date.isTextual()) {
+            return;
+        }
+        try {
+            LocalDate.parse(date.textValue());
+        } catch (DateTimeException e) {
+            problems.add("is not a date of the form 2027-12-31", "shutdownDate");
+        }
+    }
+
+    private static void checkAtLeast(JsonNode timing, String longer, int factor, String shorter, Problems problems) {
+        JsonNode high = timing.path(longer);
+        JsonNode low = timing.path(shorter);
+        if (!high.canConvertToLong() || !low.canConvertToLong()) {
+            return;
+        }
+        double minimum = (double) factor * low.longValue();
+        if (high.longValue() < minimum) {
+            String times = factor == 1 ? "" : factor + " times ";
+            problems.add("is shorter than " + times + shorter + " (" + low + ")", TIMING, longer);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/key/KeyHasher.java
@@ -0,0 +1,98 @@
+package org.cactusshift.internal.coordination.key;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.HexFormat;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.cactusshift.id.KeyId;
+
+/**
+ * Hashes client keys with HMAC-SHA-256 under the site's secret.
+ *
+ * <p>The hash covers the key's id too, so that the hash of one key can't be put under the id of another. A fast keyed
+ * hash is enough because the secrets are random and 256 bits long.
+ */
+public final class KeyHasher {
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final String PREFIX = "hmac-sha256:";
+    private static final int SECRET_BYTES = 32;
+
+    private final SecretKeySpec secret;
+
+    private KeyHasher(SecretKeySpec secret) {
+        this.secret = secret;
+    }
+
+    /**
+     * Returns a hasher.
+     *
+     * @param secretHex the secret, as hex
+     * @return the hasher, thread-safe
+     * @throws IllegalArgumentException if the text is empty or not hex
+     */
+    public static KeyHasher fromHex(String secretHex) {
+        return new KeyHasher(new SecretKeySpec(HexFormat.of().parseHex(secretHex), ALGORITHM));
+    }
+
+    /**
+     * Creates a key.
+     *
+     * @param id the id of the key
+     * @param random the source of the secret
+     * @return the key in clear; shown once and kept nowhere
+     */
+    public static ClientKey issue(KeyId id, SecureRandom random) {
+        byte[] bytes = new byte[SECRET_BYTES];
+        random.nextBytes(bytes);
+        return new ClientKey(id, Base64.getUrlEncoder().withoutPadding().encodeToString(bytes));
+    }
+
+    /**
+     * Returns the hash that the configuration stores.
+     *
+     * @param key the key in clear
+     * @return the hash, as {@code hmac-sha256:HEX}
+     */
+    public String hash(ClientKey key) {
+        return PREFIX + HexFormat.of().formatHex(mac(key));
+    }
+
+    /**
+     * Returns the bytes of a stored hash.
+     *
+     * @param stored the hash, as {@code hmac-sha256:HEX}
+     * @return the bytes
+     * @throws IllegalArgumentException if the text has another form
+     */
+    static byte[] decode(String stored) {
+        if (!stored.startsWith(PREFIX)) {
+            throw new IllegalArgumentException("a key hash does not start with " + PREFIX);
+        }
+        return HexFormat.of().parseHex(stored, PREFIX.length(), stored.length());
+    }
+
+    /**
+     * Compares a key with a stored hash in time that does not depend on where they differ.
+     *
+     * @param key the key in clear
+     * @param hash the bytes of the stored hash
+     * @return whether the key has the hash
+     */
+    boolean matches(ClientKey key, byte[] hash) {
+        return MessageDigest.isEqual(mac(key), hash);
+    }
+
+    private byte[] mac(ClientKey key) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(secret);
+            return mac.doFinal((key.id() + "." + key.secret()).getBytes(StandardCharsets.UTF_8));
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("the JDK lacks " + ALGORITHM, e);
+        }
+    }
+}
