Add HTTP listener, upstream pool and dispatch service

The data path needs a server with deadlines on slow callers, a client pool that tells "not sent" from "may have been sent", and an owner of the pure dispatchers that hands decisions to waiting requests. HttpCore's own bootstrap server was ruled out since its socket timeout starts again with each byte, so a sweeper closes connections at a deadline. Compiled only; the gateway answers health checks and nothing else yet, and no test has run on these classes.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchTicket.java
@@ -0,0 +1,73 @@
+package org.cactusshift.internal.coordination.dispatch;
+
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.id.AttemptId;
+import org.cactusshift.id.RequestId;
+
+/**
+ * The place where the decisions about one request arrive. Used by the thread of the request; decisions are put in by
+ * others.
+ */
+public final class DispatchTicket implements AutoCloseable {
+    private final RequestId request;
+    private final DispatchShard shard;
+    private final BlockingQueue<DispatchDecision> decisions = new LinkedBlockingQueue<>();
+
+    DispatchTicket(RequestId request, DispatchShard shard) {
+        this.request = request;
+        this.shard = shard;
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @return the request's id
+     */
+    public RequestId request() {
+        return request;
+    }
+
+    /**
+     * Waits for the next decision.
+     *
+     * @param maximumWaitMillis the longest wait, in milliseconds
+     * @return the decision, or empty when none arrived in time
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public Optional<DispatchDecision> await(long maximumWaitMillis) throws InterruptedException {
+        return Optional.ofNullable(decisions.poll(maximumWaitMillis, TimeUnit.MILLISECONDS));
+    }
+
+    /**
+     * Reports output tokens that were delivered to the caller.
+     *
+     * @param attempt the attempt
+     * @param outputTokens tokens delivered since the last report
+     */
+    public void onProgress(AttemptId attempt, int outputTokens) {
+        shard.onProgress(attempt, outputTokens);
+    }
+
+    /**
+     * Reports the end of an attempt; another decision may follow unless the attempt completed or was cancelled.
+     *
+     * @param attempt the attempt
+     * @param end how it ended
+     */
+    public void onAttemptEnd(AttemptId attempt, AttemptEnd end) {
+        shard.onAttemptEnd(attempt, end);
+    }
+
+    /** Gives the request up: a decision that was not taken is undone. Does nothing when the request has ended. */
+    @Override
+    public void close() {
+        shard.close(this);
+    }
+
+    void put(DispatchDecision decision) {
+        decisions.add(decision);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/GatewayMetrics.java
@@ -0,0 +1,95 @@
+package org.cactusshift.internal.transport.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.cactusshift.id.ServiceId;
+
+/** Metrics of the callers' interface. */
+public final class GatewayMetrics {
+    private static final double MILLIS_PER_SECOND = 1000.0;
+    private static final double[] FIRST_TOKEN_SECONDS = {0.02, 0.05, 0.1, 0.2, 0.34, 0.5, 1, 2, 5, 10, 30};
+    private static final double[] BETWEEN_TOKENS_SECONDS = {0.005, 0.01, 0.02, 0.04, 0.076, 0.15, 0.3, 1, 5};
+
+    private final Counter requests;
+    private final Counter refusals;
+    private final Counter attempts;
+    private final Histogram firstToken;
+    private final Histogram betweenTokens;
+    private final Gauge open;
+
+    private GatewayMetrics(PrometheusRegistry registry) {
+        requests = Counter.builder()
+                .name("cactusshift_requests_total")
+                .help("Answered requests.")
+                .labelNames("service", "outcome", "status")
+                .register(registry);
+        refusals = Counter.builder()
+                .name("cactusshift_refusals_total")
+                .help("Refused requests.")
+                .labelNames("service", "reason")
+                .register(registry);
+        attempts = Counter.builder()
+                .name("cactusshift_attempts_total")
+                .help("Ended attempts on upstreams.")
+                .labelNames("service", "outcome")
+                .register(registry);
+        firstToken = Histogram.builder()
+                .name("cactusshift_first_token_seconds")
+                .help("Time from the request to its first token.")
+                .labelNames("service")
+                .classicOnly()
+                .classicUpperBounds(FIRST_TOKEN_SECONDS)
+                .register(registry);
+        betweenTokens = Histogram.builder()
+                .name("cactusshift_between_tokens_seconds")
+                .help("Time between two tokens of a request.")
+                .labelNames("service")
+                .classicOnly()
+                .classicUpperBounds(BETWEEN_TOKENS_SECONDS)
+                .register(registry);
+        open = Gauge.builder()
+                .name("cactusshift_open_requests")
+                .help("Requests received and not yet answered.")
+                .register(registry);
+    }
+
+    /**
+     * Registers the metrics.
+     *
+     * @param registry the registry; must not hold them yet
+     * @return the metrics
+     */
+    public static GatewayMetrics create(PrometheusRegistry registry) {
+        return new GatewayMetrics(registry);
+    }
+
+    void opened() {
+        open.inc();
+    }
+
+    void closed() {
+        open.dec();
+    }
+
+    void answered(String service, String outcome, int status) {
+        requests.labelValues(service, outcome, Integer.toString(status)).inc();
+    }
+
+    void refused(String service, String reason) {
+        refusals.labelValues(service, reason).inc();
+    }
+
+    void attemptEnded(ServiceId service, String outcome) {
+        attempts.labelValues(service.value(), outcome).inc();
+    }
+
+    void firstToken(ServiceId service, long waitMillis) {
+        firstToken.labelValues(service.value()).observe(waitMillis / MILLIS_PER_SECOND);
+    }
+
+    void betweenTokens(ServiceId service, long waitMillis) {
+        betweenTokens.labelValues(service.value()).observe(waitMillis / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/ClientSettings.java
@@ -0,0 +1,34 @@
+package org.cactusshift.internal.transport.http;
+
+import org.cactusshift.config.TimingConfig;
+
+/**
+ * Limits of the connections to upstreams.
+ *
+ * @param connectTimeoutMillis the longest time for opening a connection
+ * @param progressTimeoutMillis the longest silence before a connection is abandoned
+ * @param maximumConnectionsPerUpstream the most connections to one address
+ * @param idleExpiryMillis how long an unused connection is kept
+ */
+public record ClientSettings(
+        long connectTimeoutMillis,
+        long progressTimeoutMillis,
+        int maximumConnectionsPerUpstream,
+        long idleExpiryMillis) {
+    private static final int MAXIMUM_CONNECTIONS_PER_UPSTREAM = 1024;
+    private static final long IDLE_EXPIRY_MILLIS = 15_000;
+
+    /**
+     * Returns the limits that a site configuration sets.
+     *
+     * @param timing the timeouts of the site
+     * @return the limits
+     */
+    public static ClientSettings of(TimingConfig timing) {
+        return new ClientSettings(
+                timing.connectTimeoutMillis(),
+                timing.upstreamProgressTimeoutMillis(),
+                MAXIMUM_CONNECTIONS_PER_UPSTREAM,
+                IDLE_EXPIRY_MILLIS);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/RequestReader.java
@@ -0,0 +1,103 @@
+package org.cactusshift.internal.transport.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Locale;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.io.HttpServerRequestHandler.ResponseTrigger;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+
+/** Checks the headers of a request and reads its body, both within the listener's limits. */
+final class RequestReader {
+    private static final int CHUNK_BYTES = 8192;
+    /** What is read and thrown away of a body over the limit, so that the caller gets to read the answer. */
+    private static final long DISCARD_BYTES = 8L * 1024 * 1024;
+
+    private final ListenerSettings settings;
+
+    RequestReader(ListenerSettings settings) {
+        this.settings = settings;
+    }
+
+    void checkHeaders(ClassicHttpRequest request) throws HttpException {
+        long headerBytes = 0;
+        for (Header header : request.getHeaders()) {
+            String value = header.getValue();
+            headerBytes += header.getName().length() + (value == null ? 0 : value.length()) + ": \r\n".length();
+        }
+        if (headerBytes > settings.maximumHeaderBytes()) {
+            throw new RequestRefusedException(
+                    HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header section is too large");
+        }
+        boolean hasLength = request.containsHeader(HttpHeaders.CONTENT_LENGTH);
+        boolean hasEncoding = request.containsHeader(HttpHeaders.TRANSFER_ENCODING);
+        if (hasLength && hasEncoding || request.countHeaders(HttpHeaders.CONTENT_LENGTH) > 1) {
+            throw new RequestRefusedException(HttpStatus.SC_BAD_REQUEST, "the body's length is ambiguous");
+        }
+    }
+
+    byte[] readBody(ClassicHttpRequest request, ResponseTrigger trigger) throws HttpException, IOException {
+        HttpEntity entity = request.getEntity();
+        if (entity == null) {
+            return new byte[0];
+        }
+        boolean expectsContinue = expectsContinue(request);
+        if (entity.getContentLength() > settings.maximumBodyBytes()) {
+            if (!expectsContinue) {
+                discard(entity.getContent());
+            }
+            throw tooLarge();
+        }
+        if (expectsContinue) {
+            trigger.sendInformation(new BasicClassicHttpResponse(HttpStatus.SC_CONTINUE));
+        }
+        InputStream content = entity.getContent();
+        byte[] body = readWithinLimit(content, entity.getContentLength());
+        if (body.length > settings.maximumBodyBytes()) {
+            discard(content);
+            throw tooLarge();
+        }
+        return body;
+    }
+
+    private byte[] readWithinLimit(InputStream content, long contentLength) throws IOException {
+        int sizeHint = contentLength == ContentLengthStrategy.CHUNKED ? CHUNK_BYTES : (int) Math.max(contentLength, 0);
+        ByteArrayOutputStream body = new ByteArrayOutputStream(Math.min(sizeHint, CHUNK_BYTES));
+        byte[] chunk = new byte[CHUNK_BYTES];
+        int count = content.read(chunk);
+        while (count >= 0 && body.size() <= settings.maximumBodyBytes()) {
+            body.write(chunk, 0, count);
+            count = content.read(chunk);
+        }
+        return body.toByteArray();
+    }
+
+    private static void discard(InputStream content) throws IOException {
+        byte[] chunk = new byte[CHUNK_BYTES];
+        long left = DISCARD_BYTES;
+        int count = 0;
+        while (count >= 0 && left > 0) {
+            count = content.read(chunk);
+            left -= count;
+        }
+    }
+
+    private RequestRefusedException tooLarge() {
+        return new RequestRefusedException(
+                HttpStatus.SC_REQUEST_TOO_LONG, "the body is larger than " + settings.maximumBodyBytes() + " bytes");
+    }
+
+    private static boolean expectsContinue(ClassicHttpRequest request) {
+        Header expect = request.getFirstHeader(HttpHeaders.EXPECT);
+        return expect != null
+                && expect.getValue() != null
+                && expect.getValue().toLowerCase(Locale.ROOT).equals("100-continue");
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/UpstreamException.java
@@ -0,0 +1,55 @@
+package org.cactusshift.internal.transport.http;
+
+import java.io.IOException;
+import org.cactusshift.errors.Failure;
+
+/** The loss of an exchange with an upstream, with what may be concluded from it. */
+public final class UpstreamException extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    /** How the exchange was lost. */
+    public enum Loss {
+        /** No byte of the request can have reached the upstream. */
+        NOT_SENT,
+        /** The upstream closed the connection, or answered what is not HTTP. */
+        CLOSED,
+        /** The upstream made no progress within the timeout. */
+        SILENT,
+        /** The answer is not wanted any more. */
+        ABANDONED
+    }
+
+    private final Loss loss;
+    private final transient Failure failure;
+
+    private UpstreamException(Loss loss, Failure failure) {
+        super(failure.toString());
+        this.loss = loss;
+        this.failure = failure;
+    }
+
+    static UpstreamException of(Loss loss, String step, String address, String message) {
+        Failure failure = loss == Loss.NOT_SENT
+                ? Failure.noEffect(step, address, message)
+                : Failure.unknownEffect(step, address, message);
+        return new UpstreamException(loss, failure);
+    }
+
+    /**
+     * Returns how the exchange was lost.
+     *
+     * @return the loss
+     */
+    public Loss loss() {
+        return loss;
+    }
+
+    /**
+     * Returns the failed step and the upstream's address.
+     *
+     * @return the failure
+     */
+    public Failure failure() {
+        return failure;
+    }
+}
