--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/tls/TlsContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/tls/TlsContext.java
@@ -9,8 +9,14 @@
 import io.vavr.control.Either;
 import java.io.File;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.security.GeneralSecurityException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import javax.net.ssl.KeyManager;
 import javax.net.ssl.SSLContext;
@@ -25,23 +31,21 @@
  * keep theirs. Between nodes both sides must present a certificate that chains to the trust file.
  */
 public final class TlsContext implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(TlsContext.class.getName());
     private static final long RELOAD_PERIOD_MILLIS = 5_000;
     private static final String PROTOCOL = "TLSv1.3";
 
+    private final TlsSettings settings;
     private final AdvancedTlsX509KeyManager keyManager;
     private final AdvancedTlsX509TrustManager trustManager;
-    private final AutoCloseable keyReload;
-    private final AutoCloseable trustReload;
+    private ScheduledFuture<?> reload;
+    private Map<String, Long> loadedModificationEpochMillis;
 
     private TlsContext(
-            AdvancedTlsX509KeyManager keyManager,
-            AdvancedTlsX509TrustManager trustManager,
-            AutoCloseable keyReload,
-            AutoCloseable trustReload) {
+            TlsSettings settings, AdvancedTlsX509KeyManager keyManager, AdvancedTlsX509TrustManager trustManager) {
+        this.settings = settings;
         this.keyManager = keyManager;
         this.trustManager = trustManager;
-        this.keyReload = keyReload;
-        this.trustReload = trustReload;
     }
 
     /**
@@ -58,24 +62,46 @@
     static Either<Failure, TlsContext> load(
             TlsSettings settings, ScheduledExecutorService scheduler, long reloadPeriodMillis) {
         try {
-            AdvancedTlsX509KeyManager keys = new AdvancedTlsX509KeyManager();
-            AutoCloseable keyReload = keys.updateIdentityCredentials(
-                    new File(settings.certificateFile()),
-                    new File(settings.privateKeyFile()),
-                    reloadPeriodMillis,
-                    TimeUnit.MILLISECONDS,
-                    scheduler)::close;
             AdvancedTlsX509TrustManager trust = AdvancedTlsX509TrustManager.newBuilder()
                     .setVerification(AdvancedTlsX509TrustManager.Verification.CERTIFICATE_ONLY_VERIFICATION)
                     .build();
-            AutoCloseable trustReload = trust.updateTrustCredentials(
-                    new File(settings.trustFile()), reloadPeriodMillis, TimeUnit.MILLISECONDS, scheduler)::close;
-            return Either.right(new TlsContext(keys, trust, keyReload, trustReload));
+            TlsContext context = new TlsContext(settings, new AdvancedTlsX509KeyManager(), trust);
+            context.readFiles();
+            context.reload = scheduler.scheduleWithFixedDelay(
+                    context::reloadChangedFiles, reloadPeriodMillis, reloadPeriodMillis, TimeUnit.MILLISECONDS);
+            return Either.right(context);
         } catch (IOException | GeneralSecurityException e) {
             return Either.left(Failure.noEffect("load certificates", "local", e.toString()));
         }
     }
 
+    private void reloadChangedFiles() {
+        try {
+            if (!modificationEpochMillis().equals(loadedModificationEpochMillis)) {
+                readFiles();
+                LOG.log(System.Logger.Level.INFO, "certificates reloaded from {0}", settings.certificateFile());
+            }
+        } catch (IOException | GeneralSecurityException e) {
+            // The files may be half written; the next period tries again and the old certificates stay in use.
+            LOG.log(System.Logger.Level.WARNING, "certificates not reloaded: " + e);
+        }
+    }
+
+    private void readFiles() throws IOException, GeneralSecurityException {
+        Map<String, Long> modification = modificationEpochMillis();
+        keyManager.updateIdentityCredentials(new File(settings.certificateFile()), new File(settings.privateKeyFile()));
+        trustManager.updateTrustCredentials(new File(settings.trustFile()));
+        loadedModificationEpochMillis = modification;
+    }
+
+    private Map<String, Long> modificationEpochMillis() throws IOException {
+        Map<String, Long> modification = new HashMap<>();
+        for (String file : List.of(settings.certificateFile(), settings.privateKeyFile(), settings.trustFile())) {
+            modification.put(file, Files.getLastModifiedTime(Path.of(file)).toMillis());
+        }
+        return modification;
+    }
+
     /**
      * Returns the credentials of a server that demands a client certificate.
      *
@@ -117,8 +143,7 @@
     }
 
     @Override
-    public void close() throws Exception {
-        keyReload.close();
-        trustReload.close();
+    public void close() {
+        reload.cancel(false);
     }
 }
