Turn running totals of other nodes into differences

Heartbeats may be lost, repeated or reordered, so nodes send running totals since their start and the receiver takes differences; sending differences was ruled out because a lost heartbeat would lose service for good. Totals go out when they changed, and all of them every few heartbeats. Five seeded orders add up to the last total.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/summary/AccountKey.java
@@ -0,0 +1,12 @@
+package org.cactusshift.internal.coordination.summary;
+
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.ServiceId;
+
+/**
+ * A client account's use of one service.
+ *
+ * @param service the service
+ * @param account the client account
+ */
+public record AccountKey(ServiceId service, AccountId account) {}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/summary/OutgoingTotals.java
@@ -0,0 +1,50 @@
+package org.cactusshift.internal.coordination.summary;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Chooses which totals go into the next heartbeat: those that changed since the last one, and all of them every so
+ * often, so that a node that missed a heartbeat catches up.
+ *
+ * <p>Not thread-safe; used by the sender of heartbeats only.
+ */
+public final class OutgoingTotals {
+    private final int fullEvery;
+    private final Map<AccountKey, ServiceTotals> sent = new HashMap<>();
+    private long heartbeats;
+
+    private OutgoingTotals(int fullEvery) {
+        this.fullEvery = fullEvery;
+    }
+
+    /**
+     * Returns a chooser that has sent nothing.
+     *
+     * @param fullEvery how many heartbeats pass from one with all totals to the next
+     * @return the chooser
+     */
+    public static OutgoingTotals create(int fullEvery) {
+        return new OutgoingTotals(fullEvery);
+    }
+
+    /**
+     * Returns the totals for the next heartbeat.
+     *
+     * @param current the totals of all accounts
+     * @return those to send
+     */
+    public Map<AccountKey, ServiceTotals> next(Map<AccountKey, ServiceTotals> current) {
+        boolean full = heartbeats % fullEvery == 0;
+        heartbeats++;
+        Map<AccountKey, ServiceTotals> chosen = new HashMap<>();
+        current.forEach((key, totals) -> {
+            if (full || !totals.equals(sent.get(key))) {
+                chosen.put(key, totals);
+            }
+        });
+        sent.keySet().retainAll(current.keySet());
+        sent.putAll(chosen);
+        return chosen;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/summary/RemoteTotals.java
@@ -0,0 +1,97 @@
+package org.cactusshift.internal.coordination.summary;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cactusshift.id.IncarnationId;
+
+/**
+ * Turns the running totals that other nodes send into differences, so that a lost, repeated or reordered heartbeat
+ * neither loses nor doubles service.
+ *
+ * <p>State is kept in shards by account, each under its own lock. Safe for use by several threads.
+ */
+public final class RemoteTotals {
+    private static final int SHARDS = 16;
+
+    private final List<Shard> shards = new ArrayList<>();
+
+    private RemoteTotals() {
+        for (int i = 0; i < SHARDS; i++) {
+            shards.add(new Shard());
+        }
+    }
+
+    /**
+     * Returns an empty table.
+     *
+     * @return the table
+     */
+    public static RemoteTotals create() {
+        return new RemoteTotals();
+    }
+
+    /**
+     * Takes the totals of an account at another node.
+     *
+     * @param sender the start of the other node
+     * @param key the account and service
+     * @param totals the totals since that start
+     * @return what came since the sender's totals seen before, with the requests now open at all other nodes together
+     */
+    public ServiceTotals accept(IncarnationId sender, AccountKey key, ServiceTotals totals) {
+        return shard(key).accept(sender, key, totals);
+    }
+
+    /**
+     * Forgets a node that is gone; its open requests no longer count.
+     *
+     * @param sender the start of the node
+     * @return the accounts whose open requests changed, with the requests now open at the other nodes
+     */
+    public Map<AccountKey, Integer> forget(IncarnationId sender) {
+        Map<AccountKey, Integer> changed = new HashMap<>();
+        shards.forEach(shard -> shard.forget(sender, changed));
+        return changed;
+    }
+
+    private Shard shard(AccountKey key) {
+        return shards.get(Math.floorMod(key.account().hashCode(), SHARDS));
+    }
+
+    private static final class Shard {
+        private final Map<AccountKey, Map<IncarnationId, ServiceTotals>> seen = new HashMap<>();
+
+        synchronized ServiceTotals accept(IncarnationId sender, AccountKey key, ServiceTotals totals) {
+            Map<IncarnationId, ServiceTotals> senders = seen.computeIfAbsent(key, k -> new HashMap<>());
+            ServiceTotals before = senders.getOrDefault(sender, ServiceTotals.NONE);
+            // Totals only grow; a smaller one is an older message that arrived late.
+            ServiceTotals latest = new ServiceTotals(
+                    Math.max(before.prefillTokens(), totals.prefillTokens()),
+                    Math.max(before.decodeTokens(), totals.decodeTokens()),
+                    totals.requestsInFlight());
+            senders.put(sender, latest);
+            return new ServiceTotals(
+                    latest.prefillTokens() - before.prefillTokens(),
+                    latest.decodeTokens() - before.decodeTokens(),
+                    inFlight(senders));
+        }
+
+        synchronized void forget(IncarnationId sender, Map<AccountKey, Integer> changed) {
+            seen.forEach((key, senders) -> {
+                ServiceTotals last = senders.remove(sender);
+                if (last != null && last.requestsInFlight() > 0) {
+                    changed.put(key, inFlight(senders));
+                }
+            });
+            seen.values().removeIf(Map::isEmpty);
+        }
+
+        private static int inFlight(Map<IncarnationId, ServiceTotals> senders) {
+            return senders.values().stream()
+                    .mapToInt(ServiceTotals::requestsInFlight)
+                    .sum();
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/summary/RemoteTotalsTest.java
@@ -0,0 +1,78 @@
+package org.cactusshift.internal.coordination.summary;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.ServiceId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RemoteTotalsTest {
+    private static final AccountKey KEY =
+            new AccountKey(ServiceId.fromString("share-lm"), AccountId.fromString("clerks"));
+    private static final IncarnationId A = IncarnationId.fromString("a-1");
+    private static final IncarnationId B = IncarnationId.fromString("b-1");
+
+    private final RemoteTotals totals = RemoteTotals.create();
+
+    @Test
+    void countsServiceOnceWhenHeartbeatsRepeatAndCross() {
+        assertEquals(new ServiceTotals(100, 10, 2), totals.accept(A, KEY, new ServiceTotals(100, 10, 2)));
+        assertEquals(new ServiceTotals(0, 0, 2), totals.accept(A, KEY, new ServiceTotals(100, 10, 2)));
+        assertEquals(new ServiceTotals(50, 5, 1), totals.accept(A, KEY, new ServiceTotals(150, 15, 1)));
+        assertEquals(new ServiceTotals(0, 0, 2), totals.accept(A, KEY, new ServiceTotals(100, 10, 2)));
+        assertEquals(new ServiceTotals(10, 0, 2), totals.accept(A, KEY, new ServiceTotals(160, 15, 2)));
+    }
+
+    @Test
+    void addsOpenRequestsOfAllNodesAndDropsThoseOfANodeThatIsGone() {
+        totals.accept(A, KEY, new ServiceTotals(0, 0, 3));
+        assertEquals(7, totals.accept(B, KEY, new ServiceTotals(0, 0, 4)).requestsInFlight());
+
+        assertEquals(Map.of(KEY, 4), totals.forget(A));
+        assertEquals(Map.of(), totals.forget(A));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void differencesAddUpToTheLastTotalInAnyOrder(long seed) {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        long prefill = 0;
+        long sum = 0;
+        long[] history = new long[200];
+        for (int i = 0; i < history.length; i++) {
+            prefill += random.nextInt(50);
+            history[i] = prefill;
+            int delivered = Math.max(0, i - random.nextInt(5));
+            sum += totals.accept(A, KEY, new ServiceTotals(history[delivered], 0, 0))
+                    .prefillTokens();
+        }
+        sum += totals.accept(A, KEY, new ServiceTotals(prefill, 0, 0)).prefillTokens();
+
+        assertEquals(prefill, sum);
+    }
+
+    @Test
+    void sendsChangedTotalsAndAllOfThemNowAndThen() {
+        OutgoingTotals outgoing = OutgoingTotals.create(3);
+        AccountKey other = new AccountKey(KEY.service(), AccountId.fromString("crew"));
+        Map<AccountKey, ServiceTotals> start =
+                Map.of(KEY, new ServiceTotals(1, 0, 0), other, new ServiceTotals(2, 0, 0));
+        Map<AccountKey, ServiceTotals> later =
+                Map.of(KEY, new ServiceTotals(5, 0, 0), other, new ServiceTotals(2, 0, 0));
+
+        List<Integer> sizes = List.of(
+                outgoing.next(start).size(),
+                outgoing.next(later).size(),
+                outgoing.next(later).size(),
+                outgoing.next(later).size());
+
+        assertEquals(List.of(2, 1, 0, 2), sizes);
+    }
+}
