Add the etcd client and a served stand-in of the key-value service

Nodes reach the key-value service over the etcd v3 JSON interface. A retry of writes inside the client was ruled out: only the caller can read back and tell its own write from another's.

--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/RateLimit.java
@@ -0,0 +1,34 @@
+package org.cactusshift.standin;
+
+/** A token bucket that holds at most one second's worth; the present time is an argument. */
+final class RateLimit {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final double unitsPerSecond;
+
+    private double available;
+
+    private long lastNanos;
+
+    /** Creates a full bucket; a rate of 0 stands for no limit. */
+    RateLimit(double unitsPerSecond, long nowNanos) {
+        this.unitsPerSecond = unitsPerSecond;
+        this.available = unitsPerSecond;
+        this.lastNanos = nowNanos;
+    }
+
+    /** Takes some units, or none when there are too few. */
+    synchronized boolean tryTake(double units, long nowNanos) {
+        if (unitsPerSecond <= 0) {
+            return true;
+        }
+        double gained = (nowNanos - lastNanos) / NANOS_PER_SECOND * unitsPerSecond;
+        available = Math.min(unitsPerSecond, available + gained);
+        lastNanos = nowNanos;
+        if (available < units) {
+            return false;
+        }
+        available -= units;
+        return true;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/ReceivedLog.java
@@ -0,0 +1,65 @@
+package org.cactusshift.standin;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** The requests that a stand-in received, oldest first; keeps the latest 100,000. */
+public final class ReceivedLog {
+    private static final int LIMIT_REQUESTS = 100_000;
+
+    private final Deque<ReceivedRequest> requests = new ArrayDeque<>();
+
+    private long lastSequence;
+
+    ReceivedLog() {}
+
+    synchronized ReceivedRequest add(StandInRequest request, long nowMillis) {
+        lastSequence++;
+        ReceivedRequest received = new ReceivedRequest(lastSequence, nowMillis, request);
+        requests.addLast(received);
+        if (requests.size() > LIMIT_REQUESTS) {
+            requests.removeFirst();
+        }
+        return received;
+    }
+
+    /**
+     * Returns the requests kept.
+     *
+     * @return a copy, oldest first
+     */
+    public synchronized List<ReceivedRequest> all() {
+        return List.copyOf(requests);
+    }
+
+    /**
+     * Returns the requests that meet a condition.
+     *
+     * @param condition the condition
+     * @return the requests, oldest first
+     */
+    public List<ReceivedRequest> matching(Predicate<ReceivedRequest> condition) {
+        return all().stream().filter(condition).toList();
+    }
+
+    /**
+     * Returns the requests with an attempt id.
+     *
+     * @param attemptId the value of {@code X-Request-Id}
+     * @return the requests, oldest first
+     */
+    public List<ReceivedRequest> withAttempt(String attemptId) {
+        return matching(request -> request.attemptId().equals(attemptId));
+    }
+
+    /**
+     * Returns how many requests were received since the start.
+     *
+     * @return the number, including those no longer kept
+     */
+    public synchronized long count() {
+        return lastSequence;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInAnswer.java
@@ -0,0 +1,128 @@
+package org.cactusshift.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** An answer of a stand-in: a whole body, or a stream. */
+public final class StandInAnswer {
+    /** Status of a success. */
+    public static final int OK = 200;
+
+    /** Status of a malformed request. */
+    public static final int BAD_REQUEST = 400;
+
+    /** Status of an unknown path or thing. */
+    public static final int NOT_FOUND = 404;
+
+    /** Status of a request that contradicts the state. */
+    public static final int CONFLICT = 409;
+
+    /** Status of a request over the rate. */
+    public static final int TOO_MANY_REQUESTS = 429;
+
+    /** Status of a refusal before running. */
+    public static final int UNAVAILABLE = 503;
+
+    private final int status;
+
+    private final Map<String, String> headers = new LinkedHashMap<>();
+
+    private final String contentType;
+
+    private final byte[] body;
+
+    private final StandInStream.Writer writer;
+
+    private StandInAnswer(int status, String contentType, byte[] body, StandInStream.Writer writer) {
+        this.status = status;
+        this.contentType = contentType;
+        this.body = body;
+        this.writer = writer;
+    }
+
+    /**
+     * Returns an answer with a JSON body.
+     *
+     * @param status the HTTP status
+     * @param body the body
+     * @return the answer
+     */
+    public static StandInAnswer json(int status, JsonNode body) {
+        byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+        return new StandInAnswer(status, "application/json", bytes, null);
+    }
+
+    /**
+     * Returns an answer with other bytes.
+     *
+     * @param body the bytes
+     * @return the answer with status 200
+     */
+    public static StandInAnswer bytes(byte[] body) {
+        return new StandInAnswer(OK, "application/octet-stream", body.clone(), null);
+    }
+
+    /**
+     * Returns a streamed answer.
+     *
+     * @param contentType the type of the body
+     * @param writer writes the body
+     * @return the answer with status 200
+     */
+    public static StandInAnswer stream(String contentType, StandInStream.Writer writer) {
+        return new StandInAnswer(OK, contentType, null, writer);
+    }
+
+    /**
+     * Returns an error in the envelope of the OpenAI interface.
+     *
+     * @param status the HTTP status
+     * @param code the error code
+     * @return the answer
+     */
+    public static StandInAnswer error(int status, String code) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.putObject("error")
+                .put("message", code)
+                .put("type", "stand_in_error")
+                .put("code", code);
+        return json(status, root);
+    }
+
+    /**
+     * Adds a header.
+     *
+     * @param name the name
+     * @param value the value
+     * @return this answer
+     */
+    public StandInAnswer withHeader(String name, String value) {
+        headers.put(name, value);
+        return this;
+    }
+
+    int status() {
+        return status;
+    }
+
+    Map<String, String> headers() {
+        return headers;
+    }
+
+    String contentType() {
+        return contentType;
+    }
+
+    byte[] body() {
+        return body;
+    }
+
+    Optional<StandInStream.Writer> writer() {
+        return Optional.ofNullable(writer);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInExchange.java
@@ -0,0 +1,62 @@
+package org.cactusshift.standin;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+
+/** One request and its answer on one connection of a stand-in. */
+final class StandInExchange {
+    private static final long POLL_MILLIS = 5;
+
+    private final StandInServer server;
+
+    private final DefaultBHttpServerConnection connection;
+
+    private volatile ReceivedRequest received;
+
+    StandInExchange(StandInServer server, DefaultBHttpServerConnection connection) {
+        this.server = server;
+        this.connection = connection;
+    }
+
+    void setReceived(ReceivedRequest received) {
+        this.received = received;
+    }
+
+    void note(ReceivedRequest.Outcome outcome) {
+        received.end(outcome);
+    }
+
+    boolean isAbandoned() {
+        if (!server.owns(connection) || !connection.isOpen()) {
+            return true;
+        }
+        try {
+            return connection.isStale();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    void awaitPassage() throws IOException {
+        while (server.holdsBack(connection)) {
+            if (isAbandoned()) {
+                throw new IOException("the exchange was abandoned");
+            }
+            sleep(POLL_MILLIS);
+        }
+        if (!server.owns(connection)) {
+            throw new IOException("the stand-in crashed");
+        }
+    }
+
+    static void sleep(long millis) throws InterruptedIOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted");
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInFaults.java
@@ -0,0 +1,229 @@
+package org.cactusshift.standin;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * The fault switches of one stand-in; each is in force from the call that sets it.
+ *
+ * <p>Switches that only a model engine has are without effect elsewhere.
+ */
+public final class StandInFaults {
+    private final Runnable silence;
+
+    private volatile boolean unavailable;
+
+    private volatile boolean paused;
+
+    private volatile boolean notAdmitting;
+
+    private volatile boolean crossing;
+
+    private volatile boolean ignoringFencing;
+
+    private volatile long delayMillis;
+
+    private volatile Optional<String> crashMarker = Optional.empty();
+
+    private int answersToDrop;
+
+    private Predicate<StandInRequest> dropCondition = request -> true;
+
+    StandInFaults(Runnable silence) {
+        this.silence = silence;
+    }
+
+    /**
+     * Sets whether each request is refused without effect.
+     *
+     * @param unavailable true to refuse
+     * @return these switches
+     */
+    public StandInFaults setUnavailable(boolean unavailable) {
+        this.unavailable = unavailable;
+        return this;
+    }
+
+    /**
+     * Sets whether it stops answering while all connections stay open. Requests wait until the pause ends.
+     *
+     * @param paused true to pause
+     * @return these switches
+     */
+    public StandInFaults setPaused(boolean paused) {
+        this.paused = paused;
+        return this;
+    }
+
+    /**
+     * Makes the connections that are open now silent for good; new ones work.
+     *
+     * @return these switches
+     */
+    public StandInFaults silenceOpenConnections() {
+        silence.run();
+        return this;
+    }
+
+    /**
+     * Drops the next answers after their requests have taken effect.
+     *
+     * @param count how many answers
+     * @return these switches
+     */
+    public StandInFaults dropAnswers(int count) {
+        return dropAnswers(count, request -> true);
+    }
+
+    /**
+     * Drops the next answers to some requests after these have taken effect.
+     *
+     * @param count how many answers
+     * @param condition chooses the requests
+     * @return these switches
+     */
+    public synchronized StandInFaults dropAnswers(int count, Predicate<StandInRequest> condition) {
+        answersToDrop = count;
+        dropCondition = Objects.requireNonNull(condition, "condition");
+        return this;
+    }
+
+    /**
+     * Sets how long each answer waits after its request has taken effect.
+     *
+     * @param delayMillis the delay, in milliseconds
+     * @return these switches
+     */
+    public StandInFaults setDelayMillis(long delayMillis) {
+        this.delayMillis = delayMillis;
+        return this;
+    }
+
+    /**
+     * Sets whether new work is refused before running.
+     *
+     * @param notAdmitting true to refuse
+     * @return these switches
+     */
+    public StandInFaults setNotAdmitting(boolean notAdmitting) {
+        this.notAdmitting = notAdmitting;
+        return this;
+    }
+
+    /**
+     * Sets whether an answer carries the id and text of another request.
+     *
+     * @param crossing true to cross answers
+     * @return these switches
+     */
+    public StandInFaults setCrossing(boolean crossing) {
+        this.crossing = crossing;
+        return this;
+    }
+
+    /**
+     * Sets whether a checking engine accepts old fencing numbers all the same.
+     *
+     * @param ignoringFencing true to ignore fencing numbers
+     * @return these switches
+     */
+    public StandInFaults setIgnoringFencing(boolean ignoringFencing) {
+        this.ignoringFencing = ignoringFencing;
+        return this;
+    }
+
+    /**
+     * Sets the text that crashes the stand-in when a request to run contains it.
+     *
+     * @param marker the text; empty for none
+     * @return these switches
+     */
+    public StandInFaults setCrashMarker(Optional<String> marker) {
+        this.crashMarker = Objects.requireNonNull(marker, "marker");
+        return this;
+    }
+
+    /**
+     * Clears every switch but the silence of connections, which lasts.
+     *
+     * @return these switches
+     */
+    public StandInFaults clear() {
+        dropAnswers(0);
+        return setUnavailable(false)
+                .setPaused(false)
+                .setDelayMillis(0)
+                .setNotAdmitting(false)
+                .setCrossing(false)
+                .setIgnoringFencing(false)
+                .setCrashMarker(Optional.empty());
+    }
+
+    /**
+     * Tells whether requests are refused.
+     *
+     * @return true while unavailable
+     */
+    public boolean isUnavailable() {
+        return unavailable;
+    }
+
+    /**
+     * Tells whether answers are held back.
+     *
+     * @return true while paused
+     */
+    public boolean isPaused() {
+        return paused;
+    }
+
+    /**
+     * Tells whether new work is refused.
+     *
+     * @return true while refusing
+     */
+    public boolean isNotAdmitting() {
+        return notAdmitting;
+    }
+
+    /**
+     * Tells whether answers are crossed.
+     *
+     * @return true while crossing
+     */
+    public boolean isCrossing() {
+        return crossing;
+    }
+
+    /**
+     * Tells whether old fencing numbers are accepted.
+     *
+     * @return true while ignoring
+     */
+    public boolean isIgnoringFencing() {
+        return ignoringFencing;
+    }
+
+    /**
+     * Tells whether a text crashes the stand-in.
+     *
+     * @param text the text of a request
+     * @return true when it contains the marker
+     */
+    public boolean isCrashing(String text) {
+        return crashMarker.filter(text::contains).isPresent();
+    }
+
+    long delayMillis() {
+        return delayMillis;
+    }
+
+    synchronized boolean takeDrop(StandInRequest request) {
+        if (answersToDrop < 1 || !dropCondition.test(request)) {
+            return false;
+        }
+        answersToDrop--;
+        return true;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInHandler.java
@@ -0,0 +1,25 @@
+package org.cactusshift.standin;
+
+import java.io.IOException;
+
+/** Handles the requests of one stand-in. */
+public interface StandInHandler {
+    /**
+     * Lets a request take effect.
+     *
+     * @param request the request
+     * @return the answer, not yet sent
+     * @throws IOException to break the connection without an answer
+     */
+    StandInAnswer handle(StandInRequest request) throws IOException;
+
+    /**
+     * Returns the answer while the stand-in is unavailable.
+     *
+     * @param request the request, which takes no effect
+     * @return the refusal
+     */
+    default StandInAnswer refuse(StandInRequest request) {
+        return StandInAnswer.error(StandInAnswer.UNAVAILABLE, "unavailable");
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInKeyValueService.java
@@ -0,0 +1,381 @@
+package org.cactusshift.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.Base64;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.store.KeyChange;
+import org.cactusshift.internal.coordination.store.KeyValueState;
+import org.cactusshift.internal.coordination.store.LeaseGrant;
+import org.cactusshift.internal.coordination.store.RangeResult;
+import org.cactusshift.internal.coordination.store.StoreCallKind;
+import org.cactusshift.internal.coordination.store.SwapResult;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+import org.cactusshift.internal.protocol.etcd.EtcdText;
+
+/**
+ * Stand-in for the key-value service: the etcd v3 JSON interface in the subset that the product uses.
+ *
+ * <p>Its content lasts through {@link #crash()} and {@link #start()}. While it is down or unavailable no lease ends;
+ * afterwards each lease begins its whole time again, as after the election of a new leader.
+ */
+public final class StandInKeyValueService implements StandIn, StandInHandler {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final int HISTORY_LIMIT_CHANGES = 100_000;
+
+    private static final long EXPIRY_INTERVAL_MILLIS = 20;
+
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    private static final int GRPC_INVALID_ARGUMENT = 3;
+
+    private static final int GRPC_NOT_FOUND = 5;
+
+    private static final int GRPC_RESOURCE_EXHAUSTED = 8;
+
+    private static final int GRPC_UNAVAILABLE = 14;
+
+    private final KeyValueSettings settings;
+
+    private final StandInServer server;
+
+    /** Guards the state; notified at each change. */
+    private final Object lock = new Object();
+
+    private final KeyValueState state = KeyValueState.create(HISTORY_LIMIT_CHANGES);
+
+    private final Map<StoreCallKind, LongAdder> calls = new EnumMap<>(StoreCallKind.class);
+
+    private final RateLimit writes;
+
+    private final RateLimit reads;
+
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("stand-in-key-value-timer"));
+
+    private volatile boolean down = true;
+
+    private int writesToDelay;
+
+    private long writeDelayMillis;
+
+    private StandInKeyValueService(KeyValueSettings settings) {
+        this.settings = settings;
+        this.server = StandInServer.create(settings.port(), this);
+        this.writes = new RateLimit(settings.writesPerSecond(), System.nanoTime());
+        this.reads = new RateLimit(settings.readsPerSecond(), System.nanoTime());
+        for (StoreCallKind kind : StoreCallKind.values()) {
+            calls.put(kind, new LongAdder());
+        }
+        timer.scheduleWithFixedDelay(
+                this::expireLeases, EXPIRY_INTERVAL_MILLIS, EXPIRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Creates the stand-in, which does not listen yet.
+     *
+     * @param settings the settings
+     * @return the stand-in
+     */
+    public static StandInKeyValueService create(KeyValueSettings settings) {
+        return new StandInKeyValueService(settings);
+    }
+
+    @Override
+    public void start() throws IOException {
+        server.start();
+        down = false;
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public StandInFaults faults() {
+        return server.faults();
+    }
+
+    @Override
+    public ReceivedLog log() {
+        return server.log();
+    }
+
+    @Override
+    public void crash() {
+        down = true;
+        server.crash();
+    }
+
+    @Override
+    public void close() {
+        crash();
+        timer.shutdownNow();
+    }
+
+    /**
+     * Returns how many calls of a kind were received, refused ones included.
+     *
+     * @param kind the kind
+     * @return the number since the creation
+     */
+    public long calls(StoreCallKind kind) {
+        return calls.get(kind).sum();
+    }
+
+    /**
+     * Lets the next transactions take effect late; their connections break at once.
+     *
+     * @param count how many transactions
+     * @param delayMillis how late, in milliseconds
+     */
+    public synchronized void delayWrites(int count, long delayMillis) {
+        writesToDelay = count;
+        writeDelayMillis = delayMillis;
+    }
+
+    /**
+     * Returns what the service holds, for checkers.
+     *
+     * @param prefix the prefix
+     * @return the values
+     */
+    public RangeResult content(String prefix) {
+        synchronized (lock) {
+            return state.list(prefix);
+        }
+    }
+
+    @Override
+    public StandInAnswer handle(StandInRequest request) throws IOException {
+        JsonNode body;
+        try {
+            body = MAPPER.readTree(request.body());
+        } catch (JsonProcessingException e) {
+            return StandInAnswer.json(StandInAnswer.BAD_REQUEST, KeyValueJson.error(GRPC_INVALID_ARGUMENT, "not JSON"));
+        }
+        Optional<StoreCallKind> kind = kindOf(request.path(), body);
+        if (kind.isEmpty()) {
+            return StandInAnswer.json(StandInAnswer.NOT_FOUND, KeyValueJson.error(GRPC_NOT_FOUND, "no such call"));
+        }
+        calls.get(kind.get()).increment();
+        RateLimit limit = kind.get().isWrite() ? writes : reads;
+        if (!limit.tryTake(1, System.nanoTime())) {
+            return StandInAnswer.json(
+                    StandInAnswer.TOO_MANY_REQUESTS,
+                    KeyValueJson.error(GRPC_RESOURCE_EXHAUSTED, "etcdserver: too many requests"));
+        }
+        return dispatch(kind.get(), body);
+    }
+
+    @Override
+    public StandInAnswer refuse(StandInRequest request) {
+        return StandInAnswer.json(
+                StandInAnswer.UNAVAILABLE, KeyValueJson.error(GRPC_UNAVAILABLE, "etcdserver: no leader"));
+    }
+
+    private static Optional<StoreCallKind> kindOf(String path, JsonNode body) {
+        switch (path) {
+            case "/v3/kv/range":
+                return Optional.of(body.has("range_end") ? StoreCallKind.LIST : StoreCallKind.GET);
+            case "/v3/kv/txn":
+                return Optional.of(
+                        body.path("success").path(0).has("request_put") ? StoreCallKind.SWAP : StoreCallKind.DELETE);
+            case "/v3/lease/grant":
+                return Optional.of(StoreCallKind.LEASE_GRANT);
+            case "/v3/lease/keepalive":
+                return Optional.of(StoreCallKind.LEASE_RENEWAL);
+            case "/v3/lease/revoke":
+                return Optional.of(StoreCallKind.LEASE_REVOKE);
+            case "/v3/watch":
+                return Optional.of(StoreCallKind.WATCH);
+            default:
+                return Optional.empty();
+        }
+    }
+
+    private StandInAnswer dispatch(StoreCallKind kind, JsonNode body) throws IOException {
+        switch (kind) {
+            case WATCH:
+                return watch(body.path("create_request"));
+            case SWAP:
+            case DELETE:
+                delayIfAsked(kind, body);
+                return apply(kind, body);
+            default:
+                return apply(kind, body);
+        }
+    }
+
+    private void delayIfAsked(StoreCallKind kind, JsonNode body) throws IOException {
+        long delayMillis;
+        synchronized (this) {
+            if (writesToDelay == 0) {
+                return;
+            }
+            writesToDelay--;
+            delayMillis = writeDelayMillis;
+        }
+        timer.schedule(() -> apply(kind, body), delayMillis, TimeUnit.MILLISECONDS);
+        throw new IOException("the write was delayed");
+    }
+
+    private StandInAnswer apply(StoreCallKind kind, JsonNode body) {
+        synchronized (lock) {
+            long nowMillis = nowMillis();
+            StandInAnswer answer = applyLocked(kind, body, nowMillis);
+            lock.notifyAll();
+            return answer;
+        }
+    }
+
+    private StandInAnswer applyLocked(StoreCallKind kind, JsonNode body, long nowMillis) {
+        switch (kind) {
+            case GET:
+                return ok(
+                        KeyValueJson.range(read(EtcdText.decode(body.path("key").asText()))));
+            case LIST:
+                return ok(KeyValueJson.range(state.list(prefixOf(body))));
+            case LEASE_GRANT:
+                long ttlMillis = KeyValueJson.number(body, "TTL") * MILLIS_PER_SECOND;
+                return ok(KeyValueJson.lease(state.revision(), state.grantLease(ttlMillis, nowMillis)));
+            case LEASE_RENEWAL:
+                return ok(KeyValueJson.result(renew(KeyValueJson.number(body, "ID"), nowMillis)));
+            case LEASE_REVOKE:
+                return answer(state.revokeLease(KeyValueJson.number(body, "ID"))
+                        .map(ended -> KeyValueJson.header(state.revision())));
+            default:
+                return transact(body);
+        }
+    }
+
+    private RangeResult read(String key) {
+        List<VersionedValue> found = state.get(key).stream().toList();
+        return new RangeResult(state.revision(), found);
+    }
+
+    private ObjectNode renew(long leaseId, long nowMillis) {
+        LeaseGrant ended = new LeaseGrant(leaseId, 0);
+        LeaseGrant renewed = state.keepAlive(leaseId, nowMillis).getOrElse(ended);
+        return KeyValueJson.lease(state.revision(), renewed);
+    }
+
+    private StandInAnswer transact(JsonNode body) {
+        JsonNode compare = body.path("compare").path(0);
+        String key = EtcdText.decode(compare.path("key").asText());
+        long expected = KeyValueJson.number(compare, "mod_revision");
+        JsonNode put = body.path("success").path(0).path("request_put");
+        Either<Failure, SwapResult> result = put.isMissingNode()
+                ? Either.right(state.compareAndDelete(key, expected))
+                : state.compareAndSwap(
+                        key,
+                        expected,
+                        Base64.getDecoder().decode(put.path("value").asText()),
+                        KeyValueJson.number(put, "lease"));
+        return answer(result.map(KeyValueJson::swap));
+    }
+
+    private StandInAnswer watch(JsonNode create) {
+        String prefix = prefixOf(create);
+        long from = KeyValueJson.number(create, "start_revision");
+        synchronized (lock) {
+            long next = from == 0 ? state.revision() + 1 : from;
+            return StandInAnswer.stream("application/json", stream -> follow(stream, prefix, next));
+        }
+    }
+
+    private void follow(StandInStream stream, String prefix, long from) throws IOException {
+        ObjectNode created = KeyValueJson.header(revision()).put("created", true);
+        sendLine(stream, KeyValueJson.result(created));
+        long next = from;
+        while (true) {
+            if (down || server.faults().isUnavailable()) {
+                throw new IOException("the service became unavailable");
+            }
+            Either<Failure, List<KeyChange>> changes;
+            long revision;
+            synchronized (lock) {
+                awaitChange(next);
+                changes = state.changes(prefix, next);
+                revision = state.revision();
+            }
+            if (changes.isLeft()) {
+                sendLine(
+                        stream,
+                        KeyValueJson.result(KeyValueJson.header(revision).put("canceled", true)));
+                return;
+            }
+            sendLine(stream, KeyValueJson.changes(revision, changes.get()));
+            next = Math.max(next, revision + 1);
+        }
+    }
+
+    private void awaitChange(long next) throws InterruptedIOException {
+        if (state.revision() >= next) {
+            return;
+        }
+        try {
+            lock.wait(settings.progressMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted");
+        }
+    }
+
+    private void expireLeases() {
+        boolean stopped = down || server.faults().isUnavailable();
+        synchronized (lock) {
+            if (stopped) {
+                state.restartLeases(nowMillis());
+            } else if (state.expireLeases(nowMillis()) > 0) {
+                lock.notifyAll();
+            }
+        }
+    }
+
+    private long revision() {
+        synchronized (lock) {
+            return state.revision();
+        }
+    }
+
+    private static String prefixOf(JsonNode range) {
+        String start = EtcdText.decode(range.path("key").asText());
+        return "\0".equals(start) ? "" : start;
+    }
+
+    private static void sendLine(StandInStream stream, ObjectNode line) throws IOException {
+        stream.send(line + "\n");
+    }
+
+    private static StandInAnswer answer(Either<Failure, ObjectNode> result) {
+        return result.fold(
+                failure -> StandInAnswer.json(
+                        StandInAnswer.NOT_FOUND,
+                        KeyValueJson.error(GRPC_NOT_FOUND, "etcdserver: requested lease not found")),
+                StandInKeyValueService::ok);
+    }
+
+    private static StandInAnswer ok(ObjectNode body) {
+        return StandInAnswer.json(StandInAnswer.OK, body);
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInServer.java
@@ -0,0 +1,248 @@
+package org.cactusshift.standin;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.EndpointDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
+import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnectionFactory;
+import org.apache.hc.core5.http.io.HttpConnectionFactory;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityTemplate;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+
+/** The HTTP server under each stand-in: keeps the log and applies the fault switches. */
+public final class StandInServer implements StandIn {
+    private static final int BACKLOG = 1024;
+
+    private final StandInHandler handler;
+
+    private final ReceivedLog log = new ReceivedLog();
+
+    private final StandInFaults faults = new StandInFaults(this::silenceOpenConnections);
+
+    private final Map<EndpointDetails, DefaultBHttpServerConnection> connections = new IdentityHashMap<>();
+
+    private final Set<DefaultBHttpServerConnection> silent = new HashSet<>();
+
+    private int port;
+
+    private HttpServer server;
+
+    private StandInServer(int port, StandInHandler handler) {
+        this.port = port;
+        this.handler = handler;
+    }
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param port the port; 0 lets the operating system choose
+     * @param handler handles the requests
+     * @return the server
+     */
+    public static StandInServer create(int port, StandInHandler handler) {
+        return new StandInServer(port, handler);
+    }
+
+    @Override
+    public synchronized void start() throws IOException {
+        if (server != null) {
+            throw new IllegalStateException("already started");
+        }
+        HttpServer created = ServerBootstrap.bootstrap()
+                .setLocalAddress(InetAddress.getLoopbackAddress())
+                .setListenerPort(port)
+                .setSocketConfig(SocketConfig.custom()
+                        .setSoReuseAddress(true)
+                        .setTcpNoDelay(true)
+                        .setBacklogSize(BACKLOG)
+                        .build())
+                .setConnectionFactory(new TrackingFactory())
+                .setRequestRouter((request, context) -> this::handle)
+                .create();
+        created.start();
+        port = created.getLocalPort();
+        server = created;
+    }
+
+    @Override
+    public synchronized String address() {
+        if (port == 0) {
+            throw new IllegalStateException("not started");
+        }
+        return InetAddress.getLoopbackAddress().getHostAddress() + ":" + port;
+    }
+
+    @Override
+    public StandInFaults faults() {
+        return faults;
+    }
+
+    @Override
+    public ReceivedLog log() {
+        return log;
+    }
+
+    @Override
+    public synchronized void crash() {
+        if (server == null) {
+            return;
+        }
+        HttpServer crashed = server;
+        server = null;
+        List<DefaultBHttpServerConnection> open = new ArrayList<>(connections.values());
+        connections.clear();
+        silent.clear();
+        crashed.close(CloseMode.IMMEDIATE);
+        open.forEach(connection -> connection.close(CloseMode.IMMEDIATE));
+    }
+
+    @Override
+    public void close() {
+        crash();
+    }
+
+    synchronized boolean owns(DefaultBHttpServerConnection connection) {
+        return connections.containsKey(connection.getEndpointDetails());
+    }
+
+    synchronized boolean holdsBack(DefaultBHttpServerConnection connection) {
+        return faults.isPaused() || silent.contains(connection);
+    }
+
+    private synchronized void silenceOpenConnections() {
+        silent.addAll(connections.values());
+    }
+
+    private synchronized DefaultBHttpServerConnection connectionOf(HttpContext context) throws IOException {
+        EndpointDetails details = HttpCoreContext.cast(context).getEndpointDetails();
+        DefaultBHttpServerConnection connection = connections.get(details);
+        if (connection == null) {
+            throw new IOException("the stand-in crashed");
+        }
+        return connection;
+    }
+
+    private void handle(ClassicHttpRequest message, ClassicHttpResponse response, HttpContext context)
+            throws HttpException, IOException {
+        StandInExchange exchange = new StandInExchange(this, connectionOf(context));
+        StandInRequest request = requestOf(message, exchange);
+        ReceivedRequest received = log.add(request, System.currentTimeMillis());
+        exchange.setReceived(received);
+        try {
+            exchange.awaitPassage();
+            StandInAnswer answer = answerTo(request, received);
+            exchange.awaitPassage();
+            send(answer, request, exchange, response);
+        } catch (IOException e) {
+            received.end(outcomeOfBreak());
+            throw e;
+        }
+    }
+
+    private StandInAnswer answerTo(StandInRequest request, ReceivedRequest received) throws IOException {
+        if (faults.isUnavailable()) {
+            received.end(ReceivedRequest.Outcome.REFUSED);
+            return handler.refuse(request);
+        }
+        StandInAnswer answer = handler.handle(request);
+        if (faults.delayMillis() > 0) {
+            StandInExchange.sleep(faults.delayMillis());
+        }
+        if (faults.takeDrop(request)) {
+            received.end(ReceivedRequest.Outcome.ANSWER_DROPPED);
+            throw new IOException("the answer was dropped");
+        }
+        return answer;
+    }
+
+    private void send(
+            StandInAnswer answer, StandInRequest request, StandInExchange exchange, ClassicHttpResponse response) {
+        response.setCode(answer.status());
+        answer.headers().forEach(response::setHeader);
+        if (!request.attemptId().isEmpty() && !answer.headers().containsKey(StandInRequest.REQUEST_ID_HEADER)) {
+            response.setHeader(StandInRequest.REQUEST_ID_HEADER, request.attemptId());
+        }
+        ContentType type = ContentType.parse(answer.contentType());
+        if (answer.writer().isEmpty()) {
+            request.note(
+                    answer.status() < StandInAnswer.BAD_REQUEST
+                            ? ReceivedRequest.Outcome.ANSWERED
+                            : ReceivedRequest.Outcome.REFUSED);
+            response.setEntity(new ByteArrayEntity(answer.body(), type));
+            return;
+        }
+        StandInStream.Writer writer = answer.writer().get();
+        response.setEntity(new EntityTemplate(type, output -> {
+            try {
+                writer.write(new StandInStream(output, exchange));
+                exchange.note(ReceivedRequest.Outcome.ANSWERED);
+            } catch (IOException e) {
+                exchange.note(outcomeOfBreak());
+                throw e;
+            }
+        }));
+    }
+
+    private synchronized ReceivedRequest.Outcome outcomeOfBreak() {
+        return server == null ? ReceivedRequest.Outcome.CRASHED : ReceivedRequest.Outcome.CANCELLED;
+    }
+
+    private static StandInRequest requestOf(ClassicHttpRequest message, StandInExchange exchange)
+            throws HttpException, IOException {
+        Map<String, String> headers = new TreeMap<>();
+        for (Header header : message.getHeaders()) {
+            headers.merge(header.getName().toLowerCase(Locale.ROOT), header.getValue(), (a, b) -> a + "," + b);
+        }
+        String body =
+                message.getEntity() == null ? "" : EntityUtils.toString(message.getEntity(), StandardCharsets.UTF_8);
+        return new StandInRequest(message.getMethod(), message.getPath(), headers, body, exchange);
+    }
+
+    /** Remembers each connection until it closes. */
+    private final class TrackingFactory implements HttpConnectionFactory<DefaultBHttpServerConnection> {
+        private final DefaultBHttpServerConnectionFactory delegate =
+                DefaultBHttpServerConnectionFactory.builder().build();
+
+        @Override
+        public DefaultBHttpServerConnection createConnection(Socket socket) throws IOException {
+            return track(delegate.createConnection(socket));
+        }
+
+        @Override
+        public DefaultBHttpServerConnection createConnection(javax.net.ssl.SSLSocket secured, Socket socket)
+                throws IOException {
+            return track(delegate.createConnection(secured, socket));
+        }
+
+        private DefaultBHttpServerConnection track(DefaultBHttpServerConnection connection) {
+            synchronized (StandInServer.this) {
+                connections.values().removeIf(known -> !known.isOpen());
+                silent.removeIf(known -> !known.isOpen());
+                connections.put(connection.getEndpointDetails(), connection);
+            }
+            return connection;
+        }
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/KeyValueState.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/KeyValueState.java
@@ -206,6 +206,15 @@
         return ended.size();
     }
 
+    /**
+     * Begins the whole time of every lease again, as a service does after an outage of its own.
+     *
+     * @param nowMillis the present time, in milliseconds
+     */
+    public void restartLeases(long nowMillis) {
+        leases.values().forEach(lease -> lease.endsAtMillis = nowMillis + lease.ttlMillis);
+    }
+
     /**
      * Returns the changes of the keys with a prefix from a revision on.
      *
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/etcd/EtcdRequests.java
@@ -0,0 +1,143 @@
+package org.cactusshift.internal.protocol.etcd;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cactusshift.internal.coordination.store.LeaseGrant;
+
+/** Builds the requests of the etcd v3 JSON interface that the product uses. */
+public final class EtcdRequests {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    private EtcdRequests() {}
+
+    /**
+     * Builds a read of one key.
+     *
+     * @param key the full key
+     * @return the request
+     */
+    public static EtcdRequest get(String key) {
+        return request("/v3/kv/range", MAPPER.createObjectNode().put("key", EtcdText.encode(key)));
+    }
+
+    /**
+     * Builds a read of all keys with a prefix.
+     *
+     * @param prefix the prefix
+     * @return the request
+     */
+    public static EtcdRequest list(String prefix) {
+        return request("/v3/kv/range", rangeOf(prefix));
+    }
+
+    /**
+     * Builds a write on condition of the last revision; a failed comparison reads the key.
+     *
+     * @param key the full key
+     * @param expectedModRevision the expected revision of the last write; 0 when the key must be absent
+     * @param value the new bytes
+     * @param lease the lease to attach, or {@link LeaseGrant#NONE}
+     * @return the request
+     */
+    public static EtcdRequest swap(String key, long expectedModRevision, byte[] value, LeaseGrant lease) {
+        ObjectNode put =
+                MAPPER.createObjectNode().put("key", EtcdText.encode(key)).put("value", EtcdText.encode(value));
+        if (lease.leaseId() != 0) {
+            put.put("lease", Long.toString(lease.leaseId()));
+        }
+        return transaction(key, expectedModRevision, MAPPER.createObjectNode().set("request_put", put));
+    }
+
+    /**
+     * Builds a deletion on condition of the last revision; a failed comparison reads the key.
+     *
+     * @param key the full key
+     * @param expectedModRevision the expected revision of the last write
+     * @return the request
+     */
+    public static EtcdRequest delete(String key, long expectedModRevision) {
+        ObjectNode delete = MAPPER.createObjectNode().put("key", EtcdText.encode(key));
+        return transaction(key, expectedModRevision, MAPPER.createObjectNode().set("request_delete_range", delete));
+    }
+
+    /**
+     * Builds a grant of a lease; the time to live is rounded up to whole seconds.
+     *
+     * @param ttlMillis the time to live wanted, in milliseconds
+     * @return the request
+     */
+    public static EtcdRequest grantLease(long ttlMillis) {
+        long ttlSeconds = Math.max(1, (ttlMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+        return request("/v3/lease/grant", MAPPER.createObjectNode().put("TTL", Long.toString(ttlSeconds)));
+    }
+
+    /**
+     * Builds a renewal of a lease.
+     *
+     * @param leaseId the lease
+     * @return the request
+     */
+    public static EtcdRequest keepAlive(long leaseId) {
+        return request("/v3/lease/keepalive", leaseOf(leaseId));
+    }
+
+    /**
+     * Builds the end of a lease.
+     *
+     * @param leaseId the lease
+     * @return the request
+     */
+    public static EtcdRequest revokeLease(long leaseId) {
+        return request("/v3/lease/revoke", leaseOf(leaseId));
+    }
+
+    /**
+     * Builds a watch on a prefix with progress notifications.
+     *
+     * @param prefix the prefix
+     * @param fromRevision the first revision to deliver
+     * @return the request
+     */
+    public static EtcdRequest watch(String prefix, long fromRevision) {
+        ObjectNode create = rangeOf(prefix);
+        // Revision 0 would stand for "from now on".
+        create.put("start_revision", Long.toString(Math.max(1, fromRevision)));
+        create.put("progress_notify", true);
+        return request("/v3/watch", MAPPER.createObjectNode().set("create_request", create));
+    }
+
+    private static ObjectNode rangeOf(String prefix) {
+        return MAPPER.createObjectNode()
+                .put("key", EtcdText.rangeStart(prefix))
+                .put("range_end", EtcdText.rangeEnd(prefix));
+    }
+
+    private static ObjectNode leaseOf(long leaseId) {
+        return MAPPER.createObjectNode().put("ID", Long.toString(leaseId));
+    }
+
+    private static EtcdRequest transaction(String key, long expectedModRevision, ObjectNode write) {
+        String encodedKey = EtcdText.encode(key);
+        ObjectNode body = MAPPER.createObjectNode();
+        body.putArray("compare")
+                .addObject()
+                .put("key", encodedKey)
+                .put("target", "MOD")
+                .put("result", "EQUAL")
+                .put("mod_revision", Long.toString(expectedModRevision));
+        body.putArray("success").add(write);
+        body.putArray("failure").addObject().putObject("request_range").put("key", encodedKey);
+        return request("/v3/kv/txn", body);
+    }
+
+    private static EtcdRequest request(String path, ObjectNode body) {
+        try {
+            return new EtcdRequest(path, MAPPER.writeValueAsBytes(body));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a JSON tree was not writable", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/etcd/EtcdResponses.java
@@ -0,0 +1,198 @@
+package org.cactusshift.internal.protocol.etcd;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import org.cactusshift.internal.coordination.store.KeyChange;
+import org.cactusshift.internal.coordination.store.LeaseGrant;
+import org.cactusshift.internal.coordination.store.RangeResult;
+import org.cactusshift.internal.coordination.store.SwapResult;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+
+/** Reads the answers of the etcd v3 JSON interface that the product uses. */
+public final class EtcdResponses {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    private EtcdResponses() {}
+
+    /**
+     * Reads the answer to a range request.
+     *
+     * @param body the JSON body
+     * @return the values with the revision at which they were read
+     * @throws EtcdFormatException if the body has another form
+     */
+    public static RangeResult range(byte[] body) throws EtcdFormatException {
+        return rangeOf(tree(body));
+    }
+
+    /**
+     * Reads the answer to a transaction.
+     *
+     * @param body the JSON body
+     * @return whether the comparison held
+     * @throws EtcdFormatException if the body has another form
+     */
+    public static SwapResult swap(byte[] body) throws EtcdFormatException {
+        JsonNode root = tree(body);
+        long revision = revisionOf(root);
+        if (root.path("succeeded").asBoolean(false)) {
+            return SwapResult.applied(revision);
+        }
+        JsonNode range = root.path("responses").path(0).path("response_range");
+        return SwapResult.conflict(revision, first(valuesOf(range)));
+    }
+
+    /**
+     * Reads the answer to a grant.
+     *
+     * @param body the JSON body
+     * @return the lease
+     * @throws EtcdFormatException if the body has another form
+     */
+    public static LeaseGrant leaseGrant(byte[] body) throws EtcdFormatException {
+        return leaseOf(tree(body));
+    }
+
+    /**
+     * Reads the answer to a renewal.
+     *
+     * @param body the JSON body
+     * @return the renewed lease, empty when the lease has ended
+     * @throws EtcdFormatException if the body has another form
+     */
+    public static Optional<LeaseGrant> keepAlive(byte[] body) throws EtcdFormatException {
+        JsonNode result = tree(body).path("result");
+        if (!result.isObject()) {
+            throw new EtcdFormatException("the answer to a renewal has no result");
+        }
+        return Optional.of(leaseOf(result)).filter(lease -> lease.ttlMillis() > 0);
+    }
+
+    /**
+     * Reads one line of a watch.
+     *
+     * @param line the JSON line
+     * @return the message
+     * @throws EtcdFormatException if the line has another form
+     */
+    public static EtcdWatchMessage watchMessage(String line) throws EtcdFormatException {
+        JsonNode root = tree(line);
+        if (root.has("error")) {
+            return new EtcdWatchMessage(0, false, Optional.of(root.path("error").toString()), List.of());
+        }
+        JsonNode result = root.path("result");
+        Optional<String> canceled = Optional.empty();
+        if (result.path("canceled").asBoolean(false)) {
+            canceled = Optional.of(
+                    "canceled, compacted at " + result.path("compact_revision").asText("0"));
+        }
+        List<KeyChange> changes = new ArrayList<>();
+        for (JsonNode event : result.path("events")) {
+            changes.add(changeOf(event));
+        }
+        return new EtcdWatchMessage(revisionOf(result), result.path("created").asBoolean(false), canceled, changes);
+    }
+
+    /**
+     * Reads the message of an error answer.
+     *
+     * @param body the body, in whatever form
+     * @return the service's message
+     */
+    public static String errorMessage(byte[] body) {
+        try {
+            JsonNode root = tree(body);
+            return root.path("message").asText(root.path("error").asText("no message"));
+        } catch (EtcdFormatException e) {
+            return "no message";
+        }
+    }
+
+    private static KeyChange changeOf(JsonNode event) throws EtcdFormatException {
+        VersionedValue value = valueOf(event.path("kv"));
+        boolean deleted = "DELETE".equals(event.path("type").asText());
+        return new KeyChange(value.key(), deleted ? Optional.empty() : Optional.of(value), value.modRevision());
+    }
+
+    private static RangeResult rangeOf(JsonNode root) throws EtcdFormatException {
+        return new RangeResult(revisionOf(root), valuesOf(root));
+    }
+
+    private static List<VersionedValue> valuesOf(JsonNode range) throws EtcdFormatException {
+        List<VersionedValue> values = new ArrayList<>();
+        for (JsonNode kv : range.path("kvs")) {
+            values.add(valueOf(kv));
+        }
+        return values;
+    }
+
+    private static Optional<VersionedValue> first(List<VersionedValue> values) {
+        return values.stream().findFirst();
+    }
+
+    private static VersionedValue valueOf(JsonNode kv) throws EtcdFormatException {
+        try {
+            return new VersionedValue(
+                    EtcdText.decode(kv.path("key").asText()),
+                    Base64.getDecoder().decode(kv.path("value").asText("")),
+                    number(kv, "create_revision"),
+                    number(kv, "mod_revision"));
+        } catch (IllegalArgumentException e) {
+            throw new EtcdFormatException("a key or value is not base64", e);
+        }
+    }
+
+    private static LeaseGrant leaseOf(JsonNode node) throws EtcdFormatException {
+        return new LeaseGrant(number(node, "ID"), number(node, "TTL") * MILLIS_PER_SECOND);
+    }
+
+    private static long revisionOf(JsonNode node) throws EtcdFormatException {
+        JsonNode header = node.path("header");
+        if (!header.isObject()) {
+            throw new EtcdFormatException("the answer has no header");
+        }
+        return number(header, "revision");
+    }
+
+    /** Reads a 64-bit number, which is a string; an absent one is 0, as the JSON form leaves out default values. */
+    private static long number(JsonNode node, String field) throws EtcdFormatException {
+        try {
+            return Long.parseLong(node.path(field).asText("0"));
+        } catch (NumberFormatException e) {
+            throw new EtcdFormatException(field + " is not a number", e);
+        }
+    }
+
+    private static JsonNode tree(byte[] body) throws EtcdFormatException {
+        try {
+            return object(MAPPER.readTree(body));
+        } catch (EtcdFormatException e) {
+            throw e;
+        } catch (IOException e) {
+            throw new EtcdFormatException("the answer is not JSON", e);
+        }
+    }
+
+    private static JsonNode tree(String line) throws EtcdFormatException {
+        try {
+            return object(MAPPER.readTree(line));
+        } catch (JsonProcessingException e) {
+            throw new EtcdFormatException("the answer is not JSON", e);
+        }
+    }
+
+    private static JsonNode object(JsonNode node) throws EtcdFormatException {
+        if (node == null || !node.isObject()) {
+            throw new EtcdFormatException("the answer is not a JSON object");
+        }
+        return node;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/etcd/EtcdText.java
@@ -0,0 +1,71 @@
+package org.cactusshift.internal.protocol.etcd;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Base64;
+
+/** Conversions between keys, prefixes and their base64 form. */
+public final class EtcdText {
+    private static final byte[] ZERO_BYTE = {0};
+
+    private EtcdText() {}
+
+    /**
+     * Returns the base64 form of a text in UTF-8.
+     *
+     * @param text the text
+     * @return the base64 form
+     */
+    public static String encode(String text) {
+        return encode(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Returns the base64 form of some bytes.
+     *
+     * @param bytes the bytes
+     * @return the base64 form
+     */
+    public static String encode(byte[] bytes) {
+        return Base64.getEncoder().encodeToString(bytes);
+    }
+
+    /**
+     * Returns the text whose base64 form is given.
+     *
+     * @param base64 the base64 form
+     * @return the text
+     * @throws IllegalArgumentException if the form is not base64
+     */
+    public static String decode(String base64) {
+        return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Returns the first key of the range of a prefix.
+     *
+     * @param prefix the prefix; empty for all keys
+     * @return the first key in base64
+     */
+    public static String rangeStart(String prefix) {
+        return prefix.isEmpty() ? encode(ZERO_BYTE) : encode(prefix);
+    }
+
+    /**
+     * Returns the first key after the range of a prefix.
+     *
+     * @param prefix the prefix; empty for all keys
+     * @return the end of the range in base64
+     */
+    public static String rangeEnd(String prefix) {
+        byte[] bytes = prefix.getBytes(StandardCharsets.UTF_8);
+        for (int i = bytes.length - 1; i >= 0; i--) {
+            if (bytes[i] != (byte) 0xff) {
+                byte[] end = Arrays.copyOf(bytes, i + 1);
+                end[i]++;
+                return encode(end);
+            }
+        }
+        return encode(ZERO_BYTE);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/package-info.java
@@ -0,0 +1,2 @@
+/** The key-value service over HTTP. */
+package org.cactusshift.internal.transport.store;
