--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/PendingRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/PendingRequest.java
@@ -3,16 +3,30 @@
 /** A request between its arrival and its final answer. */
 final class PendingRequest {
     final DispatchRequest request;
-    final long arrivalMillis;
+    /** Output tokens that the request is expected to generate in all. */
+    final long expectedOutputTokens;
+    /** The time after which it can't meet its deadline. */
+    final long latestStartMillis;
     /** Output tokens already delivered to the caller by all attempts. */
     long deliveredTokens;
+    /** Prompt tokens sent to upstreams by all attempts. */
+    long sentPromptTokens;
     /** Whether any attempt may have run a part of the request. */
     boolean mayHaveRun;
-    /** Whether the request was dispatched before. */
-    boolean dispatched;
+    /** Whether the account limiter counts it. */
+    boolean admitted;
 
-    PendingRequest(DispatchRequest request, long arrivalMillis) {
+    PendingRequest(DispatchRequest request, long expectedOutputTokens, long latestStartMillis) {
         this.request = request;
-        this.arrivalMillis = arrivalMillis;
+        this.expectedOutputTokens = expectedOutputTokens;
+        this.latestStartMillis = latestStartMillis;
+    }
+
+    long expectedTokens() {
+        return request.promptTokens() + expectedOutputTokens;
+    }
+
+    long remainingOutputTokens() {
+        return Math.max(1, expectedOutputTokens - deliveredTokens);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -10,7 +9,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.cactusshift.config.AccountConfig;
 import org.cactusshift.config.ServiceConfig;
@@ -19,94 +17,198 @@
 import org.cactusshift.id.AttemptId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.fairness.RequestQueue;
+import org.cactusshift.internal.coordination.limits.AccountLimiter;
+import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.SuspectReport;
 import org.cactusshift.internal.coordination.retry.RetryBudget;
-
-/** Decides about the requests of one service at one node. */
+import org.cactusshift.internal.coordination.routing.Candidate;
+import org.cactusshift.internal.coordination.routing.FleetView;
+import org.cactusshift.internal.coordination.routing.PrefixIndex;
+import org.cactusshift.internal.coordination.routing.Route;
+import org.cactusshift.internal.coordination.routing.RouteQuery;
+import org.cactusshift.internal.coordination.routing.UpstreamHealth;
+import org.cactusshift.internal.coordination.routing.UpstreamState;
+
+/**
+ * Decides about the requests of one service at one node.
+ *
+ * <p>A request passes the quarantine, the account limiter and the deadline check, waits in a queue that is fair between
+ * accounts, and goes to the upstream that routing chooses. Requests to be sent again go before the queue, within the
+ * retry budget. Suspects of the quarantine wait apart for an upstream to themselves.
+ */
 public final class ServiceDispatcher implements Dispatcher {
     private static final int RETRY_RESERVE = 50;
-    private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
-    private static final int MAXIMUM_IN_FLIGHT_PER_UPSTREAM = 64;
-    private static final long BACK_OFF_MILLIS = 1_000;
+    private static final long QUARANTINE_MILLIS = 600_000;
+    private static final long SHORTEST_RETRY_AFTER_MILLIS = 1_000;
+    private static final long LONGEST_RETRY_AFTER_MILLIS = 60_000;
 
     private final DispatcherOptions options;
+    private final DispatchPolicy policy;
     private final RandomGenerator random;
+    private final FleetView fleet = FleetView.create();
+    private final RequestQueue<PendingRequest> queue;
+    private final ArrayDeque<PendingRequest> retries = new ArrayDeque<>();
+    private final SuspectLane suspects = new SuspectLane();
+    private final Quarantine quarantine = Quarantine.create(QUARANTINE_MILLIS);
+    private final AccountLimiter limiter = AccountLimiter.create();
     private final RetryBudget retryBudget;
-    private final Map<UpstreamId, Upstream> upstreams = new TreeMap<>();
-    private final ArrayDeque<PendingRequest> queue = new ArrayDeque<>();
+    private final WorkEstimator estimator = new WorkEstimator();
+    private final DecisionLog log = new DecisionLog();
+    private final Map<RequestId, PendingRequest> queued = new HashMap<>();
     private final Map<AttemptId, Attempt> attempts = new HashMap<>();
     private final Map<AccountId, AccountTotals> totals = new LinkedHashMap<>();
     private long nextAttempt;
 
-    private ServiceDispatcher(DispatcherOptions options, RandomGenerator random) {
-        this.options = options;
-        this.random = random;
+    private ServiceDispatcher(DispatcherOptions options, DispatchPolicy policy, RandomGenerator random) {
+        this.options = Objects.requireNonNull(options, "options");
+        this.policy = Objects.requireNonNull(policy, "policy");
+        this.random = Objects.requireNonNull(random, "random");
+        this.queue = policy.queueing().create();
         this.retryBudget = RetryBudget.create(options.retryBudgetRatio(), RETRY_RESERVE);
     }
 
+    private static final class AccountTotals {
+        long prefillTokens;
+        long decodeTokens;
+        int requestsInFlight;
+    }
+
     /**
-     * Returns a dispatcher without accounts and upstreams.
+     * Returns a dispatcher without accounts and upstreams, with the standard policy.
      *
      * @param options what is fixed for its life
      * @param random the source of all random choices; a fixed seed makes the decisions repeatable
      * @return the dispatcher
      */
     public static ServiceDispatcher create(DispatcherOptions options, RandomGenerator random) {
-        return new ServiceDispatcher(
-                Objects.requireNonNull(options, "options"), Objects.requireNonNull(random, "random"));
+        return create(options, DispatchPolicy.standard(), random);
+    }
+
+    /**
+     * Returns a dispatcher without accounts and upstreams.
+     *
+     * @param options what is fixed for its life
+     * @param policy the parts that vary
+     * @param random the source of all random choices; a fixed seed makes the decisions repeatable
+     * @return the dispatcher
+     */
+    public static ServiceDispatcher create(DispatcherOptions options, DispatchPolicy policy, RandomGenerator random) {
+        return new ServiceDispatcher(options, policy, random);
     }
 
     @Override
     public List<DispatchDecision> onConfig(
             List<AccountConfig> accounts, List<UpstreamConfig> newUpstreams, long nowMillis) {
-        Map<UpstreamId, Upstream> kept = new TreeMap<>();
-        for (UpstreamConfig config : newUpstreams) {
-            Upstream upstream = upstreams.getOrDefault(config.id(), new Upstream(config.id()));
-            upstream.draining = config.draining();
-            kept.put(config.id(), upstream);
-        }
-        upstreams.clear();
-        upstreams.putAll(kept);
+        fleet.install(newUpstreams);
+        limiter.install(accounts, nowMillis);
+        accounts.forEach(account -> queue.setWeight(account.id(), account.weight()));
         return pump(nowMillis);
     }
 
     @Override
     public List<DispatchDecision> submit(DispatchRequest request, long nowMillis) {
         retryBudget.onRequest();
-        PendingRequest pending = new PendingRequest(request, nowMillis);
         totalsOf(request.account()).requestsInFlight++;
-        if (request.deadlineMillis() <= nowMillis) {
-            return List.of(refuse(pending, DispatchDecision.Reason.DEADLINE));
+        PendingRequest pending = pending(request);
+        Optional<DispatchDecision> refusal = check(pending, nowMillis);
+        if (refusal.isPresent()) {
+            return List.of(refusal.get());
         }
-        if (upstreams.isEmpty()) {
-            return List.of(refuse(pending, DispatchDecision.Reason.NO_UPSTREAM));
+        List<DispatchDecision> decisions = new ArrayList<>();
+        if (waitingRequests() >= options.maximumQueuedRequests()) {
+            Optional<PendingRequest> loser = queue.giveWay(request.account());
+            if (loser.isEmpty()) {
+                return List.of(refuse(pending, DispatchDecision.Reason.QUEUE_FULL, nowMillis));
+            }
+            queue.remove(loser.get().request.account(), loser.get());
+            decisions.add(refuse(loser.get(), DispatchDecision.Reason.QUEUE_FULL, nowMillis));
         }
-        if (queue.size() >= options.maximumQueuedRequests()) {
-            return List.of(refuse(pending, DispatchDecision.Reason.QUEUE_FULL));
+        enqueue(pending, nowMillis);
+        decisions.addAll(pump(nowMillis));
+        return decisions;
+    }
+
+    private PendingRequest pending(DispatchRequest request) {
+        long outputTokens = estimator.expectedOutputTokens(request);
+        long serviceMillis =
+                policy.refusesEarly() ? estimator.shortestServiceMillis(uncachedTokens(request), outputTokens) : 0;
+        return new PendingRequest(request, outputTokens, request.deadlineMillis() - serviceMillis);
+    }
+
+    private long uncachedTokens(DispatchRequest request) {
+        int cachedPieces = fleet.prefixes().cachedPieces(request.prefixHashes()).values().stream()
+                .mapToInt(Integer::intValue)
+                .max()
+                .orElse(0);
+        return Math.max(0, request.promptTokens() - (long) cachedPieces * UpstreamState.PIECE_TOKENS);
+    }
+
+    private Optional<DispatchDecision> check(PendingRequest pending, long nowMillis) {
+        DispatchRequest request = pending.request;
+        if (fleet.upstreams().isEmpty()) {
+            return Optional.of(refuse(pending, DispatchDecision.Reason.NO_UPSTREAM, nowMillis));
         }
-        queue.addLast(pending);
-        return pump(nowMillis);
+        if (verdict(request, nowMillis) == Quarantine.Verdict.REFUSED) {
+            return Optional.of(refuse(pending, DispatchDecision.Reason.QUARANTINED, nowMillis));
+        }
+        long waitMillis = policy.refusesEarly()
+                ? estimator.queueMillis(queue.costAhead(request.account(), pending.latestStartMillis))
+                : 0;
+        if (request.deadlineMillis() <= nowMillis || nowMillis + waitMillis > pending.latestStartMillis) {
+            return Optional.of(refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis));
+        }
+        long retryAfterMillis = limiter.tryAdmit(request.account(), pending.expectedTokens(), nowMillis);
+        if (retryAfterMillis > 0) {
+            return Optional.of(refuse(pending, DispatchDecision.Reason.ACCOUNT_LIMIT, retryAfterMillis, nowMillis));
+        }
+        pending.admitted = true;
+        return Optional.empty();
+    }
+
+    private Quarantine.Verdict verdict(DispatchRequest request, long nowMillis) {
+        return policy.quarantines() ? quarantine.verdict(request.fingerprint(), nowMillis) : Quarantine.Verdict.CLEAR;
+    }
+
+    private void enqueue(PendingRequest pending, long nowMillis) {
+        queued.put(pending.request.id(), pending);
+        if (verdict(pending.request, nowMillis) == Quarantine.Verdict.SUSPECT) {
+            suspects.add(pending);
+            return;
+        }
+        double cost = estimator.cost(pending.request.promptTokens(), pending.expectedOutputTokens);
+        queue.add(pending.request.account(), pending, cost, pending.latestStartMillis);
     }
 
     @Override
     public void onProgress(AttemptId attempt, int outputTokens, long nowMillis) {
         Attempt known = attempts.get(attempt);
-        if (known != null) {
-            known.pending.deliveredTokens += outputTokens;
-            known.progressTokens += outputTokens;
-            totalsOf(known.pending.request.account()).decodeTokens += outputTokens;
+        if (known == null) {
+            return;
+        }
+        known.progressTokens += outputTokens;
+        deliver(known.pending, outputTokens);
+        if (known.probe) {
+            known.upstream.health().onSuccess(known.sentAtMillis);
         }
     }
 
+    private void deliver(PendingRequest pending, long outputTokens) {
+        pending.deliveredTokens += outputTokens;
+        totalsOf(pending.request.account()).decodeTokens += outputTokens;
+    }
+
     @Override
     public List<DispatchDecision> onAttemptEnd(AttemptId attempt, AttemptEnd end, long nowMillis) {
         Attempt known = attempts.remove(attempt);
         if (known == null) {
             return List.of();
         }
-        known.upstream.inFlight--;
-        long missedTokens = Math.max(0, end.outputTokens() - known.progressTokens);
-        known.pending.deliveredTokens += missedTokens;
-        totalsOf(known.pending.request.account()).decodeTokens += missedTokens;
+        known.upstream.onEnd(known.pieces, nowMillis);
+        deliver(known.pending, Math.max(0, end.outputTokens() - known.progressTokens));
+        if (known.alone) {
+            suspects.release(known.upstream.id());
+        }
         List<DispatchDecision> decisions = new ArrayList<>(settle(known, end.outcome(), nowMillis));
         decisions.addAll(pump(nowMillis));
         return decisions;
@@ -114,91 +216,132 @@
 
     private List<DispatchDecision> settle(Attempt attempt, AttemptEnd.Outcome outcome, long nowMillis) {
         PendingRequest pending = attempt.pending;
+        UpstreamHealth health = attempt.upstream.health();
         switch (outcome) {
             case COMPLETED:
-                attempt.upstream.onSuccess();
-                close(pending);
+                complete(attempt);
                 return List.of();
             case CANCELLED:
+                health.onProbeWithoutResult(nowMillis);
                 close(pending);
                 return List.of();
             case NOT_RUN:
-                return retry(pending, nowMillis);
+                health.onProbeWithoutResult(nowMillis);
+                attempt.upstream.onRefused(nowMillis);
+                return sendAgain(pending, nowMillis);
             case NOT_SENT:
-                attempt.upstream.backOff(nowMillis, random);
-                return retry(pending, nowMillis);
+                health.onFailure(nowMillis, random);
+                return sendAgain(pending, nowMillis);
             case CRASHED:
+                health.onFailure(nowMillis, random);
+                fleet.prefixes().forget(attempt.upstream.id());
+                quarantine.onCrash(pending.request.fingerprint(), attempt.upstream.id(), nowMillis);
+                return sendAgainAfterLoss(pending, nowMillis);
             case SILENT:
-                attempt.upstream.backOff(nowMillis, random);
-                pending.mayHaveRun = true;
-                return retryAfterLoss(pending, nowMillis);
+                health.onFailure(nowMillis, random);
+                return sendAgainAfterLoss(pending, nowMillis);
             default:
                 throw new IllegalStateException("unknown outcome " + outcome);
         }
     }
 
-    private List<DispatchDecision> retryAfterLoss(PendingRequest pending, long nowMillis) {
+    private void complete(Attempt attempt) {
+        PendingRequest pending = attempt.pending;
+        attempt.upstream.health().onSuccess(attempt.sentAtMillis);
+        if (attempt.alone) {
+            quarantine.onCompletedAlone(pending.request.fingerprint());
+        }
+        estimator.onCompleted(pending.request, pending.deliveredTokens);
+        double missedTokens = pending.deliveredTokens - pending.expectedOutputTokens;
+        queue.charge(pending.request.account(), WorkEstimator.DECODE_WEIGHT * missedTokens);
+        close(pending);
+    }
+
+    private List<DispatchDecision> sendAgainAfterLoss(PendingRequest pending, long nowMillis) {
+        pending.mayHaveRun = true;
         boolean resumable = options.kind() == ServiceConfig.Kind.MODEL || pending.deliveredTokens == 0;
         if (!pending.request.repeatable() || !resumable) {
-            return List.of(refuse(pending, DispatchDecision.Reason.UPSTREAM_LOST));
+            return List.of(refuse(pending, DispatchDecision.Reason.UPSTREAM_LOST, nowMillis));
         }
-        return retry(pending, nowMillis);
+        return sendAgain(pending, nowMillis);
     }
 
-    private List<DispatchDecision> retry(PendingRequest pending, long nowMillis) {
+    private List<DispatchDecision> sendAgain(PendingRequest pending, long nowMillis) {
+        Quarantine.Verdict verdict = verdict(pending.request, nowMillis);
+        if (verdict == Quarantine.Verdict.REFUSED) {
+            return List.of(refuse(pending, DispatchDecision.Reason.QUARANTINED, nowMillis));
+        }
         if (pending.request.deadlineMillis() <= nowMillis) {
-            return List.of(refuse(pending, DispatchDecision.Reason.DEADLINE));
+            return List.of(refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis));
         }
         if (!retryBudget.tryRetry()) {
-            return List.of(refuse(pending, DispatchDecision.Reason.RETRY_BUDGET));
+            return List.of(refuse(pending, DispatchDecision.Reason.RETRY_BUDGET, nowMillis));
+        }
+        queued.put(pending.request.id(), pending);
+        if (verdict == Quarantine.Verdict.SUSPECT) {
+            suspects.add(pending);
+        } else {
+            retries.addLast(pending);
         }
-        queue.addFirst(pending);
         return List.of();
     }
 
     @Override
     public List<DispatchDecision> cancel(RequestId request, long nowMillis) {
-        queue.stream()
-                .filter(pending -> pending.request.id().equals(request))
-                .findFirst()
-                .ifPresent(pending -> {
-                    queue.remove(pending);
-                    close(pending);
-                });
+        PendingRequest pending = queued.get(request);
+        if (pending != null) {
+            leaveQueues(pending);
+            close(pending);
+        }
         return pump(nowMillis);
     }
 
+    private void leaveQueues(PendingRequest pending) {
+        queue.remove(pending.request.account(), pending);
+        retries.remove(pending);
+        suspects.remove(pending);
+    }
+
     @Override
     public List<DispatchDecision> onLoad(UpstreamId upstream, EngineLoad load, long nowMillis) {
-        Upstream known = upstreams.get(upstream);
-        if (known != null) {
-            known.changing = load.changing();
-        }
+        fleet.find(upstream).ifPresent(state -> {
+            state.onLoad(load, nowMillis);
+            estimator.onLoad(load);
+        });
         return pump(nowMillis);
     }
 
+    /**
+     * Takes cache events of an engine; late ones and gaps are expected.
+     *
+     * @param upstream the engine
+     * @param events the events in the order of their sequence numbers
+     */
+    public void onCacheEvents(UpstreamId upstream, List<PrefixIndex.Event> events) {
+        events.forEach(event -> fleet.prefixes().onEvent(upstream, event));
+    }
+
     @Override
     public List<DispatchDecision> onLeaving(UpstreamId upstream, boolean leaving, long nowMillis) {
-        Upstream known = upstreams.get(upstream);
-        if (known != null) {
-            known.leaving = leaving;
-        }
+        fleet.find(upstream).ifPresent(state -> state.setLeaving(leaving));
         return pump(nowMillis);
     }
 
     @Override
     public void onRemoteService(
             AccountId account, long prefillTokens, long decodeTokens, int requestsInFlight, long nowMillis) {
-        // First in, first out takes no account of what other nodes served.
+        limiter.onRemote(account, prefillTokens + decodeTokens, requestsInFlight, nowMillis);
+        queue.charge(account, prefillTokens + WorkEstimator.DECODE_WEIGHT * decodeTokens);
     }
 
     @Override
     public void onRemoteSuspect(long fingerprint, int crashes, long nowMillis) {
-        // No request is refused for its fingerprint yet.
+        quarantine.onRemote(fingerprint, crashes, nowMillis);
     }
 
     @Override
     public List<DispatchDecision> onTime(long nowMillis) {
+        quarantine.expire(nowMillis);
         return pump(nowMillis);
     }
 
@@ -209,10 +352,25 @@
      */
     public List<AccountServiceTotals> serviceSinceStart() {
         return totals.entrySet().stream()
-                .map(entry -> entry.getValue().toRecord(entry.getKey()))
+                .map(entry -> new AccountServiceTotals(
+                        entry.getKey(),
+                        entry.getValue().prefillTokens,
+                        entry.getValue().decodeTokens,
+                        entry.getValue().requestsInFlight))
                 .toList();
     }
 
+    /**
+     * Returns the crash-inducing fingerprints that this node saw itself; the node sends them to its peers, and passes
+     * the sum of what its peers saw to {@link #onRemoteSuspect}.
+     *
+     * @param nowMillis the present time
+     * @return the suspects
+     */
+    public List<SuspectReport> suspects(long nowMillis) {
+        return quarantine.suspects(nowMillis);
+    }
+
     /**
      * Returns the attempts of this node that are at an upstream.
      *
@@ -221,110 +379,172 @@
      */
     public int inFlight(UpstreamId upstream) {
         return (int) attempts.values().stream()
-                .filter(attempt -> attempt.upstream.id.equals(upstream))
+                .filter(attempt -> attempt.upstream.id().equals(upstream))
                 .count();
     }
 
+    /**
+     * Returns the requests that wait at this node.
+     *
+     * @return the number of requests, suspects and retries included
+     */
+    public int waitingRequests() {
+        return queue.size() + retries.size() + suspects.size();
+    }
+
+    /**
+     * Returns the last decisions and what was weighed for them.
+     *
+     * @return the decisions, oldest first
+     */
+    public List<Explanation> explain() {
+        return log.entries();
+    }
+
     private List<DispatchDecision> pump(long nowMillis) {
-        List<DispatchDecision> decisions = new ArrayList<>(expire(nowMillis));
-        while (!queue.isEmpty()) {
-            Optional<Upstream> choice = leastOutstanding(nowMillis);
-            if (choice.isEmpty()) {
-                break;
-            }
-            decisions.add(dispatch(queue.removeFirst(), choice.get()));
-        }
+        List<DispatchDecision> decisions = new ArrayList<>();
+        refuseLate(decisions, nowMillis);
+        startSuspects(decisions, nowMillis);
+        startRetries(decisions, nowMillis);
+        startQueued(decisions, nowMillis);
         return decisions;
     }
 
-    private List<DispatchDecision> expire(long nowMillis) {
-        List<DispatchDecision> decisions = new ArrayList<>();
-        for (Iterator<PendingRequest> waiting = queue.iterator(); waiting.hasNext(); ) {
+    private void refuseLate(List<DispatchDecision> decisions, long nowMillis) {
+        for (PendingRequest late : queue.removeLate(nowMillis)) {
+            decisions.add(refuse(late, DispatchDecision.Reason.DEADLINE, nowMillis));
+        }
+        for (Iterator<PendingRequest> waiting = retries.iterator(); waiting.hasNext(); ) {
             PendingRequest pending = waiting.next();
             if (pending.request.deadlineMillis() <= nowMillis) {
                 waiting.remove();
-                decisions.add(refuse(pending, DispatchDecision.Reason.DEADLINE));
+                decisions.add(refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis));
             }
         }
-        return decisions;
     }
 
-    private Optional<Upstream> leastOutstanding(long nowMillis) {
-        return upstreams.values().stream()
-                .filter(upstream -> upstream.takesWork(nowMillis))
-                .min(Comparator.comparingInt(upstream -> upstream.inFlight));
+    private void startSuspects(List<DispatchDecision> decisions, long nowMillis) {
+        for (PendingRequest pending : suspects.waiting()) {
+            Quarantine.Verdict verdict = verdict(pending.request, nowMillis);
+            if (verdict == Quarantine.Verdict.REFUSED || fleet.upstreams().size() < 2) {
+                suspects.remove(pending);
+                decisions.add(refuse(pending, DispatchDecision.Reason.QUARANTINED, nowMillis));
+            } else if (pending.request.deadlineMillis() <= nowMillis) {
+                suspects.remove(pending);
+                decisions.add(refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis));
+            } else if (verdict == Quarantine.Verdict.CLEAR) {
+                suspects.remove(pending);
+                retries.addLast(pending);
+            } else {
+                suspects.tryStart(pending, fleet, nowMillis)
+                        .ifPresent(upstream ->
+                                decisions.add(send(pending, Route.withoutCosts(upstream), true, nowMillis)));
+            }
+        }
     }
 
-    private DispatchDecision dispatch(PendingRequest pending, Upstream upstream) {
-        AttemptId id = AttemptId.fromString(options.incarnation().value() + "-" + Long.toString(nextAttempt++, 36));
-        upstream.inFlight++;
-        attempts.put(id, new Attempt(pending, upstream));
-        totalsOf(pending.request.account()).prefillTokens += pending.request.promptTokens();
-        boolean resume = options.kind() == ServiceConfig.Kind.MODEL && pending.deliveredTokens > 0;
-        return new DispatchDecision.Dispatch(pending.request.id(), id, upstream.id, resume, 0);
+    private void startRetries(List<DispatchDecision> decisions, long nowMillis) {
+        while (!retries.isEmpty()) {
+            Optional<Route> route = route(retries.peekFirst(), nowMillis);
+            if (route.isEmpty()) {
+                return;
+            }
+            decisions.add(send(retries.removeFirst(), route.get(), false, nowMillis));
+        }
     }
 
-    private DispatchDecision refuse(PendingRequest pending, DispatchDecision.Reason reason) {
-        close(pending);
-        return new DispatchDecision.Refuse(
-                pending.request.id(), reason, pending.mayHaveRun, DEFAULT_RETRY_AFTER_MILLIS);
+    private void startQueued(List<DispatchDecision> decisions, long nowMillis) {
+        while (queue.size() > 0) {
+            PendingRequest pending = queue.peek().orElseThrow();
+            Optional<Route> route = route(pending, nowMillis);
+            if (route.isEmpty()) {
+                return;
+            }
+            if (policy.refusesEarly() && comesTooLate(pending, route.get().chosen(), nowMillis)) {
+                queue.remove(pending.request.account(), pending);
+                decisions.add(refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis));
+                continue;
+            }
+            queue.poll();
+            double cost = estimator.cost(pending.request.promptTokens(), pending.expectedOutputTokens);
+            estimator.onServed(cost, queue.size() > 0, nowMillis);
+            decisions.add(send(pending, route.get(), false, nowMillis));
+        }
     }
 
-    private void close(PendingRequest pending) {
-        totalsOf(pending.request.account()).requestsInFlight--;
+    private static boolean comesTooLate(PendingRequest pending, Candidate chosen, long nowMillis) {
+        return nowMillis + chosen.completionMillis() > pending.request.deadlineMillis();
     }
 
-    private AccountTotals totalsOf(AccountId account) {
-        return totals.computeIfAbsent(account, id -> new AccountTotals());
+    private Optional<Route> route(PendingRequest pending, long nowMillis) {
+        return policy.routing().choose(fleet, query(pending), nowMillis, random);
     }
 
-    private static final class Attempt {
-        final PendingRequest pending;
-        final Upstream upstream;
-        long progressTokens;
-
-        Attempt(PendingRequest pending, Upstream upstream) {
-            this.pending = pending;
-            this.upstream = upstream;
-        }
+    private RouteQuery query(PendingRequest pending) {
+        return new RouteQuery(
+                pending.request,
+                pending.request.promptTokens() + pending.deliveredTokens,
+                pending.remainingOutputTokens(),
+                suspects.reservedIds(),
+                policy.protectsNonRepeatable() && !pending.request.repeatable());
     }
 
-    private static final class AccountTotals {
-        long prefillTokens;
-        long decodeTokens;
-        int requestsInFlight;
-
-        AccountServiceTotals toRecord(AccountId account) {
-            return new AccountServiceTotals(account, prefillTokens, decodeTokens, requestsInFlight);
+    private DispatchDecision send(PendingRequest pending, Route route, boolean alone, long nowMillis) {
+        UpstreamState upstream = route.upstream();
+        RouteQuery query = query(pending);
+        boolean probe = upstream.health().state(nowMillis) == UpstreamHealth.State.PROBE_DUE;
+        if (probe) {
+            upstream.health().onProbe();
         }
+        long freshTokens = Math.max(0, query.promptTokens() - route.chosen().cachedTokens());
+        upstream.onSend(freshTokens, query.pieces(), nowMillis);
+        fleet.prefixes().onSend(upstream.id(), pending.request.prefixHashes());
+        queued.remove(pending.request.id());
+        pending.sentPromptTokens += freshTokens;
+        totalsOf(pending.request.account()).prefillTokens += freshTokens;
+        AttemptId id = AttemptId.fromString(options.incarnation().value() + "-" + Long.toString(nextAttempt++, 36));
+        attempts.put(id, new Attempt(pending, upstream, nowMillis, query.pieces(), probe, alone));
+        boolean resume = options.kind() == ServiceConfig.Kind.MODEL && pending.deliveredTokens > 0;
+        long firstTokenMillis = Math.round(route.chosen().firstTokenMillis());
+        DispatchDecision decision =
+                new DispatchDecision.Dispatch(pending.request.id(), id, upstream.id(), resume, firstTokenMillis);
+        log.add(new Explanation(nowMillis, decision, route.candidates(), waitingRequests()));
+        return decision;
     }
 
-    private static final class Upstream {
-        final UpstreamId id;
-        int inFlight;
-        boolean draining;
-        boolean leaving;
-        boolean changing;
-        int failures;
-        long notBeforeMillis = Long.MIN_VALUE;
+    private DispatchDecision refuse(PendingRequest pending, DispatchDecision.Reason reason, long nowMillis) {
+        long retryAfterMillis = reason == DispatchDecision.Reason.QUARANTINED
+                ? quarantine.remainingMillis(pending.request.fingerprint(), nowMillis)
+                : backlogMillis();
+        return refuse(pending, reason, retryAfterMillis, nowMillis);
+    }
 
-        Upstream(UpstreamId id) {
-            this.id = id;
-        }
+    private DispatchDecision refuse(
+            PendingRequest pending, DispatchDecision.Reason reason, long retryAfterMillis, long nowMillis) {
+        close(pending);
+        DispatchDecision decision = new DispatchDecision.Refuse(
+                pending.request.id(),
+                reason,
+                pending.mayHaveRun,
+                Math.max(SHORTEST_RETRY_AFTER_MILLIS, retryAfterMillis));
+        log.add(new Explanation(nowMillis, decision, List.of(), waitingRequests()));
+        return decision;
+    }
 
-        boolean takesWork(long nowMillis) {
-            boolean open = !draining && !leaving && !changing && nowMillis >= notBeforeMillis;
-            return open && inFlight < MAXIMUM_IN_FLIGHT_PER_UPSTREAM;
-        }
+    private long backlogMillis() {
+        return Math.min(LONGEST_RETRY_AFTER_MILLIS, estimator.queueMillis(queue.queuedTokens()));
+    }
 
-        void onSuccess() {
-            failures = 0;
+    private void close(PendingRequest pending) {
+        queued.remove(pending.request.id());
+        totalsOf(pending.request.account()).requestsInFlight--;
+        if (pending.admitted) {
+            long usedTokens = pending.sentPromptTokens + pending.deliveredTokens;
+            limiter.onEnd(pending.request.account(), pending.expectedTokens(), usedTokens);
         }
+    }
 
-        void backOff(long nowMillis, RandomGenerator random) {
-            failures = Math.min(failures + 1, 5);
-            long delayMillis = BACK_OFF_MILLIS << (failures - 1);
-            notBeforeMillis = nowMillis + delayMillis / 2 + random.nextLong(delayMillis / 2);
-        }
+    private AccountTotals totalsOf(AccountId account) {
+        return totals.computeIfAbsent(account, id -> new AccountTotals());
     }
 }
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/SuspectLane.java
@@ -0,0 +1,125 @@
+package org.cactusshift.internal.coordination.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.routing.FleetView;
+import org.cactusshift.internal.coordination.routing.PrefixHashRouting;
+import org.cactusshift.internal.coordination.routing.UpstreamHealth;
+import org.cactusshift.internal.coordination.routing.UpstreamState;
+
+/**
+ * Gives each suspect an upstream to itself: sets one aside, waits until this node has nothing else there, then hands it
+ * over.
+ *
+ * <p>Never the last upstream that works, and one attempt for each fingerprint at a time. Nodes choose by a hash of the
+ * fingerprint, so that suspects of different nodes seldom meet.
+ */
+final class SuspectLane {
+    private static final int UPSTREAMS_PER_RESERVATION = 4;
+
+    private final ArrayDeque<PendingRequest> waiting = new ArrayDeque<>();
+    private final Map<UpstreamId, PendingRequest> reserved = new HashMap<>();
+    private Set<UpstreamId> reservedIds = Set.of();
+
+    void add(PendingRequest pending) {
+        waiting.addLast(pending);
+    }
+
+    /** Returns the suspects that wait, reserved or not. */
+    List<PendingRequest> waiting() {
+        return List.copyOf(waiting);
+    }
+
+    int size() {
+        return waiting.size();
+    }
+
+    /** Returns the upstreams that take no other request of this node. */
+    Set<UpstreamId> reservedIds() {
+        return reservedIds;
+    }
+
+    /** Removes a suspect that is no longer wanted, or no longer suspect. */
+    void remove(PendingRequest pending) {
+        waiting.remove(pending);
+        reserved.values().removeIf(holder -> holder == pending);
+        reservedIds = Set.copyOf(reserved.keySet());
+    }
+
+    /** Frees the upstream of a suspect whose attempt ended. */
+    void release(UpstreamId upstream) {
+        reserved.remove(upstream);
+        reservedIds = Set.copyOf(reserved.keySet());
+    }
+
+    /** Returns the upstream that a suspect may be sent to now; it stays reserved until released. */
+    Optional<UpstreamState> tryStart(PendingRequest pending, FleetView fleet, long nowMillis) {
+        Optional<UpstreamState> upstream = reservation(pending, fleet, nowMillis);
+        if (upstream.isEmpty() || upstream.get().inFlight() > 0) {
+            return Optional.empty();
+        }
+        waiting.remove(pending);
+        return upstream;
+    }
+
+    private Optional<UpstreamState> reservation(PendingRequest pending, FleetView fleet, long nowMillis) {
+        List<UpstreamState> safe = safeUpstreams(fleet, nowMillis);
+        Optional<UpstreamId> held = reserved.entrySet().stream()
+                .filter(entry -> entry.getValue() == pending)
+                .map(Map.Entry::getKey)
+                .findFirst();
+        if (held.isEmpty()) {
+            return reserve(pending, safe);
+        }
+        Optional<UpstreamState> upstream =
+                safe.stream().filter(state -> state.id().equals(held.get())).findFirst();
+        if (upstream.isEmpty()) {
+            release(held.get());
+        }
+        return upstream;
+    }
+
+    /** Returns the upstreams whose loss would leave another one that works. */
+    private static List<UpstreamState> safeUpstreams(FleetView fleet, long nowMillis) {
+        List<UpstreamState> open = fleet.upstreams().stream()
+                .filter(state -> state.takes(true, nowMillis))
+                .toList();
+        List<UpstreamState> up = open.stream()
+                .filter(state -> state.health().state(nowMillis) == UpstreamHealth.State.UP)
+                .toList();
+        if (up.size() >= 2) {
+            return open;
+        }
+        return up.isEmpty()
+                ? List.of()
+                : open.stream().filter(state -> state != up.get(0)).toList();
+    }
+
+    private Optional<UpstreamState> reserve(PendingRequest pending, List<UpstreamState> safe) {
+        int most = Math.max(1, safe.size() / UPSTREAMS_PER_RESERVATION);
+        if (reserved.size() >= most || isRunning(pending)) {
+            return Optional.empty();
+        }
+        Optional<UpstreamState> chosen = safe.stream()
+                .filter(state -> !reserved.containsKey(state.id()))
+                .filter(state -> pending.request.repeatable() || !state.config().reclaimable())
+                .max(Comparator.<UpstreamState>comparingInt(state -> state.requests() == 0 ? 1 : 0)
+                        .thenComparingLong(state -> PrefixHashRouting.score(state, pending.request.fingerprint())));
+        chosen.ifPresent(state -> {
+            reserved.put(state.id(), pending);
+            reservedIds = Set.copyOf(reserved.keySet());
+        });
+        return chosen;
+    }
+
+    private boolean isRunning(PendingRequest pending) {
+        return reserved.values().stream()
+                .anyMatch(holder -> holder.request.fingerprint() == pending.request.fingerprint());
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/fairness/FairQueue.java
@@ -0,0 +1,199 @@
+package org.cactusshift.internal.coordination.fairness;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NoSuchElementException;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.cactusshift.id.AccountId;
+
+/**
+ * Start-time fair queueing over client accounts, work-conserving; within an account, the least slack goes first.
+ *
+ * <p>Each account has a virtual time that advances by its served work over its weight; the account that is furthest
+ * behind is next. An account that was idle starts at the virtual time of the queue, so that it neither saves up nor
+ * owes. Service at other nodes is charged in the same way, up to a bound that keeps one account from being locked out
+ * by a wrong summary.
+ *
+ * @param <T> the type of a waiting request
+ */
+public final class FairQueue<T> implements RequestQueue<T> {
+    private static final double MAXIMUM_LEAD_TOKENS = 200_000;
+
+    private final Map<AccountId, Flow<T>> flows = new HashMap<>();
+    private final TreeSet<Flow<T>> waiting = new TreeSet<>(
+            Comparator.<Flow<T>>comparingDouble(flow -> flow.virtualTime).thenComparing(flow -> flow.account));
+    private double virtualTime;
+    private long nextSequence;
+    private double queuedTokens;
+    private int size;
+
+    private FairQueue() {}
+
+    private record Entry<T>(T item, double costTokens, long latestStartMillis, long sequence) {}
+
+    private static final class Flow<T> {
+        final AccountId account;
+        final TreeSet<Entry<T>> entries = new TreeSet<>(
+                Comparator.<Entry<T>>comparingLong(Entry::latestStartMillis).thenComparingLong(Entry::sequence));
+        double weight = 1;
+        double virtualTime;
+        double queuedTokens;
+
+        Flow(AccountId account) {
+            this.account = account;
+        }
+
+        double backlog() {
+            return queuedTokens / weight;
+        }
+    }
+
+    /**
+     * Returns an empty queue.
+     *
+     * @param <T> the type of a waiting request
+     * @return the queue
+     */
+    public static <T> FairQueue<T> create() {
+        return new FairQueue<>();
+    }
+
+    @Override
+    public void add(AccountId account, T item, double costTokens, long latestStartMillis) {
+        Flow<T> flow = flow(account);
+        if (flow.entries.isEmpty()) {
+            flow.virtualTime = Math.max(flow.virtualTime, virtualTime);
+            waiting.add(flow);
+        }
+        flow.entries.add(new Entry<>(item, costTokens, latestStartMillis, nextSequence++));
+        flow.queuedTokens += costTokens;
+        queuedTokens += costTokens;
+        size++;
+    }
+
+    @Override
+    public Optional<T> peek() {
+        return waiting.isEmpty()
+                ? Optional.empty()
+                : Optional.of(waiting.first().entries.first().item());
+    }
+
+    @Override
+    public T poll() {
+        if (waiting.isEmpty()) {
+            throw new NoSuchElementException("no request waits");
+        }
+        Flow<T> flow = waiting.first();
+        Entry<T> entry = flow.entries.first();
+        virtualTime = Math.max(virtualTime, flow.virtualTime);
+        take(flow, entry);
+        charge(flow, entry.costTokens());
+        return entry.item();
+    }
+
+    @Override
+    public boolean remove(AccountId account, T item) {
+        Flow<T> flow = flows.get(account);
+        if (flow == null) {
+            return false;
+        }
+        Optional<Entry<T>> entry =
+                flow.entries.stream().filter(e -> e.item() == item).findFirst();
+        entry.ifPresent(e -> take(flow, e));
+        return entry.isPresent();
+    }
+
+    @Override
+    public List<T> removeLate(long nowMillis) {
+        List<T> late = new ArrayList<>();
+        for (Flow<T> flow : List.copyOf(waiting)) {
+            while (!flow.entries.isEmpty() && flow.entries.first().latestStartMillis() < nowMillis) {
+                Entry<T> entry = flow.entries.first();
+                take(flow, entry);
+                late.add(entry.item());
+            }
+        }
+        return late;
+    }
+
+    private void take(Flow<T> flow, Entry<T> entry) {
+        flow.entries.remove(entry);
+        flow.queuedTokens -= entry.costTokens();
+        queuedTokens -= entry.costTokens();
+        size--;
+        if (flow.entries.isEmpty()) {
+            waiting.remove(flow);
+            flow.queuedTokens = 0;
+        }
+    }
+
+    @Override
+    public void charge(AccountId account, double costTokens) {
+        charge(flow(account), costTokens);
+    }
+
+    private void charge(Flow<T> flow, double costTokens) {
+        boolean isWaiting = waiting.remove(flow);
+        double advanced = Math.max(flow.virtualTime, virtualTime) + costTokens / flow.weight;
+        double latest = virtualTime + MAXIMUM_LEAD_TOKENS / flow.weight;
+        flow.virtualTime = Math.max(virtualTime, Math.min(advanced, latest));
+        if (isWaiting) {
+            waiting.add(flow);
+        }
+    }
+
+    @Override
+    public void setWeight(AccountId account, double weight) {
+        if (!(weight > 0)) {
+            throw new IllegalArgumentException("weight of " + account + " not above 0: " + weight);
+        }
+        flow(account).weight = weight;
+    }
+
+    @Override
+    public double costAhead(AccountId account, long latestStartMillis) {
+        if (size == 0) {
+            return 0;
+        }
+        Flow<T> flow = flow(account);
+        double own = flow.entries.headSet(new Entry<>(null, 0, latestStartMillis, nextSequence)).stream()
+                .mapToDouble(Entry::costTokens)
+                .sum();
+        double lead = Math.max(0, flow.virtualTime - virtualTime) * flow.weight;
+        double target = (own + lead) / flow.weight;
+        double others = 0;
+        for (Flow<T> other : waiting) {
+            if (other != flow) {
+                double behind = Math.max(0, target - (other.virtualTime - virtualTime));
+                others += Math.min(other.queuedTokens, behind * other.weight);
+            }
+        }
+        return own + others;
+    }
+
+    @Override
+    public Optional<T> giveWay(AccountId account) {
+        Flow<T> newcomer = flow(account);
+        Optional<Flow<T>> largest = waiting.stream().max(Comparator.comparingDouble(Flow::backlog));
+        return largest.filter(flow -> flow != newcomer && flow.backlog() > 2 * newcomer.backlog())
+                .map(flow -> flow.entries.last().item());
+    }
+
+    @Override
+    public double queuedTokens() {
+        return queuedTokens;
+    }
+
+    @Override
+    public int size() {
+        return size;
+    }
+
+    private Flow<T> flow(AccountId account) {
+        return flows.computeIfAbsent(account, Flow::new);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/Candidate.java
@@ -0,0 +1,15 @@
+package org.cactusshift.internal.coordination.routing;
+
+import org.cactusshift.id.UpstreamId;
+
+/**
+ * An upstream that was weighed for a request.
+ *
+ * @param upstream the upstream
+ * @param firstTokenMillis the expected wait for the first token
+ * @param completionMillis the expected wait for the whole answer, penalties included; the cost that is compared
+ * @param cachedTokens prompt tokens that it is thought to hold
+ * @param hasRoom whether it takes the request without a long wait
+ */
+public record Candidate(
+        UpstreamId upstream, double firstTokenMillis, double completionMillis, long cachedTokens, boolean hasRoom) {}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/CostRouting.java
@@ -0,0 +1,159 @@
+package org.cactusshift.internal.coordination.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.cactusshift.id.UpstreamId;
+
+/**
+ * Chooses by expected completion time, at random among near-equals.
+ *
+ * <p>The cost of an upstream is its expected wait for the first token (backlog and uncached prompt over the measured
+ * prefill rate), the expected output over the rate of one sequence, and a penalty as memory runs out. Among upstreams
+ * within a margin of the best, one is drawn with a weight that falls with its cost, so that nodes that hold the same
+ * stale report do not all choose the same one. A large fleet is sampled instead of scanned.
+ */
+public final class CostRouting implements RoutingPolicy {
+    private static final int SCAN_LIMIT = 16;
+    private static final int SAMPLES = 8;
+    private static final int MAXIMUM_CACHE_HOLDERS = 4;
+    private static final double NEAR_MARGIN_MILLIS = 50;
+    private static final double NEAR_MARGIN_RATIO = 0.15;
+    private static final double MAXIMUM_BACKLOG_MILLIS = 1_000;
+    private static final double UNKNOWN_REQUEST_MILLIS = 20;
+    private static final int UNKNOWN_MAXIMUM_REQUESTS = 64;
+    private static final double MEMORY_PRESSURE_PIECES = 8;
+    private static final double MEMORY_PENALTY_MILLIS = 400;
+    private static final long STALE_REPORT_MILLIS = 10_000;
+    private static final double STALE_PENALTY_MILLIS = 1_000;
+
+    private CostRouting() {}
+
+    /**
+     * Returns the policy.
+     *
+     * @return the policy
+     */
+    public static CostRouting create() {
+        return new CostRouting();
+    }
+
+    @Override
+    public Optional<Route> choose(FleetView fleet, RouteQuery query, long nowMillis, RandomGenerator random) {
+        Map<UpstreamId, Integer> cached =
+                fleet.prefixes().cachedPieces(query.request().prefixHashes());
+        List<UpstreamState> sample = sample(fleet, cached, random);
+        List<Candidate> candidates = weigh(sample, query, cached, nowMillis);
+        if (candidates.stream().noneMatch(Candidate::hasRoom)
+                && sample.size() < fleet.upstreams().size()) {
+            sample = fleet.upstreams();
+            candidates = weigh(sample, query, cached, nowMillis);
+        }
+        List<Candidate> open = candidates.stream().filter(Candidate::hasRoom).toList();
+        if (open.isEmpty()) {
+            return Optional.empty();
+        }
+        Candidate chosen = draw(open, random);
+        return Optional.of(new Route(fleet.find(chosen.upstream()).orElseThrow(), chosen, candidates));
+    }
+
+    private static List<UpstreamState> sample(
+            FleetView fleet, Map<UpstreamId, Integer> cached, RandomGenerator random) {
+        List<UpstreamState> all = fleet.upstreams();
+        if (all.size() <= SCAN_LIMIT) {
+            return all;
+        }
+        Set<UpstreamState> sample = new LinkedHashSet<>();
+        cached.entrySet().stream()
+                .sorted(Map.Entry.<UpstreamId, Integer>comparingByValue(Comparator.reverseOrder())
+                        .thenComparing(Map.Entry.comparingByKey()))
+                .limit(MAXIMUM_CACHE_HOLDERS)
+                .forEach(entry -> fleet.find(entry.getKey()).ifPresent(sample::add));
+        for (int i = 0; i < SAMPLES; i++) {
+            sample.add(all.get(random.nextInt(all.size())));
+        }
+        return List.copyOf(sample);
+    }
+
+    private static List<Candidate> weigh(
+            List<UpstreamState> sample, RouteQuery query, Map<UpstreamId, Integer> cached, long nowMillis) {
+        List<Candidate> candidates = new ArrayList<>(sample.size());
+        for (UpstreamState upstream : sample) {
+            if (query.allows(upstream, nowMillis)) {
+                candidates.add(cost(upstream, query, cached.getOrDefault(upstream.id(), 0), nowMillis));
+            }
+        }
+        return candidates;
+    }
+
+    private static Candidate cost(UpstreamState upstream, RouteQuery query, int cachedPieces, long nowMillis) {
+        long cachedTokens = Math.min(query.promptTokens(), (long) cachedPieces * UpstreamState.PIECE_TOKENS);
+        long freshTokens = query.promptTokens() - cachedTokens;
+        double prefillRate = upstream.prefillTokensPerSecond();
+        double backlogMillis = prefillRate > 0
+                ? upstream.backlogTokens(nowMillis) * 1_000 / prefillRate
+                : upstream.requests() * UNKNOWN_REQUEST_MILLIS;
+        double firstTokenMillis = backlogMillis + (prefillRate > 0 ? freshTokens * 1_000 / prefillRate : 0);
+        double decodeRate = upstream.decodeTokensPerSecond();
+        double decodeMillis = decodeRate > 0 ? query.expectedOutputTokens() * 1_000 / decodeRate : 0;
+        int neededPieces = Math.max(0, query.pieces() - cachedPieces);
+        int leftPieces =
+                upstream.freePieces() == Integer.MAX_VALUE ? Integer.MAX_VALUE : upstream.freePieces() - neededPieces;
+        double penaltyMillis = memoryPenaltyMillis(leftPieces) + stalePenaltyMillis(upstream, nowMillis);
+        boolean empty = upstream.requests() == 0;
+        boolean hasRoom = empty || (leftPieces >= 0 && hasShortBacklog(upstream, backlogMillis));
+        return new Candidate(
+                upstream.id(),
+                firstTokenMillis,
+                firstTokenMillis + decodeMillis + penaltyMillis,
+                cachedTokens,
+                hasRoom);
+    }
+
+    private static boolean hasShortBacklog(UpstreamState upstream, double backlogMillis) {
+        if (upstream.load().isEmpty() || upstream.prefillTokensPerSecond() <= 0) {
+            return upstream.inFlight() < UNKNOWN_MAXIMUM_REQUESTS;
+        }
+        return backlogMillis <= MAXIMUM_BACKLOG_MILLIS;
+    }
+
+    private static double memoryPenaltyMillis(int leftPieces) {
+        if (leftPieces >= MEMORY_PRESSURE_PIECES) {
+            return 0;
+        }
+        return MEMORY_PENALTY_MILLIS * (1 - Math.max(0, leftPieces) / MEMORY_PRESSURE_PIECES);
+    }
+
+    private static double stalePenaltyMillis(UpstreamState upstream, long nowMillis) {
+        boolean stale = upstream.load().isPresent()
+                && nowMillis - upstream.load().get().measuredAtMillis() > STALE_REPORT_MILLIS;
+        return stale ? STALE_PENALTY_MILLIS : 0;
+    }
+
+    private static Candidate draw(List<Candidate> open, RandomGenerator random) {
+        double best =
+                open.stream().mapToDouble(Candidate::completionMillis).min().orElseThrow();
+        double margin = NEAR_MARGIN_MILLIS + NEAR_MARGIN_RATIO * best;
+        List<Candidate> near = open.stream()
+                .filter(candidate -> candidate.completionMillis() <= best + margin)
+                .toList();
+        double total = near.stream().mapToDouble(c -> weight(c, best, margin)).sum();
+        double point = random.nextDouble() * total;
+        for (Candidate candidate : near) {
+            point -= weight(candidate, best, margin);
+            if (point <= 0) {
+                return candidate;
+            }
+        }
+        return near.get(near.size() - 1);
+    }
+
+    private static double weight(Candidate candidate, double best, double margin) {
+        return 1.01 - (candidate.completionMillis() - best) / margin;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/RoundRobinRouting.java
@@ -0,0 +1,36 @@
+package org.cactusshift.internal.coordination.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Sends requests to the upstreams in turn. */
+public final class RoundRobinRouting implements RoutingPolicy {
+    private int next = -1;
+
+    private RoundRobinRouting() {}
+
+    /**
+     * Returns the policy.
+     *
+     * @return the policy
+     */
+    public static RoundRobinRouting create() {
+        return new RoundRobinRouting();
+    }
+
+    @Override
+    public Optional<Route> choose(FleetView fleet, RouteQuery query, long nowMillis, RandomGenerator random) {
+        List<UpstreamState> all = fleet.upstreams();
+        if (next < 0 && !all.isEmpty()) {
+            next = random.nextInt(all.size());
+        }
+        for (int i = 0; i < all.size(); i++) {
+            UpstreamState upstream = all.get(next++ % all.size());
+            if (query.allows(upstream, nowMillis)) {
+                return Optional.of(Route.withoutCosts(upstream));
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcherTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcherTest.java
@@ -45,7 +45,7 @@
 
     @Test
     void resumesAfterTheTokensDelivered() {
-        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 2);
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 3);
         DispatchDecision.Dispatch first = dispatched(dispatcher.submit(request("r1", "fonds", 60_000, true), 0));
         assertFalse(first.resume());
         dispatcher.onProgress(first.attempt(), 7, 5);
@@ -91,4 +91,62 @@
                         .request()
                         .value());
     }
+
+    @Test
+    void neverSendsASuspectToTheLastWorkingUpstream() {
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 2);
+        DispatchDecision.Dispatch first = dispatched(dispatcher.submit(request("r1", "fonds", 60_000, true), 0));
+
+        List<DispatchDecision> after =
+                dispatcher.onAttemptEnd(first.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 10);
+
+        assertEquals(List.of(), after);
+        assertEquals(first.upstream(), dispatched(dispatcher.onTime(5_000)).upstream());
+    }
+
+    @Test
+    void refusesAFingerprintAfterItsSecondCrash() {
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 4);
+        DispatchDecision.Dispatch first = dispatched(dispatcher.submit(request("r1", "fonds", 60_000, true), 0));
+        DispatchDecision.Dispatch second = dispatched(
+                dispatcher.onAttemptEnd(first.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 10));
+
+        DispatchDecision.Refuse refuse = refused(
+                dispatcher.onAttemptEnd(second.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 20));
+
+        assertEquals(DispatchDecision.Reason.QUARANTINED, refuse.reason());
+        assertTrue(refuse.mayHaveRun());
+        DispatchDecision.Refuse again = refused(dispatcher.submit(request("r1", "fonds", 60_000, true), 30));
+        assertEquals(DispatchDecision.Reason.QUARANTINED, again.reason());
+        assertFalse(again.mayHaveRun());
+    }
+
+    @Test
+    void clearsInnocentRequestsThatSharedACrash() {
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 4);
+        dispatcher.onLeaving(DispatchFixture.upstreams(4).get(1).id(), true, 0);
+        dispatcher.onLeaving(DispatchFixture.upstreams(4).get(2).id(), true, 0);
+        dispatcher.onLeaving(DispatchFixture.upstreams(4).get(3).id(), true, 0);
+        DispatchDecision.Dispatch guilty = dispatched(dispatcher.submit(request("g", "fonds", 60_000, true), 0));
+        DispatchDecision.Dispatch innocent = dispatched(dispatcher.submit(request("i", "crew", 60_000, true), 0));
+        for (int i = 1; i < 4; i++) {
+            dispatcher.onLeaving(DispatchFixture.upstreams(4).get(i).id(), false, 1);
+        }
+
+        DispatchDecision.Dispatch guiltyAgain = dispatched(
+                dispatcher.onAttemptEnd(guilty.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 10));
+        assertEquals(
+                List.of(),
+                dispatcher.onAttemptEnd(innocent.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 10));
+        DispatchDecision.Dispatch innocentAgain = dispatched(
+                dispatcher.onAttemptEnd(guiltyAgain.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 20));
+        assertEquals("i", innocentAgain.request().value());
+        dispatcher.onAttemptEnd(innocentAgain.attempt(), new AttemptEnd(AttemptEnd.Outcome.COMPLETED, 400, 9), 30);
+
+        assertEquals(
+                List.of((long) "g".hashCode()),
+                dispatcher.suspects(40).stream()
+                        .map(suspect -> suspect.fingerprint())
+                        .toList());
+    }
 }
