Expose dispatch summaries and explanations to the node

Heartbeats need the totals of each account, the suspects and the explanations that the dispatcher already keeps; they now pass through the dispatch service under the shard's lock.

--- a/org.cactusshift/src/main/java/org/cactusshift/config/SiteConfigCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/config/SiteConfigCodec.java
@@ -8,13 +8,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
 import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * Converts between {@link SiteConfig} and the tree of the file format.
  *
  * <p>The file format keeps what has an id in objects keyed by that id, so that an overlay or a difference names one
- * account or upstream instead of a position in a list. The records hold them as lists in the order of their ids.
+ * account or upstream instead of a position in a list.
  */
 public final class SiteConfigCodec {
     private static final String ID = "id";
@@ -92,14 +91,12 @@
 
     private static void listOf(ObjectNode parent, String field) {
         ArrayNode list = JsonNodeFactory.instance.arrayNode();
-        Map<String, JsonNode> byId = new TreeMap<>();
-        parent.path(field).properties().forEach(item -> byId.put(item.getKey(), item.getValue()));
-        byId.forEach((id, item) -> {
+        for (Map.Entry<String, JsonNode> item : parent.path(field).properties()) {
             ObjectNode content = JsonNodeFactory.instance.objectNode();
-            content.put(ID, id);
-            content.setAll((ObjectNode) item);
+            content.put(ID, item.getKey());
+            content.setAll((ObjectNode) item.getValue());
             list.add(content);
-        });
+        }
         parent.set(field, list);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
@@ -1,5 +1,6 @@
 package org.cactusshift.internal.coordination.dispatch;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,9 +15,14 @@
 import org.cactusshift.config.SiteConfig;
 import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.AccountId;
+import org.cactusshift.id.RequestId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.quarantine.SuspectReport;
+import org.cactusshift.internal.coordination.routing.PrefixIndex;
+import org.cactusshift.internal.coordination.summary.AccountKey;
+import org.cactusshift.internal.coordination.summary.ServiceTotals;
 
 /**
  * Runs one {@link Dispatcher} for each service of the configuration, each under its own lock, lets time pass for it,
@@ -170,6 +176,55 @@
         return shards.values().stream().mapToInt(DispatchShard::openRequests).sum();
     }
 
+    /**
+     * Takes cache events of an engine.
+     *
+     * @param service the service of the engine
+     * @param upstream the engine
+     * @param events the events, late and with gaps
+     */
+    public void onCacheEvents(ServiceId service, UpstreamId upstream, List<PrefixIndex.Event> events) {
+        shard(service).ifPresent(shard -> shard.onCacheEvents(upstream, events));
+    }
+
+    /**
+     * Returns what each account received of each service at this node, for other nodes.
+     *
+     * @return the totals since the services were installed
+     */
+    public Map<AccountKey, ServiceTotals> serviceSinceStart() {
+        Map<AccountKey, ServiceTotals> totals = new HashMap<>();
+        shards.forEach((service, shard) -> shard.serviceSinceStart()
+                .forEach(total -> totals.put(
+                        new AccountKey(service, total.account()),
+                        new ServiceTotals(total.prefillTokens(), total.decodeTokens(), total.requestsInFlight()))));
+        return totals;
+    }
+
+    /**
+     * Returns the fingerprints that crashed upstreams at this node, for other nodes.
+     *
+     * @return the suspects of all services
+     */
+    public List<SuspectReport> suspects() {
+        return shards.values().stream()
+                .flatMap(shard -> shard.suspects().stream())
+                .toList();
+    }
+
+    /**
+     * Returns the last decisions about a request.
+     *
+     * @param request the request
+     * @return the explanations, oldest first; empty when none are kept any more
+     */
+    public List<Explanation> explain(RequestId request) {
+        return shards.values().stream()
+                .flatMap(shard -> shard.explain().stream())
+                .filter(explanation -> explanation.decision().request().equals(request))
+                .toList();
+    }
+
     private Optional<DispatchShard> shard(ServiceId service) {
         return Optional.ofNullable(shards.get(service));
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchShard.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchShard.java
@@ -12,6 +12,8 @@
 import org.cactusshift.id.AttemptId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.quarantine.SuspectReport;
+import org.cactusshift.internal.coordination.routing.PrefixIndex;
 
 /** The dispatcher of one service with its lock, open tickets and open attempts. */
 final class DispatchShard {
@@ -121,6 +123,22 @@
         return tickets.size();
     }
 
+    synchronized void onCacheEvents(UpstreamId upstream, List<PrefixIndex.Event> events) {
+        dispatcher.onCacheEvents(upstream, events);
+    }
+
+    synchronized List<AccountServiceTotals> serviceSinceStart() {
+        return dispatcher.serviceSinceStart();
+    }
+
+    synchronized List<SuspectReport> suspects() {
+        return dispatcher.suspects(clockMillis.getAsLong());
+    }
+
+    synchronized List<Explanation> explain() {
+        return dispatcher.explain();
+    }
+
     private void deliver(List<DispatchDecision> decisions) {
         for (DispatchDecision decision : decisions) {
             DispatchTicket ticket = tickets.get(decision.request());
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Dispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Dispatcher.java
@@ -7,6 +7,8 @@
 import org.cactusshift.id.AttemptId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.quarantine.SuspectReport;
+import org.cactusshift.internal.coordination.routing.PrefixIndex;
 
 /**
  * Decides about the requests of one service at one node: order, upstream, retry, resume and refusal.
@@ -111,4 +113,40 @@
      * @return what is to be done now
      */
     List<DispatchDecision> onTime(long nowMillis);
+
+    /**
+     * Takes cache events of an engine. A dispatcher that doesn't route by prefix ignores them.
+     *
+     * @param upstream the engine
+     * @param events the events, late and with gaps
+     */
+    default void onCacheEvents(UpstreamId upstream, List<PrefixIndex.Event> events) {}
+
+    /**
+     * Returns what each account received of this service here, for other nodes.
+     *
+     * @return the totals since the dispatcher was created; empty for a dispatcher that keeps none
+     */
+    default List<AccountServiceTotals> serviceSinceStart() {
+        return List.of();
+    }
+
+    /**
+     * Returns the fingerprints that crashed upstreams here, for other nodes.
+     *
+     * @param nowMillis the present time
+     * @return the suspects; empty for a dispatcher that keeps none
+     */
+    default List<SuspectReport> suspects(long nowMillis) {
+        return List.of();
+    }
+
+    /**
+     * Returns the last decisions with what was weighed.
+     *
+     * @return the explanations, oldest first; empty for a dispatcher that keeps none
+     */
+    default List<Explanation> explain() {
+        return List.of();
+    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -311,12 +311,7 @@
         return pump(nowMillis);
     }
 
-    /**
-     * Takes cache events of an engine; late ones and gaps are expected.
-     *
-     * @param upstream the engine
-     * @param events the events in the order of their sequence numbers
-     */
+    @Override
     public void onCacheEvents(UpstreamId upstream, List<PrefixIndex.Event> events) {
         events.forEach(event -> fleet.prefixes().onEvent(upstream, event));
     }
@@ -345,11 +340,7 @@
         return pump(nowMillis);
     }
 
-    /**
-     * Returns what each account received from this node, for the summaries that nodes exchange.
-     *
-     * @return the totals since the dispatcher was created
-     */
+    @Override
     public List<AccountServiceTotals> serviceSinceStart() {
         return totals.entrySet().stream()
                 .map(entry -> new AccountServiceTotals(
@@ -360,13 +351,7 @@
                 .toList();
     }
 
-    /**
-     * Returns the crash-inducing fingerprints that this node saw itself; the node sends them to its peers, and passes
-     * the sum of what its peers saw to {@link #onRemoteSuspect}.
-     *
-     * @param nowMillis the present time
-     * @return the suspects
-     */
+    @Override
     public List<SuspectReport> suspects(long nowMillis) {
         return quarantine.suspects(nowMillis);
     }
@@ -392,11 +377,7 @@
         return queue.size() + retries.size() + suspects.size();
     }
 
-    /**
-     * Returns the last decisions and what was weighed for them.
-     *
-     * @return the decisions, oldest first
-     */
+    @Override
     public List<Explanation> explain() {
         return log.entries();
     }
