Add operator pages

Metrics and health are open; status and explanations need the operator key when the settings name its hash, which is compared in constant time.

--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/OperatorPages.java
@@ -0,0 +1,144 @@
+package org.cactusshift.node.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.cactusshift.config.Json;
+import org.cactusshift.internal.coordination.key.ClientKey;
+import org.cactusshift.internal.coordination.key.KeyHasher;
+import org.cactusshift.internal.transport.http.HttpExchange;
+import org.cactusshift.internal.transport.http.HttpHandler;
+
+/**
+ * The operators' interface of a node: metrics, health, status and explanations.
+ *
+ * <p>Health and metrics are open; everything else needs the operator key when the settings name its hash.
+ */
+public final class OperatorPages implements HttpHandler {
+    private static final String BEARER = "Bearer ";
+    private static final String EXPLAIN_PATH = "/explain/";
+    private static final ContentType METRICS_TYPE = ContentType.parse(PrometheusTextFormatWriter.CONTENT_TYPE);
+
+    private final PrometheusRegistry registry;
+    private final KeyHasher hasher;
+    private final Optional<String> operatorKeyHash;
+    private final BooleanSupplier ready;
+    private final Supplier<Object> status;
+    private final Function<String, Optional<Object>> explain;
+
+    private OperatorPages(
+            PrometheusRegistry registry,
+            KeyHasher hasher,
+            Optional<String> operatorKeyHash,
+            BooleanSupplier ready,
+            Supplier<Object> status,
+            Function<String, Optional<Object>> explain) {
+        this.registry = registry;
+        this.hasher = hasher;
+        this.operatorKeyHash = operatorKeyHash;
+        this.ready = ready;
+        this.status = status;
+        this.explain = explain;
+    }
+
+    /**
+     * Returns the pages.
+     *
+     * @param registry the metrics
+     * @param hasher hashes a presented operator key
+     * @param operatorKeyHash the hash of the operator key; empty leaves the pages open
+     * @param ready whether the node takes requests
+     * @param status gives the status, as a value that is written as JSON
+     * @param explain gives the decisions about a request id, as a value that is written as JSON
+     * @return the pages
+     */
+    public static OperatorPages create(
+            PrometheusRegistry registry,
+            KeyHasher hasher,
+            Optional<String> operatorKeyHash,
+            BooleanSupplier ready,
+            Supplier<Object> status,
+            Function<String, Optional<Object>> explain) {
+        return new OperatorPages(registry, hasher, operatorKeyHash, ready, status, explain);
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws HttpException, IOException {
+        String path = exchange.path();
+        if (!exchange.method().equals("GET")) {
+            exchange.submit(json(405, Map.of("error", "only GET is served here")));
+        } else if (path.equals("/healthz")) {
+            exchange.submit(json(200, Map.of("status", "ok")));
+        } else if (path.equals("/readyz")) {
+            boolean isReady = ready.getAsBoolean();
+            exchange.submit(json(isReady ? 200 : 503, Map.of("ready", isReady)));
+        } else if (path.equals("/metrics")) {
+            exchange.submit(metrics());
+        } else if (!isOperator(exchange)) {
+            exchange.submit(json(401, Map.of("error", "the operator key is missing or wrong")));
+        } else {
+            exchange.submit(operatorPage(path));
+        }
+    }
+
+    private ClassicHttpResponse operatorPage(String path) {
+        if (path.equals("/status")) {
+            return json(200, status.get());
+        }
+        if (path.startsWith(EXPLAIN_PATH)) {
+            return explain.apply(path.substring(EXPLAIN_PATH.length()))
+                    .map(found -> json(200, found))
+                    .orElseGet(() -> json(404, Map.of("error", "this node has no decisions about the request")));
+        }
+        return json(404, Map.of("error", "no such page"));
+    }
+
+    private boolean isOperator(HttpExchange exchange) {
+        if (operatorKeyHash.isEmpty()) {
+            return true;
+        }
+        Optional<ClientKey> key = exchange.header("Authorization")
+                .filter(value -> value.startsWith(BEARER))
+                .flatMap(value -> ClientKey.parse(value.substring(BEARER.length())));
+        return key.map(hasher::hash)
+                .map(hash -> MessageDigest.isEqual(
+                        hash.getBytes(StandardCharsets.US_ASCII),
+                        operatorKeyHash.get().getBytes(StandardCharsets.US_ASCII)))
+                .orElse(false);
+    }
+
+    private ClassicHttpResponse metrics() throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        return response(200, out.toByteArray(), METRICS_TYPE);
+    }
+
+    private static ClassicHttpResponse json(int status, Object value) {
+        try {
+            byte[] body = Json.mapper().writerWithDefaultPrettyPrinter().writeValueAsBytes(value);
+            return response(status, body, ContentType.APPLICATION_JSON);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a page could not be written as JSON", e);
+        }
+    }
+
+    private static ClassicHttpResponse response(int status, byte[] body, ContentType type) {
+        BasicClassicHttpResponse response = new BasicClassicHttpResponse(status);
+        response.setEntity(new ByteArrayEntity(body, type));
+        return response;
+    }
+}
