Hold duties under one platform lease per node

A duty of a shard needs one holder at a time, and the store gives several hundred writes a second. A lease per duty renewed three times per time to live would cost writes in proportion to duties; here one platform lease per node carries the keys of all its duties and exists only while one is held. The fencing number is the creation revision of the duty's key. The holder counts its lease from before the renewal was sent, less a fiftieth.

A record of a duty outlives its holders.

Ruled out: a watch on each node, which counts as a call for as long as it waits; the duty keys are read once per third of the time to live instead.

A lease counted from the answer is caught by the checker.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyId.java
@@ -0,0 +1,132 @@
+package org.cactusshift.internal.coordination.lease;
+
+import java.util.Comparator;
+import java.util.Objects;
+import java.util.Optional;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SiteId;
+
+/**
+ * Identifies a duty: a kind of work on one shard, done by one node at a time.
+ *
+ * @param kind what the duty is about
+ * @param shard the shard, unique within the kind; contains no '/'
+ */
+public record DutyId(DutyKind kind, String shard) implements Comparable<DutyId> {
+    // Not allowed in identifiers, so that two parts can't be joined in two ways.
+    private static final String PART_SEPARATOR = "+";
+    private static final Comparator<DutyId> ORDER =
+            Comparator.comparing(DutyId::kind).thenComparing(DutyId::shard);
+
+    /** Checks the form of the shard. */
+    public DutyId {
+        Objects.requireNonNull(kind, "kind");
+        if (shard.isEmpty() || shard.indexOf('/') >= 0) {
+            throw new IllegalArgumentException("shard is empty or has a '/': " + shard);
+        }
+    }
+
+    /**
+     * Returns the duty of a usage shard.
+     *
+     * @param shard the number of the shard
+     * @return the duty
+     */
+    public static DutyId usage(int shard) {
+        return new DutyId(DutyKind.USAGE, Integer.toString(shard));
+    }
+
+    /**
+     * Returns the duty of a claim shard.
+     *
+     * @param shard the number of the shard
+     * @return the duty
+     */
+    public static DutyId claim(int shard) {
+        return new DutyId(DutyKind.CLAIM, Integer.toString(shard));
+    }
+
+    /**
+     * Returns the duty of ordering the engines of a service in a failure domain.
+     *
+     * @param failureDomain the failure domain
+     * @param service the service
+     * @return the duty
+     */
+    public static DutyId engineOrders(FailureDomainId failureDomain, ServiceId service) {
+        return new DutyId(DutyKind.ENGINE_ORDERS, failureDomain.value() + PART_SEPARATOR + service.value());
+    }
+
+    /**
+     * Returns the duty of ordering upstreams in a failure domain.
+     *
+     * @param failureDomain the failure domain
+     * @return the duty
+     */
+    public static DutyId upstreamOrders(FailureDomainId failureDomain) {
+        return new DutyId(DutyKind.UPSTREAM_ORDERS, failureDomain.value());
+    }
+
+    /**
+     * Returns the prefix of the duty keys of a site.
+     *
+     * @param site the site
+     * @return the prefix, with a '/' at its end
+     */
+    public static String keyPrefix(SiteId site) {
+        return "/cactusshift/" + site.value() + "/duty/";
+    }
+
+    /**
+     * Reads a duty from its key.
+     *
+     * @param site the site
+     * @param key the full key
+     * @return the duty, empty when the key is not one of a duty
+     */
+    public static Optional<DutyId> fromKey(SiteId site, String key) {
+        String prefix = keyPrefix(site);
+        if (!key.startsWith(prefix)) {
+            return Optional.empty();
+        }
+        String path = key.substring(prefix.length());
+        for (DutyKind kind : DutyKind.values()) {
+            String start = kind.pathSegment() + "/";
+            if (path.startsWith(start) && path.length() > start.length()) {
+                return Optional.of(new DutyId(kind, path.substring(start.length())));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the key that exists while the duty has a holder.
+     *
+     * @param site the site
+     * @return the full key
+     */
+    public String key(SiteId site) {
+        return keyPrefix(site) + kind.pathSegment() + "/" + shard;
+    }
+
+    /**
+     * Returns the key of the duty's durable record, which outlives its holders.
+     *
+     * @param site the site
+     * @return the full key
+     */
+    public String recordKey(SiteId site) {
+        return "/cactusshift/" + site.value() + "/record/" + kind.pathSegment() + "/" + shard;
+    }
+
+    @Override
+    public int compareTo(DutyId other) {
+        return ORDER.compare(this, other);
+    }
+
+    @Override
+    public String toString() {
+        return kind.pathSegment() + "/" + shard;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyService.java
@@ -0,0 +1,255 @@
+package org.cactusshift.internal.coordination.lease;
+
+import io.vavr.control.Either;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.store.KeyValueStore;
+import org.cactusshift.internal.coordination.store.LeaseGrant;
+import org.cactusshift.internal.coordination.store.RangeResult;
+import org.cactusshift.internal.coordination.store.SwapResult;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+
+/**
+ * Runs a {@link DutyMachine} against the key-value service.
+ *
+ * <p>Renewals have a thread of their own, so that no other call of the node delays them.
+ */
+public final class DutyService implements AuthoritySource, DutyDirectory, AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(DutyService.class.getName());
+    private static final long TICK_MILLIS = 100;
+
+    private final KeyValueStore store;
+    private final SiteId site;
+    private final DutyHolder self;
+    private final LeaseTiming timing;
+    private final LongSupplier clockMillis;
+    private final DutyMachine machine;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(daemon("duty-timer"));
+    private final ExecutorService leaseCalls = Executors.newSingleThreadExecutor(daemon("duty-lease"));
+    private final ExecutorService keyCalls = Executors.newSingleThreadExecutor(daemon("duty-keys"));
+
+    private final Object lock = new Object();
+    private DutyState state = DutyState.START;
+    private Set<DutyId> sought = Set.of();
+    private Set<InstanceId> members = Set.of();
+
+    private DutyService(
+            KeyValueStore store, SiteId site, DutyHolder self, LeaseTiming timing, LongSupplier clockMillis) {
+        this.store = Objects.requireNonNull(store, "store");
+        this.site = Objects.requireNonNull(site, "site");
+        this.self = Objects.requireNonNull(self, "self");
+        this.timing = Objects.requireNonNull(timing, "timing");
+        this.clockMillis = Objects.requireNonNull(clockMillis, "clockMillis");
+        this.machine = DutyMachine.create(self, timing);
+    }
+
+    /**
+     * Returns a service that is not started.
+     *
+     * @param store the key-value service
+     * @param site the site
+     * @param self the node; its lease id is ignored
+     * @param timing the periods of the leases
+     * @param clockMillis the monotonic clock
+     * @return the service
+     */
+    public static DutyService create(
+            KeyValueStore store, SiteId site, DutyHolder self, LeaseTiming timing, LongSupplier clockMillis) {
+        return new DutyService(store, site, self, timing, clockMillis);
+    }
+
+    /** Starts to seek duties. */
+    public void start() {
+        timer.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Sets the duties that the site needs done; a duty that is no longer sought is kept until the lease ends.
+     *
+     * @param duties the duties
+     */
+    public void setSoughtDuties(Collection<DutyId> duties) {
+        synchronized (lock) {
+            sought = Set.copyOf(duties);
+        }
+    }
+
+    /**
+     * Sets the members among which duties are ranked.
+     *
+     * @param liveMembers the members that are live and not leaving, with or without this node
+     */
+    public void setMembers(Collection<InstanceId> liveMembers) {
+        synchronized (lock) {
+            members = Set.copyOf(liveMembers);
+        }
+    }
+
+    @Override
+    public Optional<Authority> authority(DutyId duty, long nowMillis) {
+        synchronized (lock) {
+            return state.authority(duty, nowMillis);
+        }
+    }
+
+    @Override
+    public Optional<DutyHolder> holder(DutyId duty) {
+        synchronized (lock) {
+            return Optional.ofNullable(state.directory().get(duty));
+        }
+    }
+
+    /**
+     * Returns the duties that this node holds.
+     *
+     * @return the duties, whether or not their lease has lapsed
+     */
+    public Set<DutyId> heldDuties() {
+        synchronized (lock) {
+            return state.held().keySet();
+        }
+    }
+
+    /** Reads the duty keys at once, for use after a peer said that it is leaving. */
+    public void refresh() {
+        execute(keyCalls, this::list);
+    }
+
+    /** Gives up all duties, so that the next nodes in rank take them at once, and stops. */
+    @Override
+    public void close() {
+        apply(new DutyEvent.Stop());
+        timer.shutdownNow();
+        tick();
+        for (ExecutorService calls : List.of(leaseCalls, keyCalls)) {
+            calls.shutdown();
+        }
+        try {
+            // A lease that could not be revoked in this time ends by itself.
+            leaseCalls.awaitTermination(timing.renewMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        leaseCalls.shutdownNow();
+        keyCalls.shutdownNow();
+    }
+
+    private void tick() {
+        DutyEvent.Tick event;
+        synchronized (lock) {
+            event = new DutyEvent.Tick(sought, members);
+        }
+        apply(event);
+    }
+
+    private void apply(DutyEvent event) {
+        List<DutyAction> actions;
+        synchronized (lock) {
+            DutyMachine.Step step = machine.apply(state, event, clockMillis.getAsLong());
+            state = step.state();
+            actions = step.actions();
+        }
+        actions.forEach(this::start);
+    }
+
+    private void start(DutyAction action) {
+        if (action instanceof DutyAction.GrantLease) {
+            execute(leaseCalls, this::grant);
+        } else if (action instanceof DutyAction.RenewLease renew) {
+            execute(leaseCalls, () -> renew(renew.grant()));
+        } else if (action instanceof DutyAction.RevokeLease revoke) {
+            execute(leaseCalls, () -> revoke(revoke.grant()));
+        } else if (action instanceof DutyAction.ListDuties) {
+            execute(keyCalls, this::list);
+        } else if (action instanceof DutyAction.TakeDuty take) {
+            execute(keyCalls, () -> take(take.duty(), take.grant()));
+        }
+    }
+
+    private static void execute(ExecutorService calls, Runnable call) {
+        try {
+            calls.execute(call);
+        } catch (RejectedExecutionException e) {
+            LOG.log(System.Logger.Level.DEBUG, "duty call after shutdown", e);
+        }
+    }
+
+    private void grant() {
+        long sentAtMillis = clockMillis.getAsLong();
+        apply(store.grantLease(timing.ttlMillis())
+                .fold(
+                        failure -> leaseFailed(LeaseGrant.NONE, failure),
+                        grant -> new DutyEvent.LeaseAnswered(grant, sentAtMillis)));
+    }
+
+    private void renew(LeaseGrant grant) {
+        long sentAtMillis = clockMillis.getAsLong();
+        apply(store.keepAlive(grant)
+                .fold(
+                        failure -> leaseFailed(grant, failure),
+                        renewed -> new DutyEvent.LeaseAnswered(renewed, sentAtMillis)));
+    }
+
+    private static DutyEvent leaseFailed(LeaseGrant grant, Failure failure) {
+        LOG.log(System.Logger.Level.WARNING, failure::toString);
+        return new DutyEvent.LeaseFailed(grant, failure.kind() == Failure.Kind.REJECTED);
+    }
+
+    private void revoke(LeaseGrant grant) {
+        store.revokeLease(grant).peekLeft(failure -> LOG.log(System.Logger.Level.WARNING, failure::toString));
+        apply(new DutyEvent.Revoked());
+    }
+
+    private void list() {
+        Either<Failure, RangeResult> range = store.list(DutyId.keyPrefix(site));
+        range.peekLeft(failure -> LOG.log(System.Logger.Level.WARNING, failure::toString));
+        apply(range.fold(failure -> new DutyEvent.ListFailed(), this::listed));
+    }
+
+    private DutyEvent listed(RangeResult range) {
+        Map<DutyId, DutyEvent.Entry> entries = new HashMap<>();
+        for (VersionedValue value : range.values()) {
+            Optional<DutyId> duty = DutyId.fromKey(site, value.key());
+            Optional<DutyHolder> holder = DutyHolder.fromBytes(value.value());
+            if (duty.isPresent() && holder.isPresent()) {
+                entries.put(duty.get(), new DutyEvent.Entry(holder.get(), value.createRevision()));
+            }
+        }
+        return new DutyEvent.Listed(entries);
+    }
+
+    private void take(DutyId duty, LeaseGrant grant) {
+        byte[] value = self.withLease(grant.leaseId()).toBytes();
+        Either<Failure, SwapResult> swap = store.compareAndSwap(duty.key(site), 0, value, grant);
+        boolean taken = swap.isRight() && swap.get().isApplied();
+        if (taken) {
+            LOG.log(System.Logger.Level.INFO, "took duty {0}", duty);
+            apply(new DutyEvent.Taken(duty, grant.leaseId(), swap.get().revision()));
+        } else {
+            apply(new DutyEvent.TakeFailed(duty));
+        }
+    }
+
+    private static ThreadFactory daemon(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyState.java
@@ -0,0 +1,76 @@
+package org.cactusshift.internal.coordination.lease;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.internal.coordination.store.LeaseGrant;
+
+/**
+ * The state of a {@link DutyMachine}.
+ *
+ * @param grant the platform lease, or {@link LeaseGrant#NONE}
+ * @param expiresAtMillis when the lease may end at the earliest, on the holder's monotonic clock
+ * @param renewAtMillis when the next grant or renewal is due
+ * @param leaseCallOpen whether a grant, renewal or revocation is under way
+ * @param pollAtMillis when the next read of the duty keys is due
+ * @param pollOpen whether a read of the duty keys is under way
+ * @param sought the duties that the site needs done
+ * @param held the duties held, with their fencing numbers
+ * @param absentSinceMillis since when a sought duty was seen without holder
+ * @param taking the duties whose keys are being written
+ * @param directory the holders as last read
+ * @param stopping whether the node is shutting down
+ */
+public record DutyState(
+        LeaseGrant grant,
+        long expiresAtMillis,
+        long renewAtMillis,
+        boolean leaseCallOpen,
+        long pollAtMillis,
+        boolean pollOpen,
+        Set<DutyId> sought,
+        Map<DutyId, Long> held,
+        Map<DutyId, Long> absentSinceMillis,
+        Set<DutyId> taking,
+        Map<DutyId, DutyHolder> directory,
+        boolean stopping) {
+    /** The state of a node that has just started. */
+    public static final DutyState START = new DutyState(
+            LeaseGrant.NONE,
+            Long.MIN_VALUE,
+            Long.MIN_VALUE,
+            false,
+            Long.MIN_VALUE,
+            false,
+            Set.of(),
+            Map.of(),
+            Map.of(),
+            Set.of(),
+            Map.of(),
+            false);
+
+    /** Copies the collections. */
+    public DutyState {
+        sought = Set.copyOf(sought);
+        held = Map.copyOf(held);
+        absentSinceMillis = Map.copyOf(absentSinceMillis);
+        taking = Set.copyOf(taking);
+        directory = Map.copyOf(directory);
+    }
+
+    /**
+     * Returns the authority for a duty.
+     *
+     * @param duty the duty
+     * @param nowMillis the present time, monotonic
+     * @return the authority, empty when the duty is not held or its lease may have ended
+     */
+    public Optional<Authority> authority(DutyId duty, long nowMillis) {
+        Long fencingNumber = held.get(duty);
+        if (fencingNumber == null || stopping) {
+            return Optional.empty();
+        }
+        Authority authority = new Authority(duty, fencingNumber, expiresAtMillis);
+        return authority.check(nowMillis) ? Optional.of(authority) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/RendezvousHash.java
@@ -0,0 +1,59 @@
+package org.cactusshift.internal.coordination.lease;
+
+import java.util.Collection;
+import org.cactusshift.id.InstanceId;
+
+/** Ranks nodes for a duty by highest random weight, so that a change of membership moves few duties. */
+public final class RendezvousHash {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+    private static final long MIX_FIRST = 0xff51afd7ed558ccdL;
+    private static final long MIX_SECOND = 0xc4ceb9fe1a85ec53L;
+    private static final int MIX_SHIFT_BITS = 33;
+
+    private RendezvousHash() {}
+
+    /**
+     * Returns how many members come before a node for a duty.
+     *
+     * @param duty the duty
+     * @param self the node
+     * @param members the live members; the node itself need not be among them
+     * @return the rank, 0 for the first
+     */
+    public static int rank(DutyId duty, InstanceId self, Collection<InstanceId> members) {
+        long own = weight(duty, self);
+        int rank = 0;
+        for (InstanceId member : members) {
+            if (!member.equals(self) && comesBefore(weight(duty, member), member, own, self)) {
+                rank++;
+            }
+        }
+        return rank;
+    }
+
+    /**
+     * Returns a well-mixed hash of a text.
+     *
+     * @param text the text
+     * @return the hash, the same on every node
+     */
+    public static long hash(String text) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+        }
+        hash = (hash ^ (hash >>> MIX_SHIFT_BITS)) * MIX_FIRST;
+        hash = (hash ^ (hash >>> MIX_SHIFT_BITS)) * MIX_SECOND;
+        return hash ^ (hash >>> MIX_SHIFT_BITS);
+    }
+
+    private static boolean comesBefore(long weight, InstanceId member, long own, InstanceId self) {
+        int order = Long.compareUnsigned(weight, own);
+        return order > 0 || (order == 0 && member.compareTo(self) < 0);
+    }
+
+    private static long weight(DutyId duty, InstanceId member) {
+        return hash(duty + "@" + member.value());
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutyMachineTest.java
@@ -0,0 +1,120 @@
+package org.cactusshift.internal.coordination.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.store.LeaseGrant;
+
+class DutyMachineTest {
+    private static final Set<DutyId> DUTIES = Set.of(DutyId.usage(0), DutyId.usage(1), DutyId.claim(0));
+    private static final int STEPS = 120;
+    private static final int HEALING_STEPS = 150;
+    private static final LeaseTiming TIMING = LeaseTiming.ofTtl(6_000);
+    private static final DutyHolder SELF =
+            new DutyHolder(InstanceId.fromString("a"), IncarnationId.fromString("a1"), "127.0.0.1:1", 0);
+
+    @Property(tries = 4_000, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void atMostOneNodeHasAuthorityAndItsKeyExists(@ForAll long seed) {
+        DutySimulation simulation = new DutySimulation(seed, 4, DUTIES);
+        simulation.run(STEPS);
+        assertEquals(List.of(), simulation.violations());
+    }
+
+    @Property(tries = 500, seed = "4712", shrinking = ShrinkingMode.OFF)
+    void everyDutyFindsOneHolderAfterTheFaults(@ForAll long seed) {
+        DutySimulation simulation = new DutySimulation(seed, 4, DUTIES);
+        simulation.run(STEPS);
+        simulation.heal(HEALING_STEPS);
+        assertEquals(List.of(), simulation.violations());
+        for (DutyId duty : DUTIES) {
+            long holders = simulation.nodes().stream()
+                    .filter(node -> node.authority(duty, node.clockMillis()).isPresent())
+                    .count();
+            assertEquals(1, holders, duty.toString());
+        }
+    }
+
+    @Example
+    void checkerCatchesALeaseCountedFromTheAnswer() {
+        boolean caught = false;
+        for (long seed = 0; seed < 200 && !caught; seed++) {
+            DutySimulation simulation = new DutySimulation(seed, 4, DUTIES).plantExpiryFromAnswer();
+            simulation.run(STEPS);
+            caught = !simulation.violations().isEmpty();
+        }
+        assertTrue(caught);
+    }
+
+    @Example
+    void authorityEndsBeforeTheLeaseCountedFromSending() {
+        DutyMachine machine = DutyMachine.create(SELF, TIMING);
+        DutyState state = machine.apply(
+                        DutyState.START, new DutyEvent.LeaseAnswered(new LeaseGrant(7, 6_000), 100), 900)
+                .state();
+        state = machine.apply(state, new DutyEvent.Taken(DutyId.usage(0), 7, 42), 950)
+                .state();
+        long endMillis = 100 + 6_000 - TIMING.marginMillis();
+        assertTrue(state.authority(DutyId.usage(0), endMillis - 1).isPresent());
+        assertFalse(state.authority(DutyId.usage(0), endMillis).isPresent());
+    }
+
+    @Example
+    void aKeyWrittenUnderAnEndedLeaseGivesNoAuthority() {
+        DutyMachine machine = DutyMachine.create(SELF, TIMING);
+        DutyState state = machine.apply(DutyState.START, new DutyEvent.LeaseAnswered(new LeaseGrant(7, 6_000), 0), 1)
+                .state();
+        state = machine.apply(state, new DutyEvent.LeaseFailed(new LeaseGrant(7, 6_000), true), 2)
+                .state();
+        state = machine.apply(state, new DutyEvent.LeaseAnswered(new LeaseGrant(8, 6_000), 3), 4)
+                .state();
+        state = machine.apply(state, new DutyEvent.Taken(DutyId.usage(0), 7, 42), 5)
+                .state();
+        assertFalse(state.authority(DutyId.usage(0), 6).isPresent());
+    }
+
+    @Example
+    void aTakenKeyWhoseAnswerWasLostIsFoundByTheNextRead() {
+        DutyMachine machine = DutyMachine.create(SELF, TIMING);
+        DutyState state = machine.apply(DutyState.START, new DutyEvent.LeaseAnswered(new LeaseGrant(7, 6_000), 0), 1)
+                .state();
+        state = machine.apply(state, new DutyEvent.TakeFailed(DutyId.usage(0)), 2)
+                .state();
+        DutyEvent.Entry entry = new DutyEvent.Entry(SELF.withLease(7), 42);
+        state = machine.apply(state, new DutyEvent.Listed(Map.of(DutyId.usage(0), entry)), 3)
+                .state();
+        assertEquals(42, state.authority(DutyId.usage(0), 4).orElseThrow().fencingNumber());
+    }
+
+    @Example
+    void idleNodeHoldsNoLease() {
+        DutyMachine machine = DutyMachine.create(SELF, TIMING);
+        DutyState state = machine.apply(DutyState.START, new DutyEvent.Listed(Map.of()), 0)
+                .state();
+        DutyMachine.Step step = machine.apply(state, new DutyEvent.Tick(Set.of(), Set.of()), TIMING.pollMillis());
+        assertEquals(List.of(new DutyAction.ListDuties()), step.actions());
+    }
+
+    @Example
+    void stoppingNodeHasNoAuthorityAndRevokesItsLease() {
+        DutyMachine machine = DutyMachine.create(SELF, TIMING);
+        LeaseGrant grant = new LeaseGrant(7, 6_000);
+        DutyState state = machine.apply(DutyState.START, new DutyEvent.LeaseAnswered(grant, 0), 1)
+                .state();
+        state = machine.apply(state, new DutyEvent.Taken(DutyId.usage(0), 7, 42), 2)
+                .state();
+        state = machine.apply(state, new DutyEvent.Stop(), 3).state();
+        assertFalse(state.authority(DutyId.usage(0), 4).isPresent());
+        DutyMachine.Step step = machine.apply(state, new DutyEvent.Tick(DUTIES, Set.of()), 5);
+        assertEquals(List.of(new DutyAction.RevokeLease(grant)), step.actions());
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutySimulation.java
@@ -0,0 +1,245 @@
+package org.cactusshift.internal.coordination.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.store.InMemoryKeyValueStore;
+import org.cactusshift.internal.coordination.store.StoreCallKind;
+import org.cactusshift.internal.coordination.store.StoreFault;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+
+/**
+ * Nodes that run {@link DutyMachine} in virtual time against the in-memory store, with seeded faults.
+ *
+ * <p>Single-threaded. A pause in the middle of a node's work is a nested run of all other nodes.
+ */
+public final class DutySimulation {
+    /** The site of all simulated nodes. */
+    public static final SiteId SITE = SiteId.fromString("test-site");
+
+    /** The time to live of the leases. */
+    public static final long TTL_MILLIS = 6_000;
+
+    private static final int MAXIMUM_NESTING = 2;
+
+    private final Random random;
+    private final List<SimulatedNode> nodes = new ArrayList<>();
+    private final Set<DutyId> duties;
+    private final InMemoryKeyValueStore store = InMemoryKeyValueStore.create(this::nowMillis);
+    private final Map<DutyId, Long> highestFencing = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private boolean expiryFromAnswer;
+    private boolean healed;
+    private boolean faultless;
+    private long nowMillis = 1_000_000;
+    private long outageEndsAtMillis;
+    private int incarnations;
+    private int nesting;
+    private SimulatedNode caller;
+    private Runnable onNodeRun = () -> {};
+
+    /** Creates nodes that have just started. */
+    public DutySimulation(long seed, int nodeCount, Set<DutyId> duties) {
+        this.random = new Random(seed);
+        this.duties = Set.copyOf(duties);
+        for (int i = 0; i < nodeCount; i++) {
+            nodes.add(new SimulatedNode(this, InstanceId.fromString("node-" + i), nextIncarnation()));
+        }
+        store.setFaults(this::fault);
+    }
+
+    /** Plants a fault: the holder counts its lease from the answer, not from before sending. */
+    public DutySimulation plantExpiryFromAnswer() {
+        expiryFromAnswer = true;
+        return this;
+    }
+
+    /** Sets what runs after each turn of a node; {@link #current()} tells which. */
+    public void setOnNodeRun(Runnable run) {
+        onNodeRun = run;
+    }
+
+    public long nowMillis() {
+        return nowMillis;
+    }
+
+    public Random random() {
+        return random;
+    }
+
+    public boolean isHealed() {
+        return healed;
+    }
+
+    public InMemoryKeyValueStore store() {
+        return store;
+    }
+
+    public List<SimulatedNode> nodes() {
+        return List.copyOf(nodes);
+    }
+
+    public List<String> violations() {
+        return violations;
+    }
+
+    /** Returns the node whose code runs now. */
+    public SimulatedNode current() {
+        return caller;
+    }
+
+    boolean countsFromAnswer() {
+        return expiryFromAnswer;
+    }
+
+    IncarnationId nextIncarnation() {
+        incarnations++;
+        return IncarnationId.fromString("start-" + incarnations);
+    }
+
+    Set<DutyId> duties() {
+        return duties;
+    }
+
+    Set<InstanceId> members() {
+        return nodes.stream()
+                .filter(node -> !node.isDown())
+                .map(SimulatedNode::instance)
+                .collect(Collectors.toSet());
+    }
+
+    /** Runs steps with faults. */
+    public void run(int steps) {
+        for (int i = 0; i < steps; i++) {
+            injectFault();
+            step();
+        }
+    }
+
+    /** Ends all faults and runs on. */
+    public void heal(int steps) {
+        healed = true;
+        outageEndsAtMillis = 0;
+        store.applyDelayed();
+        nodes.forEach(SimulatedNode::heal);
+        for (int i = 0; i < steps; i++) {
+            step();
+        }
+    }
+
+    private void step() {
+        nowMillis += 1 + random.nextInt(400);
+        if (random.nextInt(4) == 0) {
+            store.applyDelayed();
+        }
+        for (SimulatedNode node : nodes) {
+            runNode(node);
+        }
+        check();
+    }
+
+    private void runNode(SimulatedNode node) {
+        if (node.isDown() || node.isRunning()) {
+            return;
+        }
+        SimulatedNode previous = caller;
+        caller = node;
+        node.run();
+        onNodeRun.run();
+        caller = previous;
+    }
+
+    /** Stops the running node in the middle of its work for a while; the others go on. */
+    public void maybePauseInside() {
+        if (healed || nesting >= MAXIMUM_NESTING || random.nextInt(40) != 0) {
+            return;
+        }
+        SimulatedNode paused = caller;
+        nesting++;
+        paused.setRunning(true);
+        int steps = 1 + random.nextInt(60);
+        for (int i = 0; i < steps; i++) {
+            step();
+        }
+        paused.setRunning(false);
+        nesting--;
+        caller = paused;
+    }
+
+    private void injectFault() {
+        int kind = random.nextInt(100);
+        SimulatedNode node = nodes.get(random.nextInt(nodes.size()));
+        long untilMillis = nowMillis + random.nextInt(15_000);
+        if (kind < 2) {
+            node.kill();
+        } else if (kind < 5) {
+            node.restart();
+        } else if (kind < 8) {
+            node.pauseUntil(untilMillis);
+        } else if (kind < 11) {
+            node.cutUntil(untilMillis);
+        } else if (kind < 12) {
+            outageEndsAtMillis = untilMillis;
+        }
+    }
+
+    private StoreFault fault(StoreCallKind kind, String key) {
+        if (healed || faultless) {
+            return StoreFault.NONE;
+        }
+        if (nowMillis < outageEndsAtMillis || (caller != null && caller.isCut())) {
+            return random.nextBoolean() ? StoreFault.UNAVAILABLE : StoreFault.LOSE_REQUEST;
+        }
+        int kindOfFault = random.nextInt(100);
+        if (kindOfFault < 3) {
+            return StoreFault.LOSE_ANSWER;
+        }
+        if (kindOfFault < 5) {
+            return StoreFault.DELAY_EFFECT;
+        }
+        return kindOfFault < 7 ? StoreFault.LOSE_REQUEST : StoreFault.NONE;
+    }
+
+    /** Checks that each authority is backed by the store's key, which only one node can have. */
+    private void check() {
+        store.expireLeases();
+        Map<String, VersionedValue> keys = new HashMap<>();
+        faultless = true;
+        store.list(DutyId.keyPrefix(SITE)).get().values().forEach(value -> keys.put(value.key(), value));
+        faultless = false;
+        for (DutyId duty : duties) {
+            Map<SimulatedNode, Long> believers = new LinkedHashMap<>();
+            for (SimulatedNode node : nodes) {
+                // A paused process still believes what it believed; it acts on it only after a look at its clock.
+                node.authority(duty, node.clockMillis())
+                        .ifPresent(authority -> believers.put(node, authority.fencingNumber()));
+            }
+            checkDuty(duty, believers, Optional.ofNullable(keys.get(duty.key(SITE))));
+        }
+    }
+
+    private void checkDuty(DutyId duty, Map<SimulatedNode, Long> believers, Optional<VersionedValue> key) {
+        if (believers.size() > 1) {
+            violations.add(nowMillis + ": " + duty + " is held by " + believers);
+        }
+        for (Map.Entry<SimulatedNode, Long> believer : believers.entrySet()) {
+            boolean backed = key.isPresent() && key.get().createRevision() == believer.getValue();
+            if (!backed) {
+                violations.add(nowMillis + ": " + duty + " is held without its key by " + believer);
+            }
+            long highest = highestFencing.merge(duty, believer.getValue(), Math::max);
+            if (highest > believer.getValue()) {
+                violations.add(nowMillis + ": " + duty + " went back to fencing number " + believer.getValue());
+            }
+        }
+    }
+}
