Bill each count once through sealed usage windows

Usage has to survive a killed holder and lost answers, and a window must not be reported with two figures. Nodes number their batches and keep them until the holder's record that includes them is durable; the holder writes windows, last sequence numbers and sealed reports as one value by compare-and-swap, and sends only what that value holds. A count that comes after its window was sealed goes into a later window as late.

Ruled out: acknowledging on receipt, which loses what a killed holder had in memory.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageMeter.java
@@ -0,0 +1,49 @@
+package org.cactusshift.internal.coordination.usage;
+
+import java.util.concurrent.atomic.LongAdder;
+import org.cactusshift.messages.UsageBatch;
+import org.cactusshift.messages.UsageCount;
+
+/** Counts what became of usage at one node, for its metrics. */
+public final class UsageMeter {
+    private final LongAdder windowsRecorded = new LongAdder();
+    private final LongAdder windowsConflicting = new LongAdder();
+    private final LongAdder requestsRefused = new LongAdder();
+
+    /**
+     * Returns the windows that the usage interface took from this node.
+     *
+     * @return the number since the start
+     */
+    public long windowsRecorded() {
+        return windowsRecorded.sum();
+    }
+
+    /**
+     * Returns the windows for which the usage interface had other figures.
+     *
+     * @return the number since the start
+     */
+    public long windowsConflicting() {
+        return windowsConflicting.sum();
+    }
+
+    /**
+     * Returns the requests of this node whose usage the holder refused because it may have been counted before.
+     *
+     * @return the number since the start
+     */
+    public long requestsRefused() {
+        return requestsRefused.sum();
+    }
+
+    void onReported(UsageReporter.Receipt receipt) {
+        (receipt == UsageReporter.Receipt.RECORDED ? windowsRecorded : windowsConflicting).increment();
+    }
+
+    void onRefused(UsageBatch batch) {
+        requestsRefused.add(batch.getCountsList().stream()
+                .mapToLong(UsageCount::getRequests)
+                .sum());
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageService.java
@@ -0,0 +1,143 @@
+package org.cactusshift.internal.coordination.usage;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.cactusshift.messages.UsageAck;
+import org.cactusshift.messages.UsageBatch;
+
+/** Records usage at this node, hands it to the holders of the usage shards, and does the work of the shards held. */
+public final class UsageService implements UsageRecorder, AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(UsageService.class.getName());
+    private static final int MAXIMUM_THREADS = 4;
+    private static final int CLOSING_CYCLES = 3;
+
+    private final UsageServiceSetup setup;
+    private final UsageMeter meter = new UsageMeter();
+    private final List<UsageShard> shards;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(daemon("usage-timer"));
+    private final Set<UsageShard> waiting = ConcurrentHashMap.newKeySet();
+    private final ExecutorService workers;
+
+    private UsageService(UsageServiceSetup setup) {
+        this.setup = setup;
+        this.shards = IntStream.range(0, setup.shards().count())
+                .mapToObj(shard -> new UsageShard(setup, shard, meter))
+                .toList();
+        this.workers = Executors.newFixedThreadPool(Math.min(MAXIMUM_THREADS, shards.size()), daemon("usage"));
+    }
+
+    /**
+     * Returns a service that is not started.
+     *
+     * @param setup what it works with
+     * @return the service
+     */
+    public static UsageService create(UsageServiceSetup setup) {
+        return new UsageService(setup);
+    }
+
+    /** Starts to hand over, write and report. */
+    public void start() {
+        timer.scheduleWithFixedDelay(
+                this::startCycles, setup.handOverMillis(), setup.handOverMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void record(UsageRecord usage, long epochMillis) {
+        UsageTotals totals = UsageTotals.inTime(usage.promptTokens(), usage.completionTokens(), usage.requests());
+        shards.get(setup.shards().shardOf(usage.account()))
+                .add(new UsageKey(usage.account(), usage.service()), totals, epochMillis);
+    }
+
+    /**
+     * Takes a batch that another node hands over.
+     *
+     * <p>The answer's sequence is the last batch of the sender's stream that is durable. A batch that is accepted but
+     * not yet durable is sent again later; a batch that is not accepted although the sequence covers it is refused
+     * for good.
+     *
+     * @param batch the batch
+     * @return the acknowledgement
+     */
+    public UsageAck handOver(UsageBatch batch) {
+        if (batch.getShard() < 0 || batch.getShard() >= shards.size()) {
+            return UsageAck.getDefaultInstance();
+        }
+        return shards.get(batch.getShard()).accept(batch);
+    }
+
+    /**
+     * Returns the counters of this node.
+     *
+     * @return the counters
+     */
+    public UsageMeter meter() {
+        return meter;
+    }
+
+    /**
+     * Tells whether all usage recorded at this node is durable.
+     *
+     * @return false while counts wait
+     */
+    public boolean isHandedOver() {
+        return shards.stream().allMatch(UsageShard::isEmpty);
+    }
+
+    /** Hands over what is left, within a bounded number of cycles, and stops. */
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        workers.shutdown();
+        try {
+            workers.awaitTermination(setup.handOverMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        for (int cycle = 0; cycle < CLOSING_CYCLES && !isHandedOver(); cycle++) {
+            shards.forEach(UsageShard::cycle);
+        }
+        if (!isHandedOver()) {
+            LOG.log(System.Logger.Level.ERROR, "usage is left that no holder has made durable");
+        }
+    }
+
+    private void startCycles() {
+        for (UsageShard shard : shards) {
+            if (!waiting.add(shard)) {
+                continue;
+            }
+            try {
+                workers.execute(() -> runCycle(shard));
+            } catch (RejectedExecutionException e) {
+                LOG.log(System.Logger.Level.DEBUG, "usage cycle after shutdown", e);
+            }
+        }
+    }
+
+    private void runCycle(UsageShard shard) {
+        waiting.remove(shard);
+        try {
+            shard.cycle();
+        } catch (RuntimeException e) {
+            // The next cycle goes on; an exception here is a defect, not a failure of a peer.
+            LOG.log(System.Logger.Level.ERROR, "usage cycle", e);
+        }
+    }
+
+    private static ThreadFactory daemon(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageServiceSetup.java
@@ -0,0 +1,64 @@
+package org.cactusshift.internal.coordination.usage;
+
+import java.util.Objects;
+import java.util.function.LongSupplier;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.lease.AuthoritySource;
+import org.cactusshift.internal.coordination.lease.DutyDirectory;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.store.KeyValueStore;
+
+/**
+ * What a {@link UsageService} works with.
+ *
+ * @param site the site
+ * @param self this node; its lease id is ignored
+ * @param shards the shards of the client accounts
+ * @param windowMillis the length of a usage window
+ * @param handOverMillis the period at which counts are handed over and made durable
+ * @param store the key-value service
+ * @param authorities tells which shards this node holds
+ * @param directory tells who holds the other shards
+ * @param peers hands counts to other nodes
+ * @param reporter sends sealed windows
+ * @param clockMillis the monotonic clock
+ * @param wallClockMillis the wall clock
+ */
+public record UsageServiceSetup(
+        SiteId site,
+        DutyHolder self,
+        UsageShards shards,
+        long windowMillis,
+        long handOverMillis,
+        KeyValueStore store,
+        AuthoritySource authorities,
+        DutyDirectory directory,
+        UsagePeers peers,
+        UsageReporter reporter,
+        LongSupplier clockMillis,
+        LongSupplier wallClockMillis) {
+    private static final int GRACE_HAND_OVERS = 3;
+
+    /** Checks that no part is missing. */
+    public UsageServiceSetup {
+        Objects.requireNonNull(site, "site");
+        Objects.requireNonNull(self, "self");
+        Objects.requireNonNull(shards, "shards");
+        Objects.requireNonNull(store, "store");
+        Objects.requireNonNull(authorities, "authorities");
+        Objects.requireNonNull(directory, "directory");
+        Objects.requireNonNull(peers, "peers");
+        Objects.requireNonNull(reporter, "reporter");
+        Objects.requireNonNull(clockMillis, "clockMillis");
+        Objects.requireNonNull(wallClockMillis, "wallClockMillis");
+    }
+
+    /**
+     * Returns how long after its end a window still takes counts: the longest time that an ordinary hand-over needs.
+     *
+     * @return the time in milliseconds
+     */
+    public long graceMillis() {
+        return GRACE_HAND_OVERS * handOverMillis;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageShard.java
@@ -0,0 +1,241 @@
+package org.cactusshift.internal.coordination.usage;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.locks.ReentrantLock;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.lease.Authority;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.lease.FencedRecord;
+import org.cactusshift.messages.Sender;
+import org.cactusshift.messages.UsageAck;
+import org.cactusshift.messages.UsageBatch;
+
+/**
+ * One usage shard at one node: its own counts, and the windows while it is the holder.
+ *
+ * <p>Two locks: {@code lock} guards the counts and windows and is held for moments; {@code cycleLock} keeps the calls
+ * to the store, the holder and the usage interface one at a time.
+ */
+final class UsageShard {
+    private static final System.Logger LOG = System.getLogger(UsageShard.class.getName());
+
+    private final UsageServiceSetup setup;
+    private final DutyId duty;
+    private final int shard;
+    private final UsageMeter meter;
+    private final ReentrantLock cycleLock = new ReentrantLock();
+    private final Object lock = new Object();
+    private final UsageLedger ledger;
+    private Optional<FencedRecord> record = Optional.empty();
+    private Optional<UsageWindows> windows = Optional.empty();
+
+    UsageShard(UsageServiceSetup setup, int shard, UsageMeter meter) {
+        this.setup = setup;
+        this.duty = DutyId.usage(shard);
+        this.shard = shard;
+        this.meter = meter;
+        Sender sender = Sender.newBuilder()
+                .setInstanceId(setup.self().instance().value())
+                .setIncarnationId(setup.self().incarnation().value())
+                .setPeerAddress(setup.self().peerAddress())
+                .build();
+        this.ledger = UsageLedger.create(sender, shard, setup.windowMillis());
+    }
+
+    void add(UsageKey key, UsageTotals totals, long epochMillis) {
+        synchronized (lock) {
+            ledger.add(key, totals, epochMillis);
+        }
+    }
+
+    boolean isEmpty() {
+        synchronized (lock) {
+            return ledger.isEmpty();
+        }
+    }
+
+    /** Takes a batch of any node; answers what is durable. */
+    UsageAck accept(UsageBatch batch) {
+        UsageAck.Builder ack = UsageAck.newBuilder();
+        setup.directory()
+                .holder(duty)
+                .map(DutyHolder::instance)
+                .map(InstanceId::value)
+                .ifPresent(ack::setOwnerInstanceId);
+        Optional<UsageStream> stream = UsageStream.fromString(batch.getSender().getIncarnationId());
+        if (stream.isEmpty()) {
+            return ack.setSequence(batch.getSequence()).build();
+        }
+        synchronized (lock) {
+            if (windows.isEmpty() || !isHeld()) {
+                return ack.build();
+            }
+            UsageWindows.Acceptance acceptance = windows.get()
+                    .accept(stream.get(), batch, setup.wallClockMillis().getAsLong());
+            if (acceptance == UsageWindows.Acceptance.REFUSED) {
+                return ack.setSequence(batch.getSequence()).build();
+            }
+            return ack.setAccepted(acceptance == UsageWindows.Acceptance.INCLUDED)
+                    .setSequence(windows.get().durableSequence(stream.get()))
+                    .build();
+        }
+    }
+
+    /** Hands over this node's counts, and does the holder's work if this node is the holder. */
+    void cycle() {
+        if (!cycleLock.tryLock()) {
+            return;
+        }
+        try {
+            openOrClose();
+            handOver();
+            if (windows.isPresent()) {
+                write();
+                report();
+            }
+        } finally {
+            cycleLock.unlock();
+        }
+    }
+
+    private Optional<Authority> authority() {
+        return setup.authorities().authority(duty, setup.clockMillis().getAsLong());
+    }
+
+    private boolean isHeld() {
+        return authority()
+                .filter(present -> record.isPresent() && record.get().fencingNumber() == present.fencingNumber())
+                .isPresent();
+    }
+
+    private void openOrClose() {
+        Optional<Authority> authority = authority();
+        boolean changed = record.isPresent()
+                && authority.isPresent()
+                && authority.get().fencingNumber() != record.get().fencingNumber();
+        if (changed) {
+            close();
+        }
+        if (authority.isEmpty() || record.isPresent()) {
+            return;
+        }
+        Either<Failure, FencedRecord> opened = FencedRecord.open(
+                setup.store(), duty.recordKey(setup.site()), setup.authorities(), authority.get(), setup.clockMillis());
+        if (opened.isLeft()) {
+            LOG.log(System.Logger.Level.WARNING, opened.getLeft()::toString);
+            return;
+        }
+        UsageWindows loaded = UsageWindows.load(
+                setup.site(),
+                shard,
+                setup.windowMillis(),
+                setup.graceMillis(),
+                opened.get().body());
+        synchronized (lock) {
+            record = Optional.of(opened.get());
+            windows = Optional.of(loaded);
+        }
+    }
+
+    /** Forgets the windows; what was not durable is handed over again by its nodes. */
+    private void close() {
+        synchronized (lock) {
+            record = Optional.empty();
+            windows = Optional.empty();
+        }
+    }
+
+    private void handOver() {
+        Optional<DutyHolder> holder = setup.directory().holder(duty);
+        if (holder.isEmpty()) {
+            return;
+        }
+        boolean local = holder.get().incarnation().equals(setup.self().incarnation());
+        List<UsageBatch> batches;
+        synchronized (lock) {
+            batches = ledger.handOver(setup.wallClockMillis().getAsLong());
+        }
+        for (UsageBatch batch : batches) {
+            Either<Failure, UsageAck> ack =
+                    local ? Either.right(accept(batch)) : setup.peers().handOver(holder.get(), batch);
+            if (ack.isLeft()) {
+                LOG.log(System.Logger.Level.DEBUG, ack.getLeft()::toString);
+                return;
+            }
+            onAck(batch, ack.get());
+            if (!ack.get().getAccepted()) {
+                return;
+            }
+        }
+    }
+
+    private void onAck(UsageBatch batch, UsageAck ack) {
+        boolean refused = !ack.getAccepted() && ack.getSequence() >= batch.getSequence();
+        if (refused) {
+            meter.onRefused(batch);
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "usage batch {0} of shard {1} was refused as possibly repeated",
+                    batch.getSequence(),
+                    shard);
+        }
+        UsageStream.fromString(batch.getSender().getIncarnationId()).ifPresent(stream -> {
+            synchronized (lock) {
+                ledger.onDurable(stream, ack.getSequence());
+            }
+        });
+    }
+
+    private void write() {
+        UsageWindows.Snapshot snapshot;
+        synchronized (lock) {
+            if (!isHeld()) {
+                return;
+            }
+            windows.get().advance(setup.wallClockMillis().getAsLong());
+            if (!windows.get().isDirty()) {
+                return;
+            }
+            snapshot = windows.get().snapshot();
+        }
+        Either<Failure, Long> written = record.get().write(snapshot.body());
+        if (written.isRight()) {
+            synchronized (lock) {
+                windows.get().onDurable(snapshot);
+            }
+            return;
+        }
+        LOG.log(System.Logger.Level.WARNING, written.getLeft()::toString);
+        if (written.getLeft().kind() == Failure.Kind.REJECTED) {
+            close();
+        }
+    }
+
+    private void report() {
+        List<SealedWindow> reportable;
+        synchronized (lock) {
+            reportable = windows.map(UsageWindows::reportable).orElse(List.of());
+        }
+        for (SealedWindow window : reportable) {
+            if (!isHeld()) {
+                return;
+            }
+            Either<Failure, UsageReporter.Receipt> receipt = setup.reporter().report(window);
+            if (receipt.isLeft()) {
+                LOG.log(System.Logger.Level.WARNING, receipt.getLeft()::toString);
+                return;
+            }
+            if (receipt.get() == UsageReporter.Receipt.CONFLICT) {
+                LOG.log(System.Logger.Level.ERROR, "window {0} was reported with other figures", window.window());
+            }
+            meter.onReported(receipt.get());
+            synchronized (lock) {
+                windows.ifPresent(present -> present.onReported(window, receipt.get()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageShards.java
@@ -0,0 +1,40 @@
+package org.cactusshift.internal.coordination.usage;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.lease.RendezvousHash;
+
+/**
+ * Cuts the client accounts into usage shards.
+ *
+ * @param count the number of shards, the same on all nodes of a site and for good
+ */
+public record UsageShards(int count) {
+    /** Checks the number. */
+    public UsageShards {
+        if (count <= 0) {
+            throw new IllegalArgumentException("count is not positive: " + count);
+        }
+    }
+
+    /**
+     * Returns the shard of a client account.
+     *
+     * @param account the client account
+     * @return the number of the shard, from 0
+     */
+    public int shardOf(AccountId account) {
+        return (int) Long.remainderUnsigned(RendezvousHash.hash(account.value()), count);
+    }
+
+    /**
+     * Returns the duties of all shards.
+     *
+     * @return the duties
+     */
+    public List<DutyId> duties() {
+        return IntStream.range(0, count).mapToObj(DutyId::usage).toList();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageWindows.java
@@ -0,0 +1,290 @@
+package org.cactusshift.internal.coordination.usage;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.messages.UsageBatch;
+import org.cactusshift.messages.UsageCount;
+
+/**
+ * The usage windows of one shard at its holder.
+ *
+ * <p>The holder changes them in memory and writes all of them as one value by compare-and-swap. A batch is
+ * acknowledged, and a sealed window is reported, only after the value that includes it is durable; so whatever a
+ * killed holder had in memory alone is handed over again to its successor, and no window is reported whose figures
+ * could still change.
+ *
+ * <p>Not thread-safe. Reads no clock and does no I/O.
+ */
+public final class UsageWindows {
+    private static final int MAXIMUM_OPEN_WINDOWS = 3;
+    private static final int MAXIMUM_CONFLICTED = 16;
+    private static final int APPROXIMATE_ROW_BYTES = 200;
+    /** The size at which the record takes no more batches: half of what the key-value service holds in a value. */
+    static final int MAXIMUM_RECORD_BYTES = 512 * 1024;
+    /** How long the last sequence number of a silent stream is remembered. */
+    static final long MARK_RETENTION_MILLIS = 86_400_000;
+
+    private final SiteId site;
+    private final int shard;
+    private final long windowMillis;
+    private final long graceMillis;
+    private final TreeMap<Long, TreeMap<UsageKey, UsageTotals>> open = new TreeMap<>();
+    private final Map<UsageStream, Mark> marks = new HashMap<>();
+    private final Map<String, SealedWindow> sealed = new TreeMap<>();
+    private final Map<String, SealedWindow> conflicted = new TreeMap<>();
+    private long sealedToEpochMillis;
+    private long version;
+    private Snapshot durable;
+
+    private UsageWindows(SiteId site, int shard, long windowMillis, long graceMillis) {
+        this.site = Objects.requireNonNull(site, "site");
+        this.shard = shard;
+        this.windowMillis = windowMillis;
+        this.graceMillis = graceMillis;
+    }
+
+    /** What was made of a batch. */
+    public enum Acceptance {
+        /** It is included, now or before; see {@link #durableSequence} for whether it is durable. */
+        INCLUDED,
+        /** An earlier batch of the stream is missing, or there is no room now; it may be sent again. */
+        NOT_NOW,
+        /** It can't be told from a repeat any more and is refused for good. */
+        REFUSED
+    }
+
+    /**
+     * The record's bytes at one moment.
+     *
+     * @param version grows with each change
+     * @param body the bytes
+     * @param sequences the last batch of each stream that is included
+     * @param sealed the sealed windows that are included
+     */
+    public record Snapshot(
+            long version, byte[] body, Map<UsageStream, Long> sequences, Map<String, SealedWindow> sealed) {
+        /** Copies the maps. */
+        public Snapshot {
+            sequences = Map.copyOf(sequences);
+            sealed = Map.copyOf(sealed);
+        }
+    }
+
+    private record Mark(long sequence, long seenAtEpochMillis) {}
+
+    /**
+     * Reads the windows from the shard's durable record.
+     *
+     * @param site the site
+     * @param shard the usage shard
+     * @param windowMillis the length of a window
+     * @param graceMillis how long after its end a window still takes counts
+     * @param body the record; empty when there is none
+     * @return the windows
+     */
+    public static UsageWindows load(SiteId site, int shard, long windowMillis, long graceMillis, byte[] body) {
+        UsageWindows windows = new UsageWindows(site, shard, windowMillis, graceMillis);
+        UsageRecordBody record = UsageRecordBody.fromBytes(body);
+        windows.sealedToEpochMillis = record.sealedToEpochMillis();
+        for (UsageRecordBody.Window window : record.open()) {
+            TreeMap<UsageKey, UsageTotals> rows = new TreeMap<>();
+            for (UsageRecordBody.Row row : window.rows()) {
+                rows.put(new UsageKey(new AccountId(row.account()), new ServiceId(row.service())), row.totals());
+            }
+            windows.open.put(window.fromEpochMillis(), rows);
+        }
+        for (UsageRecordBody.Mark mark : record.marks()) {
+            UsageStream.fromString(mark.stream())
+                    .ifPresent(
+                            stream -> windows.marks.put(stream, new Mark(mark.sequence(), mark.seenAtEpochMillis())));
+        }
+        record.sealed().forEach(window -> windows.sealed.put(window.window(), window));
+        record.conflicted().forEach(window -> windows.conflicted.put(window.window(), window));
+        windows.durable = windows.snapshot();
+        return windows;
+    }
+
+    /**
+     * Takes a batch.
+     *
+     * @param stream the stream that the batch belongs to
+     * @param batch the batch
+     * @param nowEpochMillis the present wall-clock time
+     * @return what was made of it
+     */
+    public Acceptance accept(UsageStream stream, UsageBatch batch, long nowEpochMillis) {
+        Mark mark = marks.get(stream);
+        if (mark == null && mayBeForgotten(stream, nowEpochMillis)) {
+            return Acceptance.REFUSED;
+        }
+        long last = mark == null ? 0 : mark.sequence();
+        if (mark != null) {
+            marks.put(stream, new Mark(last, nowEpochMillis));
+        }
+        if (batch.getSequence() <= last) {
+            return Acceptance.INCLUDED;
+        }
+        boolean gap = batch.getSequence() != last + 1;
+        if (gap || approximateBytes() + batch.getCountsCount() * APPROXIMATE_ROW_BYTES > MAXIMUM_RECORD_BYTES) {
+            return Acceptance.NOT_NOW;
+        }
+        for (UsageCount count : batch.getCountsList()) {
+            add(count, nowEpochMillis);
+        }
+        marks.put(stream, new Mark(batch.getSequence(), nowEpochMillis));
+        version++;
+        return Acceptance.INCLUDED;
+    }
+
+    private static boolean mayBeForgotten(UsageStream stream, long nowEpochMillis) {
+        return stream.startedAtEpochMillis() < nowEpochMillis - MARK_RETENTION_MILLIS;
+    }
+
+    private void add(UsageCount count, long nowEpochMillis) {
+        UsageKey key = new UsageKey(new AccountId(count.getAccountId()), new ServiceId(count.getServiceId()));
+        UsageTotals totals =
+                UsageTotals.inTime(count.getPromptTokens(), count.getCompletionTokens(), count.getRequests());
+        long newest = align(nowEpochMillis) + windowMillis;
+        long from = Math.min(align(count.getFinishedAtEpochMillis()), newest);
+        if (from < sealedToEpochMillis) {
+            from = sealedToEpochMillis;
+            totals = totals.asLate();
+        }
+        if (!open.containsKey(from) && open.size() >= MAXIMUM_OPEN_WINDOWS) {
+            // Only a holder that has not sealed for long, or a wrong clock, comes here: keep the count, not the window.
+            from = open.firstKey();
+            totals = totals.asLate();
+        }
+        open.computeIfAbsent(from, ignored -> new TreeMap<>()).merge(key, totals, UsageTotals::plus);
+    }
+
+    private long align(long epochMillis) {
+        return Math.floorDiv(epochMillis, windowMillis) * windowMillis;
+    }
+
+    /**
+     * Seals the windows that have ended, and forgets streams that were silent for long.
+     *
+     * @param nowEpochMillis the present wall-clock time
+     */
+    public void advance(long nowEpochMillis) {
+        long boundary = align(nowEpochMillis - graceMillis);
+        if (boundary > sealedToEpochMillis) {
+            sealBefore(boundary);
+        }
+        long oldestEpochMillis = nowEpochMillis - MARK_RETENTION_MILLIS;
+        if (marks.values().removeIf(mark -> mark.seenAtEpochMillis() < oldestEpochMillis)) {
+            version++;
+        }
+    }
+
+    private void sealBefore(long boundary) {
+        while (!open.isEmpty() && open.firstKey() < boundary) {
+            Map.Entry<Long, TreeMap<UsageKey, UsageTotals>> window = open.pollFirstEntry();
+            SealedWindow report =
+                    UsageReport.seal(site, shard, window.getKey(), window.getKey() + windowMillis, window.getValue());
+            sealed.put(report.window(), report);
+            version++;
+        }
+        // Not a reason to write by itself: a successor comes to the same boundary from the clock.
+        sealedToEpochMillis = boundary;
+    }
+
+    /**
+     * Returns the record's bytes as they are now.
+     *
+     * @return the snapshot
+     */
+    public Snapshot snapshot() {
+        List<UsageRecordBody.Window> windows = new ArrayList<>();
+        open.forEach((from, rows) -> {
+            List<UsageRecordBody.Row> list = new ArrayList<>();
+            rows.forEach((key, totals) -> list.add(
+                    new UsageRecordBody.Row(key.account().value(), key.service().value(), totals)));
+            windows.add(new UsageRecordBody.Window(from, list));
+        });
+        List<UsageRecordBody.Mark> markList = new ArrayList<>();
+        Map<UsageStream, Long> sequences = new HashMap<>();
+        marks.forEach((stream, mark) -> {
+            markList.add(new UsageRecordBody.Mark(stream.toString(), mark.sequence(), mark.seenAtEpochMillis()));
+            sequences.put(stream, mark.sequence());
+        });
+        UsageRecordBody body = new UsageRecordBody(
+                sealedToEpochMillis, windows, markList, List.copyOf(sealed.values()), List.copyOf(conflicted.values()));
+        return new Snapshot(version, body.toBytes(), sequences, sealed);
+    }
+
+    /**
+     * Notes that a snapshot is durable.
+     *
+     * @param snapshot the snapshot
+     */
+    public void onDurable(Snapshot snapshot) {
+        if (snapshot.version() >= durable.version()) {
+            durable = snapshot;
+        }
+    }
+
+    /**
+     * Tells whether there is something to write.
+     *
+     * @return true when the windows changed since the last durable snapshot
+     */
+    public boolean isDirty() {
+        return version != durable.version();
+    }
+
+    /**
+     * Returns the last batch of a stream that is durable.
+     *
+     * @param stream the stream
+     * @return the sequence number, 0 for none
+     */
+    public long durableSequence(UsageStream stream) {
+        return durable.sequences().getOrDefault(stream, 0L);
+    }
+
+    /**
+     * Returns the windows that may be reported: sealed, durable and not yet reported.
+     *
+     * @return the windows
+     */
+    public List<SealedWindow> reportable() {
+        return durable.sealed().values().stream()
+                .filter(window -> sealed.containsKey(window.window()))
+                .sorted(Comparator.comparing(SealedWindow::window))
+                .toList();
+    }
+
+    /**
+     * Notes that a window was reported.
+     *
+     * @param window the window
+     * @param receipt what the interface made of it
+     */
+    public void onReported(SealedWindow window, UsageReporter.Receipt receipt) {
+        if (sealed.remove(window.window()) == null) {
+            return;
+        }
+        version++;
+        if (receipt == UsageReporter.Receipt.CONFLICT && conflicted.size() < MAXIMUM_CONFLICTED) {
+            conflicted.put(window.window(), window);
+        }
+    }
+
+    private long approximateBytes() {
+        long rows = open.values().stream().mapToLong(Map::size).sum() + marks.size();
+        long reports = sealed.values().stream()
+                .mapToLong(window -> window.report().length())
+                .sum();
+        return rows * APPROXIMATE_ROW_BYTES + reports;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/platform/PlatformAnswer.java
@@ -0,0 +1,15 @@
+package org.cactusshift.internal.transport.platform;
+
+/**
+ * A whole answer of a platform interface.
+ *
+ * @param status the HTTP status
+ * @param body the body; empty when there is none
+ */
+record PlatformAnswer(int status, byte[] body) {
+    private static final int FIRST_ERROR_STATUS = 300;
+
+    boolean isSuccess() {
+        return status < FIRST_ERROR_STATUS;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/platform/PlatformCalls.java
@@ -0,0 +1,149 @@
+package org.cactusshift.internal.transport.platform;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.URISyntaxException;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.impl.HttpProcessors;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
+import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.util.Timeout;
+import org.cactusshift.errors.Failure;
+
+/**
+ * Makes calls over a fresh connection each, bounded in time as a whole.
+ *
+ * <p>At the bound the connection is reset, so that bytes which this machine has not yet sent are dropped and can't
+ * arrive later. An authority that was checked before the call thus bounds the effect of the call.
+ */
+public final class PlatformCalls implements AutoCloseable {
+    private static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+    private static final HttpRequestExecutor EXECUTOR = new HttpRequestExecutor();
+    private static final HttpProcessor PROCESSOR = HttpProcessors.client();
+
+    private final long timeoutMillis;
+    private final ScheduledExecutorService watchdog;
+
+    private PlatformCalls(long timeoutMillis) {
+        this.timeoutMillis = timeoutMillis;
+        ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "platform-call-watchdog");
+            thread.setDaemon(true);
+            return thread;
+        });
+        executor.setRemoveOnCancelPolicy(true);
+        this.watchdog = executor;
+    }
+
+    /**
+     * Returns a caller.
+     *
+     * @param timeoutMillis the bound on each call, from opening the connection to the end of the answer
+     * @return the caller
+     */
+    public static PlatformCalls create(long timeoutMillis) {
+        if (timeoutMillis <= 0) {
+            throw new IllegalArgumentException("timeoutMillis is not positive: " + timeoutMillis);
+        }
+        return new PlatformCalls(timeoutMillis);
+    }
+
+    /**
+     * Returns the bound on each call.
+     *
+     * @return the time in milliseconds
+     */
+    public long timeoutMillis() {
+        return timeoutMillis;
+    }
+
+    Either<Failure, PlatformAnswer> get(String step, String address, String path) {
+        return call(step, address, ClassicRequestBuilder.get(path));
+    }
+
+    Either<Failure, PlatformAnswer> delete(String step, String address, String path) {
+        return call(step, address, ClassicRequestBuilder.delete(path));
+    }
+
+    Either<Failure, PlatformAnswer> post(String step, String address, String path, byte[] json) {
+        return call(
+                step,
+                address,
+                ClassicRequestBuilder.post(path).setEntity(new ByteArrayEntity(json, ContentType.APPLICATION_JSON)));
+    }
+
+    private Either<Failure, PlatformAnswer> call(String step, String address, ClassicRequestBuilder builder) {
+        Socket socket = new Socket();
+        Future<?> bound = watchdog.schedule(() -> reset(socket), timeoutMillis, TimeUnit.MILLISECONDS);
+        boolean mayHaveSent = false;
+        try {
+            HttpHost host = HttpHost.create("http://" + address);
+            ClassicHttpRequest request = builder.setHttpHost(host).build();
+            socket.setTcpNoDelay(true);
+            socket.connect(new InetSocketAddress(host.getHostName(), host.getPort()), Math.toIntExact(timeoutMillis));
+            mayHaveSent = true;
+            return Either.right(exchange(socket, request));
+        } catch (IOException | HttpException | URISyntaxException e) {
+            String message = e.toString();
+            return Either.left(
+                    mayHaveSent
+                            ? Failure.unknownEffect(step, address, message)
+                            : Failure.noEffect(step, address, message));
+        } finally {
+            bound.cancel(false);
+            reset(socket);
+        }
+    }
+
+    private PlatformAnswer exchange(Socket socket, ClassicHttpRequest request) throws IOException, HttpException {
+        DefaultBHttpClientConnection connection =
+                DefaultBHttpClientConnectionFactory.builder().build().createConnection(socket);
+        connection.setSocketTimeout(Timeout.ofMilliseconds(timeoutMillis));
+        HttpCoreContext context = HttpCoreContext.create();
+        EXECUTOR.preProcess(request, PROCESSOR, context);
+        try (ClassicHttpResponse response = EXECUTOR.execute(request, connection, context)) {
+            EXECUTOR.postProcess(response, PROCESSOR, context);
+            byte[] body = response.getEntity() == null
+                    ? new byte[0]
+                    : EntityUtils.toByteArray(response.getEntity(), MAXIMUM_BODY_BYTES);
+            return new PlatformAnswer(response.getCode(), body);
+        }
+    }
+
+    private static void reset(Socket socket) {
+        try {
+            if (!socket.isClosed()) {
+                socket.setSoLinger(true, 0);
+            }
+        } catch (SocketException e) {
+            // The socket was closed meanwhile.
+        }
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // The connection is abandoned in any case.
+        }
+    }
+
+    @Override
+    public void close() {
+        watchdog.shutdownNow();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/usage/UsageSimulation.java
@@ -0,0 +1,194 @@
+package org.cactusshift.internal.coordination.usage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.lease.DutySimulation;
+import org.cactusshift.internal.coordination.lease.SimulatedNode;
+import org.cactusshift.messages.UsageAck;
+import org.cactusshift.messages.UsageBatch;
+
+/** One usage shard on the nodes of a {@link DutySimulation}, with a usage interface and a checker of its history. */
+final class UsageSimulation {
+    static final long WINDOW_MILLIS = 5_000;
+    static final long HAND_OVER_MILLIS = 1_000;
+
+    /** A fault planted so that a checker has something to catch. */
+    enum Plant {
+        NONE,
+        /** The node drops a batch when it is accepted, not when it is durable. */
+        ACKNOWLEDGED_BEFORE_DURABLE,
+        /** The holder can't tell a repeated batch. */
+        REPEATS_NOT_RECOGNISED,
+        /** The holder reports figures that it did not store. */
+        REPORTED_BEFORE_DURABLE
+    }
+
+    // Injected faults would be logged by the thousand. Kept here because the log manager holds loggers weakly.
+    private static final Logger LOGGER = Logger.getLogger("org.cactusshift");
+
+    static {
+        LOGGER.setLevel(Level.OFF);
+    }
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final UsageKey KEY = new UsageKey(AccountId.fromString("acme"), ServiceId.fromString("share-lm"));
+
+    private final DutySimulation duties;
+    private final Plant plant;
+    private final Map<SimulatedNode, UsageShard> shards = new HashMap<>();
+    private final Map<SimulatedNode, Long> undecided = new HashMap<>();
+    private final Map<String, String> reported = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private long recorded;
+    private long mayBeLost;
+    private long streams;
+
+    UsageSimulation(long seed, Plant plant) {
+        this.duties = new DutySimulation(seed, 3, Set.of(DutyId.usage(0)));
+        this.plant = plant;
+        for (SimulatedNode node : duties.nodes()) {
+            node.setHooks(() -> onKill(node), () -> begin(node));
+            begin(node);
+        }
+        duties.setOnNodeRun(this::runCurrent);
+    }
+
+    UsageSimulation run(int steps, int healingSteps) {
+        duties.run(steps);
+        duties.heal(healingSteps);
+        violations.addAll(duties.violations());
+        checkSums();
+        return this;
+    }
+
+    List<String> violations() {
+        return violations;
+    }
+
+    private void begin(SimulatedNode node) {
+        undecided.put(node, 0L);
+        UsageServiceSetup setup = new UsageServiceSetup(
+                DutySimulation.SITE,
+                node.self(),
+                new UsageShards(1),
+                WINDOW_MILLIS,
+                HAND_OVER_MILLIS,
+                plant == Plant.REPORTED_BEFORE_DURABLE
+                        ? new ForgetfulStore(duties.store(), duties::random)
+                        : duties.store(),
+                node,
+                node,
+                (holder, batch) -> deliver(holder, planted(batch)),
+                this::report,
+                node::clockMillis,
+                duties::nowMillis);
+        shards.put(node, new UsageShard(setup, 0, new UsageMeter()));
+    }
+
+    private void onKill(SimulatedNode node) {
+        mayBeLost += undecided.get(node);
+    }
+
+    private void runCurrent() {
+        SimulatedNode node = duties.current();
+        UsageShard shard = shards.get(node);
+        if (!duties.isHealed() && duties.random().nextInt(3) == 0) {
+            long tokens = 1 + duties.random().nextInt(50);
+            recorded += tokens;
+            undecided.merge(node, tokens, Long::sum);
+            shard.add(KEY, UsageTotals.inTime(tokens, 0, 1), duties.nowMillis());
+        }
+        if (duties.isHealed() || duties.random().nextInt(2) == 0) {
+            shard.cycle();
+        }
+        if (shard.isEmpty()) {
+            undecided.put(node, 0L);
+        }
+    }
+
+    private UsageBatch planted(UsageBatch batch) {
+        if (plant != Plant.REPEATS_NOT_RECOGNISED) {
+            return batch;
+        }
+        streams++;
+        return batch.toBuilder()
+                .setSequence(1)
+                .setSender(
+                        batch.getSender().toBuilder().setIncarnationId("stream-" + streams + ":" + duties.nowMillis()))
+                .build();
+    }
+
+    private Either<Failure, UsageAck> deliver(DutyHolder holder, UsageBatch batch) {
+        duties.maybePauseInside();
+        SimulatedNode target = duties.nodes().stream()
+                .filter(node -> node.self().incarnation().equals(holder.incarnation()))
+                .findFirst()
+                .orElse(null);
+        boolean reachable = target != null
+                && !target.isDown()
+                && !target.isCut()
+                && !duties.current().isCut();
+        if (!reachable) {
+            return Either.left(Failure.unknownEffect("hand over usage", holder.peerAddress(), "unreachable"));
+        }
+        UsageAck ack = shards.get(target).accept(batch);
+        if (!duties.isHealed() && duties.random().nextInt(10) == 0) {
+            return Either.left(Failure.unknownEffect("hand over usage", holder.peerAddress(), "answer lost"));
+        }
+        boolean early = plant == Plant.ACKNOWLEDGED_BEFORE_DURABLE && ack.getAccepted();
+        return Either.right(
+                early ? ack.toBuilder().setSequence(batch.getSequence()).build() : ack);
+    }
+
+    private Either<Failure, UsageReporter.Receipt> report(SealedWindow window) {
+        duties.maybePauseInside();
+        String before = reported.putIfAbsent(window.window(), window.report());
+        if (before != null && !before.equals(window.report())) {
+            violations.add("window " + window.window() + " was reported with other figures");
+            return Either.right(UsageReporter.Receipt.CONFLICT);
+        }
+        if (!duties.isHealed() && duties.random().nextInt(10) == 0) {
+            return Either.left(Failure.unknownEffect("report usage", "usage interface", "answer lost"));
+        }
+        return Either.right(UsageReporter.Receipt.RECORDED);
+    }
+
+    private void checkSums() {
+        long billed =
+                reported.values().stream().mapToLong(UsageSimulation::tokens).sum();
+        if (billed > recorded) {
+            violations.add("billed " + billed + " of " + recorded + " tokens");
+        }
+        if (billed < recorded - mayBeLost) {
+            violations.add("billed " + billed + " of " + recorded + " tokens, " + mayBeLost + " may be lost");
+        }
+    }
+
+    private static long tokens(String report) {
+        try {
+            long tokens = 0;
+            for (JsonNode count : MAPPER.readTree(report).get("counts")) {
+                tokens += count.get("prompt_tokens").asLong()
+                        + count.get("late_prompt_tokens").asLong();
+            }
+            return tokens;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
