--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Codec of what engines and plain services tell about themselves. */
+package org.cactusshift.internal.protocol.engine;
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/AnswerAssembler.java
@@ -0,0 +1,277 @@
+package org.cactusshift.internal.protocol.openai;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Joins the chunks of one answer, from however many engines they come: gives them one id, drops what a later engine
+ * repeats, and builds the whole answer for a caller that doesn't stream.
+ */
+public final class AnswerAssembler {
+    private final CompletionRequest request;
+    private final String id;
+    private final StringBuilder text = new StringBuilder();
+    private final ObjectNode message = Json.newObject();
+    private final List<JsonNode> logProbabilities = new ArrayList<>();
+    private JsonNode created;
+    private JsonNode model;
+    private JsonNode fingerprint;
+    private String finishReason;
+    private boolean roleSeen;
+    private boolean moreThanText;
+
+    private AnswerAssembler(CompletionRequest request, String id) {
+        this.request = request;
+        this.id = id;
+    }
+
+    /**
+     * Creates an assembler for one answer.
+     *
+     * @param request the request
+     * @param id the id that the answer and all its chunks carry
+     * @return the assembler
+     */
+    public static AnswerAssembler create(CompletionRequest request, String id) {
+        return new AnswerAssembler(request, id);
+    }
+
+    /**
+     * Adds a chunk and rewrites it for the caller.
+     *
+     * @param chunk the chunk of an engine
+     * @return whether the caller is to see the chunk
+     */
+    public boolean add(CompletionChunk chunk) {
+        ObjectNode root = chunk.root();
+        root.put("id", id);
+        created = unify(root, "created", created);
+        model = unify(root, "model", model);
+        fingerprint = unify(root, "system_fingerprint", fingerprint);
+        if (request.isUsageIncluded()) {
+            root.set("usage", NullNode.getInstance());
+        } else {
+            root.remove("usage");
+        }
+        if (!chunk.hasChoice()) {
+            return false;
+        }
+        boolean repeatsRole = roleSeen && dropRole(chunk);
+        boolean adds = !chunk.text().isEmpty()
+                || chunk.addsMoreThanText()
+                || chunk.finishReason().isPresent();
+        moreThanText |= chunk.addsMoreThanText();
+        text.append(chunk.text());
+        chunk.finishReason().ifPresent(reason -> finishReason = reason);
+        merge(chunk);
+        return adds || !repeatsRole;
+    }
+
+    private static JsonNode unify(ObjectNode root, String field, JsonNode first) {
+        if (first == null) {
+            return root.get(field);
+        }
+        root.set(field, first);
+        return first;
+    }
+
+    private static boolean dropRole(CompletionChunk chunk) {
+        return chunk.choice().path("delta") instanceof ObjectNode delta && delta.remove("role") != null;
+    }
+
+    private void merge(CompletionChunk chunk) {
+        JsonNode choice = chunk.choice();
+        if (choice.path("logprobs").isObject()) {
+            logProbabilities.add(choice.get("logprobs"));
+        }
+        for (Map.Entry<String, JsonNode> field : choice.path("delta").properties()) {
+            roleSeen |= field.getKey().equals("role");
+            mergeField(message, field.getKey(), field.getValue());
+        }
+    }
+
+    private static void mergeField(ObjectNode target, String name, JsonNode value) {
+        JsonNode present = target.get(name);
+        if (value.isNull()) {
+            return;
+        }
+        if (present != null && present.isTextual() && value.isTextual() && !isLabel(name)) {
+            target.put(name, present.textValue() + value.textValue());
+        } else if (value.isArray() && name.equals("tool_calls")) {
+            mergeIndexed(target.withArray(name), (ArrayNode) value);
+        } else if (present instanceof ObjectNode into && value.isObject()) {
+            value.properties().forEach(field -> mergeField(into, field.getKey(), field.getValue()));
+        } else {
+            target.set(name, value.deepCopy());
+        }
+    }
+
+    private static boolean isLabel(String name) {
+        return name.equals("role") || name.equals("id") || name.equals("type");
+    }
+
+    private static void mergeIndexed(ArrayNode target, ArrayNode entries) {
+        for (JsonNode entry : entries) {
+            ObjectNode into = entryAt(target, entry.path("index").asInt(target.size()));
+            entry.properties().forEach(field -> mergeField(into, field.getKey(), field.getValue()));
+        }
+    }
+
+    private static ObjectNode entryAt(ArrayNode target, int index) {
+        for (JsonNode entry : target) {
+            if (entry.path("index").asInt(-1) == index) {
+                return (ObjectNode) entry;
+            }
+        }
+        return target.addObject().put("index", index);
+    }
+
+    /**
+     * Returns the text of all chunks.
+     *
+     * @return the text that another engine would go on after
+     */
+    public String text() {
+        return text.toString();
+    }
+
+    /**
+     * Tells whether another engine can go on where the last chunk ended.
+     *
+     * @return false once a chunk carried more than text, such as a tool call
+     */
+    public boolean isResumable() {
+        return !moreThanText;
+    }
+
+    /**
+     * Tells whether the generation ended.
+     *
+     * @return true once a chunk carried the reason of the end
+     */
+    public boolean isFinished() {
+        return finishReason != null;
+    }
+
+    /**
+     * Returns a chunk as it is sent to the caller.
+     *
+     * @param chunk a chunk that was added
+     * @return the JSON text
+     */
+    public String chunkJson(CompletionChunk chunk) {
+        return Json.write(chunk.root());
+    }
+
+    /**
+     * Returns a last chunk for an answer whose engine was lost when the limit on its length had been reached.
+     *
+     * @return the chunk, to be added like an engine's
+     */
+    public CompletionChunk lengthChunk() {
+        ObjectNode root = chunkRoot();
+        ObjectNode choice = root.putArray("choices").addObject();
+        choice.put("index", 0);
+        if (request.kind() == CompletionRequest.Kind.CHAT) {
+            choice.putObject("delta");
+        } else {
+            choice.put("text", "");
+        }
+        choice.put("finish_reason", "length");
+        return CompletionChunk.parse(request.kind(), Json.write(root)).orElseThrow();
+    }
+
+    /**
+     * Returns the chunk that carries the usage to a caller that asked for it.
+     *
+     * @param usage the usage of the whole answer
+     * @return the JSON text
+     */
+    public String usageChunkJson(TokenUsage usage) {
+        ObjectNode root = chunkRoot();
+        root.putArray("choices");
+        root.set("usage", usage.toJson());
+        return Json.write(root);
+    }
+
+    private ObjectNode chunkRoot() {
+        boolean chat = request.kind() == CompletionRequest.Kind.CHAT;
+        return head(chat ? "chat.completion.chunk" : request.kind().object());
+    }
+
+    private ObjectNode head(String object) {
+        ObjectNode root = Json.newObject();
+        root.put("id", id);
+        root.put("object", object);
+        root.set("created", created);
+        root.set("model", model);
+        if (fingerprint != null) {
+            root.set("system_fingerprint", fingerprint);
+        }
+        return root;
+    }
+
+    /**
+     * Returns the answer for a caller that doesn't stream.
+     *
+     * @param usage the usage of the whole answer
+     * @return the JSON text
+     */
+    public String wholeJson(TokenUsage usage) {
+        ObjectNode root = head(request.kind().object());
+        ObjectNode choice = root.putArray("choices").addObject();
+        choice.put("index", 0);
+        if (request.kind() == CompletionRequest.Kind.CHAT) {
+            choice.set("message", wholeMessage());
+        } else {
+            choice.put("text", text.toString());
+        }
+        choice.set("logprobs", wholeLogProbabilities());
+        choice.put("finish_reason", finishReason);
+        root.set("usage", usage.toJson());
+        return Json.write(root);
+    }
+
+    private ObjectNode wholeMessage() {
+        ObjectNode whole = Json.newObject();
+        whole.put("role", message.path("role").asText("assistant"));
+        boolean onlyTools = message.has("tool_calls") && text.isEmpty();
+        whole.put("content", onlyTools ? null : text.toString());
+        message.properties().stream()
+                .filter(field ->
+                        !field.getKey().equals("role") && !field.getKey().equals("content"))
+                .forEach(field -> whole.set(field.getKey(), withoutIndex(field.getValue())));
+        whole.putIfAbsent("refusal", NullNode.getInstance());
+        return whole;
+    }
+
+    private static JsonNode withoutIndex(JsonNode value) {
+        JsonNode copy = value.deepCopy();
+        if (copy.isArray()) {
+            copy.forEach(entry -> {
+                if (entry instanceof ObjectNode object) {
+                    object.remove("index");
+                }
+            });
+        }
+        return copy;
+    }
+
+    private JsonNode wholeLogProbabilities() {
+        if (logProbabilities.isEmpty()) {
+            return NullNode.getInstance();
+        }
+        ObjectNode whole = Json.newObject();
+        for (JsonNode part : logProbabilities) {
+            part.properties().stream()
+                    .filter(field -> field.getValue().isArray())
+                    .forEach(field -> whole.withArray(field.getKey()).addAll((ArrayNode) field.getValue()));
+        }
+        return whole;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/CompletionChunk.java
@@ -0,0 +1,107 @@
+package org.cactusshift.internal.protocol.openai;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.Optional;
+
+/** One event of an engine's streamed answer. Mutable: it is rewritten on its way to the caller. */
+public final class CompletionChunk {
+    /** The data of the event that ends a stream. */
+    public static final String DONE = "[DONE]";
+
+    private final CompletionRequest.Kind kind;
+    private final ObjectNode root;
+
+    private CompletionChunk(CompletionRequest.Kind kind, ObjectNode root) {
+        this.kind = kind;
+        this.root = root;
+    }
+
+    /**
+     * Parses the data of an event.
+     *
+     * @param kind the form of the completion
+     * @param data the data
+     * @return the chunk, or empty when the data is not a JSON object
+     */
+    public static Optional<CompletionChunk> parse(CompletionRequest.Kind kind, String data) {
+        return Json.readObject(data).map(root -> new CompletionChunk(kind, root));
+    }
+
+    /**
+     * Returns the code of an error event.
+     *
+     * @return the code, "" when the error has none, or empty when the chunk is not an error
+     */
+    public Optional<String> errorCode() {
+        JsonNode error = root.get("error");
+        return error == null || error.isNull()
+                ? Optional.empty()
+                : Optional.of(error.path("code").asText(""));
+    }
+
+    /**
+     * Returns the usage that the chunk carries.
+     *
+     * @return the usage, or empty when there is none
+     */
+    public Optional<TokenUsage> usage() {
+        return TokenUsage.fromJson(root.get("usage"));
+    }
+
+    /**
+     * Returns the text that the chunk adds.
+     *
+     * @return the text, empty when there is none
+     */
+    public String text() {
+        JsonNode choice = choice();
+        JsonNode text =
+                kind == CompletionRequest.Kind.CHAT ? choice.path("delta").path("content") : choice.path("text");
+        return text.isTextual() ? text.textValue() : "";
+    }
+
+    /**
+     * Returns why the generation ended.
+     *
+     * @return the reason, or empty when it goes on
+     */
+    public Optional<String> finishReason() {
+        JsonNode reason = choice().path("finish_reason");
+        return reason.isTextual() ? Optional.of(reason.textValue()) : Optional.empty();
+    }
+
+    /**
+     * Tells whether the chunk has a choice; the chunk that carries the usage has none.
+     *
+     * @return true when there is a choice
+     */
+    public boolean hasChoice() {
+        return choice().isObject();
+    }
+
+    /** Tells whether the chunk adds something that can't be handed to another engine as text. */
+    boolean addsMoreThanText() {
+        JsonNode delta = choice().path("delta");
+        for (Map.Entry<String, JsonNode> field : delta.properties()) {
+            boolean plain = field.getKey().equals("role") || field.getKey().equals("content");
+            if (!plain && isSomething(field.getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean isSomething(JsonNode value) {
+        return value.isContainerNode() ? !value.isEmpty() : !value.asText("").isEmpty() && !value.isNull();
+    }
+
+    JsonNode choice() {
+        return root.path("choices").path(0);
+    }
+
+    ObjectNode root() {
+        return root;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/CompletionRequest.java
@@ -0,0 +1,134 @@
+package org.cactusshift.internal.protocol.openai;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+
+/** A checked request for a chat or text completion. Immutable; the JSON tree is never handed out. */
+public final class CompletionRequest {
+    /** The form of a completion. */
+    public enum Kind {
+        /** {@code /v1/chat/completions}. */
+        CHAT("/v1/chat/completions", "chat.completion"),
+        /** {@code /v1/completions}. */
+        TEXT("/v1/completions", "text_completion");
+
+        private final String path;
+        private final String object;
+
+        Kind(String path, String object) {
+            this.path = path;
+            this.object = object;
+        }
+
+        /**
+         * Returns the path of the interface.
+         *
+         * @return the path, the same for callers and engines
+         */
+        public String path() {
+            return path;
+        }
+
+        /** Returns the name that whole answers carry in the field {@code object}. */
+        String object() {
+            return object;
+        }
+    }
+
+    /** The output length that is assumed for placing a request that sets no limit, in tokens. */
+    private static final long ASSUMED_OUTPUT_TOKENS = 1024;
+
+    private final Kind kind;
+    private final ObjectNode root;
+    private final String model;
+    private final String canonicalPrompt;
+
+    CompletionRequest(Kind kind, ObjectNode root, String model, String canonicalPrompt) {
+        this.kind = kind;
+        this.root = root;
+        this.model = model;
+        this.canonicalPrompt = canonicalPrompt;
+    }
+
+    /**
+     * Returns the form of the completion.
+     *
+     * @return the kind
+     */
+    public Kind kind() {
+        return kind;
+    }
+
+    /**
+     * Returns the model's name as the caller gave it.
+     *
+     * @return the name, not empty
+     */
+    public String model() {
+        return model;
+    }
+
+    /**
+     * Tells whether the caller wants server-sent events.
+     *
+     * @return true for a streamed answer
+     */
+    public boolean isStreamed() {
+        return root.path("stream").asBoolean(false);
+    }
+
+    /**
+     * Tells whether a streamed answer ends with a chunk that carries the usage.
+     *
+     * @return true when the caller asked for it
+     */
+    public boolean isUsageIncluded() {
+        return root.path("stream_options").path("include_usage").asBoolean(false);
+    }
+
+    /**
+     * Estimates the length of the prompt.
+     *
+     * @return the prompt's length, in tokens
+     */
+    public long promptTokens() {
+        return TokenUsage.estimateTokens(canonicalPrompt.length());
+    }
+
+    /**
+     * Returns the most tokens that may be generated.
+     *
+     * @return the caller's limit, or an assumption when there is none, in tokens
+     */
+    public long maximumOutputTokens() {
+        return hasOutputLimit() ? outputLimitTokens() : ASSUMED_OUTPUT_TOKENS;
+    }
+
+    /**
+     * Tells whether the caller limits the output.
+     *
+     * @return true when {@link #maximumOutputTokens} is the caller's own limit
+     */
+    public boolean hasOutputLimit() {
+        return root.hasNonNull("max_completion_tokens") || root.hasNonNull("max_tokens");
+    }
+
+    private long outputLimitTokens() {
+        return root.hasNonNull("max_completion_tokens")
+                ? root.get("max_completion_tokens").longValue()
+                : root.get("max_tokens").longValue();
+    }
+
+    /**
+     * Returns the hashes of the prompt's prefixes.
+     *
+     * @return one hash for each whole piece of 2,048 tokens
+     */
+    public List<Long> prefixHashes() {
+        return PromptPrefixes.hashes(canonicalPrompt);
+    }
+
+    ObjectNode copyOfRoot() {
+        return root.deepCopy();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/SseParser.java
@@ -0,0 +1,100 @@
+package org.cactusshift.internal.protocol.openai;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/**
+ * Parses server-sent events from bytes that arrive in any portions. Comments and fields other than {@code data} are
+ * dropped.
+ */
+public final class SseParser {
+    private static final int MAXIMUM_EVENT_BYTES = 4 * 1024 * 1024;
+    private static final byte[] BYTE_ORDER_MARK = {(byte) 0xEF, (byte) 0xBB, (byte) 0xBF};
+
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final StringBuilder data = new StringBuilder();
+    private final Queue<String> events = new ArrayDeque<>();
+    private boolean hasData;
+    private boolean afterCarriageReturn;
+    private boolean firstLine = true;
+
+    /**
+     * Takes the next bytes of the stream.
+     *
+     * @param bytes the bytes
+     * @param length how many of them count
+     * @return false when an event is larger than the parser holds; the stream can't be used any more
+     */
+    public boolean feed(byte[] bytes, int length) {
+        for (int i = 0; i < length; i++) {
+            take(bytes[i]);
+        }
+        return line.size() + data.length() <= MAXIMUM_EVENT_BYTES;
+    }
+
+    /**
+     * Returns the data of the next complete event.
+     *
+     * @return the data, its lines joined by line feeds, or null when no event is complete
+     */
+    public String poll() {
+        return events.poll();
+    }
+
+    private void take(byte b) {
+        if (b == '\n' && afterCarriageReturn) {
+            afterCarriageReturn = false;
+            return;
+        }
+        afterCarriageReturn = b == '\r';
+        if (b == '\n' || b == '\r') {
+            endLine();
+        } else {
+            line.write(b);
+        }
+    }
+
+    private void endLine() {
+        byte[] bytes = line.toByteArray();
+        line.reset();
+        int start = firstLine && startsWithMark(bytes) ? BYTE_ORDER_MARK.length : 0;
+        firstLine = false;
+        String text = new String(bytes, start, bytes.length - start, StandardCharsets.UTF_8);
+        if (text.isEmpty()) {
+            endEvent();
+        } else {
+            takeField(text);
+        }
+    }
+
+    private static boolean startsWithMark(byte[] bytes) {
+        return bytes.length >= BYTE_ORDER_MARK.length
+                && bytes[0] == BYTE_ORDER_MARK[0]
+                && bytes[1] == BYTE_ORDER_MARK[1]
+                && bytes[2] == BYTE_ORDER_MARK[2];
+    }
+
+    private void takeField(String text) {
+        int colon = text.indexOf(':');
+        String name = colon < 0 ? text : text.substring(0, colon);
+        if (!name.equals("data")) {
+            return;
+        }
+        String value = colon < 0 ? "" : text.substring(colon + 1);
+        if (hasData) {
+            data.append('\n');
+        }
+        hasData = true;
+        data.append(value.startsWith(" ") ? value.substring(1) : value);
+    }
+
+    private void endEvent() {
+        if (hasData) {
+            events.add(data.toString());
+        }
+        hasData = false;
+        data.setLength(0);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/SseWriter.java
@@ -0,0 +1,35 @@
+package org.cactusshift.internal.protocol.openai;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+
+/** Writes server-sent events; each is flushed, and a write blocks while the caller doesn't read. */
+public final class SseWriter {
+    private final OutputStream out;
+
+    private SseWriter(OutputStream out) {
+        this.out = out;
+    }
+
+    /**
+     * Creates a writer.
+     *
+     * @param out the body of the answer; not closed by the writer
+     * @return the writer
+     */
+    public static SseWriter over(OutputStream out) {
+        return new SseWriter(out);
+    }
+
+    /**
+     * Writes one event.
+     *
+     * @param data the data, without line breaks
+     * @throws IOException if the caller can't be reached
+     */
+    public void write(String data) throws IOException {
+        out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/CallClaimGuard.java
@@ -0,0 +1,83 @@
+package org.cactusshift.internal.transport.gateway;
+
+import java.util.Optional;
+import org.cactusshift.id.AttemptId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.claim.CallClaim;
+import org.cactusshift.internal.coordination.claim.CallOutcome;
+import org.cactusshift.internal.coordination.claim.ClaimResult;
+import org.cactusshift.internal.protocol.openai.ApiError;
+
+/** The claim of one call, or of none: held before dispatch, and settled once. */
+final class CallClaimGuard {
+    private final GatewayComponents components;
+    private final Optional<CallClaim> claim;
+
+    private CallClaimGuard(GatewayComponents components, Optional<CallClaim> claim) {
+        this.components = components;
+        this.claim = claim;
+    }
+
+    static CallClaimGuard none(GatewayComponents components) {
+        return new CallClaimGuard(components, Optional.empty());
+    }
+
+    static CallClaimGuard of(GatewayRequest request, Caller caller, ServicePath path, String idempotencyKey) {
+        CallClaim claim = new CallClaim(
+                caller.account(),
+                ServiceId.fromString(path.service()),
+                idempotencyKey,
+                Fingerprints.digestHex(
+                        request.exchange().method(),
+                        path.target(request.exchange().query()),
+                        request.exchange().body()),
+                AttemptId.fromString(request.id().value()));
+        return new CallClaimGuard(request.components(), Optional.of(claim));
+    }
+
+    /** Claims the call; blocks until the claim is durable or refused. */
+    ClaimResult acquire(long deadlineMillis) {
+        return claim.map(held -> components.claims().claim(held, nowMillis(), deadlineMillis))
+                .orElse(ClaimResult.of(ClaimResult.Verdict.GRANTED));
+    }
+
+    void record(CallOutcome outcome) {
+        claim.ifPresent(held -> components.claims().recordOutcome(held, outcome, nowMillis()));
+    }
+
+    /** Settles the claim of a call that is given up: it may be made again only if it certainly didn't run. */
+    void giveUp(boolean mayHaveRun) {
+        if (mayHaveRun) {
+            record(CallOutcome.UNKNOWN);
+        } else {
+            claim.ifPresent(held -> components.claims().release(held, nowMillis()));
+        }
+    }
+
+    private long nowMillis() {
+        return components.monotonicMillis().getAsLong();
+    }
+
+    /** Returns what the caller of a call that may not be dispatched is told. */
+    static Refusal refusalOf(ClaimResult result) {
+        return switch (result.verdict()) {
+            case BODY_MISMATCH ->
+                Refusal.of(ApiError.of(
+                        422,
+                        ApiError.INVALID_REQUEST,
+                        "idempotency_key_reused",
+                        "the idempotency key was used for another request"));
+            case UNAVAILABLE ->
+                Refusal.unavailable("claim_unavailable", "the call can't be claimed now and was not run");
+            case GRANTED, REPEATED, OPEN ->
+                new Refusal(
+                        ApiError.of(
+                                409,
+                                ApiError.INVALID_REQUEST,
+                                "outcome_unknown",
+                                "a call with this idempotency key was made and its outcome is not known"),
+                        true,
+                        0);
+        };
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/DecisionWaiter.java
@@ -0,0 +1,62 @@
+package org.cactusshift.internal.transport.gateway;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.dispatch.DispatchDecision;
+import org.cactusshift.internal.coordination.dispatch.DispatchTicket;
+
+/** Waits for the decisions about one request, for as long as its answer is wanted. */
+final class DecisionWaiter {
+    private static final long SLICE_MILLIS = 50;
+
+    private final GatewayRequest request;
+    private final DispatchTicket ticket;
+    private final RequestWatch watch;
+
+    DecisionWaiter(GatewayRequest request, DispatchTicket ticket, RequestWatch watch) {
+        this.request = request;
+        this.ticket = ticket;
+        this.watch = watch;
+    }
+
+    /** Returns the next attempt to make, or how the request is given up. */
+    Either<Refusal, DispatchDecision.Dispatch> await(boolean mayHaveRun) {
+        try {
+            while (true) {
+                Optional<DispatchDecision> decision = ticket.await(SLICE_MILLIS);
+                if (decision.isPresent()) {
+                    return decision.get() instanceof DispatchDecision.Dispatch dispatch
+                            ? Either.right(dispatch)
+                            : Either.left(Refusal.of((DispatchDecision.Refuse) decision.get(), mayHaveRun));
+                }
+                if (!watch.isStillWanted()) {
+                    ticket.close();
+                    return Either.left(watch.refusal(mayHaveRun));
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            ticket.close();
+            return Either.left(new Refusal(
+                    Refusal.unavailable("shutting_down", "the node is shutting down")
+                            .error(),
+                    mayHaveRun,
+                    0));
+        }
+    }
+
+    /** Returns where an upstream is now; empty when the configuration has lost it since the decision. */
+    Optional<String> addressOf(UpstreamId upstream) {
+        return request.components()
+                .config()
+                .current()
+                .map(InstalledConfig::config)
+                .flatMap(site -> site.upstreams().stream()
+                        .filter(config -> config.id().equals(upstream))
+                        .findFirst())
+                .map(UpstreamConfig::address);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/EngineAttempt.java
@@ -0,0 +1,213 @@
+package org.cactusshift.internal.transport.gateway;
+
+import io.opentelemetry.api.trace.Span;
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.cactusshift.id.AttemptId;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd.Outcome;
+import org.cactusshift.internal.coordination.dispatch.DispatchDecision.Dispatch;
+import org.cactusshift.internal.protocol.openai.CompletionChunk;
+import org.cactusshift.internal.protocol.openai.CompletionRequest;
+import org.cactusshift.internal.protocol.openai.SseParser;
+import org.cactusshift.internal.protocol.openai.TokenUsage;
+import org.cactusshift.internal.transport.http.ClientExchange;
+import org.cactusshift.internal.transport.http.UpstreamException;
+import org.cactusshift.internal.transport.http.WaitObserver;
+
+/** One attempt of a completion on one engine: its connection, its events and what it has delivered. */
+final class EngineAttempt {
+    private static final int READ_BYTES = 8192;
+    private static final int MAXIMUM_ERROR_BYTES = 64 * 1024;
+    private static final String NOT_ADMITTED = "not_admitted";
+
+    private final AttemptId id;
+    private final CompletionRequest.Kind kind;
+    private final Span span;
+    private final ClientExchange exchange;
+    private final SseParser parser = new SseParser();
+    private final byte[] buffer = new byte[READ_BYTES];
+    private long deliveredChars;
+    private long reportedProgressTokens;
+    private Optional<TokenUsage> usage = Optional.empty();
+
+    private EngineAttempt(Dispatch dispatch, CompletionRequest.Kind kind, Span span, ClientExchange exchange) {
+        this.id = dispatch.attempt();
+        this.kind = kind;
+        this.span = span;
+        this.exchange = exchange;
+    }
+
+    /**
+     * How an attempt ended before it streamed anything.
+     *
+     * @param outcome the outcome
+     * @param rejection the engine's own answer, when it says that the request is wrong
+     */
+    record Ended(Outcome outcome, Optional<UpstreamAnswer> rejection) {
+        static Ended of(Outcome outcome) {
+            return new Ended(outcome, Optional.empty());
+        }
+    }
+
+    /** Sends the request to an engine and waits until it starts to stream. */
+    static Either<Ended, EngineAttempt> open(
+            GatewayRequest request,
+            CompletionRequest.Kind kind,
+            Dispatch dispatch,
+            String address,
+            byte[] body,
+            WaitObserver observer) {
+        Span span = RequestTracing.startAttempt(
+                request.components().tracer(), request.span(), dispatch.attempt(), dispatch.upstream());
+        ClassicHttpRequest upstreamRequest = new BasicClassicHttpRequest("POST", kind.path());
+        upstreamRequest.setHeader(GatewayHeaders.REQUEST_ID, dispatch.attempt().value());
+        upstreamRequest.setHeader(GatewayHeaders.TRACEPARENT, RequestTracing.traceparent(span));
+        upstreamRequest.setHeader(HttpHeaders.ACCEPT, "text/event-stream");
+        upstreamRequest.setEntity(new ByteArrayEntity(body, ContentType.APPLICATION_JSON));
+        Either<Ended, EngineAttempt> opened = request.components()
+                .upstreams()
+                .send(address, upstreamRequest, observer)
+                .mapLeft(lost -> Ended.of(outcomeOf(lost)))
+                .flatMap(exchange -> accept(new EngineAttempt(dispatch, kind, span, exchange)));
+        opened.peekLeft(ended -> endSpan(span, request.span(), ended.outcome()));
+        return opened;
+    }
+
+    private static Either<Ended, EngineAttempt> accept(EngineAttempt attempt) {
+        ClientExchange exchange = attempt.exchange;
+        if (!isAnswerTo(exchange, attempt.id)) {
+            exchange.abort();
+            exchange.close();
+            return Either.left(Ended.of(Outcome.SILENT));
+        }
+        if (exchange.status() == 200 && isEventStream(exchange)) {
+            return Either.right(attempt);
+        }
+        Ended ended = endedBy(exchange);
+        exchange.close();
+        return Either.left(ended);
+    }
+
+    /** Tells whether an answer belongs to an attempt; one that names another attempt must reach nobody. */
+    static boolean isAnswerTo(ClientExchange exchange, AttemptId attempt) {
+        return exchange.header(GatewayHeaders.REQUEST_ID)
+                .map(value -> value.equals(attempt.value()))
+                .orElse(true);
+    }
+
+    private static boolean isEventStream(ClientExchange exchange) {
+        return exchange.header(HttpHeaders.CONTENT_TYPE).orElse("").startsWith("text/event-stream");
+    }
+
+    private static Ended endedBy(ClientExchange exchange) {
+        try {
+            byte[] body = exchange.readAll(MAXIMUM_ERROR_BYTES);
+            int status = exchange.status();
+            if (status == 503 && NOT_ADMITTED.equals(errorCode(body))) {
+                return Ended.of(Outcome.NOT_RUN);
+            }
+            if (status >= 400 && status < 500) {
+                return new Ended(Outcome.COMPLETED, Optional.of(UpstreamAnswer.of(exchange, body)));
+            }
+            return Ended.of(Outcome.CRASHED);
+        } catch (UpstreamException e) {
+            return Ended.of(outcomeOf(e));
+        }
+    }
+
+    private static String errorCode(byte[] body) {
+        return CompletionChunk.parse(
+                        CompletionRequest.Kind.CHAT, new String(body, java.nio.charset.StandardCharsets.UTF_8))
+                .flatMap(CompletionChunk::errorCode)
+                .orElse("");
+    }
+
+    static Outcome outcomeOf(UpstreamException lost) {
+        return switch (lost.loss()) {
+            case NOT_SENT -> Outcome.NOT_SENT;
+            case CLOSED -> Outcome.CRASHED;
+            case SILENT -> Outcome.SILENT;
+            case ABANDONED -> Outcome.CANCELLED;
+        };
+    }
+
+    AttemptId id() {
+        return id;
+    }
+
+    /** Returns the data of the next event, or null when the engine closed the stream. */
+    String nextEvent() throws UpstreamException {
+        String event = parser.poll();
+        while (event == null) {
+            int count = exchange.read(buffer);
+            if (count < 0 || !parser.feed(buffer, count)) {
+                return null;
+            }
+            event = parser.poll();
+        }
+        return event;
+    }
+
+    /** Reads what follows the last event, so that the connection can be used again. */
+    void finish(Span parent) {
+        try {
+            int count = exchange.read(buffer);
+            while (count >= 0) {
+                count = exchange.read(buffer);
+            }
+        } catch (UpstreamException e) {
+            exchange.abort();
+        }
+        end(parent, Outcome.COMPLETED);
+    }
+
+    /** Gives the attempt up; closing the connection cancels the request at the engine. */
+    void abandon(Span parent, Outcome outcome) {
+        exchange.abort();
+        end(parent, outcome);
+    }
+
+    private void end(Span parent, Outcome outcome) {
+        exchange.close();
+        endSpan(span, parent, outcome);
+    }
+
+    private static void endSpan(Span span, Span parent, Outcome outcome) {
+        if (span != parent) {
+            span.setAttribute("cactusshift.outcome", outcome.name());
+            span.end();
+        }
+    }
+
+    void noteUsage(TokenUsage reported) {
+        usage = Optional.of(reported);
+    }
+
+    /** Returns the usage that the engine has reported so far. */
+    Optional<TokenUsage> usage() {
+        return usage;
+    }
+
+    /** Notes text that has reached the caller; returns by how many tokens the output has grown. */
+    int noteDelivered(int chars) {
+        deliveredChars += chars;
+        long tokens = deliveredTokens();
+        int growth = (int) Math.max(0, tokens - reportedProgressTokens);
+        reportedProgressTokens += growth;
+        return growth;
+    }
+
+    /** Returns the output tokens that this attempt delivered: the engine's count, or else an estimate. */
+    long deliveredTokens() {
+        return usage.map(TokenUsage::completionTokens).orElse(TokenUsage.estimateTokens(deliveredChars));
+    }
+
+    CompletionRequest.Kind kind() {
+        return kind;
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/Gateway.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/Gateway.java
@@ -1,17 +1,39 @@
 package org.cactusshift.internal.transport.gateway;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.protocol.openai.ApiError;
+import org.cactusshift.internal.protocol.openai.CompletionRequest;
+import org.cactusshift.internal.protocol.openai.ModelList;
 import org.cactusshift.internal.transport.http.HttpAnswers;
 import org.cactusshift.internal.transport.http.HttpExchange;
 import org.cactusshift.internal.transport.http.HttpHandler;
 
-/** The callers' interface of a node, to be installed on an {@code HttpListener}. */
+/**
+ * The callers' interface of a node, to be installed on an {@code HttpListener}: models in the OpenAI form, plain
+ * services below {@code /services/}, and answers on health and readiness.
+ */
 public final class Gateway implements HttpHandler {
+    private static final System.Logger LOG = System.getLogger(Gateway.class.getName());
+    private static final String MODELS_PATH = "/v1/models";
+
     private final GatewayComponents components;
+    private final Admission admission;
+    private final CompletionHandler completions;
+    private final ServiceCallHandler services;
 
     private Gateway(GatewayComponents components) {
         this.components = components;
+        this.admission = new Admission(components.keys());
+        this.completions = new CompletionHandler(components, admission);
+        this.services = new ServiceCallHandler(components, admission);
     }
 
     /**
@@ -27,12 +49,118 @@
     @Override
     public void handle(HttpExchange exchange) throws HttpException, IOException {
         if (exchange.path().equals("/healthz")) {
-            exchange.submit(HttpAnswers.json(200, "{\"status\":\"ok\"}"));
+            exchange.submit(HttpAnswers.json(HttpStatus.SC_OK, "{\"status\":\"ok\"}"));
         } else if (exchange.path().equals("/readyz")) {
-            boolean ready = components.ready().getAsBoolean();
-            exchange.submit(HttpAnswers.json(ready ? 200 : 503, "{\"ready\":" + ready + "}"));
+            answerReadiness(exchange);
         } else {
-            exchange.submit(HttpAnswers.json(404, "{}"));
+            handleRequest(exchange);
+        }
+    }
+
+    private void answerReadiness(HttpExchange exchange) throws HttpException, IOException {
+        boolean configured = components.config().current().isPresent();
+        boolean ready = configured && components.ready().getAsBoolean();
+        String reason = configured ? "the node is starting or shutting down" : "the node has no configuration";
+        exchange.submit(
+                ready
+                        ? HttpAnswers.json(HttpStatus.SC_OK, "{\"ready\":true}")
+                        : HttpAnswers.json(
+                                HttpStatus.SC_SERVICE_UNAVAILABLE, "{\"ready\":false,\"reason\":\"" + reason + "\"}"));
+    }
+
+    private void handleRequest(HttpExchange exchange) throws HttpException, IOException {
+        Optional<InstalledConfig> config = components.config().current();
+        if (config.isEmpty()) {
+            Refusal refusal = Refusal.unavailable("no_configuration", "the node has no configuration yet");
+            refuseWithoutConfig(exchange, refusal);
+            return;
+        }
+        String name = exchange.method() + " " + routeOf(exchange.path());
+        GatewayRequest request =
+                GatewayRequest.start(exchange, components, config.get().config(), name);
+        components.metrics().opened();
+        try {
+            route(request);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "request " + request.id() + " failed unexpectedly", e);
+            if (exchange.isSubmitted()) {
+                throw e;
+            }
+            request.refuse(new Refusal(
+                    ApiError.of(500, "server_error", "internal_error", "the request failed unexpectedly"), true, 0));
+        } finally {
+            components.metrics().closed();
+            request.span().end();
+        }
+    }
+
+    private static void refuseWithoutConfig(HttpExchange exchange, Refusal refusal) throws HttpException, IOException {
+        var response =
+                HttpAnswers.json(refusal.error().status(), refusal.error().toJson());
+        response.setHeader(GatewayHeaders.OUTCOME, refusal.outcome());
+        response.setHeader(HttpHeaders.RETRY_AFTER, "1");
+        exchange.submit(response);
+    }
+
+    /** Names a request's route for its span, without what the caller made up. */
+    private static String routeOf(String path) {
+        if (path.startsWith(ServicePath.PREFIX)) {
+            return "/services/{service}";
+        }
+        return path.startsWith("/v1/")
+                        && path.length() <= CompletionRequest.Kind.CHAT.path().length()
+                ? path
+                : "other";
+    }
+
+    private void route(GatewayRequest request) throws HttpException, IOException {
+        String path = request.exchange().path();
+        Optional<CompletionRequest.Kind> kind = completionKind(path);
+        if (kind.isPresent()) {
+            if (isMethod(request, "POST")) {
+                completions.handle(request, kind.get());
+            }
+        } else if (path.equals(MODELS_PATH)) {
+            if (isMethod(request, "GET")) {
+                listModels(request);
+            }
+        } else if (path.startsWith(ServicePath.PREFIX)) {
+            services.handle(request);
+        } else {
+            request.refuse(Refusal.of(
+                    ApiError.of(404, ApiError.INVALID_REQUEST, "not_found", "there is nothing at this path")));
+        }
+    }
+
+    private static Optional<CompletionRequest.Kind> completionKind(String path) {
+        for (CompletionRequest.Kind kind : CompletionRequest.Kind.values()) {
+            if (kind.path().equals(path)) {
+                return Optional.of(kind);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static boolean isMethod(GatewayRequest request, String method) throws HttpException, IOException {
+        if (request.exchange().method().equals(method)) {
+            return true;
+        }
+        request.refuse(Refusal.of(ApiError.of(
+                405, ApiError.INVALID_REQUEST, "method_not_allowed", "the path takes " + method + " only")));
+        return false;
+    }
+
+    private void listModels(GatewayRequest request) throws HttpException, IOException {
+        var admitted = admission.admit(request.exchange(), null, request.receivedMillis());
+        if (admitted.isLeft()) {
+            request.refuse(admitted.getLeft());
+            return;
         }
+        List<String> names = request.site().services().stream()
+                .filter(service -> service.kind() == ServiceConfig.Kind.MODEL)
+                .filter(service -> Admission.mayCall(request.site(), admitted.get(), service))
+                .map(service -> service.id().value())
+                .collect(Collectors.toList());
+        request.answer(HttpAnswers.json(HttpStatus.SC_OK, ModelList.toJson(names)));
     }
 }
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/GatewayHeaders.java
@@ -0,0 +1,83 @@
+package org.cactusshift.internal.transport.gateway;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpMessage;
+
+/** Names of headers, and the rule which of them cross the gateway. */
+final class GatewayHeaders {
+    static final String OUTCOME = "x-cactusshift-outcome";
+    static final String TIMEOUT_MILLIS = "x-cactusshift-timeout-ms";
+    static final String REQUEST_ID = "x-request-id";
+    static final String TRACEPARENT = "traceparent";
+    static final String IDEMPOTENCY_KEY = "idempotency-key";
+    static final String NOT_RUN = "x-not-run";
+
+    private static final String OWN_PREFIX = "x-cactusshift-";
+
+    /** Headers that concern one connection only. */
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect",
+            "host");
+
+    /** Headers in which callers send keys, whether or not the gateway reads them. */
+    private static final Set<String> CREDENTIALS = Set.of("authorization", "api-key", "x-api-key", "x-auth-token");
+
+    /** Headers that the gateway sets itself. */
+    private static final Set<String> REPLACED = Set.of(REQUEST_ID, TRACEPARENT);
+
+    private GatewayHeaders() {}
+
+    /** Returns the caller's headers that an upstream may see. */
+    static List<Header> towardsUpstream(HttpMessage message) {
+        return select(message, true);
+    }
+
+    /** Returns the upstream's headers that the caller may see. */
+    static List<Header> towardsCaller(HttpMessage message) {
+        return select(message, false);
+    }
+
+    private static List<Header> select(HttpMessage message, boolean dropCredentials) {
+        Set<String> named = namedByConnection(message);
+        List<Header> selected = new ArrayList<>();
+        for (Header header : message.getHeaders()) {
+            String name = header.getName().toLowerCase(Locale.ROOT);
+            boolean crosses = !HOP_BY_HOP.contains(name)
+                    && !named.contains(name)
+                    && !REPLACED.contains(name)
+                    && !name.startsWith(OWN_PREFIX)
+                    && !(dropCredentials && CREDENTIALS.contains(name));
+            if (crosses) {
+                selected.add(header);
+            }
+        }
+        return selected;
+    }
+
+    private static Set<String> namedByConnection(HttpMessage message) {
+        Set<String> names = new HashSet<>();
+        for (Header header : message.getHeaders(HttpHeaders.CONNECTION)) {
+            String value = header.getValue() == null ? "" : header.getValue();
+            for (String name : value.split(",")) {
+                names.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/Refusal.java
@@ -0,0 +1,74 @@
+package org.cactusshift.internal.transport.gateway;
+
+import java.util.Locale;
+import org.cactusshift.internal.coordination.dispatch.DispatchDecision;
+import org.cactusshift.internal.protocol.openai.ApiError;
+
+/**
+ * The final answer to a request that is given up.
+ *
+ * @param error what the caller is told
+ * @param mayHaveRun whether an upstream may have run any part of the request
+ * @param retryAfterMillis when the caller may come back; 0 when that is not said
+ */
+record Refusal(ApiError error, boolean mayHaveRun, long retryAfterMillis) {
+    private static final long RETRY_AFTER_MILLIS = 1000;
+    private static final String SERVER_ERROR = "server_error";
+
+    static Refusal of(ApiError error) {
+        return new Refusal(error, false, 0);
+    }
+
+    static Refusal unavailable(String code, String message) {
+        return new Refusal(ApiError.of(503, SERVER_ERROR, code, message), false, RETRY_AFTER_MILLIS);
+    }
+
+    static Refusal upstreamLost(String message) {
+        return new Refusal(ApiError.of(502, SERVER_ERROR, "upstream_lost", message), true, 0);
+    }
+
+    static Refusal keyWithdrawn(boolean mayHaveRun) {
+        ApiError error = ApiError.of(401, ApiError.INVALID_REQUEST, "invalid_api_key", "the key has been withdrawn");
+        return new Refusal(error, mayHaveRun, 0);
+    }
+
+    static Refusal deadline(boolean mayHaveRun) {
+        ApiError error = ApiError.of(
+                mayHaveRun ? 504 : 503, SERVER_ERROR, "deadline_exceeded", "the deadline of the request has passed");
+        return new Refusal(error, mayHaveRun, mayHaveRun ? 0 : RETRY_AFTER_MILLIS);
+    }
+
+    /** Returns the refusal that a decision asks for; what this node knows of its own sending is added. */
+    static Refusal of(DispatchDecision.Refuse refuse, boolean sentByThisNode) {
+        boolean mayHaveRun = refuse.mayHaveRun() || sentByThisNode;
+        String code = refuse.reason().name().toLowerCase(Locale.ROOT);
+        ApiError error =
+                switch (refuse.reason()) {
+                    case QUEUE_FULL -> ApiError.of(503, SERVER_ERROR, code, "too many requests are waiting");
+                    case DEADLINE ->
+                        ApiError.of(
+                                mayHaveRun ? 504 : 503, SERVER_ERROR, "deadline_exceeded", "the deadline can't be met");
+                    case ACCOUNT_LIMIT ->
+                        ApiError.of(
+                                429, "rate_limit_error", "rate_limit_exceeded", "the client account is over its limit");
+                    case NO_UPSTREAM -> ApiError.of(503, SERVER_ERROR, code, "no upstream takes work now");
+                    case QUARANTINED ->
+                        ApiError.of(
+                                422,
+                                ApiError.INVALID_REQUEST,
+                                code,
+                                "the request has crashed upstreams and is not run again");
+                    case UPSTREAM_LOST -> ApiError.of(502, SERVER_ERROR, code, "the upstream was lost");
+                    case RETRY_BUDGET ->
+                        ApiError.of(503, SERVER_ERROR, code, "the upstream was lost; no retry is left");
+                };
+        boolean saysWhen = error.status() == 429 || error.status() == 503;
+        long retryAfterMillis =
+                saysWhen && refuse.retryAfterMillis() <= 0 ? RETRY_AFTER_MILLIS : refuse.retryAfterMillis();
+        return new Refusal(error, mayHaveRun, retryAfterMillis);
+    }
+
+    String outcome() {
+        return mayHaveRun ? "unknown" : "not-run";
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/ServiceCall.java
@@ -0,0 +1,254 @@
+package org.cactusshift.internal.transport.gateway;
+
+import io.opentelemetry.api.trace.Span;
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityTemplate;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.cactusshift.internal.coordination.claim.CallOutcome;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd.Outcome;
+import org.cactusshift.internal.coordination.dispatch.DispatchDecision.Dispatch;
+import org.cactusshift.internal.coordination.dispatch.DispatchRequest;
+import org.cactusshift.internal.coordination.dispatch.DispatchTicket;
+import org.cactusshift.internal.coordination.usage.UsageRecord;
+import org.cactusshift.internal.transport.http.ClientExchange;
+import org.cactusshift.internal.transport.http.UpstreamException;
+
+/** One call of a plain service: its attempts and its answer. Used by one thread. */
+final class ServiceCall {
+    /** The largest answer that is held back until it is complete, and kept for a repeat of the call. */
+    private static final int HELD_BYTES = 64 * 1024;
+
+    private static final int READ_BYTES = 8192;
+
+    private final GatewayRequest request;
+    private final DispatchRequest dispatchRequest;
+    private final DispatchTicket ticket;
+    private final Caller caller;
+    private final ServicePath path;
+    private final CallClaimGuard claim;
+    private final RequestWatch watch;
+    private final DecisionWaiter waiter;
+    private boolean mayHaveRun;
+
+    ServiceCall(
+            GatewayRequest request,
+            DispatchRequest dispatchRequest,
+            DispatchTicket ticket,
+            Caller caller,
+            ServicePath path,
+            CallClaimGuard claim,
+            RequestWatch watch) {
+        this.request = request;
+        this.dispatchRequest = dispatchRequest;
+        this.ticket = ticket;
+        this.caller = caller;
+        this.path = path;
+        this.claim = claim;
+        this.watch = watch;
+        this.waiter = new DecisionWaiter(request, ticket, watch);
+    }
+
+    void run() throws HttpException, IOException {
+        boolean answered = false;
+        while (!answered) {
+            Either<Refusal, Dispatch> decision = waiter.await(mayHaveRun);
+            if (decision.isLeft()) {
+                giveUp(decision.getLeft());
+                return;
+            }
+            Dispatch dispatch = decision.get();
+            if (mayHaveRun && !dispatchRequest.repeatable()) {
+                // Whatever the dispatcher decides, a call that may have run is not sent a second time.
+                report(dispatch, Outcome.CANCELLED);
+                giveUp(Refusal.upstreamLost("the upstream was lost after the call was sent"));
+                return;
+            }
+            answered = attempt(dispatch);
+        }
+    }
+
+    private void giveUp(Refusal refusal) throws HttpException, IOException {
+        claim.giveUp(refusal.mayHaveRun());
+        request.refuse(refusal);
+    }
+
+    private boolean attempt(Dispatch dispatch) throws HttpException, IOException {
+        Optional<String> address = waiter.addressOf(dispatch.upstream());
+        if (address.isEmpty()) {
+            report(dispatch, Outcome.NOT_SENT);
+            return false;
+        }
+        if (!dispatchRequest.repeatable()) {
+            watch.finishUntilDeadline();
+        }
+        Span span = RequestTracing.startAttempt(
+                request.components().tracer(), request.span(), dispatch.attempt(), dispatch.upstream());
+        try {
+            return exchange(dispatch, address.get(), span);
+        } finally {
+            if (span != request.span()) {
+                span.end();
+            }
+        }
+    }
+
+    private boolean exchange(Dispatch dispatch, String address, Span span) throws HttpException, IOException {
+        Either<UpstreamException, ClientExchange> sent =
+                request.components().upstreams().send(address, upstreamRequest(dispatch, span), watch);
+        if (sent.isLeft()) {
+            return lost(dispatch, EngineAttempt.outcomeOf(sent.getLeft()));
+        }
+        try (ClientExchange exchange = sent.get()) {
+            if (!EngineAttempt.isAnswerTo(exchange, dispatch.attempt())) {
+                exchange.abort();
+                return lost(dispatch, Outcome.SILENT);
+            }
+            return receive(dispatch, exchange);
+        }
+    }
+
+    private ClassicHttpRequest upstreamRequest(Dispatch dispatch, Span span) {
+        String method = request.exchange().method();
+        ClassicHttpRequest upstreamRequest = new BasicClassicHttpRequest(
+                method, path.target(request.exchange().query()));
+        GatewayHeaders.towardsUpstream(request.exchange().request()).forEach(upstreamRequest::addHeader);
+        upstreamRequest.setHeader(GatewayHeaders.REQUEST_ID, dispatch.attempt().value());
+        upstreamRequest.setHeader(GatewayHeaders.TRACEPARENT, RequestTracing.traceparent(span));
+        byte[] body = request.exchange().body();
+        boolean hasEntity = body.length > 0 || request.exchange().request().getEntity() != null;
+        if (hasEntity) {
+            upstreamRequest.setEntity(new ByteArrayEntity(body, null));
+        }
+        return upstreamRequest;
+    }
+
+    private boolean receive(Dispatch dispatch, ClientExchange exchange) throws HttpException, IOException {
+        byte[] held;
+        boolean whole;
+        try {
+            held = readHeld(exchange);
+            whole = held.length < HELD_BYTES;
+        } catch (UpstreamException e) {
+            return lost(dispatch, EngineAttempt.outcomeOf(e));
+        }
+        if (exchange.status() == 503 && exchange.header(GatewayHeaders.NOT_RUN).isPresent()) {
+            return lost(dispatch, Outcome.NOT_RUN);
+        }
+        mayHaveRun = true;
+        String contentType = exchange.header(HttpHeaders.CONTENT_TYPE).orElse("");
+        claim.record(new CallOutcome(exchange.status(), contentType, whole ? held : new byte[0], true));
+        if (whole) {
+            complete(dispatch);
+            send(exchange, held.length == 0 ? Optional.empty() : Optional.of(new ByteArrayEntity(held, null)));
+        } else {
+            stream(dispatch, exchange, held);
+        }
+        return true;
+    }
+
+    private static byte[] readHeld(ClientExchange exchange) throws UpstreamException {
+        ByteArrayOutputStream held = new ByteArrayOutputStream();
+        byte[] buffer = new byte[READ_BYTES];
+        int count = exchange.read(buffer);
+        while (count >= 0) {
+            held.write(buffer, 0, count);
+            if (held.size() >= HELD_BYTES) {
+                break;
+            }
+            count = exchange.read(buffer);
+        }
+        return held.toByteArray();
+    }
+
+    private void stream(Dispatch dispatch, ClientExchange exchange, byte[] held) throws HttpException, IOException {
+        long length = exchange.header(HttpHeaders.CONTENT_LENGTH)
+                .map(ServiceCall::parseLength)
+                .orElse(-1L);
+        boolean received = false;
+        watch.noteAnswerBegun();
+        try {
+            send(exchange, Optional.of(new EntityTemplate(length, null, null, out -> copy(held, exchange, out))));
+            received = true;
+        } finally {
+            if (received) {
+                complete(dispatch);
+            } else {
+                // The caller's answer is cut, which it sees by the missing end of the body.
+                exchange.abort();
+                report(dispatch, watch.reason().isPresent() ? Outcome.CANCELLED : Outcome.CRASHED);
+            }
+        }
+    }
+
+    private static long parseLength(String text) {
+        try {
+            return Long.parseLong(text.trim());
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static void copy(byte[] held, ClientExchange exchange, OutputStream out) throws IOException {
+        out.write(held);
+        byte[] buffer = new byte[READ_BYTES];
+        int count = exchange.read(buffer);
+        while (count >= 0) {
+            out.write(buffer, 0, count);
+            out.flush();
+            count = exchange.read(buffer);
+        }
+    }
+
+    private void send(ClientExchange exchange, Optional<HttpEntity> entity) throws HttpException, IOException {
+        ClassicHttpResponse response = new BasicClassicHttpResponse(exchange.status());
+        GatewayHeaders.towardsCaller(exchange.response()).forEach(response::addHeader);
+        entity.ifPresent(response::setEntity);
+        if (exchange.status() < 500) {
+            request.answer(response);
+            return;
+        }
+        if (exchange.status() == 503 && !response.containsHeader(HttpHeaders.RETRY_AFTER)) {
+            response.setHeader(HttpHeaders.RETRY_AFTER, "1");
+        }
+        request.passError(response);
+    }
+
+    private void complete(Dispatch dispatch) {
+        report(dispatch, Outcome.COMPLETED);
+        if (caller.isBilled()) {
+            UsageRecord usage =
+                    new UsageRecord(caller.account(), dispatchRequest.service(), dispatch.attempt(), 0, 0, 1);
+            request.components()
+                    .usage()
+                    .record(usage, request.components().wallClock().millis());
+        }
+    }
+
+    /** Takes the loss of an attempt; returns whether the caller has been answered. */
+    private boolean lost(Dispatch dispatch, Outcome outcome) throws HttpException, IOException {
+        mayHaveRun |= outcome != Outcome.NOT_RUN && outcome != Outcome.NOT_SENT;
+        report(dispatch, outcome);
+        if (outcome == Outcome.CANCELLED) {
+            giveUp(watch.refusal(mayHaveRun));
+            return true;
+        }
+        return false;
+    }
+
+    private void report(Dispatch dispatch, Outcome outcome) {
+        request.components().metrics().attemptEnded(dispatchRequest.service(), outcome.name());
+        ticket.onAttemptEnd(dispatch.attempt(), new AttemptEnd(outcome, 0, 0));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/ServicePath.java
@@ -0,0 +1,82 @@
+package org.cactusshift.internal.transport.gateway;
+
+import io.vavr.control.Either;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.internal.protocol.openai.ApiError;
+
+/**
+ * The target of a call of a plain service.
+ *
+ * <p>Whether a call may be repeated is read off its path, so a path that an upstream could read differently from the
+ * gateway is refused: one with dot segments, or with encoded slashes or dots.
+ *
+ * @param service the name of the service
+ * @param path the path at the upstream, raw, with a leading slash
+ */
+record ServicePath(String service, String path) {
+    static final String PREFIX = "/services/";
+
+    /** Slash, backslash and dot, encoded once and twice. */
+    private static final Set<String> ENCODED_SEPARATORS = Set.of("%2f", "%5c", "%2e", "%252f", "%255c", "%252e");
+
+    private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD");
+    private static final Set<String> METHOD_OVERRIDES =
+            Set.of("x-http-method-override", "x-http-method", "x-method-override");
+
+    static Either<Refusal, ServicePath> parse(String target) {
+        String rest = target.substring(PREFIX.length());
+        int slash = rest.indexOf('/');
+        String service = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        return isAmbiguous(path)
+                ? Either.left(Refusal.of(ApiError.badRequest("path", "the path is ambiguous")))
+                : Either.right(new ServicePath(service, path));
+    }
+
+    private static boolean isAmbiguous(String path) {
+        String lower = path.toLowerCase(Locale.ROOT);
+        if (ENCODED_SEPARATORS.stream().anyMatch(lower::contains)) {
+            return true;
+        }
+        if (path.contains("//") || !path.chars().allMatch(c -> c > ' ' && c < 0x7F && c != '\\' && c != '#')) {
+            return true;
+        }
+        for (String segment : path.split("/")) {
+            int parameters = segment.indexOf(';');
+            String name = parameters < 0 ? segment : segment.substring(0, parameters);
+            if (name.equals(".") || name.equals("..")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Tells whether a call may be sent again after an upstream may have seen it. */
+    boolean isRepeatable(ServiceConfig config, String method, Iterable<String> headerNames) {
+        if (config.repeatable() || config.repeatablePaths().stream().anyMatch(this::isBelow)) {
+            return true;
+        }
+        return SAFE_METHODS.contains(method) && !overridesMethod(headerNames);
+    }
+
+    private static boolean overridesMethod(Iterable<String> headerNames) {
+        for (String name : headerNames) {
+            if (METHOD_OVERRIDES.contains(name.toLowerCase(Locale.ROOT))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isBelow(String prefix) {
+        String whole = prefix.endsWith("/") ? prefix.substring(0, prefix.length() - 1) : prefix;
+        return path.equals(whole) || path.startsWith(whole + "/");
+    }
+
+    String target(Optional<String> query) {
+        return query.map(text -> path + "?" + text).orElse(path);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/UpstreamAnswer.java
@@ -0,0 +1,38 @@
+package org.cactusshift.internal.transport.gateway;
+
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.cactusshift.internal.transport.http.ClientExchange;
+import org.cactusshift.internal.transport.http.HttpAnswers;
+
+/**
+ * A whole answer of an upstream.
+ *
+ * @param status the HTTP status
+ * @param contentType the content type; empty when the upstream named none
+ * @param retryAfter the upstream's Retry-After
+ * @param body the body
+ */
+record UpstreamAnswer(int status, String contentType, Optional<String> retryAfter, byte[] body) {
+    private static final String RETRY_AFTER_SECONDS = "1";
+
+    static UpstreamAnswer of(ClientExchange exchange, byte[] body) {
+        return new UpstreamAnswer(
+                exchange.status(),
+                exchange.header(HttpHeaders.CONTENT_TYPE).orElse(""),
+                exchange.header(HttpHeaders.RETRY_AFTER),
+                body);
+    }
+
+    ClassicHttpResponse toResponse() {
+        ContentType type = contentType.isEmpty() ? null : ContentType.parseLenient(contentType);
+        ClassicHttpResponse response = HttpAnswers.of(status, type, body);
+        boolean saysWhen = status == 429 || status == 503;
+        retryAfter
+                .or(() -> saysWhen ? Optional.of(RETRY_AFTER_SECONDS) : Optional.empty())
+                .ifPresent(value -> response.setHeader(HttpHeaders.RETRY_AFTER, value));
+        return response;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/UpstreamLoadPoller.java
@@ -0,0 +1,180 @@
+package org.cactusshift.internal.transport.gateway;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.configsync.ConfigSource;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.dispatch.DispatchService;
+import org.cactusshift.internal.coordination.dispatch.LeavingCause;
+import org.cactusshift.internal.protocol.engine.LoadReport;
+import org.cactusshift.internal.transport.http.ClientExchange;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.internal.transport.http.UpstreamException;
+import org.cactusshift.internal.transport.http.WaitObserver;
+
+/** Asks each upstream for its load, hands the reports to the dispatchers, and marks upstreams that fall silent. */
+public final class UpstreamLoadPoller implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(UpstreamLoadPoller.class.getName());
+    private static final long PERIOD_MILLIS = 250;
+    private static final long TICK_MILLIS = 25;
+    private static final long TIMEOUT_MILLIS = 1000;
+    /** The silence after which an upstream takes no new work; short, since its requests would wait as long. */
+    private static final long SILENCE_MILLIS = 2000;
+
+    private static final int MAXIMUM_REPORT_BYTES = 16 * 1024;
+    private static final int THREADS = 8;
+
+    private final ConfigSource config;
+    private final DispatchService dispatch;
+    private final HttpClientPool pool;
+    private final LongSupplier clockMillis;
+    private final ExecutorService threads = Executors.newFixedThreadPool(THREADS, UpstreamLoadPoller::daemon);
+    private final ScheduledFuture<?> timer;
+    private final Map<UpstreamId, Polled> polled = new HashMap<>();
+
+    /** What is known of one upstream. */
+    private static final class Polled {
+        private final String address;
+        private long nextMillis;
+        private long lastAnswerMillis;
+        private boolean busy;
+
+        Polled(String address, long nowMillis) {
+            this.address = address;
+            this.nextMillis = nowMillis;
+            this.lastAnswerMillis = nowMillis;
+        }
+    }
+
+    private UpstreamLoadPoller(
+            ConfigSource config,
+            DispatchService dispatch,
+            HttpClientPool pool,
+            LongSupplier clockMillis,
+            ScheduledExecutorService scheduler) {
+        this.config = config;
+        this.dispatch = dispatch;
+        this.pool = pool;
+        this.clockMillis = clockMillis;
+        this.timer = scheduler.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static Thread daemon(Runnable task) {
+        Thread thread = new Thread(task, "upstream-load");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /**
+     * Starts polling the upstreams of the configuration in force.
+     *
+     * @param config the configuration in force
+     * @param dispatch receives the reports
+     * @param pool connections to the upstreams
+     * @param clockMillis a monotonic clock, in milliseconds
+     * @param scheduler runs the timer
+     * @return the poller
+     */
+    public static UpstreamLoadPoller start(
+            ConfigSource config,
+            DispatchService dispatch,
+            HttpClientPool pool,
+            LongSupplier clockMillis,
+            ScheduledExecutorService scheduler) {
+        return new UpstreamLoadPoller(config, dispatch, pool, clockMillis, scheduler);
+    }
+
+    private void tick() {
+        try {
+            List<UpstreamConfig> upstreams = config.current()
+                    .map(InstalledConfig::config)
+                    .map(site -> site.upstreams())
+                    .orElse(List.of());
+            forget(upstreams);
+            upstreams.forEach(this::pollIfDue);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "polling upstream loads failed", e);
+        }
+    }
+
+    private synchronized void forget(List<UpstreamConfig> upstreams) {
+        Map<UpstreamId, String> addresses = new HashMap<>();
+        upstreams.forEach(upstream -> addresses.put(upstream.id(), upstream.address()));
+        polled.entrySet().removeIf(entry -> !entry.getValue().address.equals(addresses.get(entry.getKey())));
+    }
+
+    private synchronized void pollIfDue(UpstreamConfig upstream) {
+        long nowMillis = clockMillis.getAsLong();
+        Polled state = polled.computeIfAbsent(upstream.id(), id -> new Polled(upstream.address(), nowMillis));
+        if (nowMillis - state.lastAnswerMillis > SILENCE_MILLIS) {
+            dispatch.onLeaving(upstream.service(), upstream.id(), LeavingCause.SILENT, true);
+        }
+        if (state.busy || nowMillis < state.nextMillis) {
+            return;
+        }
+        state.busy = true;
+        // Jitter keeps the nodes from asking all at the same moment.
+        long jitterMillis = ThreadLocalRandom.current().nextLong(PERIOD_MILLIS / 2);
+        state.nextMillis = nowMillis + PERIOD_MILLIS * 3 / 4 + jitterMillis;
+        threads.execute(() -> poll(upstream, state));
+    }
+
+    private void poll(UpstreamConfig upstream, Polled state) {
+        long sentMillis = clockMillis.getAsLong();
+        Optional<LoadReport> report = Optional.empty();
+        try {
+            report = ask(upstream.address(), sentMillis);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.WARNING, "asking " + upstream.id() + " for its load failed", e);
+        } finally {
+            finish(state, report.isPresent());
+        }
+        report.ifPresent(answer -> hand(upstream, answer));
+    }
+
+    private synchronized void finish(Polled state, boolean answered) {
+        state.busy = false;
+        if (answered) {
+            state.lastAnswerMillis = clockMillis.getAsLong();
+        }
+    }
+
+    private void hand(UpstreamConfig upstream, LoadReport report) {
+        dispatch.onLoad(upstream.service(), upstream.id(), report.load());
+        dispatch.onLeaving(upstream.service(), upstream.id(), LeavingCause.DRAINING, report.draining());
+        dispatch.onLeaving(upstream.service(), upstream.id(), LeavingCause.SILENT, false);
+    }
+
+    private Optional<LoadReport> ask(String address, long nowMillis) {
+        Either<UpstreamException, ClientExchange> sent =
+                pool.send(address, new BasicClassicHttpRequest("GET", "/load"), WaitObserver.PATIENT, TIMEOUT_MILLIS);
+        if (sent.isLeft()) {
+            return Optional.empty();
+        }
+        try (ClientExchange exchange = sent.get()) {
+            byte[] body = exchange.readAll(MAXIMUM_REPORT_BYTES);
+            return exchange.status() == 200 ? LoadReport.parse(body, nowMillis) : Optional.empty();
+        } catch (UpstreamException e) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public void close() {
+        timer.cancel(false);
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeClaims.java
@@ -0,0 +1,51 @@
+package org.cactusshift.internal.transport.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cactusshift.internal.coordination.claim.CallClaim;
+import org.cactusshift.internal.coordination.claim.CallClaims;
+import org.cactusshift.internal.coordination.claim.CallOutcome;
+import org.cactusshift.internal.coordination.claim.ClaimResult;
+
+/** Keeps claims in memory and logs each call. */
+final class FakeClaims implements CallClaims {
+    final List<String> log = new ArrayList<>();
+    private final Map<String, CallClaim> claims = new HashMap<>();
+    private final Map<String, CallOutcome> outcomes = new HashMap<>();
+    boolean available = true;
+
+    @Override
+    public synchronized ClaimResult claim(CallClaim claim, long nowMillis, long deadlineMillis) {
+        log.add("claim");
+        if (!available) {
+            return ClaimResult.of(ClaimResult.Verdict.UNAVAILABLE);
+        }
+        String key = claim.account() + "/" + claim.service() + "/" + claim.idempotencyKey();
+        CallClaim before = claims.putIfAbsent(key, claim);
+        if (before == null) {
+            return ClaimResult.of(ClaimResult.Verdict.GRANTED);
+        }
+        if (!before.bodyDigestHex().equals(claim.bodyDigestHex())) {
+            return ClaimResult.of(ClaimResult.Verdict.BODY_MISMATCH);
+        }
+        CallOutcome outcome = outcomes.get(key);
+        return outcome == null || !outcome.known()
+                ? ClaimResult.of(ClaimResult.Verdict.OPEN)
+                : new ClaimResult(ClaimResult.Verdict.REPEATED, Optional.of(outcome));
+    }
+
+    @Override
+    public synchronized void recordOutcome(CallClaim claim, CallOutcome outcome, long nowMillis) {
+        log.add(outcome.known() ? "record " + outcome.status() : "record unknown");
+        outcomes.put(claim.account() + "/" + claim.service() + "/" + claim.idempotencyKey(), outcome);
+    }
+
+    @Override
+    public synchronized void release(CallClaim claim, long nowMillis) {
+        log.add("release");
+        claims.remove(claim.account() + "/" + claim.service() + "/" + claim.idempotencyKey());
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeDispatcher.java
@@ -0,0 +1,116 @@
+package org.cactusshift.internal.transport.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.AttemptId;
+import org.cactusshift.id.RequestId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd;
+import org.cactusshift.internal.coordination.dispatch.DispatchDecision;
+import org.cactusshift.internal.coordination.dispatch.DispatchRequest;
+import org.cactusshift.internal.coordination.dispatch.Dispatcher;
+import org.cactusshift.internal.coordination.dispatch.EngineLoad;
+
+/** Sends a request to the first upstream, and after a loss to the next; refuses when there is none. */
+final class FakeDispatcher implements Dispatcher {
+    private final List<UpstreamId> upstreams = new ArrayList<>();
+    private final Set<UpstreamId> leaving = new HashSet<>();
+    private final Map<RequestId, DispatchRequest> requests = new HashMap<>();
+    private final Map<RequestId, Integer> attempts = new HashMap<>();
+    private final Map<RequestId, Boolean> sent = new HashMap<>();
+    final List<AttemptEnd> ends = new ArrayList<>();
+    final List<DispatchRequest> submitted = new ArrayList<>();
+    final List<EngineLoad> loads = new ArrayList<>();
+    int progressTokens;
+
+    @Override
+    public List<DispatchDecision> onConfig(List<AccountConfig> accounts, List<UpstreamConfig> configs, long nowMillis) {
+        upstreams.clear();
+        configs.forEach(config -> upstreams.add(config.id()));
+        return List.of();
+    }
+
+    @Override
+    public List<DispatchDecision> submit(DispatchRequest request, long nowMillis) {
+        submitted.add(request);
+        requests.put(request.id(), request);
+        return next(request.id(), nowMillis);
+    }
+
+    private List<DispatchDecision> next(RequestId request, long nowMillis) {
+        int number = attempts.merge(request, 1, Integer::sum);
+        List<UpstreamId> usable =
+                upstreams.stream().filter(id -> !leaving.contains(id)).toList();
+        boolean mayHaveRun = sent.getOrDefault(request, false);
+        if (number > usable.size()) {
+            DispatchDecision.Reason reason =
+                    mayHaveRun ? DispatchDecision.Reason.UPSTREAM_LOST : DispatchDecision.Reason.NO_UPSTREAM;
+            return List.of(new DispatchDecision.Refuse(request, reason, mayHaveRun, 1500));
+        }
+        AttemptId attempt = AttemptId.fromString(request.value() + ":" + number);
+        return List.of(new DispatchDecision.Dispatch(request, attempt, usable.get(number - 1), number > 1, 0));
+    }
+
+    @Override
+    public void onProgress(AttemptId attempt, int outputTokens, long nowMillis) {
+        progressTokens += outputTokens;
+    }
+
+    @Override
+    public List<DispatchDecision> onAttemptEnd(AttemptId attempt, AttemptEnd end, long nowMillis) {
+        ends.add(end);
+        String text = attempt.value();
+        RequestId request = RequestId.fromString(text.substring(0, text.lastIndexOf(':')));
+        boolean unsent = end.outcome() == AttemptEnd.Outcome.NOT_RUN || end.outcome() == AttemptEnd.Outcome.NOT_SENT;
+        if (end.outcome() == AttemptEnd.Outcome.COMPLETED || end.outcome() == AttemptEnd.Outcome.CANCELLED) {
+            return List.of();
+        }
+        if (!unsent) {
+            sent.put(request, true);
+        }
+        if (!unsent && !requests.get(request).repeatable()) {
+            return List.of(new DispatchDecision.Refuse(request, DispatchDecision.Reason.UPSTREAM_LOST, true, 0));
+        }
+        return next(request, nowMillis);
+    }
+
+    @Override
+    public List<DispatchDecision> cancel(RequestId request, long nowMillis) {
+        return List.of();
+    }
+
+    @Override
+    public List<DispatchDecision> onLoad(UpstreamId upstream, EngineLoad load, long nowMillis) {
+        loads.add(load);
+        return List.of();
+    }
+
+    @Override
+    public List<DispatchDecision> onLeaving(UpstreamId upstream, boolean isLeaving, long nowMillis) {
+        if (isLeaving) {
+            leaving.add(upstream);
+        } else {
+            leaving.remove(upstream);
+        }
+        return List.of();
+    }
+
+    @Override
+    public void onRemoteService(
+            AccountId account, long prefillTokens, long decodeTokens, int requestsInFlight, long nowMillis) {}
+
+    @Override
+    public void onRemoteSuspect(long fingerprint, int crashes, long nowMillis) {}
+
+    @Override
+    public List<DispatchDecision> onTime(long nowMillis) {
+        return List.of();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/GatewayFixture.java
@@ -0,0 +1,240 @@
+package org.cactusshift.internal.transport.gateway;
+
+import io.opentelemetry.api.OpenTelemetry;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.LocalDate;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.LimitsConfig;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.config.TimingConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.configsync.ConfigSource;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.dispatch.DispatchService;
+import org.cactusshift.internal.coordination.key.KeyVerdict;
+import org.cactusshift.internal.coordination.key.KeyVerifier;
+import org.cactusshift.internal.coordination.usage.UsageRecord;
+import org.cactusshift.internal.transport.http.ClientSettings;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.internal.transport.http.HttpListener;
+import org.cactusshift.internal.transport.http.ListenerSettings;
+
+/** A gateway on a loopback port with fakes behind its interfaces. */
+final class GatewayFixture implements AutoCloseable {
+    static final ServiceId MODEL = ServiceId.fromString("share-lm");
+    static final ServiceId PLAIN = ServiceId.fromString("settle-app");
+    static final String KEY = "k1.secret";
+    private static final AccountId ACCOUNT = AccountId.fromString("crew");
+    private static final KeyId KEY_ID = KeyId.fromString("k1");
+    private static final long PATIENCE_MILLIS = 10_000;
+
+    final Map<ServiceId, FakeDispatcher> dispatchers = new ConcurrentHashMap<>();
+    final FakeClaims claims = new FakeClaims();
+    final List<UsageRecord> usage = Collections.synchronizedList(new ArrayList<>());
+    final LongSupplier clockMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(2);
+    final InstalledConfig config;
+    final DispatchService dispatch;
+    final HttpClientPool pool;
+    final HttpListener listener;
+    volatile boolean keyValid = true;
+    volatile KeyVerdict.Status forcedStatus;
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    private GatewayFixture(List<UpstreamConfig> upstreams) throws IOException {
+        config = new InstalledConfig(1, site(upstreams));
+        dispatch = DispatchService.create(
+                (service, site) -> dispatchers.computeIfAbsent(service.id(), id -> new FakeDispatcher()),
+                clockMillis,
+                scheduler);
+        dispatch.install(config);
+        TimingConfig timing = config.config().timing();
+        pool = HttpClientPool.create(() -> ClientSettings.of(timing), clockMillis, scheduler);
+        GatewayComponents components = new GatewayComponents(
+                configSource(),
+                keyVerifier(),
+                dispatch,
+                claims,
+                (record, epochMillis) -> usage.add(record),
+                pool,
+                OpenTelemetry.noop().getTracer("test"),
+                GatewayMetrics.create(new PrometheusRegistry()),
+                clockMillis,
+                Clock.systemUTC(),
+                () -> true);
+        listener = HttpListener.open(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> ListenerSettings.of(config.config().limits(), timing),
+                Gateway.create(components));
+    }
+
+    static GatewayFixture withEngines(String... addresses) throws IOException {
+        return new GatewayFixture(upstreams(MODEL, addresses));
+    }
+
+    static GatewayFixture withServices(String... addresses) throws IOException {
+        return new GatewayFixture(upstreams(PLAIN, addresses));
+    }
+
+    private static List<UpstreamConfig> upstreams(ServiceId service, String... addresses) {
+        List<UpstreamConfig> upstreams = new ArrayList<>();
+        for (String address : addresses) {
+            upstreams.add(new UpstreamConfig(
+                    UpstreamId.fromString("u" + upstreams.size()),
+                    service,
+                    FailureDomainId.fromString("ostend-a"),
+                    address,
+                    UpstreamConfig.Role.MIXED,
+                    false,
+                    false,
+                    false,
+                    1.0,
+                    16));
+        }
+        return upstreams;
+    }
+
+    private static SiteConfig site(List<UpstreamConfig> upstreams) {
+        AccountConfig account = new AccountConfig(ACCOUNT, 1, 1_000_000, 100, List.of(MODEL, PLAIN), List.of());
+        ServiceConfig model = new ServiceConfig(MODEL, ServiceConfig.Kind.MODEL, "1", false, false, List.of());
+        ServiceConfig plain = new ServiceConfig(PLAIN, ServiceConfig.Kind.PLAIN, "", false, false, List.of("/balance"));
+        ServiceConfig open = new ServiceConfig(
+                ServiceId.fromString("open-app"), ServiceConfig.Kind.PLAIN, "", true, true, List.of());
+        ServiceConfig denied = new ServiceConfig(
+                ServiceId.fromString("other-lm"), ServiceConfig.Kind.MODEL, "1", false, false, List.of());
+        LimitsConfig limits = new LimitsConfig(64 * 1024, 8 * 1024, 64, 100, 0.1, 100);
+        TimingConfig timing =
+                new TimingConfig(30_000, 400, 1000, 500, 1000, 3000, 10_000, 5000, 10_000, 1000, 10_000, 10_000);
+        return new SiteConfig(
+                1,
+                SiteId.fromString("be-coast"),
+                LocalDate.of(2027, 1, 1),
+                List.of(),
+                List.of(account),
+                List.of(model, plain, open, denied),
+                upstreams,
+                limits,
+                timing);
+    }
+
+    private ConfigSource configSource() {
+        return new ConfigSource() {
+            @Override
+            public Optional<InstalledConfig> current() {
+                return Optional.of(config);
+            }
+
+            @Override
+            public void subscribe(Consumer<InstalledConfig> subscriber) {
+                subscriber.accept(config);
+            }
+        };
+    }
+
+    private KeyVerifier keyVerifier() {
+        return new KeyVerifier() {
+            @Override
+            public KeyVerdict verify(Optional<String> bearer, long nowMillis) {
+                if (forcedStatus != null) {
+                    return KeyVerdict.of(forcedStatus);
+                }
+                if (bearer.isEmpty()) {
+                    return KeyVerdict.of(KeyVerdict.Status.MISSING);
+                }
+                return bearer.get().equals(KEY) && keyValid
+                        ? KeyVerdict.accepted(ACCOUNT, KEY_ID)
+                        : KeyVerdict.of(KeyVerdict.Status.INVALID);
+            }
+
+            @Override
+            public boolean isStillValid(KeyId key, long nowMillis) {
+                return keyValid;
+            }
+        };
+    }
+
+    FakeDispatcher models() {
+        return dispatchers.get(MODEL);
+    }
+
+    FakeDispatcher services() {
+        return dispatchers.get(PLAIN);
+    }
+
+    HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + listener.address().getPort() + path))
+                .timeout(Duration.ofMillis(PATIENCE_MILLIS))
+                .header("Authorization", "Bearer " + KEY);
+    }
+
+    HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    HttpResponse<String> post(String path, String body, String... headers) throws IOException, InterruptedException {
+        HttpRequest.Builder builder = request(path).POST(HttpRequest.BodyPublishers.ofString(body));
+        if (headers.length > 0) {
+            builder.headers(headers);
+        }
+        return send(builder.build());
+    }
+
+    HttpResponse<String> chat(boolean stream) throws IOException, InterruptedException {
+        return post("/v1/chat/completions", chatBody(stream));
+    }
+
+    static String chatBody(boolean stream) {
+        return "{\"model\":\"share-lm\",\"max_tokens\":100,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}],"
+                + "\"x_unknown\":{\"a\":1.10},\"stream\":" + stream
+                + (stream ? ",\"stream_options\":{\"include_usage\":true}}" : "}");
+    }
+
+    /** Waits until a condition holds, within a bound. */
+    static void await(BooleanSupplier condition) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > endNanos) {
+                throw new AssertionError("the condition did not hold in time");
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    @Override
+    public void close() {
+        listener.close();
+        pool.close();
+        dispatch.close();
+        scheduler.shutdownNow();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/ScriptedServer.java
@@ -0,0 +1,161 @@
+package org.cactusshift.internal.transport.http;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An upstream on a loopback socket whose answers are written byte by byte by a test. */
+public final class ScriptedServer implements Closeable {
+    /** A request as it came over the wire. */
+    public record Received(String line, List<String> headers, String body, int connection) {
+        public String header(String name) {
+            String prefix = name.toLowerCase(Locale.ROOT) + ":";
+            return headers.stream()
+                    .filter(header -> header.toLowerCase(Locale.ROOT).startsWith(prefix))
+                    .map(header -> header.substring(prefix.length()).trim())
+                    .findFirst()
+                    .orElse(null);
+        }
+    }
+
+    /** Answers one request; an exception closes the connection. */
+    @FunctionalInterface
+    public interface Script {
+        void answer(Received request, Socket socket, OutputStream out) throws Exception;
+    }
+
+    private final ServerSocket serverSocket;
+    private final Script script;
+    private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger connections = new AtomicInteger();
+
+    private ScriptedServer(ServerSocket serverSocket, Script script) {
+        this.serverSocket = serverSocket;
+        this.script = script;
+    }
+
+    public static ScriptedServer start(Script script) throws IOException {
+        ScriptedServer server = new ScriptedServer(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()), script);
+        spawn(server::acceptLoop);
+        return server;
+    }
+
+    private static void spawn(Runnable task) {
+        Thread thread = new Thread(task, "scripted-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    public String address() {
+        return "127.0.0.1:" + serverSocket.getLocalPort();
+    }
+
+    public List<Received> received() {
+        return received;
+    }
+
+    public int connections() {
+        return connections.get();
+    }
+
+    private void acceptLoop() {
+        try {
+            while (true) {
+                Socket socket = serverSocket.accept();
+                sockets.add(socket);
+                int number = connections.incrementAndGet();
+                spawn(() -> serve(socket, number));
+            }
+        } catch (IOException e) {
+            // The test has ended.
+        }
+    }
+
+    private void serve(Socket socket, int number) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            Received request = read(in, number);
+            while (request != null) {
+                received.add(request);
+                script.answer(request, socket, socket.getOutputStream());
+                request = read(in, number);
+            }
+        } catch (Exception e) {
+            // The script closed the connection.
+        } finally {
+            sockets.remove(socket);
+        }
+    }
+
+    private static Received read(InputStream in, int number) throws IOException {
+        String line = readLine(in);
+        if (line == null) {
+            return null;
+        }
+        List<String> headers = new CopyOnWriteArrayList<>();
+        int length = 0;
+        String header = readLine(in);
+        while (header != null && !header.isEmpty()) {
+            headers.add(header);
+            if (header.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(
+                        header.substring("content-length:".length()).trim());
+            }
+            header = readLine(in);
+        }
+        String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+        return new Received(line, headers, body, number);
+    }
+
+    private static String readLine(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int b = in.read();
+        while (b >= 0 && b != '\n') {
+            if (b != '\r') {
+                line.write(b);
+            }
+            b = in.read();
+        }
+        return b < 0 && line.size() == 0 ? null : line.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Writes a whole answer with a body. */
+    public static void answer(OutputStream out, int status, String headers, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        out.write(("HTTP/1.1 " + status + " Status\r\n" + headers + "Content-Length: " + bytes.length + "\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII));
+        out.write(bytes);
+        out.flush();
+    }
+
+    /** Writes one chunk of a chunked body. */
+    public static void chunk(OutputStream out, String text) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        out.write((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.US_ASCII));
+        out.write(bytes);
+        out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
+        out.flush();
+    }
+
+    @Override
+    public void close() throws IOException {
+        serverSocket.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
