--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInClient.java
@@ -0,0 +1,120 @@
+package org.cactusshift.standin;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.charset.StandardCharsets;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
+import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
+
+/** The client by which one stand-in reads from another. */
+public final class StandInClient implements AutoCloseable {
+    private static final Timeout TIMEOUT = Timeout.ofSeconds(5);
+
+    private final HttpRequester requester = RequesterBootstrap.bootstrap()
+            .setSocketConfig(SocketConfig.custom().setSoTimeout(TIMEOUT).build())
+            .create();
+
+    private StandInClient() {}
+
+    /**
+     * Creates a client.
+     *
+     * @return the client, to be closed by the caller
+     */
+    public static StandInClient create() {
+        return new StandInClient();
+    }
+
+    /**
+     * Reads from a stand-in.
+     *
+     * @param address the address as {@code ADDRESS:PORT}
+     * @param path the path
+     * @return the answer
+     * @throws IOException if there is none in time
+     */
+    public Answer get(String address, String path) throws IOException {
+        return execute(address, ClassicRequestBuilder.get(path));
+    }
+
+    /**
+     * Sends a JSON body to a stand-in.
+     *
+     * @param address the address as {@code ADDRESS:PORT}
+     * @param path the path
+     * @param body the body
+     * @param attemptId the value of {@code X-Request-Id}
+     * @return the answer
+     * @throws IOException if there is none in time
+     */
+    public Answer post(String address, String path, String body, String attemptId) throws IOException {
+        return execute(
+                address,
+                ClassicRequestBuilder.post(path)
+                        .setEntity(body, ContentType.APPLICATION_JSON)
+                        .addHeader(StandInRequest.REQUEST_ID_HEADER, attemptId));
+    }
+
+    private Answer execute(String address, ClassicRequestBuilder builder) throws IOException {
+        try {
+            HttpHost host = HttpHost.create("http://" + address);
+            ClassicHttpRequest request = builder.setHttpHost(host).build();
+            return requester.execute(host, request, TIMEOUT, HttpCoreContext.create(), StandInClient::answerOf);
+        } catch (HttpException | URISyntaxException e) {
+            throw new IOException("malformed exchange with " + address, e);
+        }
+    }
+
+    private static Answer answerOf(ClassicHttpResponse response) throws HttpException, IOException {
+        byte[] body = EntityUtils.toByteArray(response.getEntity());
+        return new Answer(
+                response.getCode(),
+                body,
+                numberOf(response.getFirstHeader("Retry-After")),
+                textOf(response.getFirstHeader(StandInRequest.REQUEST_ID_HEADER)));
+    }
+
+    private static long numberOf(Header header) {
+        return header == null ? 0 : Long.parseLong(header.getValue());
+    }
+
+    private static String textOf(Header header) {
+        return header == null ? "" : header.getValue();
+    }
+
+    @Override
+    public void close() {
+        requester.close(CloseMode.IMMEDIATE);
+    }
+
+    /**
+     * An answer.
+     *
+     * @param status the HTTP status
+     * @param body the body
+     * @param retryAfterSeconds the wait asked for, in seconds; 0 when none
+     * @param attemptId the value of {@code X-Request-Id}; empty when absent
+     */
+    public record Answer(int status, byte[] body, long retryAfterSeconds, String attemptId) {
+        /**
+         * Returns the body as text.
+         *
+         * @return the text in UTF-8
+         */
+        public String text() {
+            return new String(body, StandardCharsets.UTF_8);
+        }
+    }
+}
--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInExchange.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInExchange.java
@@ -4,6 +4,7 @@
 import java.io.InterruptedIOException;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.io.CloseMode;
 
 /** One request and its answer on one connection of a stand-in. */
 final class StandInExchange {
@@ -28,6 +29,10 @@
         received.end(outcome);
     }
 
+    void abort() {
+        connection.close(CloseMode.IMMEDIATE);
+    }
+
     boolean isAbandoned() {
         if (!server.owns(connection) || !connection.isOpen()) {
             return true;
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInPlainService.java
@@ -0,0 +1,196 @@
+package org.cactusshift.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Stand-in for a plain service with calls that must not be repeated.
+ *
+ * <p>{@code POST} on any path executes once for each call received and deliberately does not look at
+ * {@code Idempotency-Key}, so that a call that ran twice shows. {@code GET /balance/ACCOUNT} may be repeated.
+ */
+public final class StandInPlainService implements StandIn, StandInHandler {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Each start of a plain service in this process has its own number. */
+    private static final AtomicLong EPOCHS = new AtomicLong(System.currentTimeMillis());
+
+    private final PlainServiceSettings settings;
+
+    private final StandInServer server;
+
+    private final List<Execution> executions = new ArrayList<>();
+
+    private final AtomicInteger running = new AtomicInteger();
+
+    private final Deque<LoadSample> samples = new ArrayDeque<>();
+
+    private volatile long epoch;
+
+    private StandInPlainService(PlainServiceSettings settings) {
+        this.settings = settings;
+        this.server = StandInServer.create(settings.port(), this);
+    }
+
+    /**
+     * Creates a service that does not listen yet.
+     *
+     * @param settings the settings
+     * @return the service
+     */
+    public static StandInPlainService create(PlainServiceSettings settings) {
+        return new StandInPlainService(settings);
+    }
+
+    @Override
+    public void start() throws IOException {
+        epoch = EPOCHS.incrementAndGet();
+        server.start();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public StandInFaults faults() {
+        return server.faults();
+    }
+
+    @Override
+    public ReceivedLog log() {
+        return server.log();
+    }
+
+    @Override
+    public void crash() {
+        server.crash();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    /**
+     * Returns every execution.
+     *
+     * @return the executions, oldest first
+     */
+    public List<Execution> executions() {
+        synchronized (executions) {
+            return List.copyOf(executions);
+        }
+    }
+
+    /**
+     * Counts the executions of each payment over some services.
+     *
+     * @param services the services that may have executed it
+     * @return the number of executions by payment id
+     */
+    public static Map<String, Integer> executionsByPayment(List<StandInPlainService> services) {
+        Map<String, Integer> counts = new LinkedHashMap<>();
+        for (StandInPlainService service : services) {
+            service.executions().forEach(execution -> counts.merge(execution.paymentId(), 1, Integer::sum));
+        }
+        return counts;
+    }
+
+    @Override
+    public StandInAnswer handle(StandInRequest request) throws IOException {
+        if (request.path().equals("/load")) {
+            return load();
+        }
+        if (server.faults().isNotAdmitting()) {
+            return refuse(request);
+        }
+        if (server.faults().isCrashing(request.body())) {
+            request.note(ReceivedRequest.Outcome.CRASHED);
+            crash();
+            throw new IOException("the service crashed");
+        }
+        running.incrementAndGet();
+        try {
+            return run(request);
+        } finally {
+            running.decrementAndGet();
+        }
+    }
+
+    @Override
+    public StandInAnswer refuse(StandInRequest request) {
+        return StandInAnswer.error(StandInAnswer.UNAVAILABLE, "not_run")
+                .withHeader("X-Not-Run", "true")
+                .withHeader("Retry-After", "1");
+    }
+
+    private StandInAnswer run(StandInRequest request) throws IOException {
+        StandInExchange.sleep(settings.workMillis());
+        ObjectNode root = JsonNodeFactory.instance.objectNode().put("path", request.path());
+        if (request.method().equals("GET") || request.method().equals("HEAD")) {
+            return StandInAnswer.json(StandInAnswer.OK, root.put("balance_cents", balanceOf(request.path())));
+        }
+        Execution execution = new Execution(
+                paymentOf(request.body()),
+                request.path(),
+                request.attemptId(),
+                request.headers().getOrDefault("idempotency-key", ""),
+                System.currentTimeMillis());
+        synchronized (executions) {
+            executions.add(execution);
+        }
+        return StandInAnswer.json(
+                StandInAnswer.OK, root.put("payment_id", execution.paymentId()).put("state", "executed"));
+    }
+
+    private StandInAnswer load() {
+        long nowMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        LoadSample sample;
+        synchronized (samples) {
+            samples.addLast(new LoadSample(nowMillis, running.get()));
+            while (samples.size() > 1
+                    && samples.stream().skip(1).findFirst().orElseThrow().atMillis() + settings.loadLagMillis()
+                            <= nowMillis) {
+                samples.removeFirst();
+            }
+            sample = samples.getFirst();
+        }
+        return StandInAnswer.json(
+                StandInAnswer.OK,
+                JsonNodeFactory.instance
+                        .objectNode()
+                        .put("age_millis", nowMillis - sample.atMillis())
+                        .put("running", sample.running())
+                        .put("waiting", 0)
+                        .put("epoch", epoch));
+    }
+
+    private static String paymentOf(String body) {
+        try {
+            return MAPPER.readTree(body).path("payment_id").asText("");
+        } catch (JsonProcessingException e) {
+            return "";
+        }
+    }
+
+    /** Returns an amount that depends on the path alone, so that a checker knows it. */
+    private static int balanceOf(String path) {
+        return Math.floorMod(path.hashCode(), 1_000_000);
+    }
+
+    private record LoadSample(long atMillis, int running) {}
+}
--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInServer.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInServer.java
@@ -200,6 +200,8 @@
                 exchange.note(ReceivedRequest.Outcome.ANSWERED);
             } catch (IOException e) {
                 exchange.note(outcomeOfBreak());
+                // Closing the body alone would end it as if it were complete.
+                exchange.abort();
                 throw e;
             }
         }));
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/engine/AttemptLog.java
@@ -0,0 +1,57 @@
+package org.cactusshift.standin.engine;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The attempts that an engine received since its start, for the totals of each request; keeps the latest 20,000. */
+final class AttemptLog {
+    private static final int LIMIT_ATTEMPTS = 20_000;
+
+    private final Map<String, EngineRun> running = new LinkedHashMap<>();
+
+    private final Map<String, ObjectNode> ended = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, ObjectNode> eldest) {
+            return size() > LIMIT_ATTEMPTS;
+        }
+    };
+
+    synchronized void begin(EngineRun run) {
+        running.put(run.attempt(), run);
+    }
+
+    synchronized void end(EngineRun run) {
+        if (running.remove(run.attempt(), run)) {
+            ended.put(run.attempt(), totals(run));
+        }
+    }
+
+    synchronized Optional<ObjectNode> find(String attempt) {
+        EngineRun run = running.get(attempt);
+        return run == null ? Optional.ofNullable(ended.get(attempt)) : Optional.of(totals(run));
+    }
+
+    synchronized List<EngineRun> running() {
+        return List.copyOf(running.values());
+    }
+
+    synchronized void clear() {
+        running.clear();
+        ended.clear();
+    }
+
+    private static ObjectNode totals(EngineRun run) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("attempt", run.attempt())
+                .put("state", run.state())
+                .put("prompt_tokens", run.promptTokens())
+                .put("completion_tokens", run.completionTokens());
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/engine/EngineBatch.java
@@ -0,0 +1,345 @@
+package org.cactusshift.standin.engine;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.cactusshift.config.UpstreamConfig.Role;
+
+/**
+ * The continuous batch of an engine.
+ *
+ * <p>One thread runs {@link #run()}: each step processes a bounded number of prompt tokens and gives each decoding
+ * sequence one token, and lasts as long as the rates say. So a long prompt slows the decoding beside it down, and a
+ * larger batch makes each token take longer.
+ */
+final class EngineBatch implements Runnable {
+    private static final int STEP_PREFILL_TOKENS = 512;
+
+    private static final int MAXIMUM_RUNNING = 64;
+
+    /** How much slower an engine does the kind of work that its role is not for. */
+    private static final double WRONG_ROLE_FACTOR = 4;
+
+    private static final long IDLE_MILLIS = 20;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final int totalPieces;
+
+    private final EngineTiming timing;
+
+    private final Runnable crash;
+
+    private final CacheEventLog events;
+
+    private final PrefixCache cache;
+
+    private final List<Sequence> waiting = new ArrayList<>();
+
+    private final List<Sequence> running = new ArrayList<>();
+
+    private final Deque<LoadReport> reports = new ArrayDeque<>();
+
+    private Role role;
+
+    private String version;
+
+    private boolean changing;
+
+    private long arrivals;
+
+    private long stepEndNanos;
+
+    private boolean stopped;
+
+    EngineBatch(EngineSettings settings, Runnable crash) {
+        this.totalPieces = settings.memoryPieces();
+        this.timing = settings.timing();
+        this.role = settings.role();
+        this.version = settings.version();
+        this.crash = crash;
+        this.events = new CacheEventLog(timing.eventLagMillis(), timing.eventGapEvery());
+        this.cache = new PrefixCache(events);
+        reports.add(measure(nowMillis()));
+    }
+
+    /** Adds a request. */
+    synchronized Sequence submit(GenerateRequest request, int importedTokens, boolean crashing) {
+        Sequence sequence = new Sequence(request, arrivals++, importedTokens, crashing);
+        waiting.add(sequence);
+        waiting.sort(
+                Comparator.<Sequence>comparingInt(queued -> queued.request().priority())
+                        .thenComparingLong(Sequence::arrival));
+        notifyAll();
+        return sequence;
+    }
+
+    /** Removes a request whose caller has gone. */
+    synchronized void cancel(Sequence sequence) {
+        if (!sequence.isOver()) {
+            remove(sequence, Sequence.State.ABORTED);
+        }
+    }
+
+    /** Takes the engine out of service and breaks off whatever runs. */
+    synchronized void beginChange() {
+        changing = true;
+        abortAll();
+        cache.clear(nowMillis());
+    }
+
+    /** Puts the engine back into service. */
+    synchronized void endChange(Role newRole, String newVersion) {
+        role = newRole;
+        version = newVersion;
+        changing = false;
+        notifyAll();
+    }
+
+    /** Ends the batch for good. */
+    synchronized void stop() {
+        stopped = true;
+        abortAll();
+    }
+
+    synchronized boolean isChanging() {
+        return changing;
+    }
+
+    synchronized Role role() {
+        return role;
+    }
+
+    synchronized String version() {
+        return version;
+    }
+
+    synchronized boolean isStopped() {
+        return stopped;
+    }
+
+    /**
+     * Waits until a sequence has more tokens than some number, or is complete, or time passes.
+     *
+     * @return the tokens produced
+     * @throws IOException if the sequence was broken off
+     */
+    synchronized int awaitBeyond(Sequence sequence, int tokens, long waitMillis) throws IOException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+        while (sequence.produced <= tokens && !sequence.isOver()) {
+            long leftMillis = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+            if (leftMillis <= 0) {
+                break;
+            }
+            await(leftMillis);
+        }
+        if (sequence.state == Sequence.State.ABORTED) {
+            throw new IOException("the sequence was broken off");
+        }
+        return sequence.produced;
+    }
+
+    synchronized boolean isDone(Sequence sequence) {
+        return sequence.state == Sequence.State.DONE;
+    }
+
+    synchronized Sequence.State stateOf(Sequence sequence) {
+        return sequence.state;
+    }
+
+    synchronized int producedBy(Sequence sequence) {
+        return sequence.produced;
+    }
+
+    /** Returns the newest report that is old enough. */
+    synchronized LoadReport report(long nowMillis) {
+        while (reports.size() > 1 && secondReport().measuredAtMillis() + timing.loadLagMillis() <= nowMillis) {
+            reports.removeFirst();
+        }
+        return reports.getFirst();
+    }
+
+    synchronized List<CacheEventLog.CacheEvent> eventsAfter(long sequence, long nowMillis) {
+        return events.after(sequence, nowMillis);
+    }
+
+    static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    @Override
+    public void run() {
+        try {
+            boolean alive = true;
+            while (alive) {
+                alive = runStep();
+            }
+        } catch (InterruptedIOException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean runStep() throws InterruptedIOException {
+        int prefillTokens;
+        synchronized (this) {
+            if (stopped) {
+                return false;
+            }
+            admit();
+            recordReport();
+            if (running.isEmpty()) {
+                await(IDLE_MILLIS);
+                return true;
+            }
+            prefillTokens = plannedPrefill();
+            long nowNanos = System.nanoTime();
+            stepEndNanos = Math.max(nowNanos, stepEndNanos) + stepNanos(prefillTokens);
+        }
+        LockSupport.parkNanos(stepEndNanos - System.nanoTime());
+        if (finishStep(prefillTokens)) {
+            crash.run();
+            return false;
+        }
+        return true;
+    }
+
+    private void admit() {
+        int free = totalPieces - usedPieces();
+        while (!waiting.isEmpty()
+                && running.size() < MAXIMUM_RUNNING
+                && waiting.get(0).pieces() <= free) {
+            Sequence next = waiting.remove(0);
+            free -= next.pieces();
+            next.begin(cache.use(next.prefixes()));
+            cache.shrink(free, nowMillis());
+            running.add(next);
+        }
+    }
+
+    /** Returns whether a sequence in the batch crashes the engine. */
+    private synchronized boolean finishStep(int prefillTokens) {
+        int left = prefillTokens;
+        for (Sequence sequence : List.copyOf(running)) {
+            if (sequence.state == Sequence.State.DECODING) {
+                produce(sequence);
+            } else if (left > 0) {
+                int processed = Math.min(left, sequence.prefillLeft);
+                left -= processed;
+                sequence.prefillLeft -= processed;
+                if (sequence.isCrashing()) {
+                    return true;
+                }
+                if (sequence.prefillLeft == 0) {
+                    sequence.state = Sequence.State.DECODING;
+                    produce(sequence);
+                }
+            }
+        }
+        notifyAll();
+        return false;
+    }
+
+    private void produce(Sequence sequence) {
+        sequence.produced++;
+        if (sequence.produced == sequence.request().tokens()) {
+            remove(sequence, Sequence.State.DONE);
+            cache.store(sequence.prefixes(), totalPieces - usedPieces(), nowMillis());
+        }
+    }
+
+    private void remove(Sequence sequence, Sequence.State end) {
+        waiting.remove(sequence);
+        running.remove(sequence);
+        sequence.state = end;
+        notifyAll();
+    }
+
+    private void abortAll() {
+        waiting.forEach(sequence -> sequence.state = Sequence.State.ABORTED);
+        running.forEach(sequence -> sequence.state = Sequence.State.ABORTED);
+        waiting.clear();
+        running.clear();
+        notifyAll();
+    }
+
+    private int plannedPrefill() {
+        long wanted = running.stream()
+                .filter(sequence -> sequence.state == Sequence.State.PREFILL)
+                .mapToLong(sequence -> sequence.prefillLeft)
+                .sum();
+        return (int) Math.min(STEP_PREFILL_TOKENS, wanted);
+    }
+
+    private long stepNanos(int prefillTokens) {
+        long decoding = running.stream()
+                .filter(sequence -> sequence.state == Sequence.State.DECODING)
+                .count();
+        double prefillNanos = prefillTokens / prefillRate() * NANOS_PER_SECOND;
+        double decodeNanos = decoding == 0 ? 0 : decodeMillis(decoding) * NANOS_PER_MILLI;
+        return (long) (prefillNanos + decodeNanos);
+    }
+
+    private double prefillRate() {
+        return timing.prefillTokensPerSecond() / (role == Role.DECODE ? WRONG_ROLE_FACTOR : 1);
+    }
+
+    private double decodeMillis(long batchSize) {
+        double millis = timing.decodeMillis() + timing.decodeMillisPerRequest() * (batchSize - 1);
+        return millis * (role == Role.PREFILL ? WRONG_ROLE_FACTOR : 1);
+    }
+
+    private int usedPieces() {
+        return running.stream().mapToInt(Sequence::pieces).sum();
+    }
+
+    private void recordReport() {
+        long nowMillis = nowMillis();
+        if (reports.getLast().measuredAtMillis() + IDLE_MILLIS <= nowMillis) {
+            report(nowMillis);
+            reports.addLast(measure(nowMillis));
+        }
+    }
+
+    private LoadReport measure(long nowMillis) {
+        long queued = 0;
+        for (Sequence sequence : waiting) {
+            queued += sequence.prefillLeft;
+        }
+        for (Sequence sequence : running) {
+            queued += sequence.prefillLeft;
+        }
+        double decodeRate = TimeUnit.SECONDS.toMillis(1) / Math.max(0.001, decodeMillis(Math.max(1, running.size())));
+        return new LoadReport(
+                nowMillis,
+                role,
+                running.size(),
+                waiting.size(),
+                queued,
+                usedPieces(),
+                prefillRate(),
+                decodeRate,
+                version,
+                changing);
+    }
+
+    private LoadReport secondReport() {
+        return reports.stream().skip(1).findFirst().orElseThrow();
+    }
+
+    private void await(long millis) throws InterruptedIOException {
+        try {
+            wait(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted");
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/engine/EngineOrders.java
@@ -0,0 +1,114 @@
+package org.cactusshift.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.config.UpstreamConfig.Role;
+
+/** The orders of an engine: which runs, which was last, and all that were received. */
+final class EngineOrders {
+    private final List<ReceivedOrder> received = new ArrayList<>();
+
+    private final Set<String> known = new HashSet<>();
+
+    private Optional<JsonNode> outstanding = Optional.empty();
+
+    private Optional<LastOrder> last = Optional.empty();
+
+    private long highestFencingNumber;
+
+    /** Decides about an order; an accepted one becomes the outstanding order. */
+    synchronized ReceivedOrder receive(JsonNode order, boolean checksFencing, long nowMillis) {
+        ReceivedOrder decided = new ReceivedOrder(
+                order.path("order_id").asText(""),
+                order.path("fencing_number").asLong(-1),
+                order.path("kind").asText(""),
+                nowMillis,
+                highestFencingNumber,
+                decide(order, checksFencing));
+        received.add(decided);
+        if (decided.decision() == ReceivedOrder.Decision.ACCEPTED) {
+            known.add(decided.orderId());
+            outstanding = Optional.of(order);
+            highestFencingNumber = Math.max(highestFencingNumber, decided.fencingNumber());
+        }
+        return decided;
+    }
+
+    /** Notes the end of the outstanding order. */
+    synchronized void end(String orderId, boolean done) {
+        outstanding = Optional.empty();
+        last = Optional.of(new LastOrder(orderId, done));
+    }
+
+    /** Forgets everything but the log, as a restart does. */
+    synchronized void restart() {
+        known.clear();
+        outstanding = Optional.empty();
+        last = Optional.empty();
+        highestFencingNumber = 0;
+    }
+
+    synchronized List<ReceivedOrder> received() {
+        return List.copyOf(received);
+    }
+
+    synchronized ObjectNode toJson(Role role, String version) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.set("outstanding", outstanding.orElse(JsonNodeFactory.instance.nullNode()));
+        if (last.isPresent()) {
+            root.putObject("last")
+                    .put("order_id", last.get().orderId())
+                    .put("state", last.get().done() ? "done" : "failed");
+        } else {
+            root.putNull("last");
+        }
+        return root.put("role", role.name().toLowerCase(Locale.ROOT))
+                .put("version", version)
+                .put("fencing_number", highestFencingNumber);
+    }
+
+    private ReceivedOrder.Decision decide(JsonNode order, boolean checksFencing) {
+        if (!isWellFormed(order)) {
+            return ReceivedOrder.Decision.MALFORMED;
+        }
+        if (checksFencing && order.path("fencing_number").asLong() < highestFencingNumber) {
+            return ReceivedOrder.Decision.STALE;
+        }
+        if (known.contains(order.path("order_id").asText())) {
+            return ReceivedOrder.Decision.REPEATED;
+        }
+        return outstanding.isPresent() ? ReceivedOrder.Decision.BUSY : ReceivedOrder.Decision.ACCEPTED;
+    }
+
+    private static boolean isWellFormed(JsonNode order) {
+        if (order.path("order_id").asText("").isEmpty()
+                || !order.path("fencing_number").isIntegralNumber()) {
+            return false;
+        }
+        return switch (order.path("kind").asText("")) {
+            case "set_role" -> roleOf(order).isPresent();
+            case "load_version" -> !order.path("version").asText("").isEmpty();
+            case "load_adapter" -> !order.path("adapter").asText("").isEmpty();
+            default -> false;
+        };
+    }
+
+    static Optional<Role> roleOf(JsonNode order) {
+        String name = order.path("role").asText("").toUpperCase(Locale.ROOT);
+        for (Role role : Role.values()) {
+            if (role.name().equals(name)) {
+                return Optional.of(role);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private record LastOrder(String orderId, boolean done) {}
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/engine/EngineRun.java
@@ -0,0 +1,164 @@
+package org.cactusshift.standin.engine;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.function.Supplier;
+import org.cactusshift.standin.ReceivedRequest;
+import org.cactusshift.standin.StandInAnswer;
+import org.cactusshift.standin.StandInRequest;
+import org.cactusshift.standin.StandInStream;
+
+/** One request from its arrival at an engine to the end of its answer. */
+final class EngineRun {
+    private static final long POLL_MILLIS = 20;
+
+    private final EngineBatch batch;
+
+    private final Sequence sequence;
+
+    private final StandInRequest received;
+
+    private final AnswerIdentity identity;
+
+    private final long keepAliveMillis;
+
+    private final AttemptLog attempts;
+
+    /** Exports the KV cache at the end when the request asks for it. */
+    private final Supplier<ObjectNode> export;
+
+    EngineRun(
+            EngineBatch batch,
+            Sequence sequence,
+            StandInRequest received,
+            AnswerIdentity identity,
+            long keepAliveMillis,
+            AttemptLog attempts,
+            Supplier<ObjectNode> export) {
+        this.batch = batch;
+        this.sequence = sequence;
+        this.received = received;
+        this.identity = identity;
+        this.keepAliveMillis = keepAliveMillis;
+        this.attempts = attempts;
+        this.export = export;
+    }
+
+    String attempt() {
+        return received.attemptId();
+    }
+
+    int promptTokens() {
+        return sequence.request().promptTokens();
+    }
+
+    int completionTokens() {
+        return batch.producedBy(sequence);
+    }
+
+    String state() {
+        return switch (batch.stateOf(sequence)) {
+            case DONE -> "done";
+            case ABORTED -> "cancelled";
+            default -> "running";
+        };
+    }
+
+    /** Notes in the log that an order broke the request off. */
+    void noteCut() {
+        if (state().equals("running")) {
+            received.note(ReceivedRequest.Outcome.CUT_BY_ORDER);
+        }
+    }
+
+    /** Runs the request to its end and returns the answer in one piece. */
+    StandInAnswer whole() throws IOException {
+        try {
+            while (!batch.isDone(sequence)) {
+                batch.awaitBeyond(sequence, sequence.request().tokens() - 1, POLL_MILLIS);
+                if (received.isAbandoned()) {
+                    throw new IOException("the caller has gone");
+                }
+            }
+            StringBuilder text = new StringBuilder();
+            for (int i = 0; i < sequence.request().tokens(); i++) {
+                text.append(token(i));
+            }
+            ObjectNode root = EngineAnswers.whole(sequence.request(), identity.attempt(), text.toString(), usage());
+            addExport(root);
+            return StandInAnswer.json(StandInAnswer.OK, root)
+                    .withHeader(StandInRequest.REQUEST_ID_HEADER, identity.attempt());
+        } finally {
+            end();
+        }
+    }
+
+    /** Returns an answer that streams each token as it comes. */
+    StandInAnswer stream() {
+        return StandInAnswer.stream("text/event-stream", this::write)
+                .withHeader(StandInRequest.REQUEST_ID_HEADER, identity.attempt());
+    }
+
+    /** Ends the run when its answer is never written. */
+    void end() {
+        batch.cancel(sequence);
+        attempts.end(this);
+    }
+
+    private void write(StandInStream stream) throws IOException {
+        GenerateRequest request = sequence.request();
+        try {
+            int sent = 0;
+            long lastSentNanos = System.nanoTime();
+            while (sent < request.tokens()) {
+                int produced = batch.awaitBeyond(sequence, sent, POLL_MILLIS);
+                if (sent == 0 && produced > 0) {
+                    send(stream, EngineAnswers.opening(request, identity.attempt()));
+                }
+                for (; sent < produced; sent++) {
+                    send(stream, EngineAnswers.token(request, identity.attempt(), token(sent)));
+                    lastSentNanos = System.nanoTime();
+                }
+                if (received.isAbandoned()) {
+                    throw new IOException("the caller has gone");
+                }
+                if (System.nanoTime() - lastSentNanos > keepAliveMillis * 1_000_000) {
+                    stream.send(": keep-alive\n\n");
+                    lastSentNanos = System.nanoTime();
+                }
+            }
+            finish(stream);
+        } finally {
+            end();
+        }
+    }
+
+    private void finish(StandInStream stream) throws IOException {
+        GenerateRequest request = sequence.request();
+        ObjectNode closing = EngineAnswers.closing(request, identity.attempt());
+        addExport(closing);
+        send(stream, closing);
+        if (request.usageIncluded()) {
+            send(stream, EngineAnswers.usageChunk(request, identity.attempt(), usage()));
+        }
+        stream.send("data: [DONE]\n\n");
+    }
+
+    private void addExport(ObjectNode root) {
+        if (sequence.request().isForRemoteDecode()) {
+            root.set("kv_transfer_params", export.get());
+        }
+    }
+
+    private ObjectNode usage() {
+        return EngineAnswers.usage(promptTokens(), sequence.request().tokens(), sequence.cachedTokens);
+    }
+
+    private String token(int index) {
+        return identity.answer().token(sequence.request().firstToken() + index);
+    }
+
+    private static void send(StandInStream stream, ObjectNode chunk) throws IOException {
+        stream.send("data: " + chunk + "\n\n");
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/engine/EngineSettings.java
@@ -0,0 +1,85 @@
+package org.cactusshift.standin.engine;
+
+import java.util.Optional;
+import org.cactusshift.config.UpstreamConfig.Role;
+
+/**
+ * The settings of a {@link StandInEngine}.
+ *
+ * @param engineId the name of the engine
+ * @param port the port; 0 lets the operating system choose
+ * @param model the model that it serves
+ * @param version the version loaded at the start
+ * @param role the role at the start
+ * @param memoryPieces the KV cache memory in pieces of 2,048 tokens
+ * @param checksFencing whether it rejects orders with an old fencing number
+ * @param weightStoreAddress where versions are loaded from; empty to load from nowhere
+ * @param timing the rates and delays
+ */
+public record EngineSettings(
+        String engineId,
+        int port,
+        String model,
+        String version,
+        Role role,
+        int memoryPieces,
+        boolean checksFencing,
+        Optional<String> weightStoreAddress,
+        EngineTiming timing) {
+    private static final int DEFAULT_MEMORY_PIECES = 64;
+
+    /** Checks that there is memory. */
+    public EngineSettings {
+        if (memoryPieces < 1) {
+            throw new IllegalArgumentException("an engine needs memory");
+        }
+    }
+
+    /**
+     * Returns the settings of a mixed engine that checks fencing numbers.
+     *
+     * @param engineId the name of the engine
+     * @param model the model that it serves
+     * @param timing the rates and delays
+     * @return the settings
+     */
+    public static EngineSettings mixed(String engineId, String model, EngineTiming timing) {
+        return new EngineSettings(
+                engineId, 0, model, "1", Role.MIXED, DEFAULT_MEMORY_PIECES, true, Optional.empty(), timing);
+    }
+
+    /**
+     * Returns these settings with another role and memory.
+     *
+     * @param role the role at the start
+     * @param memoryPieces the memory in pieces
+     * @return the settings
+     */
+    public EngineSettings withRole(Role role, int memoryPieces) {
+        return new EngineSettings(
+                engineId, port, model, version, role, memoryPieces, checksFencing, weightStoreAddress, timing);
+    }
+
+    /**
+     * Returns these settings with another habit of checking.
+     *
+     * @param checksFencing whether it rejects orders with an old fencing number
+     * @return the settings
+     */
+    public EngineSettings withFencing(boolean checksFencing) {
+        return new EngineSettings(
+                engineId, port, model, version, role, memoryPieces, checksFencing, weightStoreAddress, timing);
+    }
+
+    /**
+     * Returns these settings with a weight store.
+     *
+     * @param version the version loaded at the start
+     * @param weightStoreAddress where later versions are loaded from
+     * @return the settings
+     */
+    public EngineSettings withWeights(String version, Optional<String> weightStoreAddress) {
+        return new EngineSettings(
+                engineId, port, model, version, role, memoryPieces, checksFencing, weightStoreAddress, timing);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/engine/OrderRunner.java
@@ -0,0 +1,71 @@
+package org.cactusshift.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.config.UpstreamConfig.Role;
+import org.cactusshift.standin.StandInAnswer;
+import org.cactusshift.standin.StandInClient;
+
+/** Carries out the orders of an engine while it is out of service. */
+final class OrderRunner implements AutoCloseable {
+    private static final long BASE_RETRY_MILLIS = 100;
+
+    private final EngineSettings settings;
+
+    private final EngineOrders orders;
+
+    private final StandInClient client = StandInClient.create();
+
+    OrderRunner(EngineSettings settings, EngineOrders orders) {
+        this.settings = settings;
+        this.orders = orders;
+    }
+
+    /** Carries out an accepted order and puts the engine back into service. */
+    void run(JsonNode order, EngineBatch batch) {
+        boolean done;
+        try {
+            done = loadIfAsked(order, batch);
+            TimeUnit.MILLISECONDS.sleep(settings.timing().orderMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return;
+        }
+        if (batch.isStopped()) {
+            return;
+        }
+        Role role = EngineOrders.roleOf(order).orElse(batch.role());
+        String version = order.path("version").asText(batch.version());
+        batch.endChange(done ? role : batch.role(), done ? version : batch.version());
+        orders.end(order.path("order_id").asText(), done);
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+
+    private boolean loadIfAsked(JsonNode order, EngineBatch batch) throws InterruptedException {
+        Optional<String> store = settings.weightStoreAddress();
+        if (store.isEmpty() || !order.path("kind").asText().equals("load_version")) {
+            return true;
+        }
+        String path =
+                "/v1/weights/" + settings.model() + "/" + order.path("version").asText();
+        while (!batch.isStopped()) {
+            try {
+                StandInClient.Answer answer = client.get(store.get(), path);
+                if (answer.status() != StandInAnswer.TOO_MANY_REQUESTS) {
+                    return answer.status() == StandInAnswer.OK;
+                }
+                long askedMillis = TimeUnit.SECONDS.toMillis(answer.retryAfterSeconds());
+                TimeUnit.MILLISECONDS.sleep(Math.max(BASE_RETRY_MILLIS, askedMillis));
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/engine/Sequence.java
@@ -0,0 +1,84 @@
+package org.cactusshift.standin.engine;
+
+import java.util.List;
+
+/** One request in an engine; guarded by the lock of its {@link EngineBatch}. */
+final class Sequence {
+    private final GenerateRequest request;
+
+    private final long arrival;
+
+    private final int pieces;
+
+    private final List<Long> prefixes;
+
+    private final boolean crashing;
+
+    /** Prompt tokens whose KV cache comes from another engine. */
+    private final int importedTokens;
+
+    State state = State.WAITING;
+
+    int cachedTokens;
+
+    int prefillLeft;
+
+    int produced;
+
+    Sequence(GenerateRequest request, long arrival, int importedTokens, boolean crashing) {
+        this.request = request;
+        this.arrival = arrival;
+        this.importedTokens = importedTokens;
+        this.crashing = crashing;
+        this.pieces = piecesOf(request);
+        this.prefixes = PrefixCache.hashes(request.prompt());
+        this.prefillLeft = request.promptTokens();
+    }
+
+    static int piecesOf(GenerateRequest request) {
+        int tokens = request.promptTokens() + request.tokens();
+        return (tokens + PrefixCache.PIECE_TOKENS - 1) / PrefixCache.PIECE_TOKENS;
+    }
+
+    GenerateRequest request() {
+        return request;
+    }
+
+    long arrival() {
+        return arrival;
+    }
+
+    int pieces() {
+        return pieces;
+    }
+
+    List<Long> prefixes() {
+        return prefixes;
+    }
+
+    boolean isCrashing() {
+        return crashing;
+    }
+
+    /** Starts the work on the prompt, less what is held already. */
+    void begin(int cachedPieces) {
+        state = State.PREFILL;
+        cachedTokens = Math.min(cachedPieces * PrefixCache.PIECE_TOKENS, request.promptTokens());
+        int held = Math.max(cachedTokens, importedTokens);
+        // At least the last token is processed, as it gives the first token of the answer.
+        prefillLeft = Math.max(1, request.promptTokens() - held);
+    }
+
+    boolean isOver() {
+        return state == State.DONE || state == State.ABORTED;
+    }
+
+    /** Where a sequence stands. */
+    enum State {
+        WAITING,
+        PREFILL,
+        DECODING,
+        DONE,
+        ABORTED
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/engine/StandInEngine.java
@@ -0,0 +1,313 @@
+package org.cactusshift.standin.engine;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cactusshift.standin.DaemonThreads;
+import org.cactusshift.standin.ReceivedLog;
+import org.cactusshift.standin.StandIn;
+import org.cactusshift.standin.StandInAnswer;
+import org.cactusshift.standin.StandInFaults;
+import org.cactusshift.standin.StandInHandler;
+import org.cactusshift.standin.StandInRequest;
+import org.cactusshift.standin.StandInServer;
+
+/**
+ * Stand-in for a model engine.
+ *
+ * <p>Batches continuously in real time, caches prefixes in limited memory, honours priorities, resumes, notices a
+ * caller that closes its connection, exports and imports KV caches and takes orders. Its answers are those of
+ * {@link ExpectedAnswer}. A crash loses everything but the logs.
+ */
+public final class StandInEngine implements StandIn, StandInHandler {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final int ACCEPTED = 202;
+
+    /** Each start of an engine in this process has its own number. */
+    private static final AtomicLong EPOCHS = new AtomicLong(System.currentTimeMillis());
+
+    private final EngineSettings settings;
+
+    private final StandInServer server;
+
+    private final EngineOrders orders = new EngineOrders();
+
+    private final OrderRunner orderRunner;
+
+    private final KvExports exports = new KvExports();
+
+    private final AttemptLog attempts = new AttemptLog();
+
+    private final ScheduledExecutorService timer =
+            Executors.newScheduledThreadPool(2, DaemonThreads.named("stand-in-engine"));
+
+    private volatile EngineBatch batch;
+
+    private volatile long epoch;
+
+    private volatile boolean draining;
+
+    private volatile Optional<AnswerIdentity> lastIdentity = Optional.empty();
+
+    private StandInEngine(EngineSettings settings) {
+        this.settings = settings;
+        this.server = StandInServer.create(settings.port(), this);
+        this.orderRunner = new OrderRunner(settings, orders);
+        this.batch = new EngineBatch(settings, this::crash);
+    }
+
+    /**
+     * Creates an engine that does not listen yet.
+     *
+     * @param settings the settings
+     * @return the engine
+     */
+    public static StandInEngine create(EngineSettings settings) {
+        return new StandInEngine(settings);
+    }
+
+    @Override
+    public synchronized void start() throws IOException {
+        batch = new EngineBatch(settings, this::crash);
+        orders.restart();
+        exports.clear();
+        attempts.clear();
+        epoch = EPOCHS.incrementAndGet();
+        server.start();
+        Thread loop =
+                DaemonThreads.named("stand-in-batch-" + settings.engineId()).newThread(batch);
+        loop.start();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public StandInFaults faults() {
+        return server.faults();
+    }
+
+    @Override
+    public ReceivedLog log() {
+        return server.log();
+    }
+
+    /**
+     * Returns the settings.
+     *
+     * @return the settings
+     */
+    public EngineSettings settings() {
+        return settings;
+    }
+
+    /**
+     * Returns every order received, also those before a crash.
+     *
+     * @return the orders, oldest first
+     */
+    public List<ReceivedOrder> receivedOrders() {
+        return orders.received();
+    }
+
+    /**
+     * Sets whether the engine is leaving: it says so in its load reports and refuses new work.
+     *
+     * @param draining true when leaving
+     */
+    public void setDraining(boolean draining) {
+        this.draining = draining;
+    }
+
+    @Override
+    public synchronized void crash() {
+        server.crash();
+        batch.stop();
+        if (settings.timing().restartAfterMillis() > 0 && !timer.isShutdown()) {
+            timer.schedule(this::restart, settings.timing().restartAfterMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        crash();
+        orderRunner.close();
+        exports.close();
+    }
+
+    @Override
+    public StandInAnswer handle(StandInRequest request) throws IOException {
+        switch (request.method() + " " + request.path()) {
+            case "POST /v1/chat/completions":
+            case "POST /v1/completions":
+                return generate(request);
+            case "GET /v1/models":
+                return models();
+            case "GET /load":
+                return load();
+            case "GET /cache-events":
+                return cacheEvents(request);
+            case "POST /orders":
+                return order(request);
+            case "GET /orders":
+                return StandInAnswer.json(StandInAnswer.OK, orders.toJson(batch.role(), batch.version()));
+            default:
+                return other(request);
+        }
+    }
+
+    @Override
+    public StandInAnswer refuse(StandInRequest request) {
+        return notAdmitted();
+    }
+
+    private StandInAnswer other(StandInRequest request) {
+        String[] segments = request.segments();
+        if (segments.length == 2 && segments[0].equals("requests")) {
+            return requestState(segments[1]);
+        }
+        if (segments.length == 2 && segments[0].equals(KvExports.PATH) && exports.take(segments[1])) {
+            return StandInAnswer.json(StandInAnswer.OK, JsonNodeFactory.instance.objectNode());
+        }
+        return StandInAnswer.error(StandInAnswer.NOT_FOUND, "not_found");
+    }
+
+    private StandInAnswer generate(StandInRequest received) throws IOException {
+        Optional<GenerateRequest> parsed = GenerateRequest.parse(received.path(), received.body());
+        if (parsed.isEmpty()) {
+            return StandInAnswer.error(StandInAnswer.BAD_REQUEST, "invalid_request");
+        }
+        GenerateRequest request = parsed.get();
+        if (Sequence.piecesOf(request) > settings.memoryPieces()) {
+            return StandInAnswer.error(StandInAnswer.BAD_REQUEST, "context_length_exceeded");
+        }
+        EngineBatch current = batch;
+        if (server.faults().isNotAdmitting() || draining || current.isChanging()) {
+            return notAdmitted();
+        }
+        int importedTokens = exports.fetch(request);
+        boolean crashing = server.faults().isCrashing(request.prompt());
+        Sequence sequence = current.submit(request, importedTokens, crashing);
+        EngineRun run = new EngineRun(
+                current,
+                sequence,
+                received,
+                identityFor(received, request),
+                settings.timing().keepAliveMillis(),
+                attempts,
+                () -> exports.offer(settings.engineId(), address()));
+        attempts.begin(run);
+        return request.stream() ? run.stream() : run.whole();
+    }
+
+    /** Returns the id and answer to give: another request's while answers are crossed. */
+    private AnswerIdentity identityFor(StandInRequest received, GenerateRequest request) {
+        AnswerIdentity own = new AnswerIdentity(received.attemptId(), request.answer());
+        AnswerIdentity other =
+                lastIdentity.orElse(new AnswerIdentity("other-attempt", ExpectedAnswer.forPrompt("other prompt")));
+        lastIdentity = Optional.of(own);
+        return server.faults().isCrossing() ? other : own;
+    }
+
+    private StandInAnswer models() {
+        ObjectNode root = JsonNodeFactory.instance.objectNode().put("object", "list");
+        root.putArray("data").addObject().put("id", settings.model()).put("object", "model");
+        return StandInAnswer.json(StandInAnswer.OK, root);
+    }
+
+    private StandInAnswer load() {
+        long nowMillis = EngineBatch.nowMillis();
+        LoadReport report = batch.report(nowMillis);
+        return StandInAnswer.json(
+                StandInAnswer.OK, EngineAnswers.load(report, settings.memoryPieces(), draining, epoch, nowMillis));
+    }
+
+    private StandInAnswer cacheEvents(StandInRequest request) {
+        long after = Long.parseLong(request.parameter("after").orElse("0"));
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        ArrayNode events = JsonNodeFactory.instance.arrayNode();
+        long next = after;
+        for (CacheEventLog.CacheEvent event : batch.eventsAfter(after, EngineBatch.nowMillis())) {
+            next = event.sequence();
+            events.addObject()
+                    .put("sequence", event.sequence())
+                    .put("kind", event.kind().name().toLowerCase(Locale.ROOT))
+                    .put("prefix", String.format("%016x", event.prefix()));
+        }
+        root.put("next", next).set("events", events);
+        return StandInAnswer.json(StandInAnswer.OK, root);
+    }
+
+    private StandInAnswer order(StandInRequest request) {
+        JsonNode order;
+        try {
+            order = MAPPER.readTree(request.body());
+        } catch (JsonProcessingException e) {
+            return StandInAnswer.error(StandInAnswer.BAD_REQUEST, "invalid_request");
+        }
+        boolean checks = settings.checksFencing() && !server.faults().isIgnoringFencing();
+        ReceivedOrder decided = orders.receive(order, checks, System.currentTimeMillis());
+        switch (decided.decision()) {
+            case STALE:
+                return StandInAnswer.error(StandInAnswer.CONFLICT, "stale_fencing_number");
+            case BUSY:
+                return StandInAnswer.error(StandInAnswer.CONFLICT, "busy");
+            case MALFORMED:
+                return StandInAnswer.error(StandInAnswer.BAD_REQUEST, "invalid_request");
+            case ACCEPTED:
+                begin(order);
+                return accepted(decided);
+            default:
+                return accepted(decided);
+        }
+    }
+
+    private void begin(JsonNode order) {
+        EngineBatch current = batch;
+        attempts.running().forEach(EngineRun::noteCut);
+        current.beginChange();
+        timer.execute(() -> orderRunner.run(order, current));
+    }
+
+    private static StandInAnswer accepted(ReceivedOrder order) {
+        return StandInAnswer.json(
+                ACCEPTED,
+                JsonNodeFactory.instance
+                        .objectNode()
+                        .put("order_id", order.orderId())
+                        .put("state", "accepted"));
+    }
+
+    private StandInAnswer requestState(String attempt) {
+        return attempts.find(attempt)
+                .map(totals -> StandInAnswer.json(StandInAnswer.OK, totals))
+                .orElseGet(() -> StandInAnswer.error(StandInAnswer.NOT_FOUND, "not_found"));
+    }
+
+    private void restart() {
+        try {
+            start();
+        } catch (IOException e) {
+            System.getLogger(StandInEngine.class.getName()).log(System.Logger.Level.WARNING, "restart failed", e);
+        }
+    }
+
+    private static StandInAnswer notAdmitted() {
+        return StandInAnswer.error(StandInAnswer.UNAVAILABLE, "not_admitted").withHeader("Retry-After", "1");
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/test/java/org/cactusshift/standin/engine/StandInEngineTest.java
@@ -0,0 +1,339 @@
+package org.cactusshift.standin.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.config.UpstreamConfig.Role;
+import org.cactusshift.standin.ReceivedRequest;
+import org.cactusshift.standin.StandInClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class StandInEngineTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final String CHAT = "/v1/chat/completions";
+
+    private static final String PROMPT = "Draft the share statement of landing 17. the cat sat";
+
+    private static final int LONG_TOKENS = 100_000;
+
+    private static final long BOUND_MILLIS = 20_000;
+
+    private final StandInClient client = StandInClient.create();
+
+    private final ExecutorService callers = Executors.newCachedThreadPool();
+
+    private final EngineSettings settings = EngineSettings.mixed("e1", "share-lm", EngineTiming.fast());
+
+    private final StandInEngine engine = StandInEngine.create(settings);
+
+    private final StandInEngine other = StandInEngine.create(settings);
+
+    @BeforeEach
+    void start() throws IOException {
+        engine.start();
+        other.start();
+    }
+
+    @AfterEach
+    void stop() {
+        engine.close();
+        other.close();
+        client.close();
+        callers.shutdownNow();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, true", "true, false", "false, true", "false, false"})
+    void answerIsTheExpectedOneAndAResumeElsewhereContinuesIt(boolean chat, boolean stream) throws IOException {
+        ExpectedAnswer expected = chat ? ExpectedAnswer.forUserMessage(PROMPT) : ExpectedAnswer.forPrompt(PROMPT);
+        assertEquals(expected.text(20), textOf(engine, body(chat, stream, "", 20)));
+        assertEquals(expected.text(16), textOf(engine, body(chat, stream, "", 0)));
+        for (int delivered = 1; delivered < 20; delivered += 6) {
+            String start = expected.text(delivered);
+            assertEquals(expected.text(20), start + textOf(other, body(chat, stream, start, 20 - delivered)));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void usageCountsPromptCompletionAndCachedTokens(boolean stream) throws IOException {
+        String prompt = "p".repeat(8192 * 2 + 5);
+        int promptTokens = ("user\n" + prompt + "\n").length() / 4 + 1;
+        String request = withContent(body(true, stream, "", 3), prompt);
+        assertEquals(List.of(promptTokens, 3, 0), usageOf(request));
+        assertEquals(List.of(promptTokens, 3, 2 * PrefixCache.PIECE_TOKENS), usageOf(request));
+        JsonNode events = read(engine, "/cache-events?after=0").path("events");
+        assertEquals(2, events.size());
+        long first = PrefixCache.hashes("user\n" + prompt + "\n").get(0);
+        assertEquals(String.format("%016x", first), events.get(0).path("prefix").asText());
+        assertEquals(0, read(engine, "/cache-events?after=2").path("events").size());
+    }
+
+    @Test
+    void closedConnectionCancelsTheRequest() throws IOException {
+        int colon = engine.address().lastIndexOf(':');
+        int port = Integer.parseInt(engine.address().substring(colon + 1));
+        byte[] body = body(true, false, "", LONG_TOKENS).getBytes(StandardCharsets.UTF_8);
+        String head = "POST " + CHAT + " HTTP/1.1\r\nHost: x\r\nX-Request-Id: gone\r\nContent-Length: " + body.length
+                + "\r\n\r\n";
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().write(body);
+            awaitTrue(() -> stateOf("gone").equals("running"));
+        }
+        awaitTrue(() -> stateOf("gone").equals("cancelled"));
+        awaitTrue(() -> outcomeOf("gone") == ReceivedRequest.Outcome.CANCELLED);
+    }
+
+    @Test
+    void markedRequestCrashesTheEngineAndWhatRunsBesideIt() throws IOException {
+        long epoch = read(engine, "/load").path("epoch").asLong();
+        engine.faults().setCrashMarker(Optional.of("POISON"));
+        Future<StandInClient.Answer> innocent = post(body(true, true, "", LONG_TOKENS), "innocent");
+        awaitTrue(() -> stateOf("innocent").equals("running"));
+        assertThrows(
+                IOException.class,
+                () -> client.post(
+                        engine.address(), CHAT, withContent(body(true, false, "", 1), "some POISON"), "poison"));
+        assertThrows(ExecutionException.class, innocent::get);
+        assertThrows(IOException.class, () -> read(engine, "/load"));
+        awaitTrue(() -> outcomeOf("innocent") == ReceivedRequest.Outcome.CRASHED);
+        engine.start();
+        assertNotEquals(epoch, read(engine, "/load").path("epoch").asLong());
+        assertEquals(404, client.get(engine.address(), "/requests/innocent").status());
+    }
+
+    @Test
+    void crossedAnswerCarriesAnotherRequestsIdAndText() throws IOException {
+        client.post(engine.address(), CHAT, withContent(body(true, false, "", 5), "first"), "a1");
+        engine.faults().setCrossing(true);
+        StandInClient.Answer crossed = client.post(engine.address(), CHAT, body(true, false, "", 5), "a2");
+        assertEquals("a1", crossed.attemptId());
+        assertEquals(ExpectedAnswer.forUserMessage("first").text(5), textOf(crossed.text()));
+    }
+
+    @Test
+    void orderTakesTheEngineOutOfServiceAndIsRepeatableByItsId() throws Exception {
+        Future<StandInClient.Answer> running = post(body(true, true, "", LONG_TOKENS), "running");
+        awaitTrue(() -> stateOf("running").equals("running"));
+        assertEquals(202, order("o1", 5, "decode"));
+        assertEquals(409, order("o2", 5, "mixed"));
+        assertThrows(ExecutionException.class, running::get);
+        assertEquals(ReceivedRequest.Outcome.CUT_BY_ORDER, outcomeOf("running"));
+        awaitTrue(() ->
+                read(engine, "/orders").path("last").path("state").asText().equals("done"));
+        assertEquals("decode", read(engine, "/orders").path("role").asText());
+        awaitTrue(() -> read(engine, "/load").path("role").asText().equals("decode"));
+        assertEquals(202, order("o1", 5, "decode"));
+        assertEquals(409, order("o3", 4, "mixed"));
+        assertEquals(
+                List.of(
+                        ReceivedOrder.Decision.ACCEPTED,
+                        ReceivedOrder.Decision.BUSY,
+                        ReceivedOrder.Decision.REPEATED,
+                        ReceivedOrder.Decision.STALE),
+                engine.receivedOrders().stream().map(ReceivedOrder::decision).toList());
+    }
+
+    @Test
+    void engineThatIgnoresFencingShowsAStaleEffect() throws IOException {
+        engine.faults().setIgnoringFencing(true);
+        order("o1", 5, "decode");
+        awaitTrue(() ->
+                read(engine, "/orders").path("last").path("state").asText().equals("done"));
+        assertEquals(202, order("o2", 4, "mixed"));
+        assertEquals(
+                List.of(false, true),
+                engine.receivedOrders().stream()
+                        .map(ReceivedOrder::isStaleEffect)
+                        .toList());
+    }
+
+    @Test
+    void refusalBeforeRunningSaysSo() throws IOException {
+        engine.faults().setNotAdmitting(true);
+        StandInClient.Answer answer = client.post(engine.address(), CHAT, body(true, true, "", 5), "a1");
+        assertEquals(503, answer.status());
+        assertTrue(answer.text().contains("not_admitted"));
+        assertEquals(404, client.get(engine.address(), "/requests/a1").status());
+        assertEquals(ReceivedRequest.Outcome.REFUSED, outcomeOf("a1"));
+    }
+
+    @Test
+    void lowerPriorityNumberRunsFirst() throws Exception {
+        engine.close();
+        EngineTiming slow = EngineTiming.fast().withRates(1_000_000, 5);
+        try (StandInEngine small = StandInEngine.create(
+                EngineSettings.mixed("small", "share-lm", slow).withRole(Role.MIXED, 1))) {
+            small.start();
+            Future<StandInClient.Answer> first = postTo(small, body(true, false, "", 40), "first");
+            awaitTrue(() -> small.log().withAttempt("first").size() == 1);
+            Future<StandInClient.Answer> late = postTo(small, withPriority(body(true, false, "", 40), 5), "late");
+            awaitTrue(() -> read(small, "/load").path("waiting").asInt() == 1);
+            Future<StandInClient.Answer> soon = postTo(small, withPriority(body(true, false, "", 40), -5), "soon");
+            soon.get(BOUND_MILLIS, TimeUnit.MILLISECONDS);
+            assertFalse(late.isDone());
+            assertEquals(200, late.get(BOUND_MILLIS, TimeUnit.MILLISECONDS).status());
+            assertEquals(200, first.get().status());
+        }
+    }
+
+    @Test
+    void exportedKvCacheIsFetchedOnce() throws IOException {
+        ObjectNode prefill = object(body(true, false, "", 1));
+        prefill.putObject("kv_transfer_params").put("do_remote_decode", true);
+        JsonNode answer = MAPPER.readTree(
+                client.post(engine.address(), CHAT, prefill.toString(), "p1").text());
+        ObjectNode decode = object(body(true, false, "", 4));
+        decode.set("kv_transfer_params", answer.path("kv_transfer_params"));
+        assertEquals(ExpectedAnswer.forUserMessage(PROMPT).text(4), textOf(other, decode.toString()));
+        String block = answer.path("kv_transfer_params")
+                .path("remote_block_ids")
+                .get(0)
+                .asText();
+        assertEquals(404, client.get(engine.address(), "/kv-blocks/" + block).status());
+        assertEquals(
+                1,
+                engine.log()
+                        .matching(request -> request.path().contains("kv-blocks")
+                                && request.outcome() == ReceivedRequest.Outcome.ANSWERED)
+                        .size());
+    }
+
+    private int order(String orderId, long fencingNumber, String role) throws IOException {
+        ObjectNode order = MAPPER.createObjectNode()
+                .put("order_id", orderId)
+                .put("fencing_number", fencingNumber)
+                .put("kind", "set_role")
+                .put("role", role);
+        return client.post(engine.address(), "/orders", order.toString(), orderId)
+                .status();
+    }
+
+    private Future<StandInClient.Answer> post(String body, String attempt) {
+        return postTo(engine, body, attempt);
+    }
+
+    private Future<StandInClient.Answer> postTo(StandInEngine target, String body, String attempt) {
+        return callers.submit(() -> client.post(target.address(), CHAT, body, attempt));
+    }
+
+    private String stateOf(String attempt) throws IOException {
+        return read(engine, "/requests/" + attempt).path("state").asText();
+    }
+
+    private ReceivedRequest.Outcome outcomeOf(String attempt) {
+        return engine.log().withAttempt(attempt).get(0).outcome();
+    }
+
+    private JsonNode read(StandInEngine target, String path) throws IOException {
+        return MAPPER.readTree(client.get(target.address(), path).text());
+    }
+
+    private List<Integer> usageOf(String request) throws IOException {
+        String answer = client.post(engine.address(), CHAT, request, "u").text();
+        JsonNode usage = MAPPER.readTree(answer.startsWith("data: ") ? lastChunk(answer) : answer)
+                .path("usage");
+        return List.of(
+                usage.path("prompt_tokens").asInt(),
+                usage.path("completion_tokens").asInt(),
+                usage.path("prompt_tokens_details").path("cached_tokens").asInt());
+    }
+
+    private static String lastChunk(String answer) {
+        List<String> chunks =
+                answer.lines().filter(line -> line.startsWith("data: {")).toList();
+        return chunks.get(chunks.size() - 1).substring("data: ".length());
+    }
+
+    private String textOf(StandInEngine target, String body) throws IOException {
+        String path = body.contains("messages") ? CHAT : "/v1/completions";
+        return textOf(client.post(target.address(), path, body, "a").text());
+    }
+
+    private static String textOf(String answer) throws IOException {
+        if (!answer.contains("data: ")) {
+            JsonNode choice = MAPPER.readTree(answer).path("choices").path(0);
+            return choice.path("message")
+                    .path("content")
+                    .asText(choice.path("text").asText());
+        }
+        assertTrue(answer.endsWith("data: [DONE]\n\n"), answer);
+        StringBuilder text = new StringBuilder();
+        for (String line : answer.lines().filter(l -> l.startsWith("data: {")).toList()) {
+            JsonNode choice = MAPPER.readTree(line.substring("data: ".length()))
+                    .path("choices")
+                    .path(0);
+            text.append(choice.path("delta").path("content").asText(""));
+            text.append(choice.path("text").asText(""));
+        }
+        return text.toString();
+    }
+
+    private static String body(boolean chat, boolean stream, String delivered, int tokens) {
+        ObjectNode root = MAPPER.createObjectNode().put("model", "share-lm").put("stream", stream);
+        root.putObject("stream_options").put("include_usage", true);
+        if (tokens > 0) {
+            root.put("max_tokens", tokens);
+        }
+        if (!chat) {
+            return root.put("prompt", PROMPT + delivered).toString();
+        }
+        root.putArray("messages").addObject().put("role", "user").put("content", PROMPT);
+        if (!delivered.isEmpty()) {
+            root.withArray("messages").addObject().put("role", "assistant").put("content", delivered);
+            root.put("continue_final_message", true).put("add_generation_prompt", false);
+        }
+        return root.toString();
+    }
+
+    private static String withContent(String body, String content) throws IOException {
+        ObjectNode root = object(body);
+        ((ObjectNode) root.path("messages").get(0)).put("content", content);
+        return root.toString();
+    }
+
+    private static String withPriority(String body, int priority) throws IOException {
+        return object(body).put("priority", priority).toString();
+    }
+
+    private static ObjectNode object(String body) throws IOException {
+        return (ObjectNode) MAPPER.readTree(body);
+    }
+
+    private static void awaitTrue(Callable<Boolean> condition) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BOUND_MILLIS);
+        try {
+            while (!condition.call()) {
+                assertTrue(System.nanoTime() < endNanos, "the condition was not met in time");
+                TimeUnit.MILLISECONDS.sleep(2);
+            }
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
