--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/CallerHttpService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/CallerHttpService.java
@@ -7,6 +7,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.MethodNotSupportedException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.UnsupportedHttpVersionException;
 import org.apache.hc.core5.http.impl.io.HttpService;
 import org.apache.hc.core5.http.io.HttpServerRequestHandler;
@@ -38,6 +39,9 @@
         if (exception instanceof RequestRefusedException) {
             return ((RequestRefusedException) exception).status();
         }
+        if (exception instanceof RequestHeaderFieldsTooLargeException) {
+            return HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
         if (exception instanceof MethodNotSupportedException) {
             return HttpStatus.SC_NOT_IMPLEMENTED;
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpListener.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpListener.java
@@ -19,12 +19,8 @@
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.SSLSocket;
 import org.apache.hc.core5.http.ClassicHttpRequest;
-import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionReuseStrategy;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.HttpHeaders;
-import org.apache.hc.core5.http.HttpStatus;
-import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.io.HttpServerRequestHandler.ResponseTrigger;
@@ -38,6 +34,7 @@
  */
 public final class HttpListener implements Closeable {
     private static final System.Logger LOG = System.getLogger(HttpListener.class.getName());
+    private static final String SERVER_NAME = "cactusshift";
     private static final int ACCEPT_SLICE_MILLIS = 50;
     private static final int BACKLOG_CONNECTIONS = 1024;
     /** After a stop began, how long idle connections stay open for a request that is already on its way. */
@@ -237,7 +234,7 @@
             connection.bindGuarded(layered(socket));
             CallerHttpService service = service(connection, current);
             while (connection.isOpen() && !closed) {
-                handleNext(service, connection);
+                service.handleRequest(connection, HttpCoreContext.create());
                 connection.beginIdle();
             }
         } catch (IOException | HttpException e) {
@@ -251,22 +248,6 @@
         }
     }
 
-    private static void handleNext(CallerHttpService service, CallerConnection connection)
-            throws HttpException, IOException {
-        try {
-            service.handleRequest(connection, HttpCoreContext.create());
-        } catch (MessageConstraintException e) {
-            ClassicHttpResponse response =
-                    HttpAnswers.text(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header section is too large");
-            response.setHeader(CallerHttpService.OUTCOME_HEADER, "not-run");
-            response.setHeader(HttpHeaders.CONNECTION, "close");
-            response.setHeader(HttpHeaders.CONTENT_LENGTH, response.getEntity().getContentLength());
-            connection.sendResponseHeader(response);
-            connection.sendResponseEntity(response);
-            connection.close();
-        }
-    }
-
     private Socket layered(Socket socket) throws IOException {
         if (tls == null) {
             return socket;
@@ -284,7 +265,7 @@
                 !stopping && DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
         RequestReader reader = new RequestReader(current);
         return new CallerHttpService(
-                HttpProcessors.server(),
+                HttpProcessors.server(SERVER_NAME),
                 (request, trigger, context) -> handle(request, trigger, reader, connection),
                 reuse);
     }
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/protocol/openai/EngineRequestTest.java
@@ -0,0 +1,69 @@
+package org.cactusshift.internal.protocol.openai;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.cactusshift.internal.protocol.openai.CompletionRequest.Kind;
+import org.junit.jupiter.api.Test;
+
+class EngineRequestTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static CompletionRequest parse(Kind kind, String body) {
+        return CompletionRequestParser.parse(kind, body.getBytes(StandardCharsets.UTF_8))
+                .get();
+    }
+
+    @Test
+    void takesAwayWhatOnlyTheProductMaySet() throws Exception {
+        CompletionRequest request = parse(
+                Kind.TEXT,
+                "{\"model\":\"m\",\"prompt\":\"p\",\"priority\":-9,"
+                        + "\"kv_transfer_params\":{\"remote_host\":\"h\"},\"x\":1}");
+        JsonNode body = MAPPER.readTree(EngineRequest.fresh(request));
+        assertFalse(body.has("kv_transfer_params"));
+        assertEquals(0, body.path("priority").asInt());
+        assertEquals(1, body.path("x").asInt());
+        assertTrue(body.path("stream").asBoolean());
+    }
+
+    @Test
+    void goesOnAfterTheDeliveredTextOfACompletion() throws Exception {
+        CompletionRequest request = parse(Kind.TEXT, "{\"model\":\"m\",\"prompt\":[\"p\"],\"max_tokens\":10}");
+        JsonNode body = MAPPER.readTree(EngineRequest.resumed(request, " and q", 2));
+        assertEquals("p and q", body.path("prompt").asText());
+        assertEquals(8, body.path("max_tokens").asInt());
+        assertTrue(body.path("priority").asInt() < 0);
+    }
+
+    @Test
+    void goesOnAfterTextThatTheCallerBegan() throws Exception {
+        CompletionRequest request = parse(
+                Kind.CHAT,
+                "{\"model\":\"m\",\"continue_final_message\":true,"
+                        + "\"messages\":[{\"role\":\"assistant\",\"content\":\"a\"}]}");
+        JsonNode body = MAPPER.readTree(EngineRequest.resumed(request, "b", 1));
+        assertEquals(1, body.path("messages").size());
+        assertEquals("ab", body.at("/messages/0/content").asText());
+        assertFalse(body.path("add_generation_prompt").asBoolean(true));
+    }
+
+    @Test
+    void hashesPrefixesOfWholePieces() throws Exception {
+        // The pair of surrogates lies across the end of the first piece.
+        String prompt = "a".repeat(8191) + "😀" + "b".repeat(8192);
+        List<Long> hashes = PromptPrefixes.hashes(prompt);
+        assertEquals(2, hashes.size());
+        for (int piece = 1; piece <= 2; piece++) {
+            byte[] prefix = prompt.substring(0, piece * 8192).getBytes(StandardCharsets.UTF_8);
+            byte[] digest = java.security.MessageDigest.getInstance("SHA-256").digest(prefix);
+            assertEquals(java.nio.ByteBuffer.wrap(digest).getLong(), hashes.get(piece - 1));
+        }
+        assertTrue(PromptPrefixes.hashes("a".repeat(8191)).isEmpty());
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpClientPoolTest.java
@@ -0,0 +1,196 @@
+package org.cactusshift.internal.transport.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.transport.http.UpstreamException.Loss;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class HttpClientPoolTest {
+    private static final ClientSettings SETTINGS = new ClientSettings(500, 300, 2, 60_000);
+
+    private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+    private final HttpClientPool pool =
+            HttpClientPool.create(() -> SETTINGS, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), scheduler);
+
+    @AfterEach
+    void closePool() {
+        pool.close();
+        scheduler.shutdownNow();
+    }
+
+    private static ClassicHttpRequest request() {
+        ClassicHttpRequest request = new BasicClassicHttpRequest("POST", "/x");
+        request.setEntity(new ByteArrayEntity("body".getBytes(StandardCharsets.UTF_8), ContentType.TEXT_PLAIN));
+        return request;
+    }
+
+    private Either<UpstreamException, ClientExchange> send(String address) {
+        return pool.send(address, request(), WaitObserver.PATIENT);
+    }
+
+    private void exchange(String address) throws IOException {
+        try (ClientExchange exchange = send(address).get()) {
+            assertEquals("hello", new String(exchange.readAll(100), StandardCharsets.UTF_8));
+        }
+    }
+
+    @Test
+    void reusesAConnectionAfterACompleteExchange() throws Exception {
+        try (ScriptedServer server =
+                ScriptedServer.start((request, socket, out) -> ScriptedServer.answer(out, 200, "", "hello"))) {
+            exchange(server.address());
+            exchange(server.address());
+            assertEquals(1, server.connections());
+            assertEquals("body", server.received().get(1).body());
+        }
+    }
+
+    /** How an exchange is left. */
+    enum Leaving {
+        ABORTED,
+        UNREAD,
+        SAID_CLOSE,
+        STRAY_BYTES
+    }
+
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void neverReusesAConnectionAfterAnIncompleteExchange(Leaving leaving) throws Exception {
+        String headers = leaving == Leaving.SAID_CLOSE ? "Connection: close\r\n" : "";
+        try (ScriptedServer server = ScriptedServer.start((request, socket, out) -> {
+            ScriptedServer.answer(out, 200, headers, "hello");
+            if (leaving == Leaving.STRAY_BYTES) {
+                ScriptedServer.answer(out, 200, "", "stray");
+            }
+        })) {
+            ClientExchange exchange = send(server.address()).get();
+            if (leaving != Leaving.UNREAD) {
+                exchange.readAll(100);
+            }
+            if (leaving == Leaving.ABORTED) {
+                exchange.abort();
+            }
+            exchange.close();
+            exchange(server.address());
+            assertEquals(2, server.connections());
+        }
+    }
+
+    @Test
+    void opensAnotherConnectionWhenThePooledOneWasClosed() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((request, socket, out) -> {
+            ScriptedServer.answer(out, 200, "", "hello");
+            socket.close();
+        })) {
+            exchange(server.address());
+            exchange(server.address());
+            assertEquals(2, server.connections());
+        }
+    }
+
+    @Test
+    void tellsThatNothingWasSentWhenTheUpstreamRefuses() throws Exception {
+        String address;
+        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = "127.0.0.1:" + closed.getLocalPort();
+        }
+        UpstreamException lost = send(address).getLeft();
+        assertEquals(Loss.NOT_SENT, lost.loss());
+        assertEquals(Failure.Kind.NO_EFFECT, lost.failure().kind());
+    }
+
+    /** What an upstream does with a request that it has received. */
+    enum Fault {
+        CLOSE,
+        GARBAGE,
+        HALF_HEADERS,
+        SILENCE
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void tellsThatTheRequestMayHaveBeenSent(Fault fault) throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((request, socket, out) -> misbehave(fault, socket, out))) {
+            UpstreamException lost = send(server.address()).getLeft();
+            assertEquals(fault == Fault.SILENCE ? Loss.SILENT : Loss.CLOSED, lost.loss());
+            assertEquals(Failure.Kind.UNKNOWN_EFFECT, lost.failure().kind());
+        }
+    }
+
+    private static void misbehave(Fault fault, Socket socket, OutputStream out) throws IOException {
+        switch (fault) {
+            case GARBAGE -> out.write("garbage garbage\r\n\r\n".repeat(100).getBytes(StandardCharsets.US_ASCII));
+            case HALF_HEADERS -> out.write("HTTP/1.1 200 OK\r\nContent-".getBytes(StandardCharsets.US_ASCII));
+            default -> out.flush();
+        }
+        if (fault != Fault.SILENCE) {
+            socket.close();
+        }
+    }
+
+    @Test
+    void noticesACutBody() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((request, socket, out) -> {
+            out.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".getBytes(StandardCharsets.US_ASCII));
+            socket.close();
+        })) {
+            try (ClientExchange exchange = send(server.address()).get()) {
+                UpstreamException lost = assertThrows(UpstreamException.class, () -> exchange.readAll(100));
+                assertEquals(Loss.CLOSED, lost.loss());
+            }
+        }
+    }
+
+    @Test
+    void abandonsAnAnswerThatIsNotWanted() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((request, socket, out) -> {})) {
+            UpstreamException lost =
+                    pool.send(server.address(), request(), () -> false, 60_000).getLeft();
+            assertEquals(Loss.ABANDONED, lost.loss());
+        }
+    }
+
+    @Test
+    void closesAConnectionWhoseUpstreamDoesNotRead() throws Exception {
+        try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            ClassicHttpRequest large = new BasicClassicHttpRequest("POST", "/x");
+            large.setEntity(new ByteArrayEntity(new byte[32 * 1024 * 1024], ContentType.TEXT_PLAIN));
+            UpstreamException lost = pool.send("127.0.0.1:" + deaf.getLocalPort(), large, WaitObserver.PATIENT)
+                    .getLeft();
+            assertEquals(Loss.CLOSED, lost.loss());
+        }
+    }
+
+    @Test
+    void boundsTheConnectionsOfAnUpstream() throws Exception {
+        try (ScriptedServer server =
+                ScriptedServer.start((request, socket, out) -> ScriptedServer.answer(out, 200, "", "hello"))) {
+            ClientExchange first = send(server.address()).get();
+            ClientExchange second = send(server.address()).get();
+            assertEquals(Loss.NOT_SENT, send(server.address()).getLeft().loss());
+            first.close();
+            assertTrue(send(server.address()).isRight());
+            second.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpListenerTest.java
@@ -0,0 +1,286 @@
+package org.cactusshift.internal.transport.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.EntityTemplate;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class HttpListenerTest {
+    private static final ListenerSettings SETTINGS = new ListenerSettings(2048, 1000, 8, 300, 300, 5000);
+    private static final String GET = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    private static final long PATIENCE_MILLIS = 10_000;
+
+    private static HttpListener open(HttpHandler handler) throws IOException {
+        return open(SETTINGS, handler);
+    }
+
+    private static HttpListener open(ListenerSettings settings, HttpHandler handler) throws IOException {
+        return HttpListener.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> settings, handler);
+    }
+
+    private static void echo(HttpExchange exchange) throws IOException, org.apache.hc.core5.http.HttpException {
+        exchange.submit(HttpAnswers.of(200, ContentType.TEXT_PLAIN, exchange.body()));
+    }
+
+    private static void assertStillServes(HttpListener listener) throws IOException {
+        try (RawClient client = RawClient.connect(listener.address())) {
+            assertTrue(client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+                    .readUntil("\r\n\r\nok")
+                    .startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0,200", "1000,200", "1001,413", "900000,413"})
+    void limitsTheBody(int length, int status) throws Exception {
+        try (HttpListener listener = open(HttpListenerTest::echo);
+                RawClient client = RawClient.connect(listener.address())) {
+            client.send("POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + length + "\r\n\r\n"
+                    + "a".repeat(length));
+            assertTrue(client.readToEnd().startsWith("HTTP/1.1 " + status));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1000,200", "1001,413", "50000,413"})
+    void limitsAChunkedBody(int length, int status) throws Exception {
+        try (HttpListener listener = open(HttpListenerTest::echo);
+                RawClient client = RawClient.connect(listener.address())) {
+            client.send("POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(length) + "\r\n" + "a".repeat(length) + "\r\n0\r\n\r\n");
+            assertTrue(client.readToEnd().startsWith("HTTP/1.1 " + status));
+        }
+    }
+
+    @Test
+    void asksForTheBodyOnlyWhenItFits() throws Exception {
+        try (HttpListener listener = open(HttpListenerTest::echo);
+                RawClient fits = RawClient.connect(listener.address());
+                RawClient tooLarge = RawClient.connect(listener.address())) {
+            String head = "POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: ";
+            assertTrue(fits.send(head + "2\r\n\r\n").readUntil("\r\n\r\n").startsWith("HTTP/1.1 100"));
+            assertTrue(fits.send("ok").readUntil("\r\n\r\nok").startsWith("HTTP/1.1 200"));
+            assertTrue(tooLarge.send(head + "99999\r\n\r\n").readToEnd().startsWith("HTTP/1.1 413"));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET /x HTTP/1.1\r\nHost: h\r\nA: %1$s\r\n\r\n",
+                "GET /%1$s HTTP/1.1\r\nHost: h\r\n\r\n",
+                "GET /x HTTP/1.1\r\nHost: h\r\n%2$s\r\n",
+                "GET /x HTTP/1.1\r\nHost: h\r\n%3$s\r\n"
+            })
+    void refusesAFloodOfHeaders(String template) throws Exception {
+        String request =
+                String.format(template, "a".repeat(3000), "A: b\r\n".repeat(150), "A: bbbbbbbbb\r\n".repeat(20_000));
+        try (HttpListener listener = open(HttpListenerTest::echo);
+                RawClient client = RawClient.connect(listener.address())) {
+            String answer;
+            try {
+                answer = client.send(request).readToEnd();
+            } catch (IOException e) {
+                answer = "";
+            }
+            assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1.1 431"), answer);
+            assertStillServes(listener);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "nonsense\r\n\r\n",
+                "GET\r\n\r\n",
+                "GET /x HTTP/9.9\r\nHost: h\r\n\r\n",
+                "GET /x HTTP/1.1\r\nno colon\r\n\r\n",
+                "GET /x HTTP/1.1\r\n\r\n",
+                "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+                "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+                "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+                "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+            })
+    void refusesMalformedRequests(String request) throws Exception {
+        try (HttpListener listener = open(HttpListenerTest::echo);
+                RawClient client = RawClient.connect(listener.address())) {
+            String answer = client.send(request).readToEnd();
+            assertTrue(answer.isEmpty() || answer.matches("(?s)HTTP/1.1 (4|50[15]).*"), answer);
+            assertFalse(answer.contains("HTTP/1.1 200"));
+            assertStillServes(listener);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET /x HTTP/1.1\r\nHost: h\r\nA: ",
+                "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 500\r\n\r\n",
+                ""
+            })
+    void closesAConnectionThatSendsAByteAtATime(String start) throws Exception {
+        CountDownLatch handled = new CountDownLatch(1);
+        try (HttpListener listener = open(exchange -> handled.countDown());
+                RawClient client = RawClient.connect(listener.address())) {
+            client.send(start);
+            boolean closed = false;
+            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+            while (!closed && System.nanoTime() < endNanos) {
+                try {
+                    client.send("a");
+                    Thread.sleep(20);
+                } catch (IOException e) {
+                    closed = true;
+                }
+            }
+            assertTrue(closed);
+            assertEquals(1, handled.getCount());
+        }
+    }
+
+    @Test
+    void closesAConnectionWhoseReaderStalls() throws Exception {
+        CompletableFuture<Exception> failure = new CompletableFuture<>();
+        HttpHandler endless = exchange -> {
+            ClassicHttpResponse response = new BasicClassicHttpResponse(200);
+            response.setEntity(new EntityTemplate(ContentType.TEXT_PLAIN, out -> {
+                byte[] block = new byte[64 * 1024];
+                while (true) {
+                    out.write(block);
+                    out.flush();
+                }
+            }));
+            try {
+                exchange.submit(response);
+            } catch (IOException e) {
+                failure.complete(e);
+                throw e;
+            }
+        };
+        try (HttpListener listener = open(endless);
+                RawClient client = RawClient.connect(listener.address())) {
+            client.send(GET);
+            assertTrue(failure.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS) instanceof IOException);
+        }
+    }
+
+    @Test
+    void refusesConnectionsOverTheLimit() throws Exception {
+        ListenerSettings one = new ListenerSettings(2048, 1000, 1, 5000, 300, 5000);
+        try (HttpListener listener = open(one, HttpListenerTest::echo);
+                RawClient first = RawClient.connect(listener.address())) {
+            first.send(GET).readUntil("\r\n\r\n");
+            try (RawClient second = RawClient.connect(listener.address())) {
+                String answer = second.readToEnd();
+                assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+                assertTrue(answer.contains("x-cactusshift-outcome: not-run"), answer);
+            }
+            assertTrue(first.send(GET).readUntil("\r\n\r\n").startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    @Test
+    void noticesThatTheCallerHasGone() throws Exception {
+        CompletableFuture<Boolean> noticed = new CompletableFuture<>();
+        CountDownLatch entered = new CountDownLatch(1);
+        HttpHandler watching = exchange -> {
+            boolean goneAtFirst = exchange.isCallerGone();
+            entered.countDown();
+            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+            while (!exchange.isCallerGone() && System.nanoTime() < endNanos) {
+                Thread.onSpinWait();
+            }
+            noticed.complete(!goneAtFirst && exchange.isCallerGone());
+        };
+        try (HttpListener listener = open(watching)) {
+            try (RawClient client = RawClient.connect(listener.address())) {
+                client.send(GET);
+                assertTrue(entered.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            }
+            assertTrue(noticed.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    @Test
+    void finishesOpenRequestsWhenStopped() throws Exception {
+        CountDownLatch entered = new CountDownLatch(2);
+        CountDownLatch release = new CountDownLatch(1);
+        HttpHandler held = exchange -> {
+            entered.countDown();
+            try {
+                release.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            echo(exchange);
+        };
+        HttpListener listener = open(held);
+        try (RawClient first = RawClient.connect(listener.address());
+                RawClient second = RawClient.connect(listener.address())) {
+            first.send(GET);
+            second.send(GET);
+            assertTrue(entered.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            AtomicReference<Boolean> finished = new AtomicReference<>();
+            Thread stopper = new Thread(() -> finished.set(stop(listener)));
+            stopper.start();
+            // A connection that comes while the listener is stopping is still served.
+            RawClient late = RawClient.connect(listener.address()).send(GET);
+            release.countDown();
+            for (RawClient client : new RawClient[] {first, second, late}) {
+                String answer = client.readToEnd();
+                assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+                assertTrue(answer.toLowerCase(java.util.Locale.ROOT).contains("connection: close"), answer);
+            }
+            stopper.join(PATIENCE_MILLIS);
+            assertEquals(Boolean.TRUE, finished.get());
+            late.close();
+        }
+    }
+
+    private static boolean stop(HttpListener listener) {
+        try {
+            return listener.stop(PATIENCE_MILLIS);
+        } catch (InterruptedException e) {
+            return false;
+        }
+    }
+
+    @Test
+    void cutsWhatIsOpenAtTheLimitOfAStop() throws Exception {
+        CountDownLatch entered = new CountDownLatch(1);
+        CountDownLatch never = new CountDownLatch(1);
+        HttpHandler stuck = exchange -> {
+            entered.countDown();
+            try {
+                never.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        };
+        HttpListener listener = open(stuck);
+        try (RawClient client = RawClient.connect(listener.address())) {
+            client.send(GET);
+            assertTrue(entered.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            assertFalse(listener.stop(700));
+            assertEquals("", client.readToEnd());
+        } finally {
+            never.countDown();
+        }
+    }
+}
