Conclude whether a write with a lost answer took effect

A compare-and-swap whose answer is lost is neither success nor failure, and the lost write may still land after a read-back. Each write now carries a mark with the revision that it replaced. Comparing the writer's token alone was ruled out: it cannot tell "never applied" from "applied and overwritten".

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/ValueEnvelope.java
@@ -0,0 +1,90 @@
+package org.cactusshift.internal.coordination.store;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A value as {@link ConclusiveWriter} keeps it: the marks of the latest writes, newest first, then the payload.
+ *
+ * <p>The marks let a writer whose answer was lost tell, also after later writes by others, whether its own write took
+ * effect. The encoded form is one line of marks followed by the payload as it is.
+ *
+ * @param marks the marks, newest first; at least one
+ * @param payload the bytes of the value proper
+ */
+public record ValueEnvelope(List<WriterMark> marks, byte[] payload) {
+    private static final String PREFIX = "marks ";
+
+    private static final int LIMIT_MARKS = 8;
+
+    /** Copies the list and checks that there is a mark. */
+    public ValueEnvelope {
+        marks = List.copyOf(marks);
+        if (marks.isEmpty()) {
+            throw new IllegalArgumentException("an envelope has at least one mark");
+        }
+    }
+
+    /**
+     * Returns the envelope of a write.
+     *
+     * @param mark the mark of the write
+     * @param replaced the value that it replaces; empty when the key is absent
+     * @param payload the bytes of the value proper
+     * @return the envelope, which keeps the latest marks of the value replaced
+     */
+    public static ValueEnvelope next(WriterMark mark, Optional<VersionedValue> replaced, byte[] payload) {
+        List<WriterMark> marks = new ArrayList<>();
+        marks.add(mark);
+        replaced.flatMap(value -> decode(value.value()))
+                .ifPresent(envelope ->
+                        envelope.marks().stream().limit(LIMIT_MARKS - 1).forEach(marks::add));
+        return new ValueEnvelope(marks, payload);
+    }
+
+    /**
+     * Reads an envelope.
+     *
+     * @param bytes the stored bytes
+     * @return the envelope, empty when the bytes have another form
+     */
+    public static Optional<ValueEnvelope> decode(byte[] bytes) {
+        int end = 0;
+        while (end < bytes.length && bytes[end] != '\n') {
+            end++;
+        }
+        String line = new String(bytes, 0, end, StandardCharsets.US_ASCII);
+        if (end == bytes.length || !line.startsWith(PREFIX)) {
+            return Optional.empty();
+        }
+        try {
+            List<WriterMark> marks = new ArrayList<>();
+            for (String part : line.substring(PREFIX.length()).split(" ")) {
+                int colon = part.indexOf(':');
+                marks.add(new WriterMark(part.substring(0, colon), Long.parseLong(part.substring(colon + 1))));
+            }
+            return Optional.of(new ValueEnvelope(marks, Arrays.copyOfRange(bytes, end + 1, bytes.length)));
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Returns the stored form.
+     *
+     * @return the bytes
+     */
+    public byte[] encode() {
+        StringBuilder line = new StringBuilder(PREFIX.stripTrailing());
+        for (WriterMark mark : marks) {
+            line.append(' ').append(mark.writerToken()).append(':').append(mark.baseRevision());
+        }
+        byte[] head = line.append('\n').toString().getBytes(StandardCharsets.US_ASCII);
+        byte[] bytes = Arrays.copyOf(head, head.length + payload.length);
+        System.arraycopy(payload, 0, bytes, head.length, payload.length);
+        return bytes;
+    }
+}
