Keep each node's calls to the store within a budget

The key-value service takes several hundred writes a second in all, and a node that retries during trouble could use them up. A decorator gives each node a rate of writes and of reads and counts its calls by kind. A quarter of the write budget is left to renewals of leases: a queue by priority was ruled out, as a call that waits would be sent with an old view. BudgetedKeyValueStoreTest shows renewals passing after other writes are held back.

--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/store/BudgetedKeyValueStoreTest.java
@@ -0,0 +1,82 @@
+package org.cactusshift.internal.coordination.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cactusshift.errors.Failure;
+import org.junit.jupiter.api.Test;
+
+class BudgetedKeyValueStoreTest {
+    private static final WatchListener IGNORING = new WatchListener() {
+        @Override
+        public void onChange(String key, Optional<VersionedValue> value, long revision) {
+            // Only the number of watches matters here.
+        }
+
+        @Override
+        public void onProgress(long revision) {
+            // Only the number of watches matters here.
+        }
+
+        @Override
+        public void onEnd(Failure failure) {
+            // Only the number of watches matters here.
+        }
+    };
+
+    private final AtomicLong nowNanos = new AtomicLong();
+
+    private final InMemoryKeyValueStore inner = InMemoryKeyValueStore.create(() -> 0);
+
+    private final BudgetedKeyValueStore store =
+            BudgetedKeyValueStore.create(inner, new StoreBudget(4, 100, 2), nowNanos::get);
+
+    @Test
+    void writesLeaveTheReserveToRenewals() {
+        LeaseGrant lease = store.grantLease(1000).get();
+        Either<Failure, SwapResult> refused = writeUntilRefused();
+        assertEquals(Failure.Kind.THROTTLED, refused.getLeft().kind());
+        assertEquals(5, store.calls(StoreCallKind.SWAP));
+        assertEquals(1, store.throttled(StoreCallKind.SWAP));
+        assertTrue(store.keepAlive(lease).isRight());
+        assertTrue(store.keepAlive(lease).isRight());
+        assertTrue(store.keepAlive(lease).isLeft());
+        nowNanos.addAndGet(TimeUnit.SECONDS.toNanos(1) / 4);
+        assertTrue(store.keepAlive(lease).isRight());
+        assertTrue(store.get("a").isRight());
+    }
+
+    @Test
+    void idleTimeSavesUpNoMoreThanTheBurst() {
+        nowNanos.addAndGet(TimeUnit.HOURS.toNanos(1));
+        writeUntilRefused();
+        assertEquals(6, store.calls(StoreCallKind.SWAP));
+    }
+
+    @Test
+    void watchCountsUntilItEndsOrIsClosedOnce() {
+        Watch first = store.watch("a", 1, IGNORING).get();
+        store.watch("b", 1, IGNORING).get();
+        assertEquals(2, store.openWatches());
+        first.close();
+        first.close();
+        assertEquals(1, store.openWatches());
+        inner.endWatches();
+        assertEquals(0, store.openWatches());
+        inner.setFaults((kind, key) -> StoreFault.UNAVAILABLE);
+        assertTrue(store.watch("c", 1, IGNORING).isLeft());
+        assertEquals(0, store.openWatches());
+    }
+
+    private Either<Failure, SwapResult> writeUntilRefused() {
+        Either<Failure, SwapResult> result = store.compareAndSwap("k", 0, new byte[0], LeaseGrant.NONE);
+        while (result.isRight()) {
+            result = store.compareAndSwap("k", 0, new byte[0], LeaseGrant.NONE);
+        }
+        return result;
+    }
+}
