--- a/org.cactusshift/src/main/java/org/cactusshift/config/SiteConfigCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/config/SiteConfigCodec.java
@@ -8,12 +8,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Converts between {@link SiteConfig} and the tree of the file format.
  *
  * <p>The file format keeps what has an id in objects keyed by that id, so that an overlay or a difference names one
- * account or upstream instead of a position in a list.
+ * account or upstream instead of a position in a list. The records hold them as lists in the order of their ids.
  */
 public final class SiteConfigCodec {
     private static final String ID = "id";
@@ -91,12 +92,14 @@
 
     private static void listOf(ObjectNode parent, String field) {
         ArrayNode list = JsonNodeFactory.instance.arrayNode();
-        for (Map.Entry<String, JsonNode> item : parent.path(field).properties()) {
+        Map<String, JsonNode> byId = new TreeMap<>();
+        parent.path(field).properties().forEach(item -> byId.put(item.getKey(), item.getValue()));
+        byId.forEach((id, item) -> {
             ObjectNode content = JsonNodeFactory.instance.objectNode();
-            content.put(ID, item.getKey());
-            content.setAll((ObjectNode) item.getValue());
+            content.put(ID, id);
+            content.setAll((ObjectNode) item);
             list.add(content);
-        }
+        });
         parent.set(field, list);
     }
 }
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ApplyConfigCommand.java
@@ -0,0 +1,283 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.UUID;
+import java.util.stream.Collectors;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.config.SiteConfigCodec;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.internal.coordination.store.SwapResult;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+
+/**
+ * Replaces the accepted configuration if it is still the version that the change was made against.
+ *
+ * <p>Parts and index come first, then the head by compare-and-swap; before the head is replaced it is copied into the
+ * history, so a writer whose answer was lost finds its token in the head or in the history.
+ */
+public final class ApplyConfigCommand {
+    private static final int MAXIMUM_VALUE_BYTES = 1_000_000;
+    private static final int MAXIMUM_WITHDRAWN_KEYS = 256;
+
+    private final ConfigRepository repository;
+    private final String token = UUID.randomUUID().toString();
+    private SiteConfig config;
+    private long against;
+    private String author = "";
+    private String comment = "";
+    private long nowEpochMillis;
+
+    ApplyConfigCommand(ConfigRepository repository) {
+        this.repository = repository;
+    }
+
+    /**
+     * Sets the new configuration, which must have been checked.
+     *
+     * @param config the configuration
+     * @return this command
+     */
+    public ApplyConfigCommand setConfig(SiteConfig config) {
+        this.config = Objects.requireNonNull(config, "config");
+        return this;
+    }
+
+    /**
+     * Sets the version that the change was made against.
+     *
+     * @param version the version; 0 for the first configuration
+     * @return this command
+     */
+    public ApplyConfigCommand setAgainst(long version) {
+        this.against = version;
+        return this;
+    }
+
+    /**
+     * Sets who makes the change.
+     *
+     * @param author the operator
+     * @return this command
+     */
+    public ApplyConfigCommand setAuthor(String author) {
+        this.author = Objects.requireNonNull(author, "author");
+        return this;
+    }
+
+    /**
+     * Sets why the change is made.
+     *
+     * @param comment the reason
+     * @return this command
+     */
+    public ApplyConfigCommand setComment(String comment) {
+        this.comment = Objects.requireNonNull(comment, "comment");
+        return this;
+    }
+
+    /**
+     * Sets the time of the change.
+     *
+     * @param nowEpochMillis the present time, wall clock
+     * @return this command
+     */
+    public ApplyConfigCommand setNowEpochMillis(long nowEpochMillis) {
+        this.nowEpochMillis = nowEpochMillis;
+        return this;
+    }
+
+    /**
+     * Makes the change; blocks for about a dozen store calls.
+     *
+     * @return the result, or the failure; after {@link Failure.Kind#UNKNOWN_EFFECT} the change may or may not be
+     *     accepted, and a new command against the same version is harmless
+     */
+    public Either<Failure, ApplyResult> call() {
+        Objects.requireNonNull(config, "config");
+        return repository
+                .store()
+                .get(repository.headKey())
+                .flatMap(found -> found.isEmpty()
+                        ? replace(Optional.empty(), Optional.empty())
+                        : StoredValues.decode(found.get(), ConfigHead.class)
+                                .flatMap(head -> replace(found, Optional.of(head))));
+    }
+
+    private Either<Failure, ApplyResult> replace(Optional<VersionedValue> stored, Optional<ConfigHead> old) {
+        if (old.map(ConfigHead::version).orElse(0L) != against) {
+            return conflict();
+        }
+        ObjectNode tree = SiteConfigCodec.toTree(config);
+        SortedMap<String, byte[]> parts = ConfigLayout.split(tree);
+        return readIndex(old).flatMap(oldIndex -> {
+            ConfigIndex index = indexOf(parts, oldIndex, old);
+            if (index.parts().equals(oldIndex.parts())) {
+                return Either.right(ApplyResult.of(ApplyResult.Outcome.UNCHANGED, against));
+            }
+            byte[] indexBytes = ConfigBundle.encode(index);
+            return checkSizes(parts, indexBytes)
+                    .flatMap(unused -> keepHistory(stored))
+                    .flatMap(unused -> writeParts(parts, index, indexBytes))
+                    .flatMap(unused -> withdrawnKeys(old, parts))
+                    .flatMap(withdrawn -> swapHead(stored, headOf(indexBytes, withdrawn), index));
+        });
+    }
+
+    private Either<Failure, ConfigIndex> readIndex(Optional<ConfigHead> head) {
+        return head.isEmpty()
+                ? Either.right(ConfigIndex.EMPTY)
+                : repository.values().require(head.get().indexKey(), ConfigIndex.class);
+    }
+
+    private ConfigIndex indexOf(SortedMap<String, byte[]> parts, ConfigIndex old, Optional<ConfigHead> oldHead) {
+        List<ConfigPartRef> refs = new ArrayList<>();
+        for (Map.Entry<String, byte[]> part : parts.entrySet()) {
+            String digest = Digests.sha256Hex(part.getValue());
+            String key = repository.keys().part(part.getKey(), newVersion(), token);
+            refs.add(old.find(part.getKey(), digest).orElseGet(() -> new ConfigPartRef(part.getKey(), key, digest)));
+        }
+        Set<String> replaced = old.parts().stream().map(ConfigPartRef::key).collect(Collectors.toSet());
+        refs.forEach(ref -> replaced.remove(ref.key()));
+        oldHead.ifPresent(head -> replaced.add(head.indexKey()));
+        return new ConfigIndex(refs, replaced.stream().sorted().toList());
+    }
+
+    private Either<Failure, Boolean> checkSizes(SortedMap<String, byte[]> parts, byte[] indexBytes) {
+        for (Map.Entry<String, byte[]> part : parts.entrySet()) {
+            if (part.getValue().length > MAXIMUM_VALUE_BYTES) {
+                return Either.left(tooLarge(part.getKey(), part.getValue().length));
+            }
+        }
+        return indexBytes.length > MAXIMUM_VALUE_BYTES
+                ? Either.left(tooLarge("index", indexBytes.length))
+                : Either.right(true);
+    }
+
+    private static Failure tooLarge(String name, int bytes) {
+        return Failure.rejected(
+                "apply configuration", "local", name + " has " + bytes + " bytes, over " + MAXIMUM_VALUE_BYTES);
+    }
+
+    private Either<Failure, Boolean> keepHistory(Optional<VersionedValue> head) {
+        return head.isEmpty()
+                ? Either.right(true)
+                : repository
+                        .values()
+                        .create(repository.keys().history(against), head.get().value());
+    }
+
+    private Either<Failure, Boolean> writeParts(SortedMap<String, byte[]> parts, ConfigIndex index, byte[] indexBytes) {
+        for (ConfigPartRef ref : index.parts()) {
+            if (isOwn(ref.key())) {
+                Either<Failure, Boolean> written = repository.values().create(ref.key(), parts.get(ref.name()));
+                if (written.isLeft()) {
+                    return written;
+                }
+            }
+        }
+        return repository.values().create(indexKey(), indexBytes);
+    }
+
+    private Either<Failure, List<KeyId>> withdrawnKeys(Optional<ConfigHead> old, Map<String, byte[]> newParts) {
+        if (old.isEmpty()) {
+            return Either.right(List.of());
+        }
+        return repository.read(old.get(), newParts).map(before -> {
+            Set<KeyId> usable = usableKeys(config);
+            Set<KeyId> withdrawn = new LinkedHashSet<>(usableKeys(before.config()));
+            withdrawn.addAll(old.get().withdrawnKeys());
+            withdrawn.removeAll(usable);
+            return withdrawn.stream().limit(MAXIMUM_WITHDRAWN_KEYS).toList();
+        });
+    }
+
+    private static Set<KeyId> usableKeys(SiteConfig config) {
+        Set<KeyId> usable = new HashSet<>();
+        config.accounts()
+                .forEach(account ->
+                        account.keys().stream().filter(key -> !key.withdrawn()).forEach(key -> usable.add(key.id())));
+        return usable;
+    }
+
+    private ConfigHead headOf(byte[] indexBytes, List<KeyId> withdrawn) {
+        return new ConfigHead(
+                newVersion(),
+                indexKey(),
+                Digests.sha256Hex(indexBytes),
+                author,
+                nowEpochMillis,
+                comment,
+                token,
+                withdrawn);
+    }
+
+    private Either<Failure, ApplyResult> swapHead(Optional<VersionedValue> stored, ConfigHead head, ConfigIndex index) {
+        long expected = stored.map(VersionedValue::modRevision).orElse(0L);
+        return repository
+                .values()
+                .swap(repository.headKey(), expected, ConfigBundle.encode(head))
+                .flatMap(this::wasApplied)
+                .flatMap(applied -> {
+                    if (!applied) {
+                        deleteOwn(index);
+                        return conflict();
+                    }
+                    ConfigExpiry.of(repository).expire(newVersion());
+                    return Either.right(ApplyResult.of(ApplyResult.Outcome.APPLIED, newVersion()));
+                });
+    }
+
+    private Either<Failure, Boolean> wasApplied(SwapResult result) {
+        if (result.isApplied()) {
+            return Either.right(true);
+        }
+        return repository.head().flatMap(head -> {
+            if (head.isPresent() && head.get().writerToken().equals(token)) {
+                return Either.right(true);
+            }
+            return repository
+                    .values()
+                    .read(repository.keys().history(newVersion()), ConfigHead.class)
+                    .map(past -> past.map(ConfigHead::writerToken)
+                            .filter(token::equals)
+                            .isPresent());
+        });
+    }
+
+    private void deleteOwn(ConfigIndex index) {
+        index.parts().stream().map(ConfigPartRef::key).filter(this::isOwn).forEach(repository.values()::delete);
+        repository.values().delete(indexKey());
+    }
+
+    private Either<Failure, ApplyResult> conflict() {
+        return repository.current().map(current -> {
+            long version = current.map(InstalledConfig::version).orElse(0L);
+            List<ConfigDifference> differences = current.map(accepted -> ConfigDiff.between(accepted.config(), config))
+                    .orElse(List.of());
+            return new ApplyResult(ApplyResult.Outcome.CONFLICT, version, differences);
+        });
+    }
+
+    private boolean isOwn(String key) {
+        return key.endsWith(token);
+    }
+
+    private String indexKey() {
+        return repository.keys().index(newVersion(), token);
+    }
+
+    private long newVersion() {
+        return against + 1;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ConfigKeys.java
@@ -0,0 +1,45 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import org.cactusshift.id.SiteId;
+
+/**
+ * Names of the configuration's keys in the key-value service.
+ *
+ * <p>The head is the only key that is ever overwritten. Indexes and parts carry the token of their writer in their
+ * name, so two writers never share one.
+ */
+final class ConfigKeys {
+    private final String root;
+
+    private ConfigKeys(String root) {
+        this.root = root;
+    }
+
+    static ConfigKeys of(SiteId site) {
+        return new ConfigKeys("cactusshift/" + site + "/config/");
+    }
+
+    String head() {
+        return root + "head";
+    }
+
+    String history(long version) {
+        return historyPrefix() + String.format("%016d", version);
+    }
+
+    String historyPrefix() {
+        return root + "history/";
+    }
+
+    String index(long version, String token) {
+        return root + "index/" + version + "-" + token;
+    }
+
+    String partsPrefix() {
+        return root + "parts/";
+    }
+
+    String part(String name, long version, String token) {
+        return partsPrefix() + name + "/" + version + "-" + token;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ConfigLayout.java
@@ -0,0 +1,102 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.zip.CRC32;
+import org.cactusshift.config.Json;
+import org.cactusshift.config.SiteConfigFields;
+
+/**
+ * Splits the tree of a configuration into parts that fit a store value.
+ *
+ * <p>Accounts and upstreams are spread over parts by the hash of their id, about {@link #ITEMS_PER_PART} to a part; the
+ * number of parts is a power of two. A change of one account thus writes and sends one small part. Every other
+ * top-level field goes into one part. The concatenation of all parts is the tree.
+ */
+final class ConfigLayout {
+    static final int ITEMS_PER_PART = 64;
+
+    private static final String REST = "rest";
+
+    private ConfigLayout() {}
+
+    /** Returns the bytes of each part by its name. */
+    static SortedMap<String, byte[]> split(ObjectNode tree) {
+        Map<String, ObjectNode> parts = new TreeMap<>();
+        for (Map.Entry<String, JsonNode> field : tree.properties()) {
+            if (isSpread(field.getKey())) {
+                spread(field.getKey(), field.getValue(), parts);
+            } else {
+                fieldOf(parts, partOf(field.getKey())).set(field.getKey(), field.getValue());
+            }
+        }
+        SortedMap<String, byte[]> encoded = new TreeMap<>();
+        parts.forEach((name, part) -> encoded.put(name, Json.canonicalBytes(part)));
+        return encoded;
+    }
+
+    /**
+     * Puts parts together again.
+     *
+     * @throws IOException if a part is no JSON object
+     */
+    static ObjectNode merge(Map<String, byte[]> parts) throws IOException {
+        ObjectNode tree = JsonNodeFactory.instance.objectNode();
+        for (byte[] part : parts.values()) {
+            JsonNode content = Json.mapper().readTree(part);
+            for (Map.Entry<String, JsonNode> field : content.properties()) {
+                if (isSpread(field.getKey()) && tree.has(field.getKey())) {
+                    ((ObjectNode) tree.get(field.getKey())).setAll((ObjectNode) field.getValue());
+                } else {
+                    tree.set(field.getKey(), field.getValue());
+                }
+            }
+        }
+        return tree;
+    }
+
+    private static boolean isSpread(String field) {
+        return field.equals(SiteConfigFields.ACCOUNTS) || field.equals(SiteConfigFields.UPSTREAMS);
+    }
+
+    private static String partOf(String field) {
+        return field.equals(SiteConfigFields.SERVICES) ? field : REST;
+    }
+
+    private static void spread(String field, JsonNode items, Map<String, ObjectNode> parts) {
+        int count = partCount(items.size());
+        fieldOf(parts, name(field, 0)).putObject(field);
+        for (Map.Entry<String, JsonNode> item : items.properties()) {
+            String part = name(field, hash(item.getKey()) & (count - 1));
+            ObjectNode target = fieldOf(parts, part);
+            ObjectNode content = target.has(field) ? (ObjectNode) target.get(field) : target.putObject(field);
+            content.set(item.getKey(), item.getValue());
+        }
+    }
+
+    private static ObjectNode fieldOf(Map<String, ObjectNode> parts, String name) {
+        return parts.computeIfAbsent(name, unused -> JsonNodeFactory.instance.objectNode());
+    }
+
+    static int partCount(int items) {
+        int wanted = Math.max(1, (items + ITEMS_PER_PART - 1) / ITEMS_PER_PART);
+        int floor = Integer.highestOneBit(wanted);
+        return floor == wanted ? floor : floor * 2;
+    }
+
+    private static String name(String field, int number) {
+        return String.format("%s-%05d", field, number);
+    }
+
+    private static int hash(String id) {
+        CRC32 crc = new CRC32();
+        crc.update(id.getBytes(StandardCharsets.UTF_8));
+        return (int) crc.getValue();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ConfigRepository.java
@@ -0,0 +1,225 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.config.SiteConfigCodec;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.store.KeyValueStore;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+
+/**
+ * The accepted configuration of a site in the key-value service.
+ *
+ * <p>A version is a head, an index and parts. Index and parts are written before the head names them and never change
+ * afterwards, so whoever reads a head can read all of its version as long as it is within the history kept.
+ */
+public final class ConfigRepository {
+    /** The number of versions that can be read again. */
+    public static final int HISTORY_VERSIONS = 50;
+
+    private static final int SINGLE_READS = 8;
+
+    private final KeyValueStore store;
+    private final StoredValues values;
+    private final ConfigKeys keys;
+
+    private ConfigRepository(KeyValueStore store, ConfigKeys keys) {
+        this.store = store;
+        this.values = new StoredValues(store);
+        this.keys = keys;
+    }
+
+    /**
+     * Opens the configuration of a site.
+     *
+     * @param store the key-value service
+     * @param site the site
+     * @return the repository; safe for several threads
+     */
+    public static ConfigRepository open(KeyValueStore store, SiteId site) {
+        return new ConfigRepository(store, ConfigKeys.of(site));
+    }
+
+    /**
+     * Returns a command that changes the configuration.
+     *
+     * @return the command
+     */
+    public ApplyConfigCommand apply() {
+        return new ApplyConfigCommand(this);
+    }
+
+    /**
+     * Returns the key of the head, for a watch.
+     *
+     * @return the full key
+     */
+    public String headKey() {
+        return keys.head();
+    }
+
+    /**
+     * Reads the head; one small read.
+     *
+     * @return the head, empty when no configuration was accepted yet, or the failure
+     */
+    public Either<Failure, Optional<ConfigHead>> head() {
+        return values.read(keys.head(), ConfigHead.class);
+    }
+
+    /**
+     * Reads the accepted configuration.
+     *
+     * @return the configuration, empty when none was accepted yet, or the failure
+     */
+    public Either<Failure, Optional<InstalledConfig>> current() {
+        return head().flatMap(head -> head.isEmpty()
+                ? Either.right(Optional.empty())
+                : read(head.get(), Map.of()).map(Optional::of));
+    }
+
+    /**
+     * Reads a version that is still within the history kept.
+     *
+     * @param version the version
+     * @return the configuration, or the failure
+     */
+    public Either<Failure, InstalledConfig> at(long version) {
+        return head().flatMap(head -> head.isPresent() && head.get().version() == version
+                        ? Either.right(head.get())
+                        : values.require(keys.history(version), ConfigHead.class))
+                .flatMap(head -> read(head, Map.of()));
+    }
+
+    /**
+     * Reads the heads of the accepted version and of those before it.
+     *
+     * @return the heads, newest first, or the failure
+     */
+    public Either<Failure, List<ConfigHead>> history() {
+        return head().flatMap(head -> store.list(keys.historyPrefix()).flatMap(range -> {
+            List<ConfigHead> heads = new ArrayList<>();
+            for (VersionedValue value : range.values()) {
+                Either<Failure, ConfigHead> decoded = StoredValues.decode(value, ConfigHead.class);
+                if (decoded.isLeft()) {
+                    return Either.left(decoded.getLeft());
+                }
+                heads.add(decoded.get());
+            }
+            head.ifPresent(current -> heads.removeIf(old -> old.version() == current.version()));
+            head.ifPresent(heads::add);
+            Collections.reverse(heads);
+            return Either.right(heads);
+        }));
+    }
+
+    /**
+     * Reads all that a head names.
+     *
+     * @param head the head
+     * @param have parts that the caller has, by name; those with the right digest are not read again
+     * @return the whole bundle, or the failure; index and parts are checked against their digests
+     */
+    public Either<Failure, ConfigBundle> load(ConfigHead head, Map<String, byte[]> have) {
+        return readIndexBytes(head).flatMap(indexBytes -> {
+            try {
+                ConfigIndex index = ConfigBundle.decode(indexBytes, ConfigIndex.class);
+                return readParts(index, have).map(parts -> new ConfigBundle(head, indexBytes, parts));
+            } catch (IOException e) {
+                return Either.left(Failure.rejected("decode index", "store", e.getMessage()));
+            }
+        });
+    }
+
+    /** Reads the configuration of a head; parts that the caller has are not read again. */
+    Either<Failure, InstalledConfig> read(ConfigHead head, Map<String, byte[]> have) {
+        return load(head, have).flatMap(bundle -> {
+            try {
+                SiteConfig config = SiteConfigCodec.fromTree(ConfigLayout.merge(bundle.parts()));
+                return Either.right(new InstalledConfig(head.version(), config));
+            } catch (IOException e) {
+                return Either.left(Failure.rejected("decode configuration", "store", e.getMessage()));
+            }
+        });
+    }
+
+    private Either<Failure, byte[]> readIndexBytes(ConfigHead head) {
+        return store.get(head.indexKey()).flatMap(found -> {
+            if (found.isEmpty()) {
+                return Either.left(StoredValues.missing(head.indexKey()));
+            }
+            return checked(head.indexKey(), found.get().value(), head.indexDigest());
+        });
+    }
+
+    private Either<Failure, SortedMap<String, byte[]>> readParts(ConfigIndex index, Map<String, byte[]> have) {
+        SortedMap<String, byte[]> parts = new TreeMap<>();
+        List<ConfigPartRef> missing = new ArrayList<>();
+        for (ConfigPartRef part : index.parts()) {
+            byte[] known = have.get(part.name());
+            if (known != null && Digests.sha256Hex(known).equals(part.digest())) {
+                parts.put(part.name(), known);
+            } else {
+                missing.add(part);
+            }
+        }
+        return listIfMany(missing).flatMap(listed -> {
+            for (ConfigPartRef part : missing) {
+                Either<Failure, byte[]> bytes = readPart(part, listed);
+                if (bytes.isLeft()) {
+                    return Either.left(bytes.getLeft());
+                }
+                parts.put(part.name(), bytes.get());
+            }
+            return Either.right(parts);
+        });
+    }
+
+    private Either<Failure, Map<String, byte[]>> listIfMany(List<ConfigPartRef> missing) {
+        if (missing.size() <= SINGLE_READS) {
+            return Either.right(Map.of());
+        }
+        return store.list(keys.partsPrefix())
+                .map(range ->
+                        range.values().stream().collect(Collectors.toMap(VersionedValue::key, VersionedValue::value)));
+    }
+
+    private Either<Failure, byte[]> readPart(ConfigPartRef part, Map<String, byte[]> listed) {
+        byte[] known = listed.get(part.key());
+        if (known != null) {
+            return checked(part.key(), known, part.digest());
+        }
+        return store.get(part.key())
+                .flatMap(found -> found.isEmpty()
+                        ? Either.left(StoredValues.missing(part.key()))
+                        : checked(part.key(), found.get().value(), part.digest()));
+    }
+
+    private static Either<Failure, byte[]> checked(String key, byte[] bytes, String digest) {
+        return Digests.sha256Hex(bytes).equals(digest)
+                ? Either.right(bytes)
+                : Either.left(Failure.rejected("read " + key, "store", "the digest does not match"));
+    }
+
+    KeyValueStore store() {
+        return store;
+    }
+
+    StoredValues values() {
+        return values;
+    }
+
+    ConfigKeys keys() {
+        return keys;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/configsync/ConfigRepositoryTest.java
@@ -0,0 +1,187 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.internal.coordination.store.InMemoryKeyValueStore;
+import org.cactusshift.internal.coordination.store.StoreCallKind;
+import org.cactusshift.internal.coordination.store.StoreFault;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ConfigRepositoryTest {
+    private static final int STORE_VALUE_LIMIT_BYTES = 1_000_000;
+
+    private final InMemoryKeyValueStore store = InMemoryKeyValueStore.create(() -> 0L);
+    private SiteConfig example;
+    private ConfigRepository repository;
+
+    @BeforeEach
+    void openRepository() throws Exception {
+        example = SiteConfigs.example();
+        repository = ConfigRepository.open(store, example.site());
+    }
+
+    @Test
+    void appliesAndReadsBackEachVersion() {
+        assertTrue(repository.current().get().isEmpty());
+        assertEquals(ApplyResult.Outcome.APPLIED, apply(example, 0).outcome());
+        SiteConfig second = SiteConfigs.withWeight(example, "auditors", 3);
+        assertEquals(2, apply(second, 1).version());
+
+        assertEquals(new InstalledConfig(2, second), repository.current().get().get());
+        assertEquals(new InstalledConfig(1, example), repository.at(1).get());
+        assertEquals(
+                List.of(2L, 1L),
+                repository.history().get().stream().map(ConfigHead::version).toList());
+        assertEquals(ApplyResult.Outcome.UNCHANGED, apply(second, 2).outcome());
+    }
+
+    @Test
+    void refusesConflictingEditWithDifference() {
+        apply(example, 0);
+        apply(SiteConfigs.withWeight(example, "auditors", 3), 1);
+        ApplyResult late = apply(SiteConfigs.withWeight(example, "auditors", 5), 1);
+
+        assertEquals(ApplyResult.Outcome.CONFLICT, late.outcome());
+        assertEquals(2, late.version());
+        assertEquals(List.of(new ConfigDifference("/accounts/auditors/weight", "3.0", "5.0")), late.differences());
+        assertEquals(2, repository.head().get().get().version());
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"LOSE_ANSWER", "LOSE_REQUEST", "DELAY_EFFECT", "UNAVAILABLE"})
+    void resolvesLostAnswerOfEachWrite(StoreFault fault) {
+        apply(example, 0);
+        int writes = 4;
+        for (int faulty = 0; faulty < writes; faulty++) {
+            SiteConfig next = SiteConfigs.withWeight(example, "auditors", faulty + 10);
+            long against = repository.head().get().get().version();
+            failWrite(faulty, fault);
+            ApplyResult result = apply(next, against);
+            store.setFaults((kind, key) -> StoreFault.NONE);
+            store.applyDelayed();
+
+            assertEquals(ApplyResult.Outcome.APPLIED, result.outcome());
+            assertEquals(
+                    new InstalledConfig(against + 1, next),
+                    repository.current().get().get());
+        }
+    }
+
+    @Test
+    void unknownEffectIsReportedWhenStoreStaysAway() {
+        apply(example, 0);
+        store.setFaults(
+                (kind, key) -> kind.isWrite() && key.endsWith("head") ? StoreFault.LOSE_ANSWER : StoreFault.NONE);
+        Either<Failure, ApplyResult> answer =
+                command(SiteConfigs.withWeight(example, "auditors", 9), 1).call();
+
+        assertEquals(Failure.Kind.UNKNOWN_EFFECT, answer.getLeft().kind());
+    }
+
+    @Test
+    void recognisesOwnWriteUnderLaterOne() {
+        apply(example, 0);
+        SiteConfig mine = SiteConfigs.withWeight(example, "auditors", 9);
+        SiteConfig later = SiteConfigs.withWeight(example, "auditors", 10);
+        boolean[] overtaken = {false};
+        store.setFaults((kind, key) -> {
+            if (kind == StoreCallKind.SWAP && key.endsWith("head") && !overtaken[0]) {
+                overtaken[0] = true;
+                return StoreFault.LOSE_ANSWER;
+            }
+            if (kind == StoreCallKind.SWAP && key.endsWith("head") && overtaken[0]) {
+                store.setFaults((k, n) -> StoreFault.NONE);
+                apply(later, 2);
+            }
+            return StoreFault.NONE;
+        });
+
+        assertEquals(ApplyResult.Outcome.APPLIED, apply(mine, 1).outcome());
+        assertEquals(new InstalledConfig(3, later), repository.current().get().get());
+    }
+
+    @Test
+    void headNamesWithdrawnKeysUntilTheyAreUsableAgain() {
+        apply(example, 0);
+        apply(SiteConfigs.withWithdrawn(example, "auditors-1"), 1);
+        apply(SiteConfigs.withWithdrawn(SiteConfigs.withWithdrawn(example, "auditors-1"), "fund-clerks-1"), 2);
+        assertEquals(
+                List.of(KeyId.fromString("fund-clerks-1"), KeyId.fromString("auditors-1")),
+                repository.head().get().get().withdrawnKeys());
+        apply(example, 3);
+        assertEquals(List.of(), repository.head().get().get().withdrawnKeys());
+    }
+
+    @Test
+    void keepsBoundedHistoryAndEveryPartThatItNames() {
+        int versions = ConfigRepository.HISTORY_VERSIONS + 20;
+        for (int i = 0; i < versions; i++) {
+            apply(SiteConfigs.withWeight(example, "auditors", 1 + i % 7), i);
+        }
+        List<ConfigHead> history = repository.history().get();
+        assertEquals(ConfigRepository.HISTORY_VERSIONS, history.size());
+        history.forEach(head -> assertTrue(repository.at(head.version()).isRight(), () -> "version " + head.version()));
+        int parts =
+                store.list("cactusshift/be-coast/config/parts/").get().values().size();
+        assertTrue(parts <= ConfigRepository.HISTORY_VERSIONS + 8, () -> parts + " parts are kept");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"8,0", "7700,0", "7700,1100", "15400,12000"})
+    void everyValueFitsTheStore(int accounts, int upstreams) {
+        SiteConfig large = SiteConfigs.large(example, accounts, upstreams);
+        apply(large, 0);
+
+        assertEquals(new InstalledConfig(1, large), repository.current().get().get());
+        for (VersionedValue value : store.list("").get().values()) {
+            assertTrue(value.value().length < STORE_VALUE_LIMIT_BYTES, value::key);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 7700})
+    void callsOfOneChangeDoNotGrowWithAccounts(int accounts) {
+        SiteConfig large = SiteConfigs.large(example, accounts, 0);
+        apply(large, 0);
+        List<String> calls = new ArrayList<>();
+        store.setFaults((kind, key) -> {
+            calls.add(kind + " " + key);
+            return StoreFault.NONE;
+        });
+        apply(SiteConfigs.withWeight(large, "account-00005", 2), 1);
+
+        assertTrue(calls.size() <= 9, calls::toString);
+    }
+
+    private void failWrite(int number, StoreFault fault) {
+        int[] writes = {0};
+        store.setFaults((kind, key) -> kind == StoreCallKind.SWAP && writes[0]++ == number ? fault : StoreFault.NONE);
+    }
+
+    private ApplyResult apply(SiteConfig config, long against) {
+        return command(config, against).call().get();
+    }
+
+    private ApplyConfigCommand command(SiteConfig config, long against) {
+        return repository
+                .apply()
+                .setConfig(config)
+                .setAgainst(against)
+                .setAuthor("operator")
+                .setComment("test")
+                .setNowEpochMillis(1);
+    }
+}
