--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/capacity/SpreadCapacityPlanner.java
@@ -0,0 +1,139 @@
+package org.cactusshift.internal.coordination.capacity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.cactusshift.config.FailureDomainConfig;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.UpstreamId;
+
+/**
+ * Keeps what must not be lost on upstreams that stay, and the rest on reclaimable ones.
+ *
+ * <p>Upstreams that stay are spread so that the loss of any one failure domain leaves the protected need. The total is
+ * the demand with headroom. Where reclaimable upstreams can't be had, others are ordered instead. An order that would
+ * come too late before the shutdown date to be of use isn't placed. Upstreams are released one at a time, and only
+ * when the surplus is well beyond the headroom.
+ */
+public final class SpreadCapacityPlanner implements CapacityPlanner {
+    private static final double HEADROOM = 1.2;
+    private static final double RELEASE_HEADROOM = 1.6;
+    private static final long SHORTEST_USE_MILLIS = 1_800_000;
+
+    private SpreadCapacityPlanner() {}
+
+    /**
+     * Returns the planner.
+     *
+     * @return the planner
+     */
+    public static SpreadCapacityPlanner create() {
+        return new SpreadCapacityPlanner();
+    }
+
+    @Override
+    public CapacityPlan plan(CapacitySnapshot snapshot, long nowMillis) {
+        List<CapacityUpstream> planned = new ArrayList<>(snapshot.upstreams());
+        List<CapacityPlan.Order> orders = new ArrayList<>();
+        CapacityTerms terms = snapshot.terms();
+        if (nowMillis + terms.arrivalMillis() + SHORTEST_USE_MILLIS <= terms.shutdownAtMillis()) {
+            orderProtected(snapshot, planned, orders);
+            orderRest(snapshot, planned, orders);
+        }
+        List<UpstreamId> releases =
+                orders.isEmpty() ? release(snapshot).map(List::of).orElse(List.of()) : List.of();
+        return new CapacityPlan(orders, releases);
+    }
+
+    private static void orderProtected(
+            CapacitySnapshot snapshot, List<CapacityUpstream> planned, List<CapacityPlan.Order> orders) {
+        while (survivors(planned) < snapshot.protectedUpstreams()) {
+            if (!order(snapshot, planned, orders, false)) {
+                return;
+            }
+        }
+    }
+
+    private static void orderRest(
+            CapacitySnapshot snapshot, List<CapacityUpstream> planned, List<CapacityPlan.Order> orders) {
+        double wanted = snapshot.neededUpstreams() * HEADROOM;
+        boolean cheaper =
+                snapshot.terms().reclaimablePricePerHour() < snapshot.terms().orderedPricePerHour();
+        while (planned.size() < wanted) {
+            boolean ordered = cheaper && order(snapshot, planned, orders, true);
+            if (!ordered && !order(snapshot, planned, orders, false)) {
+                return;
+            }
+        }
+    }
+
+    /** Returns the upstreams that stay and would be left if the failure domain with most of them were lost. */
+    private static int survivors(List<CapacityUpstream> upstreams) {
+        List<CapacityUpstream> staying =
+                upstreams.stream().filter(upstream -> !upstream.reclaimable()).toList();
+        long largest = staying.stream()
+                .map(CapacityUpstream::failureDomain)
+                .distinct()
+                .mapToLong(domain -> count(staying, domain, upstream -> true))
+                .max()
+                .orElse(0);
+        return (int) (staying.size() - largest);
+    }
+
+    private static boolean order(
+            CapacitySnapshot snapshot,
+            List<CapacityUpstream> planned,
+            List<CapacityPlan.Order> orders,
+            boolean reclaimable) {
+        Set<FailureDomainId> unavailable =
+                reclaimable ? snapshot.unavailableReclaimable() : snapshot.unavailableOrdered();
+        Optional<FailureDomainId> domain = snapshot.failureDomains().stream()
+                .filter(config -> !unavailable.contains(config.id()))
+                .filter(config -> count(planned, config.id(), upstream -> true) < config.maximumUpstreams())
+                .map(FailureDomainConfig::id)
+                .min(Comparator.<FailureDomainId>comparingLong(
+                                id -> count(planned, id, upstream -> upstream.reclaimable() == reclaimable))
+                        .thenComparingLong(id -> count(planned, id, upstream -> true))
+                        .thenComparing(Comparator.naturalOrder()));
+        domain.ifPresent(id -> {
+            planned.add(new CapacityUpstream(Optional.empty(), id, reclaimable));
+            orders.add(new CapacityPlan.Order(id, reclaimable));
+        });
+        return domain.isPresent();
+    }
+
+    private static Optional<UpstreamId> release(CapacitySnapshot snapshot) {
+        List<CapacityUpstream> all = snapshot.upstreams();
+        if (all.size() - 1 < snapshot.neededUpstreams() * RELEASE_HEADROOM || all.size() <= 2) {
+            return Optional.empty();
+        }
+        return all.stream()
+                .filter(upstream -> upstream.id().isPresent())
+                .filter(upstream -> upstream.reclaimable() || survivesWithout(snapshot, upstream))
+                .max(Comparator.<CapacityUpstream>comparingDouble(upstream -> price(upstream, snapshot.terms()))
+                        .thenComparingLong(upstream -> count(all, upstream.failureDomain(), other -> true))
+                        .thenComparing(upstream -> upstream.id().orElseThrow()))
+                .flatMap(CapacityUpstream::id);
+    }
+
+    private static boolean survivesWithout(CapacitySnapshot snapshot, CapacityUpstream upstream) {
+        List<CapacityUpstream> left =
+                snapshot.upstreams().stream().filter(other -> other != upstream).toList();
+        return survivors(left) >= snapshot.protectedUpstreams();
+    }
+
+    private static double price(CapacityUpstream upstream, CapacityTerms terms) {
+        return upstream.reclaimable() ? terms.reclaimablePricePerHour() : terms.orderedPricePerHour();
+    }
+
+    private static long count(
+            List<CapacityUpstream> upstreams, FailureDomainId domain, Predicate<CapacityUpstream> condition) {
+        return upstreams.stream()
+                .filter(upstream -> upstream.failureDomain().equals(domain))
+                .filter(condition)
+                .count();
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Attempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Attempt.java
@@ -1,11 +1,16 @@
 package org.cactusshift.internal.coordination.dispatch;
 
+import java.util.Optional;
+import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.routing.UpstreamState;
 
 /** One dispatch of a request that has not ended. */
 final class Attempt {
     final PendingRequest pending;
     final UpstreamState upstream;
+    /** The engine that processes the prompt first, or empty. */
+    final Optional<UpstreamState> prefill;
+
     final long sentAtMillis;
     final int pieces;
     /** Whether it tries out an upstream that failed. */
@@ -18,15 +23,22 @@
     Attempt(
             PendingRequest pending,
             UpstreamState upstream,
+            Optional<UpstreamState> prefill,
             long sentAtMillis,
             int pieces,
             boolean probe,
             boolean alone) {
         this.pending = pending;
         this.upstream = upstream;
+        this.prefill = prefill;
         this.sentAtMillis = sentAtMillis;
         this.pieces = pieces;
         this.probe = probe;
         this.alone = alone;
     }
+
+    boolean uses(UpstreamId id) {
+        return upstream.id().equals(id)
+                || prefill.filter(engine -> engine.id().equals(id)).isPresent();
+    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchDecision.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchDecision.java
@@ -1,5 +1,7 @@
 package org.cactusshift.internal.coordination.dispatch;
 
+import java.util.Objects;
+import java.util.Optional;
 import org.cactusshift.id.AttemptId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.UpstreamId;
@@ -21,10 +23,40 @@
      * @param upstream the upstream
      * @param resume whether the tokens already delivered are sent along, so that the upstream goes on after them
      * @param expectedFirstTokenMillis the expected wait for the first token
+     * @param prefill the engine that processes the prompt first and hands its KV cache over; empty when the upstream
+     *     does both. When that engine fails, the upstream processes the prompt itself.
      */
     record Dispatch(
-            RequestId request, AttemptId attempt, UpstreamId upstream, boolean resume, long expectedFirstTokenMillis)
-            implements DispatchDecision {}
+            RequestId request,
+            AttemptId attempt,
+            UpstreamId upstream,
+            boolean resume,
+            long expectedFirstTokenMillis,
+            Optional<UpstreamId> prefill)
+            implements DispatchDecision {
+        /** Checks that no part is missing. */
+        public Dispatch {
+            Objects.requireNonNull(prefill, "prefill");
+        }
+
+        /**
+         * Creates a dispatch to an upstream that does all the work.
+         *
+         * @param request the request
+         * @param attempt the new attempt
+         * @param upstream the upstream
+         * @param resume whether the tokens already delivered are sent along
+         * @param expectedFirstTokenMillis the expected wait for the first token
+         */
+        public Dispatch(
+                RequestId request,
+                AttemptId attempt,
+                UpstreamId upstream,
+                boolean resume,
+                long expectedFirstTokenMillis) {
+            this(request, attempt, upstream, resume, expectedFirstTokenMillis, Optional.empty());
+        }
+    }
 
     /**
      * Answer the caller that the request is given up.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -205,6 +205,7 @@
             return List.of();
         }
         known.upstream.onEnd(known.pieces, nowMillis);
+        known.prefill.ifPresent(engine -> engine.onEnd(0, nowMillis));
         deliver(known.pending, Math.max(0, end.outputTokens() - known.progressTokens));
         if (known.alone) {
             suspects.release(known.upstream.id());
@@ -364,7 +365,7 @@
      */
     public int inFlight(UpstreamId upstream) {
         return (int) attempts.values().stream()
-                .filter(attempt -> attempt.upstream.id().equals(upstream))
+                .filter(attempt -> attempt.uses(upstream))
                 .count();
     }
 
@@ -478,17 +479,26 @@
             upstream.health().onProbe();
         }
         long freshTokens = Math.max(0, query.promptTokens() - route.chosen().cachedTokens());
-        upstream.onSend(freshTokens, query.pieces(), nowMillis);
-        fleet.prefixes().onSend(upstream.id(), pending.request.prefixHashes());
+        UpstreamState prefill = route.prefill().orElse(upstream);
+        prefill.onSend(freshTokens, prefill == upstream ? query.pieces() : 0, nowMillis);
+        if (prefill != upstream) {
+            upstream.onSend(0, query.pieces(), nowMillis);
+        }
+        fleet.prefixes().onSend(prefill.id(), pending.request.prefixHashes());
         queued.remove(pending.request.id());
         pending.sentPromptTokens += freshTokens;
         totalsOf(pending.request.account()).prefillTokens += freshTokens;
         AttemptId id = AttemptId.fromString(options.incarnation().value() + "-" + Long.toString(nextAttempt++, 36));
-        attempts.put(id, new Attempt(pending, upstream, nowMillis, query.pieces(), probe, alone));
+        attempts.put(id, new Attempt(pending, upstream, route.prefill(), nowMillis, query.pieces(), probe, alone));
         boolean resume = options.kind() == ServiceConfig.Kind.MODEL && pending.deliveredTokens > 0;
         long firstTokenMillis = Math.round(route.chosen().firstTokenMillis());
-        DispatchDecision decision =
-                new DispatchDecision.Dispatch(pending.request.id(), id, upstream.id(), resume, firstTokenMillis);
+        DispatchDecision decision = new DispatchDecision.Dispatch(
+                pending.request.id(),
+                id,
+                upstream.id(),
+                resume,
+                firstTokenMillis,
+                route.prefill().map(UpstreamState::id));
         log.add(new Explanation(nowMillis, decision, route.candidates(), waitingRequests()));
         return decision;
     }
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/roles/RepayingRolePlanner.java
@@ -0,0 +1,88 @@
+package org.cactusshift.internal.coordination.roles;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.config.UpstreamConfig;
+
+/**
+ * Changes one engine at a time, and only when the change repays its seconds out of service.
+ *
+ * <p>The gain of a change is the work that it saves under the demand of both time scales, whichever is less, over a
+ * horizon. Its cost is the work that the engine would have done while it changes. The gain must exceed the cost by a
+ * factor; the engine must have been in its role for a while; and changes an hour are limited.
+ */
+public final class RepayingRolePlanner implements RolePlanner {
+    private static final double HORIZON_SECONDS = 120;
+    private static final double REQUIRED_FACTOR = 2;
+    private static final long SHORTEST_STAY_MILLIS = 120_000;
+    private static final long HOUR_MILLIS = 3_600_000;
+
+    private final int maximumChangesPerHour;
+    private final ArrayDeque<Long> changesMillis = new ArrayDeque<>();
+
+    private RepayingRolePlanner(int maximumChangesPerHour) {
+        this.maximumChangesPerHour = maximumChangesPerHour;
+    }
+
+    private record Move(UpstreamConfig.Role from, UpstreamConfig.Role to, double gainEngineSeconds) {}
+
+    /**
+     * Returns the planner.
+     *
+     * @param maximumChangesPerHour the most changes in any hour
+     * @return the planner
+     */
+    public static RepayingRolePlanner create(int maximumChangesPerHour) {
+        return new RepayingRolePlanner(maximumChangesPerHour);
+    }
+
+    @Override
+    public List<RoleChange> plan(RoleSnapshot snapshot, long nowMillis) {
+        while (!changesMillis.isEmpty() && changesMillis.peekFirst() <= nowMillis - HOUR_MILLIS) {
+            changesMillis.removeFirst();
+        }
+        boolean changing = snapshot.engines().stream().anyMatch(EngineInRole::changing);
+        if (changing
+                || changesMillis.size() >= maximumChangesPerHour
+                || snapshot.engines().size() < 2) {
+            return List.of();
+        }
+        Optional<RoleChange> change = bestMove(snapshot)
+                .flatMap(move -> engineFor(move, snapshot, nowMillis)
+                        .map(engine -> new RoleChange(engine.id(), move.to(), move.gainEngineSeconds())));
+        change.ifPresent(made -> changesMillis.addLast(nowMillis));
+        return change.map(List::of).orElse(List.of());
+    }
+
+    private static Optional<Move> bestMove(RoleSnapshot snapshot) {
+        RoleSplit split = RoleSplit.of(snapshot.engines());
+        Set<UpstreamConfig.Role> present = EnumSet.noneOf(UpstreamConfig.Role.class);
+        snapshot.engines().forEach(engine -> present.add(engine.role()));
+        return present.stream()
+                .flatMap(from -> EnumSet.allOf(UpstreamConfig.Role.class).stream()
+                        .filter(to -> to != from)
+                        .map(to -> new Move(from, to, gainEngineSeconds(split, split.move(from, to), snapshot))))
+                .filter(move -> move.gainEngineSeconds() > 0)
+                .max(Comparator.comparingDouble(Move::gainEngineSeconds));
+    }
+
+    private static double gainEngineSeconds(RoleSplit old, RoleSplit changed, RoleSnapshot snapshot) {
+        EngineRates rates = snapshot.rates();
+        double fastGain = old.lostEngines(snapshot.fast(), rates) - changed.lostEngines(snapshot.fast(), rates);
+        double slowGain = old.lostEngines(snapshot.slow(), rates) - changed.lostEngines(snapshot.slow(), rates);
+        double costSeconds = rates.changeMillis() / 1_000.0 * old.usedShare(snapshot.fast(), rates) * REQUIRED_FACTOR;
+        return Math.min(fastGain, slowGain) * HORIZON_SECONDS - costSeconds;
+    }
+
+    private static Optional<EngineInRole> engineFor(Move move, RoleSnapshot snapshot, long nowMillis) {
+        return snapshot.engines().stream()
+                .filter(engine -> engine.role() == move.from())
+                .filter(engine -> nowMillis - engine.inRoleSinceMillis() >= SHORTEST_STAY_MILLIS
+                        || engine.role() == UpstreamConfig.Role.MIXED)
+                .min(Comparator.comparingLong(EngineInRole::inRoleSinceMillis).thenComparing(EngineInRole::id));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/roles/package-info.java
@@ -0,0 +1,2 @@
+/** Which engines process prompts, generate tokens or do both, planned from what arrives. */
+package org.cactusshift.internal.coordination.roles;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/Candidate.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/Candidate.java
@@ -1,5 +1,6 @@
 package org.cactusshift.internal.coordination.routing;
 
+import java.util.Optional;
 import org.cactusshift.id.UpstreamId;
 
 /**
@@ -10,6 +11,12 @@
  * @param completionMillis the expected wait for the whole answer, penalties included; the cost that is compared
  * @param cachedTokens prompt tokens that it is thought to hold
  * @param hasRoom whether it takes the request without a long wait
+ * @param prefill the engine that would process the prompt first, or empty
  */
 public record Candidate(
-        UpstreamId upstream, double firstTokenMillis, double completionMillis, long cachedTokens, boolean hasRoom) {}
+        UpstreamId upstream,
+        double firstTokenMillis,
+        double completionMillis,
+        long cachedTokens,
+        boolean hasRoom,
+        Optional<UpstreamId> prefill) {}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/CostRouting.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/CostRouting.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.UpstreamId;
 
 /**
@@ -25,6 +26,7 @@
     private static final double NEAR_MARGIN_MILLIS = 50;
     private static final double NEAR_MARGIN_RATIO = 0.15;
     private static final double MAXIMUM_BACKLOG_MILLIS = 1_000;
+    private static final double TRANSFER_TOKENS_PER_SECOND = 100_000;
     private static final double UNKNOWN_REQUEST_MILLIS = 20;
     private static final int UNKNOWN_MAXIMUM_REQUESTS = 64;
     private static final double MEMORY_PRESSURE_PIECES = 8;
@@ -59,7 +61,8 @@
             return Optional.empty();
         }
         Candidate chosen = draw(open, random);
-        return Optional.of(new Route(fleet.find(chosen.upstream()).orElseThrow(), chosen, candidates));
+        UpstreamState upstream = fleet.find(chosen.upstream()).orElseThrow();
+        return Optional.of(new Route(upstream, chosen.prefill().flatMap(fleet::find), chosen, candidates));
     }
 
     private static List<UpstreamState> sample(
@@ -82,37 +85,78 @@
 
     private static List<Candidate> weigh(
             List<UpstreamState> sample, RouteQuery query, Map<UpstreamId, Integer> cached, long nowMillis) {
-        List<Candidate> candidates = new ArrayList<>(sample.size());
-        for (UpstreamState upstream : sample) {
-            if (query.allows(upstream, nowMillis)) {
-                candidates.add(cost(upstream, query, cached.getOrDefault(upstream.id(), 0), nowMillis));
+        List<UpstreamState> open = sample.stream()
+                .filter(upstream -> query.allows(upstream, nowMillis))
+                .toList();
+        boolean onlyPrefill = open.stream().allMatch(CostRouting::isPrefill);
+        Optional<Prefill> prefill = onlyPrefill ? Optional.empty() : bestPrefill(open, query, cached, nowMillis);
+        List<Candidate> candidates = new ArrayList<>(open.size());
+        for (UpstreamState upstream : open) {
+            if (onlyPrefill || !isPrefill(upstream)) {
+                candidates.add(cost(upstream, query, cached.getOrDefault(upstream.id(), 0), prefill, nowMillis));
             }
         }
         return candidates;
     }
 
-    private static Candidate cost(UpstreamState upstream, RouteQuery query, int cachedPieces, long nowMillis) {
-        long cachedTokens = Math.min(query.promptTokens(), (long) cachedPieces * UpstreamState.PIECE_TOKENS);
-        long freshTokens = query.promptTokens() - cachedTokens;
-        double prefillRate = upstream.prefillTokensPerSecond();
-        double backlogMillis = prefillRate > 0
-                ? upstream.backlogTokens(nowMillis) * 1_000 / prefillRate
+    private static boolean isPrefill(UpstreamState upstream) {
+        return upstream.role() == UpstreamConfig.Role.PREFILL;
+    }
+
+    private record Prefill(UpstreamState upstream, long cachedTokens, double doneMillis) {}
+
+    private static Optional<Prefill> bestPrefill(
+            List<UpstreamState> open, RouteQuery query, Map<UpstreamId, Integer> cached, long nowMillis) {
+        double transferMillis = query.promptTokens() * 1_000 / TRANSFER_TOKENS_PER_SECOND;
+        return open.stream()
+                .filter(CostRouting::isPrefill)
+                .filter(upstream -> upstream.prefillTokensPerSecond() > 0)
+                .map(upstream -> {
+                    long cachedTokens = cachedTokens(query, cached.getOrDefault(upstream.id(), 0));
+                    double firstMillis = firstTokenMillis(upstream, query.promptTokens() - cachedTokens, nowMillis);
+                    return new Prefill(upstream, cachedTokens, firstMillis + transferMillis);
+                })
+                .min(Comparator.comparingDouble(Prefill::doneMillis));
+    }
+
+    private static long cachedTokens(RouteQuery query, int cachedPieces) {
+        return Math.min(query.promptTokens(), (long) cachedPieces * UpstreamState.PIECE_TOKENS);
+    }
+
+    private static double backlogMillis(UpstreamState upstream, long nowMillis) {
+        double rate = upstream.prefillTokensPerSecond();
+        return rate > 0
+                ? upstream.backlogTokens(nowMillis) * 1_000 / rate
                 : upstream.requests() * UNKNOWN_REQUEST_MILLIS;
-        double firstTokenMillis = backlogMillis + (prefillRate > 0 ? freshTokens * 1_000 / prefillRate : 0);
+    }
+
+    private static double firstTokenMillis(UpstreamState upstream, long freshTokens, long nowMillis) {
+        double rate = upstream.prefillTokensPerSecond();
+        return backlogMillis(upstream, nowMillis) + (rate > 0 ? freshTokens * 1_000 / rate : 0);
+    }
+
+    private static Candidate cost(
+            UpstreamState upstream, RouteQuery query, int cachedPieces, Optional<Prefill> prefill, long nowMillis) {
+        long ownCachedTokens = cachedTokens(query, cachedPieces);
+        double ownMillis = firstTokenMillis(upstream, query.promptTokens() - ownCachedTokens, nowMillis);
+        Optional<Prefill> used = prefill.filter(engine -> engine.doneMillis() < ownMillis);
+        double firstTokenMillis = used.map(Prefill::doneMillis).orElse(ownMillis);
         double decodeRate = upstream.decodeTokensPerSecond();
         double decodeMillis = decodeRate > 0 ? query.expectedOutputTokens() * 1_000 / decodeRate : 0;
         int neededPieces = Math.max(0, query.pieces() - cachedPieces);
         int leftPieces =
                 upstream.freePieces() == Integer.MAX_VALUE ? Integer.MAX_VALUE : upstream.freePieces() - neededPieces;
         double penaltyMillis = memoryPenaltyMillis(leftPieces) + stalePenaltyMillis(upstream, nowMillis);
+        double waitMillis = used.map(engine -> backlogMillis(engine.upstream(), nowMillis))
+                .orElse(backlogMillis(upstream, nowMillis));
         boolean empty = upstream.requests() == 0;
-        boolean hasRoom = empty || (leftPieces >= 0 && hasShortBacklog(upstream, backlogMillis));
         return new Candidate(
                 upstream.id(),
                 firstTokenMillis,
                 firstTokenMillis + decodeMillis + penaltyMillis,
-                cachedTokens,
-                hasRoom);
+                used.map(Prefill::cachedTokens).orElse(ownCachedTokens),
+                empty || (leftPieces >= 0 && hasShortBacklog(upstream, waitMillis)),
+                used.map(engine -> engine.upstream().id()));
     }
 
     private static boolean hasShortBacklog(UpstreamState upstream, double backlogMillis) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/FixedRolesRouting.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/FixedRolesRouting.java
@@ -3,15 +3,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.cactusshift.config.UpstreamConfig;
 
 /**
- * Splits the fleet once: a share of the upstreams takes the long prompts, the rest the brief ones; within each part the
- * fewest attempts of this node decide.
+ * Sends each prompt to an engine in the prefill role and its output to one in the decode role, each by the fewest
+ * attempts of this node; engines in neither role serve when one of the parts is missing.
  */
 public final class FixedRolesRouting implements RoutingPolicy {
-    private static final long LONG_PROMPT_TOKENS = 2_048;
-    private static final double LONG_PROMPT_SHARE = 0.5;
-
     private FixedRolesRouting() {}
 
     /**
@@ -25,18 +23,23 @@
 
     @Override
     public Optional<Route> choose(FleetView fleet, RouteQuery query, long nowMillis, RandomGenerator random) {
-        List<UpstreamState> all = fleet.upstreams();
-        int split = (int) Math.ceil(all.size() * LONG_PROMPT_SHARE);
-        boolean isLong = query.promptTokens() >= LONG_PROMPT_TOKENS;
-        List<UpstreamState> part = isLong ? all.subList(0, split) : all.subList(split, all.size());
-        return LeastOutstandingRouting.leastOutstanding(open(part, query, nowMillis), random)
-                .or(() -> LeastOutstandingRouting.leastOutstanding(open(all, query, nowMillis), random))
+        List<UpstreamState> open = fleet.upstreams().stream()
+                .filter(upstream -> query.allows(upstream, nowMillis))
+                .toList();
+        Optional<UpstreamState> prefill = least(open, UpstreamConfig.Role.PREFILL, random);
+        Optional<UpstreamState> decode = least(open, UpstreamConfig.Role.DECODE, random);
+        if (prefill.isPresent() && decode.isPresent()) {
+            return Optional.of(Route.withoutCosts(decode.get(), prefill));
+        }
+        return least(open, UpstreamConfig.Role.MIXED, random)
+                .or(() -> LeastOutstandingRouting.leastOutstanding(open, random))
                 .map(Route::withoutCosts);
     }
 
-    private static List<UpstreamState> open(List<UpstreamState> part, RouteQuery query, long nowMillis) {
-        return part.stream()
-                .filter(upstream -> query.allows(upstream, nowMillis))
-                .toList();
+    private static Optional<UpstreamState> least(
+            List<UpstreamState> open, UpstreamConfig.Role role, RandomGenerator random) {
+        List<UpstreamState> part =
+                open.stream().filter(upstream -> upstream.role() == role).toList();
+        return LeastOutstandingRouting.leastOutstanding(part, random);
     }
 }
