--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/Call.java
@@ -0,0 +1,31 @@
+package org.cactusshift.replay;
+
+import java.util.Optional;
+import org.cactusshift.internal.coordination.dispatch.DispatchDecision;
+
+/** A request of a trace while it is replayed. */
+final class Call {
+    final TraceEvent.Request request;
+    long deliveredTokens;
+    long firstTokenAtMillis = -1;
+    int attempts;
+    int runs;
+    boolean ended;
+    boolean completed;
+    boolean inTime;
+    boolean harmedByReclaim;
+    Optional<DispatchDecision.Reason> refusal = Optional.empty();
+    boolean onReclaimable;
+
+    Call(TraceEvent.Request request) {
+        this.request = request;
+    }
+
+    long deadlineMillis() {
+        return request.atMillis() + request.timeoutMillis();
+    }
+
+    boolean isGood() {
+        return completed && inTime && (request.repeatable() || runs <= 1);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/EngineSimulator.java
@@ -0,0 +1,283 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd;
+import org.cactusshift.internal.coordination.dispatch.EngineLoad;
+import org.cactusshift.internal.coordination.routing.UpstreamState;
+
+/**
+ * A model engine with continuous batching, one iteration at a time.
+ *
+ * <p>Each iteration generates one token for each sequence that is past its prompt and processes a chunk of the prompts
+ * that are not; the role sets the size of the chunk. A sequence holds its KV cache pieces from admission to its end.
+ */
+final class EngineSimulator implements SimulatedUpstream {
+    static final double PREFILL_TOKENS_PER_SECOND = 8_000;
+    static final double ITERATION_MILLIS = 15;
+    static final double SEQUENCE_MILLIS = 0.3;
+    private static final int MIXED_CHUNK_TOKENS = 1_024;
+    private static final int PREFILL_CHUNK_TOKENS = 8_192;
+    private static final int DECODE_CHUNK_TOKENS = 256;
+    private static final int PROGRESS_TOKENS = 8;
+    private static final double RATE_SMOOTHING = 0.1;
+
+    private final TraceUpstream declaration;
+    private final EventQueue events;
+    private final Consumer<TraceEvent.Request> onCrashingRequest;
+    private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+    private final List<Job> prefilling = new ArrayList<>();
+    private final List<Job> decoding = new ArrayList<>();
+    private final PieceCache cache;
+    private UpstreamConfig.Role role;
+    private int usedPieces;
+    private boolean iterating;
+    private boolean down;
+    private boolean changing;
+    private long epoch = 1;
+    private double prefillRate = PREFILL_TOKENS_PER_SECOND;
+    private double decodeRate = 1_000 / (ITERATION_MILLIS + SEQUENCE_MILLIS);
+
+    EngineSimulator(
+            TraceUpstream declaration,
+            UpstreamConfig.Role role,
+            EventQueue events,
+            Consumer<TraceEvent.Request> onCrashingRequest) {
+        this.declaration = declaration;
+        this.role = role;
+        this.events = events;
+        this.onCrashingRequest = onCrashingRequest;
+        this.cache = new PieceCache(declaration.memoryPieces());
+    }
+
+    @Override
+    public TraceUpstream declaration() {
+        return declaration;
+    }
+
+    UpstreamConfig.Role role() {
+        return role;
+    }
+
+    PieceCache cache() {
+        return cache;
+    }
+
+    void startChange() {
+        changing = true;
+    }
+
+    void finishChange(UpstreamConfig.Role newRole) {
+        changing = false;
+        role = newRole;
+        cache.clear();
+    }
+
+    @Override
+    public void accept(Job job) {
+        if (down) {
+            job.end(AttemptEnd.Outcome.NOT_SENT);
+        } else if (changing) {
+            job.end(AttemptEnd.Outcome.NOT_RUN);
+        } else {
+            waiting.addLast(job);
+            iterate();
+        }
+    }
+
+    @Override
+    public void cancel(Job job) {
+        job.ended = true;
+        waiting.remove(job);
+        if (prefilling.remove(job) || decoding.remove(job)) {
+            usedPieces -= job.pieces;
+        }
+    }
+
+    private void iterate() {
+        if (iterating || down) {
+            return;
+        }
+        admit();
+        long prefillTokens = takeChunk();
+        if (prefillTokens == 0 && decoding.isEmpty() && prefilling.isEmpty()) {
+            return;
+        }
+        iterating = true;
+        double millis = ITERATION_MILLIS
+                + SEQUENCE_MILLIS * decoding.size()
+                + prefillTokens * 1_000 / PREFILL_TOKENS_PER_SECOND;
+        measure(prefillTokens, millis);
+        long startEpoch = epoch;
+        List<Job> generating = new ArrayList<>(decoding);
+        events.afterMillis(millis, () -> finishIteration(generating, startEpoch));
+    }
+
+    private void admit() {
+        while (!waiting.isEmpty()) {
+            Job job = waiting.peekFirst();
+            int needed = pieces(job);
+            if (usedPieces + needed > declaration.memoryPieces() && usedPieces > 0) {
+                return;
+            }
+            waiting.removeFirst();
+            job.pieces = needed;
+            usedPieces += needed;
+            cache.setLimit(declaration.memoryPieces() - usedPieces);
+            if (job.prefillLeft > 0) {
+                long cachedTokens = (long) cache.hit(job.prefixHashes) * UpstreamState.PIECE_TOKENS;
+                job.prefillLeft = Math.max(1, job.promptTokens - cachedTokens);
+            }
+            (job.prefillLeft > 0 ? prefilling : decoding).add(job);
+        }
+    }
+
+    private static int pieces(Job job) {
+        long tokens = job.promptTokens + (job.prefillOnly ? 0 : job.outputTokens);
+        return (int) ((tokens + UpstreamState.PIECE_TOKENS - 1) / UpstreamState.PIECE_TOKENS);
+    }
+
+    private long takeChunk() {
+        long chunk = chunkTokens();
+        long taken = 0;
+        for (Job job : prefilling) {
+            long part = Math.min(job.prefillLeft, chunk - taken);
+            job.prefillLeft -= part;
+            taken += part;
+            if (taken == chunk) {
+                break;
+            }
+        }
+        return taken;
+    }
+
+    private int chunkTokens() {
+        switch (role) {
+            case PREFILL:
+                return PREFILL_CHUNK_TOKENS;
+            case DECODE:
+                return DECODE_CHUNK_TOKENS;
+            default:
+                return MIXED_CHUNK_TOKENS;
+        }
+    }
+
+    private void measure(long prefillTokens, double millis) {
+        if (prefillTokens >= DECODE_CHUNK_TOKENS) {
+            prefillRate += RATE_SMOOTHING * (prefillTokens * 1_000 / millis - prefillRate);
+        }
+        decodeRate += RATE_SMOOTHING * (1_000 / millis - decodeRate);
+    }
+
+    private void finishIteration(List<Job> generating, long startEpoch) {
+        if (startEpoch != epoch) {
+            return;
+        }
+        iterating = false;
+        for (Job job : generating) {
+            if (!job.ended) {
+                generate(job);
+            }
+        }
+        for (Job job : List.copyOf(prefilling)) {
+            if (!job.ended && job.prefillLeft == 0) {
+                finishPrefill(job);
+            }
+            if (down) {
+                return;
+            }
+        }
+        iterate();
+    }
+
+    private void finishPrefill(Job job) {
+        if (job.request.crashes()) {
+            onCrashingRequest.accept(job.request);
+            return;
+        }
+        prefilling.remove(job);
+        cache.store(job.prefixHashes);
+        if (job.prefillOnly) {
+            usedPieces -= job.pieces;
+            job.end(AttemptEnd.Outcome.COMPLETED);
+            return;
+        }
+        decoding.add(job);
+        generate(job);
+    }
+
+    private void generate(Job job) {
+        job.generated++;
+        boolean done = job.generated >= job.outputTokens;
+        if (job.generated == 1) {
+            job.listener.onTokens(1);
+        } else if (job.generated % PROGRESS_TOKENS == 0) {
+            job.listener.onTokens(job.generated == PROGRESS_TOKENS ? PROGRESS_TOKENS - 1 : PROGRESS_TOKENS);
+        } else if (done) {
+            long sinceLast = job.generated % PROGRESS_TOKENS;
+            job.listener.onTokens(job.generated < PROGRESS_TOKENS ? sinceLast - 1 : sinceLast);
+        }
+        if (done) {
+            decoding.remove(job);
+            usedPieces -= job.pieces;
+            cache.setLimit(declaration.memoryPieces() - usedPieces);
+            job.end(AttemptEnd.Outcome.COMPLETED);
+        }
+    }
+
+    @Override
+    public void crash() {
+        down = true;
+        iterating = false;
+        epoch++;
+        List<Job> lost = new ArrayList<>(prefilling);
+        lost.addAll(decoding);
+        lost.addAll(waiting);
+        prefilling.clear();
+        decoding.clear();
+        waiting.clear();
+        usedPieces = 0;
+        cache.clear();
+        lost.forEach(job -> job.end(AttemptEnd.Outcome.CRASHED));
+    }
+
+    @Override
+    public void restart() {
+        down = false;
+    }
+
+    @Override
+    public boolean isDown() {
+        return down;
+    }
+
+    long queuedPrefillTokens() {
+        long queued = 0;
+        for (Job job : prefilling) {
+            queued += job.prefillLeft;
+        }
+        for (Job job : waiting) {
+            queued += job.prefillLeft;
+        }
+        return queued;
+    }
+
+    @Override
+    public EngineLoad load() {
+        return new EngineLoad(
+                events.nowMillis(),
+                prefilling.size() + decoding.size(),
+                waiting.size(),
+                queuedPrefillTokens(),
+                usedPieces,
+                declaration.memoryPieces(),
+                prefillRate,
+                decodeRate,
+                role,
+                changing,
+                epoch);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/FleetDriver.java
@@ -0,0 +1,187 @@
+package org.cactusshift.replay;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.dispatch.ServiceDispatcher;
+import org.cactusshift.internal.coordination.roles.DemandMeter;
+import org.cactusshift.internal.coordination.roles.EngineInRole;
+import org.cactusshift.internal.coordination.roles.EngineRates;
+import org.cactusshift.internal.coordination.roles.RoleChange;
+import org.cactusshift.internal.coordination.roles.RolePlanner;
+import org.cactusshift.internal.coordination.roles.RoleSnapshot;
+
+/** Carries out what happens to the fleet: reclaims, withdrawals, crashes and role changes, with drains. */
+final class FleetDriver {
+    private static final long LIST_LAG_MILLIS = 1_000;
+    private static final long ORDER_LAG_MILLIS = 100;
+    private static final long DRAIN_POLL_MILLIS = 200;
+    private static final long RESTART_MILLIS = 15_000;
+    private static final long FAST_MILLIS = 20_000;
+    private static final long SLOW_MILLIS = 120_000;
+    private static final double FULL_BATCH_TOKENS_PER_SECOND = 800;
+
+    private final TraceHeader header;
+    private final EventQueue events;
+    private final SimulatedFleet fleet;
+    private final List<SimulatedNode> nodes;
+    private final List<AccountConfig> accounts;
+    private final Map<String, RolePlanner> planners = new HashMap<>();
+    private final Map<String, DemandMeter> fastDemand = new HashMap<>();
+    private final Map<String, DemandMeter> slowDemand = new HashMap<>();
+    private final Map<String, Long> inRoleSinceMillis = new HashMap<>();
+    private final Set<String> changing = new HashSet<>();
+    private int roleChanges;
+
+    FleetDriver(
+            TraceHeader header,
+            ReplayPolicy policy,
+            EventQueue events,
+            SimulatedFleet fleet,
+            List<SimulatedNode> nodes,
+            List<AccountConfig> accounts) {
+        this.header = header;
+        this.events = events;
+        this.fleet = fleet;
+        this.nodes = nodes;
+        this.accounts = accounts;
+        for (TraceService service : header.services()) {
+            planners.put(service.id(), policy.roles().get());
+            fastDemand.put(service.id(), DemandMeter.create(FAST_MILLIS, 0));
+            slowDemand.put(service.id(), DemandMeter.create(SLOW_MILLIS, 0));
+        }
+    }
+
+    int roleChanges() {
+        return roleChanges;
+    }
+
+    void onArrival(TraceEvent.Request request) {
+        long nowMillis = events.nowMillis();
+        fastDemand.get(request.service()).onArrival(request.promptTokens(), request.outputTokens(), nowMillis);
+        slowDemand.get(request.service()).onArrival(request.promptTokens(), request.outputTokens(), nowMillis);
+    }
+
+    DemandMeter fastDemand(String service) {
+        return fastDemand.get(service);
+    }
+
+    void reclaim(TraceEvent.Reclaim reclaim) {
+        List<String> lost = fleet.all().stream()
+                .map(SimulatedUpstream::declaration)
+                .filter(TraceUpstream::reclaimable)
+                .filter(upstream -> upstream.failureDomain().equals(reclaim.failureDomain()))
+                .map(TraceUpstream::id)
+                .filter(fleet::isPaid)
+                .toList();
+        for (String id : lost) {
+            setLeaving(id, true, LIST_LAG_MILLIS);
+            events.afterMillis(reclaim.noticeMillis(), () -> fleet.take(id));
+            events.afterMillis(reclaim.noticeMillis() + reclaim.backAfterMillis(), () -> {
+                fleet.bringBack(id);
+                setLeaving(id, false, LIST_LAG_MILLIS);
+            });
+        }
+    }
+
+    void withdraw(String id) {
+        setLeaving(id, true, ORDER_LAG_MILLIS);
+        whenDrained(id, () -> {
+            fleet.take(id);
+            install();
+        });
+    }
+
+    void crash(TraceEvent.Crash crash) {
+        fleet.crash(crash.upstream(), crash.restartMillis().orElse(RESTART_MILLIS));
+    }
+
+    void install() {
+        List<UpstreamConfig> configs = fleet.configs();
+        nodes.forEach(node -> node.install(accounts, configs));
+    }
+
+    void setLeaving(String id, boolean leaving, long lagMillis) {
+        String service = fleet.find(id).declaration().service();
+        events.afterMillis(
+                lagMillis,
+                () -> nodes.forEach(node -> node.execute(
+                        service,
+                        node.dispatchers()
+                                .get(service)
+                                .onLeaving(UpstreamId.fromString(id), leaving, events.nowMillis()))));
+    }
+
+    /** Runs an action once no node has anything in flight on an upstream. */
+    void whenDrained(String id, Runnable action) {
+        events.afterMillis(ORDER_LAG_MILLIS + DRAIN_POLL_MILLIS, () -> {
+            if (inFlight(id) == 0) {
+                action.run();
+            } else {
+                whenDrained(id, action);
+            }
+        });
+    }
+
+    private int inFlight(String id) {
+        String service = fleet.find(id).declaration().service();
+        int inFlight = 0;
+        for (SimulatedNode node : nodes) {
+            ServiceDispatcher dispatcher = node.dispatchers().get(service);
+            inFlight += dispatcher.inFlight(UpstreamId.fromString(id));
+        }
+        return inFlight;
+    }
+
+    void planRoles() {
+        for (TraceService service : header.services()) {
+            List<EngineSimulator> engines = fleet.engines(service.id()).stream()
+                    .filter(engine -> !engine.isDown())
+                    .toList();
+            long nowMillis = events.nowMillis();
+            RoleSnapshot snapshot = new RoleSnapshot(
+                    engines.stream().map(this::inRole).toList(),
+                    fastDemand.get(service.id()).demand(nowMillis),
+                    slowDemand.get(service.id()).demand(nowMillis),
+                    new EngineRates(
+                            EngineSimulator.PREFILL_TOKENS_PER_SECOND,
+                            FULL_BATCH_TOKENS_PER_SECOND,
+                            header.roleChangeMillis()));
+            planners.get(service.id()).plan(snapshot, nowMillis).forEach(this::change);
+        }
+    }
+
+    private EngineInRole inRole(EngineSimulator engine) {
+        String id = engine.declaration().id();
+        return new EngineInRole(
+                UpstreamId.fromString(id),
+                FailureDomainId.fromString(engine.declaration().failureDomain()),
+                engine.role(),
+                changing.contains(id),
+                inRoleSinceMillis.getOrDefault(id, 0L));
+    }
+
+    private void change(RoleChange change) {
+        String id = change.engine().value();
+        EngineSimulator engine = (EngineSimulator) fleet.find(id);
+        changing.add(id);
+        roleChanges++;
+        setLeaving(id, true, ORDER_LAG_MILLIS);
+        whenDrained(id, () -> {
+            engine.startChange();
+            events.afterMillis(header.roleChangeMillis(), () -> {
+                engine.finishChange(change.role());
+                changing.remove(id);
+                inRoleSinceMillis.put(id, events.nowMillis());
+                install();
+                setLeaving(id, false, ORDER_LAG_MILLIS);
+            });
+        });
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/OracleRouting.java
@@ -0,0 +1,73 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.cactusshift.internal.coordination.routing.Candidate;
+import org.cactusshift.internal.coordination.routing.FleetView;
+import org.cactusshift.internal.coordination.routing.Route;
+import org.cactusshift.internal.coordination.routing.RouteQuery;
+import org.cactusshift.internal.coordination.routing.RoutingPolicy;
+import org.cactusshift.internal.coordination.routing.UpstreamState;
+
+/** Routes by the true state of the upstreams and the true lengths; a bound, not a policy that could be run. */
+final class OracleRouting implements RoutingPolicy {
+    private static final double MAXIMUM_BACKLOG_MILLIS = 500;
+
+    private final SimulatedFleet fleet;
+    private final Map<String, TraceEvent.Request> requests;
+
+    OracleRouting(SimulatedFleet fleet, Map<String, TraceEvent.Request> requests) {
+        this.fleet = fleet;
+        this.requests = requests;
+    }
+
+    @Override
+    public Optional<Route> choose(FleetView view, RouteQuery query, long nowMillis, RandomGenerator random) {
+        TraceEvent.Request request = requests.get(query.request().id().value());
+        List<Candidate> candidates = new ArrayList<>();
+        for (UpstreamState state : view.upstreams()) {
+            SimulatedUpstream upstream = fleet.find(state.id().value());
+            if (query.allows(state, nowMillis) && !upstream.isDown()) {
+                candidates.add(
+                        upstream instanceof EngineSimulator
+                                ? weigh(state, (EngineSimulator) upstream, query, request)
+                                : weigh(state, upstream, request));
+            }
+        }
+        return candidates.stream()
+                .filter(Candidate::hasRoom)
+                .min(Comparator.comparingDouble(Candidate::completionMillis))
+                .map(chosen ->
+                        new Route(view.find(chosen.upstream()).orElseThrow(), Optional.empty(), chosen, candidates));
+    }
+
+    private static Candidate weigh(
+            UpstreamState state, EngineSimulator engine, RouteQuery query, TraceEvent.Request request) {
+        var load = engine.load();
+        int cachedPieces = engine.cache().peek(query.request().prefixHashes());
+        long cachedTokens = Math.min(query.promptTokens(), (long) cachedPieces * UpstreamState.PIECE_TOKENS);
+        double backlogMillis = load.queuedPrefillTokens() * 1_000.0 / load.prefillTokensPerSecond();
+        double prefillMillis = (query.promptTokens() - cachedTokens) * 1_000.0 / load.prefillTokensPerSecond();
+        double decodeMillis = request.outputTokens() * 1_000.0 / load.decodeTokensPerSecond();
+        long tokens = query.promptTokens() + request.outputTokens();
+        long pieces = (tokens + UpstreamState.PIECE_TOKENS - 1) / UpstreamState.PIECE_TOKENS;
+        boolean fits = load.usedPieces() + pieces <= load.totalPieces() || load.running() == 0;
+        return new Candidate(
+                state.id(),
+                backlogMillis + prefillMillis,
+                backlogMillis + prefillMillis + decodeMillis,
+                cachedTokens,
+                fits && load.waiting() == 0 && backlogMillis <= MAXIMUM_BACKLOG_MILLIS,
+                Optional.empty());
+    }
+
+    private static Candidate weigh(UpstreamState state, SimulatedUpstream upstream, TraceEvent.Request request) {
+        var load = upstream.load();
+        double waitMillis = (load.running() + load.waiting()) * request.serviceMillis() / 4.0;
+        return new Candidate(state.id(), waitMillis, waitMillis + request.serviceMillis(), 0, true, Optional.empty());
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/PieceCache.java
@@ -0,0 +1,75 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cactusshift.internal.coordination.routing.PrefixIndex;
+
+/** An engine's prefix cache in pieces; what was unused for longest goes first. */
+final class PieceCache {
+    private final Map<Long, Boolean> pieces = new LinkedHashMap<>(16, 0.75f, true);
+    private final List<PrefixIndex.Event> events = new ArrayList<>();
+    private int limit;
+    private long nextSequence;
+
+    PieceCache(int limit) {
+        this.limit = limit;
+    }
+
+    int hit(List<Long> prefixHashes) {
+        int count = 0;
+        while (count < prefixHashes.size() && pieces.get(prefixHashes.get(count)) != null) {
+            count++;
+        }
+        return count;
+    }
+
+    /** Returns the pieces that are held, without counting as a use. */
+    int peek(List<Long> prefixHashes) {
+        int count = 0;
+        while (count < prefixHashes.size() && pieces.containsKey(prefixHashes.get(count))) {
+            count++;
+        }
+        return count;
+    }
+
+    void store(List<Long> prefixHashes) {
+        for (Long hash : prefixHashes) {
+            if (pieces.put(hash, true) == null) {
+                emit(PrefixIndex.EventKind.STORED, hash);
+            }
+        }
+        trim();
+    }
+
+    void setLimit(int newLimit) {
+        limit = Math.max(0, newLimit);
+        trim();
+    }
+
+    void clear() {
+        pieces.clear();
+        emit(PrefixIndex.EventKind.CLEARED, 0);
+    }
+
+    private void trim() {
+        for (Iterator<Long> eldest = pieces.keySet().iterator(); pieces.size() > limit && eldest.hasNext(); ) {
+            long hash = eldest.next();
+            eldest.remove();
+            emit(PrefixIndex.EventKind.EVICTED, hash);
+        }
+    }
+
+    private void emit(PrefixIndex.EventKind kind, long hash) {
+        events.add(new PrefixIndex.Event(nextSequence++, kind, hash));
+    }
+
+    /** Takes the events since the last call. */
+    List<PrefixIndex.Event> drainEvents() {
+        List<PrefixIndex.Event> drained = List.copyOf(events);
+        events.clear();
+        return drained;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/PlainSimulator.java
@@ -0,0 +1,101 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd;
+import org.cactusshift.internal.coordination.dispatch.EngineLoad;
+
+/** A plain service with a few workers. */
+final class PlainSimulator implements SimulatedUpstream {
+    private static final int WORKERS = 4;
+
+    private final TraceUpstream declaration;
+    private final EventQueue events;
+    private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+    private final List<Job> running = new ArrayList<>();
+    private boolean down;
+    private long epoch = 1;
+
+    PlainSimulator(TraceUpstream declaration, EventQueue events) {
+        this.declaration = declaration;
+        this.events = events;
+    }
+
+    @Override
+    public TraceUpstream declaration() {
+        return declaration;
+    }
+
+    @Override
+    public void accept(Job job) {
+        if (down) {
+            job.end(AttemptEnd.Outcome.NOT_SENT);
+            return;
+        }
+        waiting.addLast(job);
+        startWaiting();
+    }
+
+    private void startWaiting() {
+        while (running.size() < WORKERS && !waiting.isEmpty()) {
+            Job job = waiting.removeFirst();
+            running.add(job);
+            long startEpoch = epoch;
+            events.afterMillis(job.request.serviceMillis(), () -> finish(job, startEpoch));
+        }
+    }
+
+    private void finish(Job job, long startEpoch) {
+        if (startEpoch == epoch && running.remove(job)) {
+            job.end(AttemptEnd.Outcome.COMPLETED);
+            startWaiting();
+        }
+    }
+
+    @Override
+    public void cancel(Job job) {
+        waiting.remove(job);
+        running.remove(job);
+        job.ended = true;
+        startWaiting();
+    }
+
+    @Override
+    public void crash() {
+        down = true;
+        epoch++;
+        List<Job> lost = new ArrayList<>(running);
+        lost.addAll(waiting);
+        running.clear();
+        waiting.clear();
+        lost.forEach(job -> job.end(AttemptEnd.Outcome.CRASHED));
+    }
+
+    @Override
+    public void restart() {
+        down = false;
+    }
+
+    @Override
+    public boolean isDown() {
+        return down;
+    }
+
+    @Override
+    public EngineLoad load() {
+        return new EngineLoad(
+                events.nowMillis(),
+                running.size(),
+                waiting.size(),
+                0,
+                0,
+                0,
+                0,
+                0,
+                UpstreamConfig.Role.MIXED,
+                false,
+                epoch);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/ReplayCommand.java
@@ -0,0 +1,110 @@
+package org.cactusshift.replay;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.cactusshift.errors.Failure;
+
+/** Replays a trace under one or more policies. */
+public final class ReplayCommand {
+    private static final String STEP = "replay trace";
+
+    private Optional<Path> path = Optional.empty();
+    private Optional<Trace> trace = Optional.empty();
+    private List<String> policies = List.of(ReplayPolicy.STANDARD);
+    private long seed = 1;
+
+    private ReplayCommand() {}
+
+    /**
+     * Returns a command that replays under the standard policy with seed 1.
+     *
+     * @return the command
+     */
+    public static ReplayCommand create() {
+        return new ReplayCommand();
+    }
+
+    /**
+     * Names the trace.
+     *
+     * @param file the file
+     * @return this
+     */
+    public ReplayCommand setTrace(Path file) {
+        path = Optional.of(file);
+        trace = Optional.empty();
+        return this;
+    }
+
+    /**
+     * Gives the trace.
+     *
+     * @param given the trace
+     * @return this
+     */
+    public ReplayCommand setTrace(Trace given) {
+        trace = Optional.of(given);
+        path = Optional.empty();
+        return this;
+    }
+
+    /**
+     * Names the policies.
+     *
+     * @param names the names, as {@link #policyNames} gives them
+     * @return this
+     */
+    public ReplayCommand setPolicies(List<String> names) {
+        policies = List.copyOf(Objects.requireNonNull(names, "names"));
+        return this;
+    }
+
+    /**
+     * Sets the seed of what the replay draws; the decisions of a policy are fixed by it.
+     *
+     * @param newSeed the seed
+     * @return this
+     */
+    public ReplayCommand setSeed(long newSeed) {
+        seed = newSeed;
+        return this;
+    }
+
+    /**
+     * Returns the names of all policies.
+     *
+     * @return the names, the standard policy first
+     */
+    public static List<String> policyNames() {
+        return ReplayPolicy.all().stream().map(ReplayPolicy::name).toList();
+    }
+
+    /**
+     * Replays the trace.
+     *
+     * @return the report, or why the trace or a policy could not be used
+     */
+    public Either<Failure, ReplayReport> call() {
+        Either<Failure, Trace> read = trace.<Either<Failure, Trace>>map(Either::right)
+                .or(() -> path.map(TraceReader::read))
+                .orElse(Either.left(Failure.rejected(STEP, "local", "no trace is named")));
+        return read.flatMap(this::replay);
+    }
+
+    private Either<Failure, ReplayReport> replay(Trace replayed) {
+        List<PolicyResult> results = new ArrayList<>();
+        for (String name : policies) {
+            Optional<ReplayPolicy> policy = ReplayPolicy.find(name);
+            if (policy.isEmpty()) {
+                String known = String.join(", ", policyNames());
+                return Either.left(Failure.rejected(STEP, "local", "no policy is named " + name + "; known: " + known));
+            }
+            results.add(ReplayRun.run(replayed, policy.get(), seed));
+        }
+        return Either.right(ReplayReport.create(replayed, seed, results));
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/ReplayPolicy.java
@@ -0,0 +1,100 @@
+package org.cactusshift.replay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.cactusshift.internal.coordination.dispatch.DispatchPolicy;
+import org.cactusshift.internal.coordination.roles.RepayingRolePlanner;
+import org.cactusshift.internal.coordination.roles.RolePlanner;
+import org.cactusshift.internal.coordination.roles.StaticRolePlanner;
+import org.cactusshift.internal.coordination.roles.ThresholdRolePlanner;
+import org.cactusshift.internal.coordination.routing.FixedRolesRouting;
+import org.cactusshift.internal.coordination.routing.LeastOutstandingRouting;
+import org.cactusshift.internal.coordination.routing.PrefixHashRouting;
+import org.cactusshift.internal.coordination.routing.RoundRobinRouting;
+import org.cactusshift.internal.coordination.routing.RoutingPolicy;
+
+/**
+ * A way to serve a trace that can be compared with others.
+ *
+ * @param name the name
+ * @param dispatch builds the dispatch policy of one service at one node
+ * @param roles builds the role planner of one model
+ * @param fleet how the fleet differs from the declared one
+ * @param kind what it stands for in a comparison
+ */
+public record ReplayPolicy(
+        String name, Supplier<DispatchPolicy> dispatch, Supplier<RolePlanner> roles, Fleet fleet, Kind kind) {
+    /** The policy that nodes run. */
+    public static final String STANDARD = "cactusshift";
+    /** The standard policy but for a role planner that follows the mix at once. */
+    public static final String THRESHOLD_ROLES = "threshold-roles";
+    /** The standard policy on a fleet that is ordered as a whole. */
+    public static final String ALL_ORDERED = "all-ordered";
+    /** One dispatcher that sees the true state of the engines and the true lengths. */
+    public static final String ORACLE = "oracle";
+
+    private static final int ROLE_CHANGES_PER_HOUR = 12;
+
+    /** How the fleet differs from the declared one. */
+    public enum Fleet {
+        /** As declared. */
+        DECLARED,
+        /** As declared, but half of the engines in the prefill role and half in the decode role. */
+        SPLIT,
+        /** As declared, but nothing is reclaimable and all is paid for as ordered. */
+        ORDERED,
+        /** As declared at first, then as the capacity planner decides. */
+        PLANNED
+    }
+
+    /** What a policy stands for in a comparison. */
+    public enum Kind {
+        /** A balancer of the usual sort. */
+        BASELINE,
+        /** The product, or a variant of it. */
+        PRODUCT,
+        /** A bound that no real policy can reach. */
+        ORACLE
+    }
+
+    /**
+     * Returns all policies, the standard one first.
+     *
+     * @return the policies
+     */
+    public static List<ReplayPolicy> all() {
+        return List.of(
+                product(STANDARD, () -> RepayingRolePlanner.create(ROLE_CHANGES_PER_HOUR), Fleet.DECLARED),
+                baseline("round-robin", RoundRobinRouting::create, Fleet.DECLARED),
+                baseline("least-outstanding", LeastOutstandingRouting::create, Fleet.DECLARED),
+                baseline("prefix-hash", PrefixHashRouting::create, Fleet.DECLARED),
+                baseline("fixed-roles", FixedRolesRouting::create, Fleet.SPLIT),
+                product("all-mixed", StaticRolePlanner::create, Fleet.DECLARED),
+                product("fixed-split", StaticRolePlanner::create, Fleet.SPLIT),
+                product(THRESHOLD_ROLES, ThresholdRolePlanner::create, Fleet.DECLARED),
+                product(ALL_ORDERED, () -> RepayingRolePlanner.create(ROLE_CHANGES_PER_HOUR), Fleet.ORDERED),
+                product("planned-capacity", () -> RepayingRolePlanner.create(ROLE_CHANGES_PER_HOUR), Fleet.PLANNED),
+                new ReplayPolicy(
+                        ORACLE, DispatchPolicy::standard, StaticRolePlanner::create, Fleet.DECLARED, Kind.ORACLE));
+    }
+
+    private static ReplayPolicy baseline(String name, Supplier<RoutingPolicy> routing, Fleet fleet) {
+        return new ReplayPolicy(
+                name, () -> DispatchPolicy.baseline(routing.get()), StaticRolePlanner::create, fleet, Kind.BASELINE);
+    }
+
+    private static ReplayPolicy product(String name, Supplier<RolePlanner> roles, Fleet fleet) {
+        return new ReplayPolicy(name, DispatchPolicy::standard, roles, fleet, Kind.PRODUCT);
+    }
+
+    /**
+     * Returns a policy.
+     *
+     * @param name its name
+     * @return the policy, or empty when there is none of that name
+     */
+    public static Optional<ReplayPolicy> find(String name) {
+        return all().stream().filter(policy -> policy.name().equals(name)).findFirst();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/ReplayRun.java
@@ -0,0 +1,211 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.dispatch.AccountServiceTotals;
+import org.cactusshift.internal.coordination.dispatch.DispatchPolicy;
+import org.cactusshift.internal.coordination.dispatch.EngineLoad;
+import org.cactusshift.internal.coordination.dispatch.ServiceDispatcher;
+import org.cactusshift.internal.coordination.quarantine.SuspectReport;
+import org.cactusshift.internal.coordination.routing.PrefixIndex;
+
+/** One trace under one policy. */
+final class ReplayRun {
+    private static final long TICK_MILLIS = 50;
+    private static final long PLAN_PERIOD_MILLIS = 5_000;
+    private static final long SUMMARY_LAG_MILLIS = 100;
+    private static final long ORACLE_REPORT_MILLIS = 25;
+    private static final long TAIL_MILLIS = 60_000;
+    private static final double CACHE_EVENT_LOSS = 0.05;
+
+    private final Trace trace;
+    private final ReplayPolicy policy;
+    private final Random random;
+    private final EventQueue events = new EventQueue();
+    private final Map<String, Call> calls = new LinkedHashMap<>();
+    private final Map<String, TraceEvent.Request> requests = new HashMap<>();
+    private final List<AccountConfig> accounts = new ArrayList<>();
+    private final List<SimulatedNode> nodes = new ArrayList<>();
+    private final Map<String, AccountServiceTotals> lastTotals = new HashMap<>();
+    private final SimulatedFleet fleet;
+    private final FleetDriver driver;
+    private final RunMeasures measures;
+    private final boolean oracle;
+    private long reportLagMillis;
+
+    private ReplayRun(Trace trace, ReplayPolicy policy, long seed) {
+        this.trace = trace;
+        this.policy = policy;
+        this.random = new Random(seed);
+        this.oracle = policy.kind() == ReplayPolicy.Kind.ORACLE;
+        this.fleet = new SimulatedFleet(trace.header(), policy.fleet(), events);
+        for (TraceAccount account : trace.header().accounts()) {
+            accounts.add(new AccountConfig(
+                    AccountId.fromString(account.id()),
+                    account.weight(),
+                    account.tokensPerSecond(),
+                    account.maximumConcurrentRequests(),
+                    List.of(),
+                    List.of()));
+        }
+        int nodeCount = oracle ? 1 : trace.header().nodes();
+        for (int i = 0; i < nodeCount; i++) {
+            nodes.add(new SimulatedNode(i, trace.header().services(), this::dispatchPolicy, events, fleet));
+        }
+        this.driver = new FleetDriver(trace.header(), policy, events, fleet, nodes, accounts);
+        this.measures = new RunMeasures(trace.header(), calls, fleet);
+        this.reportLagMillis = oracle ? 0 : trace.header().reportLagMillis();
+    }
+
+    static PolicyResult run(Trace trace, ReplayPolicy policy, long seed) {
+        return new ReplayRun(trace, policy, seed).run();
+    }
+
+    private DispatchPolicy dispatchPolicy() {
+        if (!oracle) {
+            return policy.dispatch().get();
+        }
+        return new DispatchPolicy(new OracleRouting(fleet, requests), DispatchPolicy.Queueing.FAIR, true, true, true);
+    }
+
+    private PolicyResult run() {
+        driver.install();
+        trace.events().forEach(event -> events.atMillis(event.atMillis(), () -> happen(event)));
+        long endMillis = trace.header().durationMillis();
+        every(oracle ? ORACLE_REPORT_MILLIS : trace.header().reportPeriodMillis(), this::report);
+        every(trace.header().summaryPeriodMillis(), this::exchange);
+        every(TICK_MILLIS, this::tick);
+        every(PLAN_PERIOD_MILLIS, driver::planRoles);
+        every(RunMeasures.SPAN_MILLIS, () -> measures.noteRoles(events.nowMillis()));
+        events.runUntilMillis(endMillis + TAIL_MILLIS);
+        return measures.result(policy.name(), driver.roleChanges());
+    }
+
+    private void every(long periodMillis, Runnable action) {
+        events.afterMillis(periodMillis, () -> {
+            action.run();
+            every(periodMillis, action);
+        });
+    }
+
+    private void happen(TraceEvent event) {
+        if (event instanceof TraceEvent.Request) {
+            arrive((TraceEvent.Request) event);
+        } else if (event instanceof TraceEvent.Reclaim) {
+            driver.reclaim((TraceEvent.Reclaim) event);
+        } else if (event instanceof TraceEvent.Withdraw) {
+            driver.withdraw(((TraceEvent.Withdraw) event).upstream());
+        } else if (event instanceof TraceEvent.Crash) {
+            driver.crash((TraceEvent.Crash) event);
+        } else if (event instanceof TraceEvent.ReportLag && !oracle) {
+            TraceEvent.ReportLag lag = (TraceEvent.ReportLag) event;
+            reportLagMillis = lag.lagMillis();
+            events.atMillis(
+                    lag.untilMillis(), () -> reportLagMillis = trace.header().reportLagMillis());
+        }
+    }
+
+    private void arrive(TraceEvent.Request request) {
+        Call call = new Call(request);
+        calls.put(request.id(), call);
+        requests.put(request.id(), request);
+        driver.onArrival(request);
+        nodes.get(random.nextInt(nodes.size())).submit(call, oracle);
+    }
+
+    private void report() {
+        for (SimulatedUpstream upstream : fleet.all()) {
+            if (upstream.isDown()) {
+                continue;
+            }
+            EngineLoad load = upstream.load();
+            List<PrefixIndex.Event> cacheEvents = cacheEvents(upstream);
+            events.afterMillis(reportLagMillis, () -> deliver(upstream, load, cacheEvents));
+        }
+    }
+
+    private List<PrefixIndex.Event> cacheEvents(SimulatedUpstream upstream) {
+        if (!(upstream instanceof EngineSimulator)) {
+            return List.of();
+        }
+        return ((EngineSimulator) upstream)
+                .cache().drainEvents().stream()
+                        .filter(event -> random.nextDouble() >= CACHE_EVENT_LOSS)
+                        .toList();
+    }
+
+    private void deliver(SimulatedUpstream upstream, EngineLoad load, List<PrefixIndex.Event> cacheEvents) {
+        UpstreamId id = UpstreamId.fromString(upstream.declaration().id());
+        String service = upstream.declaration().service();
+        for (SimulatedNode node : nodes) {
+            ServiceDispatcher dispatcher = node.dispatchers().get(service);
+            dispatcher.onCacheEvents(id, cacheEvents);
+            node.execute(service, dispatcher.onLoad(id, load, events.nowMillis()));
+        }
+    }
+
+    private void tick() {
+        for (SimulatedNode node : nodes) {
+            node.dispatchers()
+                    .forEach((service, dispatcher) -> node.execute(service, dispatcher.onTime(events.nowMillis())));
+        }
+    }
+
+    private void exchange() {
+        for (TraceService service : trace.header().services()) {
+            for (int from = 0; from < nodes.size(); from++) {
+                exchangeService(service.id(), from);
+            }
+            exchangeSuspects(service.id());
+        }
+    }
+
+    private void exchangeService(String service, int from) {
+        for (AccountServiceTotals totals :
+                nodes.get(from).dispatchers().get(service).serviceSinceStart()) {
+            String key = from + "/" + service + "/" + totals.account();
+            AccountServiceTotals last = lastTotals.put(key, totals);
+            long prefill = totals.prefillTokens() - (last == null ? 0 : last.prefillTokens());
+            long decode = totals.decodeTokens() - (last == null ? 0 : last.decodeTokens());
+            if (prefill == 0 && decode == 0) {
+                continue;
+            }
+            events.afterMillis(SUMMARY_LAG_MILLIS, () -> {
+                for (int to = 0; to < nodes.size(); to++) {
+                    if (to != from) {
+                        nodes.get(to)
+                                .dispatchers()
+                                .get(service)
+                                .onRemoteService(totals.account(), prefill, decode, 0, events.nowMillis());
+                    }
+                }
+            });
+        }
+    }
+
+    private void exchangeSuspects(String service) {
+        for (int to = 0; to < nodes.size(); to++) {
+            Map<Long, Integer> crashes = new HashMap<>();
+            for (int from = 0; from < nodes.size(); from++) {
+                if (from != to) {
+                    for (SuspectReport suspect :
+                            nodes.get(from).dispatchers().get(service).suspects(events.nowMillis())) {
+                        crashes.merge(suspect.fingerprint(), suspect.crashes(), Integer::sum);
+                    }
+                }
+            }
+            ServiceDispatcher receiver = nodes.get(to).dispatchers().get(service);
+            events.afterMillis(
+                    SUMMARY_LAG_MILLIS,
+                    () -> crashes.forEach(
+                            (fingerprint, count) -> receiver.onRemoteSuspect(fingerprint, count, events.nowMillis())));
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/SimulatedFleet.java
@@ -0,0 +1,185 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.UpstreamId;
+
+/** The upstreams of a replay, what they cost, and what requests have crashed them. */
+final class SimulatedFleet {
+    private static final long RESTART_MILLIS = 15_000;
+    private static final double MILLIS_PER_HOUR = 3_600_000;
+
+    private final EventQueue events;
+    private final Map<String, ServiceConfig.Kind> kinds = new HashMap<>();
+    private final Map<String, SimulatedUpstream> upstreams = new LinkedHashMap<>();
+    private final Map<String, Long> paidSinceMillis = new TreeMap<>();
+    private final Map<Job, SimulatedUpstream> places = new IdentityHashMap<>();
+    private final Map<Long, Integer> crashesByFingerprint = new TreeMap<>();
+    private double cost;
+
+    SimulatedFleet(TraceHeader header, ReplayPolicy.Fleet variant, EventQueue events) {
+        this.events = events;
+        boolean ordered = variant == ReplayPolicy.Fleet.ORDERED;
+        header.services().forEach(service -> kinds.put(service.id(), service.kind()));
+        Map<String, Double> orderedPrices = new HashMap<>();
+        header.services().forEach(service -> orderedPrices.put(service.id(), service.orderedPricePerHour()));
+        int engine = 0;
+        for (TraceUpstream declared : header.upstreams()) {
+            TraceUpstream upstream = ordered ? asOrdered(declared, orderedPrices) : declared;
+            boolean split = variant == ReplayPolicy.Fleet.SPLIT;
+            add(upstream, split ? splitRole(engine) : UpstreamConfig.Role.MIXED);
+            engine++;
+        }
+    }
+
+    private static TraceUpstream asOrdered(TraceUpstream declared, Map<String, Double> orderedPrices) {
+        return new TraceUpstream(
+                declared.id(),
+                declared.service(),
+                declared.failureDomain(),
+                false,
+                orderedPrices.get(declared.service()),
+                declared.memoryPieces());
+    }
+
+    private static UpstreamConfig.Role splitRole(int engine) {
+        // Pairs of a kept and a reclaimable engine alternate, so that both parts have both.
+        return engine / 2 % 2 == 0 ? UpstreamConfig.Role.PREFILL : UpstreamConfig.Role.DECODE;
+    }
+
+    void add(TraceUpstream declaration, UpstreamConfig.Role role) {
+        SimulatedUpstream upstream = kind(declaration.service()) == ServiceConfig.Kind.MODEL
+                ? newEngine(declaration, role)
+                : new PlainSimulator(declaration, events);
+        upstreams.put(declaration.id(), upstream);
+        paidSinceMillis.put(declaration.id(), events.nowMillis());
+    }
+
+    private EngineSimulator newEngine(TraceUpstream declaration, UpstreamConfig.Role role) {
+        return new EngineSimulator(declaration, role, events, request -> crashBy(request, declaration.id()));
+    }
+
+    private void crashBy(TraceEvent.Request request, String upstream) {
+        crashesByFingerprint.merge(request.fingerprint(), 1, Integer::sum);
+        crash(upstream, RESTART_MILLIS);
+    }
+
+    ServiceConfig.Kind kind(String service) {
+        return kinds.get(service);
+    }
+
+    SimulatedUpstream find(String id) {
+        return upstreams.get(id);
+    }
+
+    List<SimulatedUpstream> all() {
+        return List.copyOf(upstreams.values());
+    }
+
+    List<EngineSimulator> engines(String service) {
+        return upstreams.values().stream()
+                .filter(EngineSimulator.class::isInstance)
+                .map(EngineSimulator.class::cast)
+                .filter(engine -> engine.declaration().service().equals(service))
+                .toList();
+    }
+
+    void accept(SimulatedUpstream target, Job job) {
+        places.put(job, target);
+        target.accept(job);
+        if (job.ended) {
+            places.remove(job);
+        }
+    }
+
+    void cancel(Job job) {
+        SimulatedUpstream place = places.remove(job);
+        if (place != null) {
+            place.cancel(job);
+        }
+    }
+
+    void crash(String id, long restartMillis) {
+        SimulatedUpstream upstream = upstreams.get(id);
+        if (upstream != null && !upstream.isDown()) {
+            upstream.crash();
+            events.afterMillis(restartMillis, upstream::restart);
+        }
+    }
+
+    /** Takes an upstream away; it is no longer paid for. */
+    void take(String id) {
+        SimulatedUpstream upstream = upstreams.get(id);
+        if (!upstream.isDown()) {
+            upstream.crash();
+        }
+        stopPaying(id);
+    }
+
+    /** Brings an upstream back that was taken away. */
+    void bringBack(String id) {
+        upstreams.get(id).restart();
+        paidSinceMillis.put(id, events.nowMillis());
+    }
+
+    private void stopPaying(String id) {
+        Long since = paidSinceMillis.remove(id);
+        if (since != null) {
+            double hours = (events.nowMillis() - since) / MILLIS_PER_HOUR;
+            cost += hours * upstreams.get(id).declaration().pricePerHour();
+        }
+    }
+
+    double closeAccounts() {
+        List.copyOf(paidSinceMillis.keySet()).forEach(this::stopPaying);
+        return cost;
+    }
+
+    boolean isPaid(String id) {
+        return paidSinceMillis.containsKey(id);
+    }
+
+    int mostCrashesByOneRequest() {
+        return crashesByFingerprint.values().stream()
+                .mapToInt(Integer::intValue)
+                .max()
+                .orElse(0);
+    }
+
+    /** Returns the declarations of the upstreams that are there, as nodes have them in their configuration. */
+    List<UpstreamConfig> configs() {
+        List<UpstreamConfig> configs = new ArrayList<>();
+        upstreams.forEach((id, upstream) -> {
+            if (isPaid(id)) {
+                configs.add(config(upstream));
+            }
+        });
+        return configs;
+    }
+
+    private static UpstreamConfig config(SimulatedUpstream upstream) {
+        TraceUpstream declaration = upstream.declaration();
+        UpstreamConfig.Role role =
+                upstream instanceof EngineSimulator ? ((EngineSimulator) upstream).role() : UpstreamConfig.Role.MIXED;
+        return new UpstreamConfig(
+                UpstreamId.fromString(declaration.id()),
+                ServiceId.fromString(declaration.service()),
+                FailureDomainId.fromString(declaration.failureDomain()),
+                "127.0.0.1:1",
+                role,
+                declaration.reclaimable(),
+                true,
+                false,
+                declaration.pricePerHour(),
+                declaration.memoryPieces());
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/SimulatedNode.java
@@ -0,0 +1,225 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.AttemptId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.RequestId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd;
+import org.cactusshift.internal.coordination.dispatch.DispatchDecision;
+import org.cactusshift.internal.coordination.dispatch.DispatchPolicy;
+import org.cactusshift.internal.coordination.dispatch.DispatchRequest;
+import org.cactusshift.internal.coordination.dispatch.DispatcherOptions;
+import org.cactusshift.internal.coordination.dispatch.ServiceDispatcher;
+import org.cactusshift.internal.coordination.routing.UpstreamState;
+
+/** One entry instance: a dispatcher for each service, and what carries out its decisions. */
+final class SimulatedNode {
+    private static final int MAXIMUM_QUEUED_REQUESTS = 500;
+    private static final double RETRY_BUDGET_RATIO = 0.2;
+    private static final double LINK_MILLIS = 2;
+    private static final double TRANSFER_TOKENS_PER_SECOND = 100_000;
+
+    private final EventQueue events;
+    private final SimulatedFleet fleet;
+    private final Map<String, ServiceDispatcher> dispatchers = new LinkedHashMap<>();
+    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<AttemptId, Job> jobs = new HashMap<>();
+    private final Map<String, AttemptId> current = new HashMap<>();
+
+    /** Builds the dispatch policy of a service. */
+    interface PolicyFactory {
+        DispatchPolicy create();
+    }
+
+    SimulatedNode(
+            int index, List<TraceService> services, PolicyFactory policy, EventQueue events, SimulatedFleet fleet) {
+        this.events = Objects.requireNonNull(events);
+        this.fleet = Objects.requireNonNull(fleet);
+        for (TraceService service : services) {
+            DispatcherOptions options = new DispatcherOptions(
+                    IncarnationId.fromString("n" + index + "-" + service.id()),
+                    service.kind(),
+                    MAXIMUM_QUEUED_REQUESTS,
+                    RETRY_BUDGET_RATIO);
+            long seed = 31L * index + service.id().hashCode();
+            dispatchers.put(service.id(), ServiceDispatcher.create(options, policy.create(), new Random(seed)));
+        }
+    }
+
+    Map<String, ServiceDispatcher> dispatchers() {
+        return dispatchers;
+    }
+
+    void install(List<AccountConfig> accounts, List<UpstreamConfig> upstreams) {
+        dispatchers.forEach((service, dispatcher) -> {
+            List<UpstreamConfig> own = upstreams.stream()
+                    .filter(upstream -> upstream.service().value().equals(service))
+                    .toList();
+            execute(service, dispatcher.onConfig(accounts, own, events.nowMillis()));
+        });
+    }
+
+    void submit(Call call, boolean knowsLength) {
+        TraceEvent.Request request = call.request;
+        calls.put(request.id(), call);
+        boolean model = request.serviceMillis() == 0;
+        DispatchRequest dispatchRequest = new DispatchRequest(
+                RequestId.fromString(request.id()),
+                AccountId.fromString(request.account()),
+                ServiceId.fromString(request.service()),
+                request.promptTokens(),
+                knowsLength ? request.outputTokens() : request.maximumOutputTokens(),
+                model ? prefixHashes(request) : List.of(),
+                call.deadlineMillis(),
+                request.repeatable(),
+                request.fingerprint());
+        ServiceDispatcher dispatcher = dispatchers.get(request.service());
+        execute(request.service(), dispatcher.submit(dispatchRequest, events.nowMillis()));
+        events.atMillis(call.deadlineMillis(), () -> giveUp(call));
+    }
+
+    static List<Long> prefixHashes(TraceEvent.Request request) {
+        List<Long> hashes = new ArrayList<>();
+        long pieces = request.promptTokens() / UpstreamState.PIECE_TOKENS;
+        for (int i = 0; i < pieces; i++) {
+            String owner = i < request.sharedPieces() ? request.prefix() : request.id();
+            hashes.add(owner.hashCode() * 0x9E3779B97F4A7C15L + i * 0xBF58476D1CE4E5B9L);
+        }
+        return hashes;
+    }
+
+    private void giveUp(Call call) {
+        if (call.ended) {
+            return;
+        }
+        call.ended = true;
+        AttemptId attempt = current.get(call.request.id());
+        String service = call.request.service();
+        ServiceDispatcher dispatcher = dispatchers.get(service);
+        if (attempt == null) {
+            RequestId id = RequestId.fromString(call.request.id());
+            execute(service, dispatcher.cancel(id, events.nowMillis()));
+            return;
+        }
+        Job job = jobs.remove(attempt);
+        current.remove(call.request.id());
+        fleet.cancel(job);
+        AttemptEnd end = new AttemptEnd(AttemptEnd.Outcome.CANCELLED, 0, 0);
+        execute(service, dispatcher.onAttemptEnd(attempt, end, events.nowMillis()));
+    }
+
+    void execute(String service, List<DispatchDecision> decisions) {
+        for (DispatchDecision decision : decisions) {
+            Call call = calls.get(decision.request().value());
+            if (decision instanceof DispatchDecision.Dispatch) {
+                send(service, call, (DispatchDecision.Dispatch) decision);
+            } else {
+                call.ended = true;
+                call.refusal = Optional.of(((DispatchDecision.Refuse) decision).reason());
+            }
+        }
+    }
+
+    private void send(String service, Call call, DispatchDecision.Dispatch dispatch) {
+        call.attempts++;
+        Job job =
+                new Job(call.request, prefixes(service, call), call.deliveredTokens, listener(service, call, dispatch));
+        jobs.put(dispatch.attempt(), job);
+        current.put(call.request.id(), dispatch.attempt());
+        if (dispatch.prefill().isPresent()) {
+            prefillFirst(service, call, job, dispatch);
+        } else {
+            events.afterMillis(LINK_MILLIS, () -> arrive(call, job, dispatch.upstream()));
+        }
+    }
+
+    private List<Long> prefixes(String service, Call call) {
+        return isModel(service) ? prefixHashes(call.request) : List.of();
+    }
+
+    private boolean isModel(String service) {
+        return fleet.kind(service) == ServiceConfig.Kind.MODEL;
+    }
+
+    private void prefillFirst(String service, Call call, Job job, DispatchDecision.Dispatch dispatch) {
+        Job.Listener listener = new Job.Listener() {
+            @Override
+            public void onTokens(long outputTokens) {
+                // A prefill engine hands over the KV cache, no tokens.
+            }
+
+            @Override
+            public void onEnd(AttemptEnd.Outcome outcome) {
+                boolean handedOver = outcome == AttemptEnd.Outcome.COMPLETED;
+                double transferMillis = handedOver ? job.promptTokens * 1_000 / TRANSFER_TOKENS_PER_SECOND : 0;
+                job.prefillLeft = handedOver ? 0 : job.promptTokens;
+                events.afterMillis(LINK_MILLIS + transferMillis, () -> arrive(call, job, dispatch.upstream()));
+            }
+        };
+        Job prefill = new Job(call.request, prefixes(service, call), call.deliveredTokens, listener);
+        prefill.prefillOnly = true;
+        events.afterMillis(
+                LINK_MILLIS, () -> arrive(call, prefill, dispatch.prefill().orElseThrow()));
+    }
+
+    private void arrive(Call call, Job job, UpstreamId upstream) {
+        if (call.ended) {
+            return;
+        }
+        SimulatedUpstream target = fleet.find(upstream.value());
+        if (!target.isDown() && !job.prefillOnly) {
+            call.runs++;
+            call.onReclaimable = target.declaration().reclaimable();
+        }
+        fleet.accept(target, job);
+    }
+
+    private Job.Listener listener(String service, Call call, DispatchDecision.Dispatch dispatch) {
+        ServiceDispatcher dispatcher = dispatchers.get(service);
+        return new Job.Listener() {
+            @Override
+            public void onTokens(long outputTokens) {
+                if (call.firstTokenAtMillis < 0) {
+                    call.firstTokenAtMillis = events.nowMillis();
+                }
+                call.deliveredTokens += outputTokens;
+                dispatcher.onProgress(dispatch.attempt(), (int) outputTokens, events.nowMillis());
+            }
+
+            @Override
+            public void onEnd(AttemptEnd.Outcome outcome) {
+                events.afterMillis(LINK_MILLIS, () -> finish(service, call, dispatch, outcome));
+            }
+        };
+    }
+
+    private void finish(String service, Call call, DispatchDecision.Dispatch dispatch, AttemptEnd.Outcome outcome) {
+        if (jobs.remove(dispatch.attempt()) == null) {
+            return;
+        }
+        current.remove(call.request.id());
+        if (outcome == AttemptEnd.Outcome.COMPLETED) {
+            call.ended = true;
+            call.completed = true;
+            call.inTime = events.nowMillis() <= call.deadlineMillis();
+        }
+        if (outcome == AttemptEnd.Outcome.CRASHED && call.onReclaimable && !call.request.repeatable()) {
+            call.harmedByReclaim = true;
+        }
+        AttemptEnd end = new AttemptEnd(outcome, call.request.promptTokens(), 0);
+        execute(service, dispatchers.get(service).onAttemptEnd(dispatch.attempt(), end, events.nowMillis()));
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/SiteProfile.java
@@ -0,0 +1,125 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.config.ServiceConfig;
+
+/** The fleets and the work of the two sites. */
+public enum SiteProfile {
+    /** Share statements after landings, and questions at the quay. */
+    BE_COAST(
+            "be-coast",
+            List.of("ostend-a", "zeebrugge-b", "nieuwpoort-c", "bruges-d"),
+            "share-lm",
+            8,
+            "settle-app",
+            new Work("logbook", 4_000, 10_000, 120, 250, 25_000, 1, false),
+            new Work("quay", 150, 500, 30, 80, 5_000, 0, false),
+            new Rates(8.5, 8, 22)),
+    /** Summaries of dispute files, and eligibility answers. */
+    GH_SOUTH(
+            "gh-south",
+            List.of("accra-a", "accra-b", "tema-a", "kasoa-a"),
+            "steward-lm",
+            6,
+            "fund-ledger",
+            new Work("dispute", 6_000, 16_000, 150, 350, 35_000, 0, true),
+            new Work("eligibility", 200, 600, 20, 60, 5_000, 0, false),
+            new Rates(4.5, 6, 18));
+
+    private static final int PIECES = 64;
+    private static final double ORDERED_PRICE = 4;
+    private static final double RECLAIMABLE_PRICE = 1.2;
+    private static final double PLAIN_PRICE = 0.3;
+    private static final int PLAIN_INSTANCES = 4;
+
+    private final String site;
+    private final List<String> failureDomains;
+    private final String model;
+    private final int engines;
+    private final String plain;
+    private final Work documents;
+    private final Work questions;
+    private final Rates rates;
+
+    SiteProfile(
+            String site,
+            List<String> failureDomains,
+            String model,
+            int engines,
+            String plain,
+            Work documents,
+            Work questions,
+            Rates rates) {
+        this.site = site;
+        this.failureDomains = failureDomains;
+        this.model = model;
+        this.engines = engines;
+        this.plain = plain;
+        this.documents = documents;
+        this.questions = questions;
+        this.rates = rates;
+    }
+
+    /** A kind of model request; lengths are drawn between the bounds. */
+    record Work(
+            String kind,
+            int shortestPrompt,
+            int longestPrompt,
+            int shortestOutput,
+            int longestOutput,
+            long timeoutMillis,
+            int sharedPieces,
+            boolean followsUp) {}
+
+    /** Requests a second: documents in their phase, questions then, and questions in between. */
+    record Rates(double documents, double questionsBeside, double questions) {}
+
+    String site() {
+        return site;
+    }
+
+    String model() {
+        return model;
+    }
+
+    String plain() {
+        return plain;
+    }
+
+    Work documents() {
+        return documents;
+    }
+
+    Work questions() {
+        return questions;
+    }
+
+    Rates rates() {
+        return rates;
+    }
+
+    String failureDomain(int index) {
+        return failureDomains.get(index % failureDomains.size());
+    }
+
+    List<TraceService> services() {
+        return List.of(
+                new TraceService(model, ServiceConfig.Kind.MODEL, ORDERED_PRICE, RECLAIMABLE_PRICE, 2),
+                new TraceService(plain, ServiceConfig.Kind.PLAIN, PLAIN_PRICE, PLAIN_PRICE, 2));
+    }
+
+    List<TraceUpstream> upstreams() {
+        List<TraceUpstream> upstreams = new ArrayList<>();
+        for (int i = 0; i < engines; i++) {
+            boolean reclaimable = i % 2 == 1;
+            int domain = reclaimable ? 1 + (i / 2) % 2 : i / 2;
+            double price = reclaimable ? RECLAIMABLE_PRICE : ORDERED_PRICE;
+            upstreams.add(new TraceUpstream(model + "-" + i, model, failureDomain(domain), reclaimable, price, PIECES));
+        }
+        for (int i = 0; i < PLAIN_INSTANCES; i++) {
+            upstreams.add(new TraceUpstream(plain + "-" + i, plain, failureDomain(i), false, PLAIN_PRICE, 0));
+        }
+        return upstreams;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/Trace.java
@@ -0,0 +1,21 @@
+package org.cactusshift.replay;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A recorded or generated trace.
+ *
+ * @param header the header
+ * @param events the events in the order of their times
+ */
+public record Trace(TraceHeader header, List<TraceEvent> events) {
+    /** The version of the format. */
+    public static final int VERSION = 1;
+
+    /** Copies the events. */
+    public Trace {
+        Objects.requireNonNull(header, "header");
+        events = List.copyOf(events);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceGenerator.java
@@ -0,0 +1,265 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Random;
+
+/** Generates traces of a site's work; the same seed gives the same trace. */
+public final class TraceGenerator {
+    private static final int NODES = 8;
+    private static final int DOCUMENT_PHASE_START_SECONDS = 30;
+    private static final int DOCUMENT_PHASE_SECONDS = 45;
+    private static final int PHASE_PERIOD_SECONDS = 75;
+    private static final double STEADY_SHARE = 0.55;
+    private static final double PLAIN_PER_SECOND = 2;
+    private static final double[] ACCOUNT_SHARES = {0.28, 0.2, 0.16, 0.1, 0.08, 0.07, 0.06, 0.05};
+    private static final double[] ACCOUNT_WEIGHTS = {3, 2, 2, 1, 1, 1, 1, 1};
+    private static final int FLOODING_ACCOUNT = 4;
+    private static final double FLOOD_FACTOR = 2.5;
+    private static final double FOLLOW_UP_SHARE = 0.5;
+
+    private final SiteProfile profile;
+    private final Scenario scenario;
+    private final Random random;
+    private final List<TraceEvent> events = new ArrayList<>();
+    private final List<TraceEvent.Request> documents = new ArrayList<>();
+    private int nextId;
+
+    private TraceGenerator(SiteProfile profile, Scenario scenario, long seed) {
+        this.profile = profile;
+        this.scenario = scenario;
+        this.random = new Random(seed);
+    }
+
+    /**
+     * Generates a trace.
+     *
+     * @param profile the site
+     * @param scenario what to try
+     * @param seed the seed
+     * @return the trace
+     */
+    public static Trace generate(SiteProfile profile, Scenario scenario, long seed) {
+        return new TraceGenerator(profile, scenario, seed).generate();
+    }
+
+    private Trace generate() {
+        for (int second = 0; second < scenario.durationSeconds(); second++) {
+            double documentRate = documentRate(second);
+            double questionRate = documentRate > 0
+                    ? profile.rates().questionsBeside()
+                    : profile.rates().questions();
+            arrive(
+                    second,
+                    scenario.shiftsMix()
+                            ? documentRate
+                            : STEADY_SHARE * profile.rates().documents(),
+                    true);
+            arrive(second, questionRate, false);
+            plainCalls(second);
+            flood(second);
+        }
+        faults();
+        events.sort(Comparator.comparingLong(TraceEvent::atMillis));
+        return new Trace(header(), events);
+    }
+
+    private double documentRate(int second) {
+        int inPeriod = (second - DOCUMENT_PHASE_START_SECONDS) % PHASE_PERIOD_SECONDS;
+        boolean inPhase = second >= DOCUMENT_PHASE_START_SECONDS && inPeriod < DOCUMENT_PHASE_SECONDS;
+        return inPhase ? profile.rates().documents() : 0;
+    }
+
+    private void arrive(int second, double rate, boolean document) {
+        int count = count(rate);
+        for (int i = 0; i < count; i++) {
+            events.add(modelRequest(atMillis(second), account(), document));
+        }
+    }
+
+    private int count(double rate) {
+        int whole = (int) rate;
+        int jitter = whole >= 4 ? random.nextInt(whole / 2 + 1) - whole / 4 : 0;
+        return whole + jitter + (random.nextDouble() < rate - whole ? 1 : 0);
+    }
+
+    private long atMillis(int second) {
+        return second * 1_000L + random.nextInt(1_000);
+    }
+
+    private int account() {
+        double point = random.nextDouble();
+        for (int i = 0; i < ACCOUNT_SHARES.length; i++) {
+            point -= ACCOUNT_SHARES[i];
+            if (point < 0) {
+                return i;
+            }
+        }
+        return ACCOUNT_SHARES.length - 1;
+    }
+
+    private String accountId(int account) {
+        return "account-" + (account + 1);
+    }
+
+    private TraceEvent.Request modelRequest(long atMillis, int account, boolean document) {
+        SiteProfile.Work work = document ? profile.documents() : profile.questions();
+        String id = "r" + nextId++;
+        int prompt = between(work.shortestPrompt(), work.longestPrompt());
+        String prefix = work.sharedPieces() > 0 ? work.kind() + "-" + accountId(account) : null;
+        int sharedPieces = work.sharedPieces();
+        if (work.followsUp() && !documents.isEmpty() && random.nextDouble() < FOLLOW_UP_SHARE) {
+            TraceEvent.Request earlier =
+                    documents.get(documents.size() - 1 - random.nextInt(Math.min(20, documents.size())));
+            account = Integer.parseInt(earlier.account().substring("account-".length())) - 1;
+            prefix = earlier.prefix();
+            sharedPieces = earlier.sharedPieces();
+            prompt = (int) earlier.promptTokens() + between(50, 200);
+        } else if (work.followsUp()) {
+            prefix = "file-" + id;
+            sharedPieces = prompt / 2_048;
+        }
+        int output = between(work.shortestOutput(), work.longestOutput());
+        TraceEvent.Request request = new TraceEvent.Request(
+                atMillis,
+                id,
+                accountId(account),
+                profile.model(),
+                work.kind(),
+                prompt,
+                output,
+                work.longestOutput() * 2L,
+                prefix,
+                sharedPieces,
+                0,
+                work.timeoutMillis(),
+                true,
+                random.nextLong(),
+                false);
+        if (document) {
+            documents.add(request);
+        }
+        return request;
+    }
+
+    private int between(int least, int most) {
+        return least + random.nextInt(most - least + 1);
+    }
+
+    private void plainCalls(int second) {
+        int count = count(PLAIN_PER_SECOND);
+        for (int i = 0; i < count; i++) {
+            boolean transfer = random.nextBoolean();
+            events.add(new TraceEvent.Request(
+                    atMillis(second),
+                    "r" + nextId++,
+                    accountId(account()),
+                    profile.plain(),
+                    transfer ? "transfer" : "balance",
+                    0,
+                    0,
+                    0,
+                    null,
+                    0,
+                    transfer ? between(80, 200) : between(10, 40),
+                    transfer ? 10_000 : 3_000,
+                    !transfer,
+                    random.nextLong(),
+                    false));
+        }
+    }
+
+    private void flood(int second) {
+        boolean inFlood = second >= 15 && second < scenario.durationSeconds() - 15;
+        if (!scenario.floods() || !inFlood) {
+            return;
+        }
+        int count = count(FLOOD_FACTOR * STEADY_SHARE * profile.rates().documents());
+        for (int i = 0; i < count; i++) {
+            events.add(modelRequest(atMillis(second), FLOODING_ACCOUNT, true));
+        }
+    }
+
+    private void faults() {
+        long endMillis = scenario.durationSeconds() * 1_000L;
+        if (scenario.losesDomain()) {
+            events.add(new TraceEvent.Reclaim(25_000, profile.failureDomain(1), 4_000, 50_000));
+            events.add(new TraceEvent.Crash(60_000, profile.model() + "-0", Optional.empty()));
+            events.add(new TraceEvent.Withdraw(90_000, profile.model() + "-2"));
+        }
+        if (scenario.delaysReports()) {
+            events.add(new TraceEvent.ReportLag(20_000, 4_000, endMillis - 20_000));
+        }
+        if (scenario.hasCrashingRequest()) {
+            crashingRequest();
+        }
+    }
+
+    private void crashingRequest() {
+        long fingerprint = random.nextLong();
+        for (long atMillis = 10_000; atMillis < 50_000; atMillis += 4_000) {
+            TraceEvent.Request usual = modelRequest(atMillis, 5, true);
+            events.add(new TraceEvent.Request(
+                    usual.atMillis(),
+                    usual.id(),
+                    usual.account(),
+                    usual.service(),
+                    "crashing",
+                    profile.documents().shortestPrompt(),
+                    usual.outputTokens(),
+                    usual.maximumOutputTokens(),
+                    null,
+                    0,
+                    0,
+                    usual.timeoutMillis(),
+                    true,
+                    fingerprint,
+                    true));
+        }
+    }
+
+    private TraceHeader header() {
+        List<TraceAccount> accounts = new ArrayList<>();
+        for (int i = 0; i < ACCOUNT_SHARES.length; i++) {
+            boolean flooding = scenario.floods() && i == FLOODING_ACCOUNT;
+            accounts.add(new TraceAccount(accountId(i), ACCOUNT_WEIGHTS[i], 0, 0, flooding));
+        }
+        return new TraceHeader(
+                Trace.VERSION,
+                profile.site() + "-" + scenario.name().toLowerCase(Locale.ROOT).replace('_', '-'),
+                profile.site(),
+                NODES,
+                scenario.durationSeconds() * 1_000L,
+                250,
+                1_000,
+                500,
+                8_000,
+                60_000,
+                profile.services(),
+                accounts,
+                profile.upstreams(),
+                outcomes());
+    }
+
+    private List<StatedOutcome> outcomes() {
+        List<StatedOutcome> outcomes = new ArrayList<>();
+        if (scenario.shiftsMix()) {
+            outcomes.add(StatedOutcome.atLeastOf(PolicyResult.GOODPUT, StatedOutcome.BEST_BASELINE, 1.5));
+            outcomes.add(StatedOutcome.atMostOf(PolicyResult.ROLE_CHANGES, ReplayPolicy.THRESHOLD_ROLES, 0.99));
+            outcomes.add(StatedOutcome.atLeastOf(PolicyResult.GOODPUT, ReplayPolicy.THRESHOLD_ROLES, 1));
+        }
+        outcomes.add(StatedOutcome.atLeastOf(PolicyResult.GOODPUT, ReplayPolicy.ORACLE, 0.95));
+        if (scenario.floods()) {
+            outcomes.add(StatedOutcome.atLeast(PolicyResult.WORST_ACCOUNT, 0.9));
+        }
+        outcomes.add(StatedOutcome.atMostOf(PolicyResult.COST, ReplayPolicy.ALL_ORDERED, 0.7));
+        outcomes.add(StatedOutcome.atMost(PolicyResult.HARMED_NON_REPEATABLE, 0));
+        outcomes.add(StatedOutcome.atMost(PolicyResult.DUPLICATE_RUNS, 0));
+        outcomes.add(StatedOutcome.atMost(PolicyResult.ENGINES_CRASHED_BY_ONE_REQUEST, 2));
+        outcomes.add(StatedOutcome.atMost(PolicyResult.INNOCENTS_REFUSED, 0));
+        return outcomes;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceJson.java
@@ -0,0 +1,20 @@
+package org.cactusshift.replay;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+
+/** The JSON form of traces and reports: names with underscores, in a fixed order. */
+final class TraceJson {
+    static final ObjectMapper MAPPER = JsonMapper.builder()
+            .addModule(new Jdk8Module())
+            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .disable(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY)
+            .build();
+
+    private TraceJson() {}
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceReader.java
@@ -0,0 +1,59 @@
+package org.cactusshift.replay;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vavr.control.Either;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.errors.Failure;
+
+/** Reads traces: JSON lines, a header first, then events in the order of their times. */
+public final class TraceReader {
+    private static final String STEP = "read trace";
+
+    private TraceReader() {}
+
+    /**
+     * Reads a trace.
+     *
+     * @param path the file
+     * @return the trace, or the failure with the line at which it arose
+     */
+    public static Either<Failure, Trace> read(Path path) {
+        int line = 1;
+        try (BufferedReader reader = Files.newBufferedReader(path, StandardCharsets.UTF_8)) {
+            String first = reader.readLine();
+            if (first == null) {
+                return failure(path, line, "the file is empty");
+            }
+            TraceHeader header = TraceJson.MAPPER.readValue(first, TraceHeader.class);
+            if (header.version() != Trace.VERSION) {
+                return failure(path, line, "unknown version " + header.version());
+            }
+            List<TraceEvent> events = new ArrayList<>();
+            long lastMillis = 0;
+            for (String text = reader.readLine(); text != null; text = reader.readLine()) {
+                line++;
+                TraceEvent event = TraceJson.MAPPER.readValue(text, TraceEvent.class);
+                if (event.atMillis() < lastMillis) {
+                    return failure(path, line, "the event is earlier than the one before");
+                }
+                lastMillis = event.atMillis();
+                events.add(event);
+            }
+            return Either.right(new Trace(header, events));
+        } catch (JsonProcessingException e) {
+            return failure(path, line, e.getOriginalMessage());
+        } catch (IOException e) {
+            return failure(path, line, e.toString());
+        }
+    }
+
+    private static Either<Failure, Trace> failure(Path path, int line, String message) {
+        return Either.left(Failure.rejected(STEP, "local", path + ":" + line + ": " + message));
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceWriter.java
@@ -0,0 +1,35 @@
+package org.cactusshift.replay;
+
+import io.vavr.control.Either;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.cactusshift.errors.Failure;
+
+/** Writes traces; the same trace gives the same bytes. */
+public final class TraceWriter {
+    private TraceWriter() {}
+
+    /**
+     * Writes a trace.
+     *
+     * @param trace the trace
+     * @param path the file, replaced when it exists
+     * @return the path, or the failure
+     */
+    public static Either<Failure, Path> write(Trace trace, Path path) {
+        try (BufferedWriter writer = Files.newBufferedWriter(path, StandardCharsets.UTF_8)) {
+            writer.write(TraceJson.MAPPER.writeValueAsString(trace.header()));
+            writer.write('\n');
+            for (TraceEvent event : trace.events()) {
+                writer.write(TraceJson.MAPPER.writeValueAsString(event));
+                writer.write('\n');
+            }
+            return Either.right(path);
+        } catch (IOException e) {
+            return Either.left(Failure.unknownEffect("write trace", "local", path + ": " + e));
+        }
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Attempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.routing.Promise;
 import org.cactusshift.internal.coordination.routing.UpstreamState;
 
 /** One dispatch of a request that has not ended. */
@@ -13,6 +14,7 @@
 
     final long sentAtMillis;
     final int pieces;
+    final Promise promise;
     /** Whether it tries out an upstream that failed. */
     final boolean probe;
     /** Whether it is a suspect that has the upstream to itself. */
@@ -26,6 +28,7 @@
             Optional<UpstreamState> prefill,
             long sentAtMillis,
             int pieces,
+            Promise promise,
             boolean probe,
             boolean alone) {
         this.pending = pending;
@@ -33,6 +36,7 @@
         this.prefill = prefill;
         this.sentAtMillis = sentAtMillis;
         this.pieces = pieces;
+        this.promise = promise;
         this.probe = probe;
         this.alone = alone;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -25,6 +25,7 @@
 import org.cactusshift.internal.coordination.routing.Candidate;
 import org.cactusshift.internal.coordination.routing.FleetView;
 import org.cactusshift.internal.coordination.routing.PrefixIndex;
+import org.cactusshift.internal.coordination.routing.Promise;
 import org.cactusshift.internal.coordination.routing.Route;
 import org.cactusshift.internal.coordination.routing.RouteQuery;
 import org.cactusshift.internal.coordination.routing.UpstreamHealth;
@@ -39,6 +40,7 @@
  */
 public final class ServiceDispatcher implements Dispatcher {
     private static final int RETRY_RESERVE = 50;
+    private static final int LOOK_AHEAD = 8;
     private static final long QUARANTINE_MILLIS = 600_000;
     private static final long SHORTEST_RETRY_AFTER_MILLIS = 1_000;
     private static final long LONGEST_RETRY_AFTER_MILLIS = 60_000;
@@ -54,6 +56,7 @@
     private final AccountLimiter limiter = AccountLimiter.create();
     private final RetryBudget retryBudget;
     private final WorkEstimator estimator = new WorkEstimator();
+    private final RemoteSends remoteSends = new RemoteSends();
     private final DecisionLog log = new DecisionLog();
     private final Map<RequestId, PendingRequest> queued = new HashMap<>();
     private final Map<AttemptId, Attempt> attempts = new HashMap<>();
@@ -187,6 +190,7 @@
             return;
         }
         known.progressTokens += outputTokens;
+        known.promise.onTokens(outputTokens);
         deliver(known.pending, outputTokens);
         if (known.probe) {
             known.upstream.health().onSuccess(known.sentAtMillis);
@@ -205,6 +209,7 @@
             return List.of();
         }
         known.upstream.onEnd(known.pieces, nowMillis);
+        known.upstream.remove(known.promise);
         known.prefill.ifPresent(engine -> engine.onEnd(0, nowMillis));
         deliver(known.pending, Math.max(0, end.outputTokens() - known.progressTokens));
         if (known.alone) {
@@ -306,6 +311,8 @@
     @Override
     public List<DispatchDecision> onLoad(UpstreamId upstream, EngineLoad load, long nowMillis) {
         fleet.find(upstream).ifPresent(state -> {
+            double remotePerSecond = remoteSends.tokensPerSecond(nowMillis);
+            state.setRemoteTokensPerSecond(remotePerSecond / fleet.upstreams().size());
             state.onLoad(load, nowMillis);
             estimator.onLoad(load);
         });
@@ -328,6 +335,7 @@
             AccountId account, long prefillTokens, long decodeTokens, int requestsInFlight, long nowMillis) {
         limiter.onRemote(account, prefillTokens + decodeTokens, requestsInFlight, nowMillis);
         queue.charge(account, prefillTokens + WorkEstimator.DECODE_WEIGHT * decodeTokens);
+        remoteSends.add(prefillTokens, nowMillis);
     }
 
     @Override
@@ -436,22 +444,32 @@
     }
 
     private void startQueued(List<DispatchDecision> decisions, long nowMillis) {
-        while (queue.size() > 0) {
-            PendingRequest pending = queue.peek().orElseThrow();
+        while (startOne(decisions, nowMillis)) {
+            // The next request may fit where the last one did not.
+        }
+    }
+
+    /** Starts or refuses the first waiting request that can be; a long prompt does not hold up a brief one. */
+    private boolean startOne(List<DispatchDecision> decisions, long nowMillis) {
+        for (PendingRequest pending : queue.heads(LOOK_AHEAD)) {
             Optional<Route> route = route(pending, nowMillis);
-            if (route.isEmpty()) {
-                return;
+            if (route.isPresent()) {
+                decisions.add(start(pending, route.get(), nowMillis));
+                return true;
             }
-            if (policy.refusesEarly() && comesTooLate(pending, route.get().chosen(), nowMillis)) {
-                queue.remove(pending.request.account(), pending);
-                decisions.add(refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis));
-                continue;
-            }
-            queue.poll();
-            double cost = estimator.cost(pending.request.promptTokens(), pending.expectedOutputTokens);
-            estimator.onServed(cost, queue.size() > 0, nowMillis);
-            decisions.add(send(pending, route.get(), false, nowMillis));
         }
+        return false;
+    }
+
+    private DispatchDecision start(PendingRequest pending, Route route, long nowMillis) {
+        if (policy.refusesEarly() && comesTooLate(pending, route.chosen(), nowMillis)) {
+            queue.remove(pending.request.account(), pending);
+            return refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis);
+        }
+        queue.serve(pending.request.account(), pending);
+        double cost = estimator.cost(pending.request.promptTokens(), pending.expectedOutputTokens);
+        estimator.onServed(cost, queue.size() > 0, nowMillis);
+        return send(pending, route, false, nowMillis);
     }
 
     private static boolean comesTooLate(PendingRequest pending, Candidate chosen, long nowMillis) {
@@ -488,8 +506,11 @@
         queued.remove(pending.request.id());
         pending.sentPromptTokens += freshTokens;
         totalsOf(pending.request.account()).prefillTokens += freshTokens;
+        Promise promise = Promise.create(pending.request.deadlineMillis(), pending.remainingOutputTokens());
+        upstream.add(promise);
         AttemptId id = AttemptId.fromString(options.incarnation().value() + "-" + Long.toString(nextAttempt++, 36));
-        attempts.put(id, new Attempt(pending, upstream, route.prefill(), nowMillis, query.pieces(), probe, alone));
+        attempts.put(
+                id, new Attempt(pending, upstream, route.prefill(), nowMillis, query.pieces(), promise, probe, alone));
         boolean resume = options.kind() == ServiceConfig.Kind.MODEL && pending.deliveredTokens > 0;
         long firstTokenMillis = Math.round(route.chosen().firstTokenMillis());
         DispatchDecision decision = new DispatchDecision.Dispatch(
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/fairness/FairQueue.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/fairness/FairQueue.java
@@ -76,23 +76,27 @@
     }
 
     @Override
-    public Optional<T> peek() {
-        return waiting.isEmpty()
-                ? Optional.empty()
-                : Optional.of(waiting.first().entries.first().item());
+    public List<T> heads(int limit) {
+        List<T> heads = new ArrayList<>(Math.min(limit, waiting.size()));
+        for (Flow<T> flow : waiting) {
+            if (heads.size() == limit) {
+                break;
+            }
+            heads.add(flow.entries.first().item());
+        }
+        return heads;
     }
 
     @Override
-    public T poll() {
-        if (waiting.isEmpty()) {
-            throw new NoSuchElementException("no request waits");
-        }
-        Flow<T> flow = waiting.first();
-        Entry<T> entry = flow.entries.first();
-        virtualTime = Math.max(virtualTime, flow.virtualTime);
+    public void serve(AccountId account, T item) {
+        Flow<T> flow = flow(account);
+        Entry<T> entry = flow.entries.stream()
+                .filter(e -> e.item() == item)
+                .findFirst()
+                .orElseThrow(() -> new NoSuchElementException("the request does not wait"));
+        virtualTime = Math.max(virtualTime, waiting.first().virtualTime);
         take(flow, entry);
         charge(flow, entry.costTokens());
-        return entry.item();
     }
 
     @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/fairness/FifoQueue.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/fairness/FifoQueue.java
@@ -39,18 +39,17 @@
     }
 
     @Override
-    public Optional<T> peek() {
-        return Optional.ofNullable(entries.peekFirst()).map(Entry::item);
+    public List<T> heads(int limit) {
+        return entries.isEmpty() || limit < 1
+                ? List.of()
+                : List.of(entries.peekFirst().item());
     }
 
     @Override
-    public T poll() {
-        if (entries.isEmpty()) {
-            throw new NoSuchElementException("no request waits");
+    public void serve(AccountId account, T item) {
+        if (!remove(account, item)) {
+            throw new NoSuchElementException("the request does not wait");
         }
-        Entry<T> entry = entries.removeFirst();
-        queuedTokens -= entry.costTokens();
-        return entry.item();
     }
 
     @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/fairness/RequestQueue.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/fairness/RequestQueue.java
@@ -21,19 +21,21 @@
     void add(AccountId account, T item, double costTokens, long latestStartMillis);
 
     /**
-     * Returns the next request and leaves it in the queue.
+     * Returns the requests that are next, of one account each, and leaves them in the queue.
      *
-     * @return the next request, or empty when none waits
+     * @param limit the most requests to return
+     * @return the requests, the one to be served first in front
      */
-    Optional<T> peek();
+    List<T> heads(int limit);
 
     /**
-     * Removes the request that {@link #peek} returns and charges its account.
+     * Removes a request that is served now, and charges its account.
      *
-     * @return the request
-     * @throws java.util.NoSuchElementException if none waits
+     * @param account the client account that pays
+     * @param item the request
+     * @throws java.util.NoSuchElementException if it does not wait
      */
-    T poll();
+    void serve(AccountId account, T item);
 
     /**
      * Removes a request without charging its account.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/CostRouting.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/CostRouting.java
@@ -27,6 +27,8 @@
     private static final double NEAR_MARGIN_RATIO = 0.15;
     private static final double MAXIMUM_BACKLOG_MILLIS = 1_000;
     private static final double TRANSFER_TOKENS_PER_SECOND = 100_000;
+    private static final double BRIEF_PREFILL_MILLIS = 100;
+    private static final double PROMISE_MARGIN = 1.1;
     private static final double UNKNOWN_REQUEST_MILLIS = 20;
     private static final int UNKNOWN_MAXIMUM_REQUESTS = 64;
     private static final double MEMORY_PRESSURE_PIECES = 8;
@@ -149,16 +151,31 @@
         double penaltyMillis = memoryPenaltyMillis(leftPieces) + stalePenaltyMillis(upstream, nowMillis);
         double waitMillis = used.map(engine -> backlogMillis(engine.upstream(), nowMillis))
                 .orElse(backlogMillis(upstream, nowMillis));
+        double prefillMillis = ownMillis - backlogMillis(upstream, nowMillis);
         boolean empty = upstream.requests() == 0;
         return new Candidate(
                 upstream.id(),
                 firstTokenMillis,
                 firstTokenMillis + decodeMillis + penaltyMillis,
                 used.map(Prefill::cachedTokens).orElse(ownCachedTokens),
-                empty || (leftPieces >= 0 && hasShortBacklog(upstream, waitMillis)),
+                empty
+                        || (leftPieces >= 0
+                                && hasShortBacklog(upstream, waitMillis)
+                                && (used.isPresent() || keepsPromises(upstream, prefillMillis, nowMillis))),
                 used.map(engine -> engine.upstream().id()));
     }
 
+    /**
+     * Tells whether the sequences that run would keep their deadlines beside a further prompt, which slows them. A
+     * brief prompt is always taken.
+     */
+    private static boolean keepsPromises(UpstreamState upstream, double prefillMillis, long nowMillis) {
+        double rate = upstream.decodeTokensPerSecond();
+        return rate <= 0
+                || prefillMillis <= BRIEF_PREFILL_MILLIS
+                || rate >= PROMISE_MARGIN * upstream.requiredTokensPerSecond(nowMillis);
+    }
+
     private static boolean hasShortBacklog(UpstreamState upstream, double backlogMillis) {
         if (upstream.load().isEmpty() || upstream.prefillTokensPerSecond() <= 0) {
             return upstream.inFlight() < UNKNOWN_MAXIMUM_REQUESTS;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/UpstreamState.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/UpstreamState.java
@@ -1,8 +1,10 @@
 package org.cactusshift.internal.coordination.routing;
 
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.dispatch.EngineLoad;
@@ -20,6 +22,7 @@
 
     private static final long SEND_MEMORY_MILLIS = 30_000;
     private static final long REFUSAL_PAUSE_MILLIS = 250;
+    private static final long REQUIRED_RATE_PERIOD_MILLIS = 100;
 
     private final UpstreamHealth health = UpstreamHealth.create();
     private final ArrayDeque<Change> changes = new ArrayDeque<>();
@@ -32,6 +35,10 @@
     private int usedPieces;
     private int requests;
     private long pausedUntilMillis = Long.MIN_VALUE;
+    private final Set<Promise> promises = new LinkedHashSet<>();
+    private double requiredTokensPerSecond;
+    private long requiredAtMillis = -REQUIRED_RATE_PERIOD_MILLIS;
+    private double remoteTokensPerSecond;
 
     private UpstreamState(UpstreamConfig config) {
         this.config = Objects.requireNonNull(config, "config");
@@ -154,7 +161,8 @@
      * @return the estimated tokens
      */
     public double backlogTokens(long nowMillis) {
-        double drained = prefillTokensPerSecond() * (nowMillis - backlogAtMillis) / 1_000;
+        double netPerSecond = prefillTokensPerSecond() - remoteTokensPerSecond;
+        double drained = Math.max(0, netPerSecond) * (nowMillis - backlogAtMillis) / 1_000;
         return Math.max(0, backlogTokens - drained);
     }
 
@@ -195,6 +203,50 @@
         return load.isPresent() ? load.get().decodeTokensPerSecond() : 0;
     }
 
+    /**
+     * Sets how fast other nodes send prompt tokens to this upstream, as far as known.
+     *
+     * @param tokensPerSecond their share of the rate of all other nodes
+     */
+    public void setRemoteTokensPerSecond(double tokensPerSecond) {
+        remoteTokensPerSecond = tokensPerSecond;
+    }
+
+    /**
+     * Returns the rate of one sequence at which all attempts of this node keep their deadlines.
+     *
+     * @param nowMillis the present time
+     * @return tokens a second; computed anew at most every 100 ms
+     */
+    public double requiredTokensPerSecond(long nowMillis) {
+        if (nowMillis - requiredAtMillis >= REQUIRED_RATE_PERIOD_MILLIS) {
+            requiredTokensPerSecond = promises.stream()
+                    .mapToDouble(promise -> promise.requiredTokensPerSecond(nowMillis))
+                    .max()
+                    .orElse(0);
+            requiredAtMillis = nowMillis;
+        }
+        return requiredTokensPerSecond;
+    }
+
+    /**
+     * Adds what this node expects for an attempt.
+     *
+     * @param promise the promise
+     */
+    public void add(Promise promise) {
+        promises.add(promise);
+    }
+
+    /**
+     * Removes what was expected for an attempt that ended.
+     *
+     * @param promise the promise
+     */
+    public void remove(Promise promise) {
+        promises.remove(promise);
+    }
+
     /**
      * Notes a request sent by this node.
      *
