Add the remaining stand-ins and a platform of them all

A demo and the failure tests need every outside system of a site at once: ordering of upstreams, usage reports, the lagging list of instances, the rate-limited weight store, and a page with every header that an upstream received. The platform takes its fleet from a site's configuration, or from counts and failure domains, and fills the real addresses in. Ordered upstreams are started for real rather than only listed, so that a node can route to them; stopped ones keep their logs for checkers.

--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/RateLimit.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/RateLimit.java
@@ -1,11 +1,13 @@
 package org.cactusshift.standin;
 
-/** A token bucket that holds at most one second's worth; the present time is an argument. */
+/** A token bucket that holds one second's worth, and at least one unit; the present time is an argument. */
 final class RateLimit {
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final double unitsPerSecond;
 
+    private final double capacity;
+
     private double available;
 
     private long lastNanos;
@@ -13,7 +15,8 @@
     /** Creates a full bucket; a rate of 0 stands for no limit. */
     RateLimit(double unitsPerSecond, long nowNanos) {
         this.unitsPerSecond = unitsPerSecond;
-        this.available = unitsPerSecond;
+        this.capacity = Math.max(1, unitsPerSecond);
+        this.available = capacity;
         this.lastNanos = nowNanos;
     }
 
@@ -23,7 +26,7 @@
             return true;
         }
         double gained = (nowNanos - lastNanos) / NANOS_PER_SECOND * unitsPerSecond;
-        available = Math.min(unitsPerSecond, available + gained);
+        available = Math.min(capacity, available + gained);
         lastNanos = nowNanos;
         if (available < units) {
             return false;
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInOrderingService.java
@@ -0,0 +1,246 @@
+package org.cactusshift.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stand-in for the interface for ordering upstreams; serves each failure domain under one address.
+ *
+ * <p>Keeps the fencing number of each order for checkers and does not check it itself.
+ */
+public final class StandInOrderingService implements StandIn, StandInHandler {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final int CREATED = 201;
+
+    private static final int LIST_SEGMENTS = 4;
+
+    private static final int ORDER_SEGMENTS = 5;
+
+    private final OrderingSettings settings;
+
+    private final UpstreamLauncher launcher;
+
+    private final StandInServer server;
+
+    private final Map<String, UpstreamOrder> orders = new LinkedHashMap<>();
+
+    private final Map<String, Integer> capacities = new HashMap<>();
+
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("stand-in-ordering"));
+
+    private StandInOrderingService(OrderingSettings settings, UpstreamLauncher launcher) {
+        this.settings = settings;
+        this.launcher = launcher;
+        this.server = StandInServer.create(settings.port(), this);
+    }
+
+    /**
+     * Creates an interface that does not listen yet.
+     *
+     * @param settings the settings
+     * @param launcher starts and stops the upstreams
+     * @return the stand-in
+     */
+    public static StandInOrderingService create(OrderingSettings settings, UpstreamLauncher launcher) {
+        return new StandInOrderingService(settings, launcher);
+    }
+
+    @Override
+    public void start() throws IOException {
+        server.start();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public StandInFaults faults() {
+        return server.faults();
+    }
+
+    @Override
+    public ReceivedLog log() {
+        return server.log();
+    }
+
+    @Override
+    public void crash() {
+        server.crash();
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        server.close();
+    }
+
+    /**
+     * Sets how many ordered upstreams a failure domain has room for.
+     *
+     * @param failureDomain the failure domain
+     * @param upstreams the number; running ones stay
+     */
+    public synchronized void setCapacity(String failureDomain, int upstreams) {
+        capacities.put(failureDomain, upstreams);
+    }
+
+    /**
+     * Returns every order accepted.
+     *
+     * @return the orders, oldest first
+     */
+    public synchronized List<UpstreamOrder> orders() {
+        return List.copyOf(orders.values());
+    }
+
+    @Override
+    public StandInAnswer handle(StandInRequest request) {
+        String[] segments = request.segments();
+        boolean known = request.path().startsWith("/v1/failure-domains/")
+                && segments.length >= LIST_SEGMENTS
+                && segments[3].equals("orders");
+        if (!known) {
+            return StandInAnswer.error(StandInAnswer.NOT_FOUND, "not_found");
+        }
+        String failureDomain = segments[2];
+        if (request.method().equals("DELETE") && segments.length == ORDER_SEGMENTS) {
+            return release(failureDomain, segments[4], request.parameter("token"));
+        }
+        return switch (request.method()) {
+            case "GET" -> list(failureDomain);
+            case "POST" -> order(failureDomain, request.body());
+            default -> StandInAnswer.error(StandInAnswer.NOT_FOUND, "not_found");
+        };
+    }
+
+    private StandInAnswer order(String failureDomain, String body) {
+        JsonNode asked;
+        try {
+            asked = MAPPER.readTree(body);
+        } catch (JsonProcessingException e) {
+            return StandInAnswer.error(StandInAnswer.BAD_REQUEST, "invalid_request");
+        }
+        String token = asked.path("token").asText("");
+        int count = asked.path("count").asInt(0);
+        if (token.isEmpty() || count < 1) {
+            return StandInAnswer.error(StandInAnswer.BAD_REQUEST, "invalid_request");
+        }
+        return accept(failureDomain, token, count, asked);
+    }
+
+    private synchronized StandInAnswer accept(String failureDomain, String token, int count, JsonNode asked) {
+        Optional<UpstreamOrder> repeated = orders.values().stream()
+                .filter(order ->
+                        order.token().equals(token) && order.failureDomain().equals(failureDomain))
+                .findFirst();
+        if (repeated.isPresent()) {
+            return StandInAnswer.json(CREATED, summary(repeated.get()));
+        }
+        if (inUse(failureDomain) + count > capacityOf(failureDomain)) {
+            return StandInAnswer.error(StandInAnswer.CONFLICT, "unavailable");
+        }
+        UpstreamOrder order = new UpstreamOrder(
+                "order-" + (orders.size() + 1),
+                failureDomain,
+                token,
+                asked.path("service").asText(),
+                count,
+                asked.path("reclaimable").asBoolean(false),
+                asked.path("fencing_number").asLong(0),
+                UpstreamOrder.State.PENDING,
+                List.of());
+        orders.put(order.orderId(), order);
+        timer.schedule(() -> provision(order.orderId()), settings.provisionMillis(), TimeUnit.MILLISECONDS);
+        return StandInAnswer.json(CREATED, summary(order));
+    }
+
+    private synchronized void provision(String orderId) {
+        UpstreamOrder order = orders.get(orderId);
+        if (order.state() != UpstreamOrder.State.PENDING) {
+            return;
+        }
+        List<LaunchedUpstream> launched = new ArrayList<>();
+        try {
+            for (int i = 0; i < order.count(); i++) {
+                launched.add(launcher.launch(order.failureDomain(), order.service(), order.reclaimable()));
+            }
+        } catch (IOException e) {
+            System.getLogger(StandInOrderingService.class.getName())
+                    .log(System.Logger.Level.WARNING, "upstream not started", e);
+        }
+        orders.put(orderId, order.withState(UpstreamOrder.State.RUNNING, launched));
+    }
+
+    private synchronized StandInAnswer release(String failureDomain, String orderId, Optional<String> token) {
+        UpstreamOrder order = orders.get(orderId);
+        if (order == null || !order.failureDomain().equals(failureDomain) || token.isEmpty()) {
+            return StandInAnswer.error(StandInAnswer.NOT_FOUND, "not_found");
+        }
+        order.upstreams().forEach(upstream -> launcher.release(upstream.upstreamId()));
+        UpstreamOrder released = order.withState(UpstreamOrder.State.RELEASED, List.of());
+        orders.put(orderId, released);
+        return StandInAnswer.json(StandInAnswer.OK, summary(released));
+    }
+
+    private synchronized StandInAnswer list(String failureDomain) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        ArrayNode listed = root.putArray("orders");
+        for (UpstreamOrder order : orders.values()) {
+            if (order.failureDomain().equals(failureDomain)) {
+                listed.add(details(order));
+            }
+        }
+        return StandInAnswer.json(StandInAnswer.OK, root);
+    }
+
+    private int inUse(String failureDomain) {
+        return orders.values().stream()
+                .filter(order ->
+                        order.failureDomain().equals(failureDomain) && order.state() != UpstreamOrder.State.RELEASED)
+                .mapToInt(UpstreamOrder::count)
+                .sum();
+    }
+
+    private int capacityOf(String failureDomain) {
+        return capacities.getOrDefault(failureDomain, settings.capacityPerFailureDomain());
+    }
+
+    private static ObjectNode summary(UpstreamOrder order) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("order_id", order.orderId())
+                .put("token", order.token())
+                .put("state", order.state().name().toLowerCase(Locale.ROOT));
+    }
+
+    private static ObjectNode details(UpstreamOrder order) {
+        ObjectNode root = summary(order)
+                .put("service", order.service())
+                .put("count", order.count())
+                .put("reclaimable", order.reclaimable());
+        ArrayNode upstreams = root.putArray("upstreams");
+        for (LaunchedUpstream upstream : order.upstreams()) {
+            upstreams.addObject().put("upstream_id", upstream.upstreamId()).put("address", upstream.address());
+        }
+        return root;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInPage.java
@@ -0,0 +1,109 @@
+package org.cactusshift.standin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+
+/**
+ * A page that shows, for each upstream, every header that it received.
+ *
+ * <p>{@code GET /} gives {@code {"upstreams": [{"upstream", "address", "header_names": [..], "requests": [{"method",
+ * "path", "outcome", "headers": {..}}]}]}}. Polls of {@code /load} and {@code /cache-events} count for the names only.
+ */
+public final class StandInPage implements StandIn, StandInHandler {
+    private static final Set<String> POLLED_PATHS = Set.of("/load", "/cache-events");
+
+    private final StandInServer server;
+
+    private final Supplier<Map<String, StandIn>> upstreams;
+
+    private StandInPage(int port, Supplier<Map<String, StandIn>> upstreams) {
+        this.server = StandInServer.create(port, this);
+        this.upstreams = upstreams;
+    }
+
+    /**
+     * Creates a page that does not listen yet.
+     *
+     * @param port the port; 0 lets the operating system choose
+     * @param upstreams gives the present upstreams by name
+     * @return the page
+     */
+    public static StandInPage create(int port, Supplier<Map<String, StandIn>> upstreams) {
+        return new StandInPage(port, upstreams);
+    }
+
+    @Override
+    public void start() throws IOException {
+        server.start();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public StandInFaults faults() {
+        return server.faults();
+    }
+
+    @Override
+    public ReceivedLog log() {
+        return server.log();
+    }
+
+    @Override
+    public void crash() {
+        server.crash();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    @Override
+    public StandInAnswer handle(StandInRequest request) {
+        if (!request.path().equals("/")) {
+            return StandInAnswer.error(StandInAnswer.NOT_FOUND, "not_found");
+        }
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        ArrayNode listed = root.putArray("upstreams");
+        upstreams.get().forEach((name, upstream) -> listed.add(toJson(name, upstream)));
+        return StandInAnswer.json(StandInAnswer.OK, root);
+    }
+
+    private static ObjectNode toJson(String name, StandIn upstream) {
+        ObjectNode root =
+                JsonNodeFactory.instance.objectNode().put("upstream", name).put("address", upstream.address());
+        Set<String> names = new TreeSet<>();
+        ArrayNode requests = JsonNodeFactory.instance.arrayNode();
+        for (ReceivedRequest received : upstream.log().all()) {
+            names.addAll(received.headers().keySet());
+            if (!POLLED_PATHS.contains(received.path())) {
+                requests.add(toJson(received));
+            }
+        }
+        ArrayNode headerNames = root.putArray("header_names");
+        names.forEach(headerNames::add);
+        root.set("requests", requests);
+        return root;
+    }
+
+    private static ObjectNode toJson(ReceivedRequest received) {
+        ObjectNode root = JsonNodeFactory.instance
+                .objectNode()
+                .put("method", received.method())
+                .put("path", received.path())
+                .put("outcome", received.outcome().name());
+        ObjectNode headers = root.putObject("headers");
+        received.headers().forEach(headers::put);
+        return root;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInUsageService.java
@@ -0,0 +1,149 @@
+package org.cactusshift.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Stand-in for the interface that takes usage reports.
+ *
+ * <p>Keeps the first bytes of each window and shard, and notes every report of other bytes.
+ */
+public final class StandInUsageService implements StandIn, StandInHandler {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final int PATH_SEGMENTS = 3;
+
+    private final StandInServer server;
+
+    private final Map<String, UsageWindow> windows = new LinkedHashMap<>();
+
+    private final List<String> contradictions = new ArrayList<>();
+
+    private StandInUsageService(int port) {
+        this.server = StandInServer.create(port, this);
+    }
+
+    /**
+     * Creates an interface that does not listen yet.
+     *
+     * @param port the port; 0 lets the operating system choose
+     * @return the stand-in
+     */
+    public static StandInUsageService create(int port) {
+        return new StandInUsageService(port);
+    }
+
+    @Override
+    public void start() throws IOException {
+        server.start();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public StandInFaults faults() {
+        return server.faults();
+    }
+
+    @Override
+    public ReceivedLog log() {
+        return server.log();
+    }
+
+    @Override
+    public void crash() {
+        server.crash();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    /**
+     * Returns the windows reported.
+     *
+     * @return the windows in the order of their first reports
+     */
+    public synchronized List<UsageWindow> windows() {
+        return List.copyOf(windows.values());
+    }
+
+    /**
+     * Returns the windows that were reported with other bytes than the first time.
+     *
+     * @return the window and shard of each such report; empty when all is well
+     */
+    public synchronized List<String> contradictions() {
+        return List.copyOf(contradictions);
+    }
+
+    /**
+     * Adds up what was reported for each client account.
+     *
+     * @return the sums by account
+     */
+    public synchronized Map<String, UsageTotals> totalsByAccount() {
+        Map<String, UsageTotals> totals = new TreeMap<>();
+        for (UsageWindow window : windows.values()) {
+            for (JsonNode count : parse(window.body()).path("counts")) {
+                totals.merge(count.path("account").asText(), totalsOf(count), UsageTotals::plus);
+            }
+        }
+        return totals;
+    }
+
+    @Override
+    public StandInAnswer handle(StandInRequest request) {
+        String[] segments = request.segments();
+        if (!request.path().startsWith("/v1/usage-windows/") || segments.length != PATH_SEGMENTS) {
+            return StandInAnswer.error(StandInAnswer.NOT_FOUND, "not_found");
+        }
+        JsonNode body = parse(request.body());
+        if (!body.path("counts").isArray()) {
+            return StandInAnswer.error(StandInAnswer.BAD_REQUEST, "invalid_request");
+        }
+        return record(segments[2], body.path("shard").asText(""), request.body());
+    }
+
+    private synchronized StandInAnswer record(String window, String shard, String body) {
+        String key = window + "/" + shard;
+        UsageWindow known = windows.get(key);
+        if (known != null && !known.body().equals(body)) {
+            contradictions.add(key);
+            return StandInAnswer.error(StandInAnswer.CONFLICT, "other_figures");
+        }
+        int reports = known == null ? 1 : known.reports() + 1;
+        windows.put(key, new UsageWindow(window, shard, body, reports));
+        return StandInAnswer.json(StandInAnswer.OK, JsonNodeFactory.instance.objectNode());
+    }
+
+    private static UsageTotals totalsOf(JsonNode count) {
+        long latePrompt = count.path("late_prompt_tokens").asLong(0);
+        long lateCompletion = count.path("late_completion_tokens").asLong(0);
+        return new UsageTotals(
+                count.path("prompt_tokens").asLong(0) + latePrompt,
+                count.path("completion_tokens").asLong(0) + lateCompletion,
+                count.path("requests").asLong(0),
+                latePrompt + lateCompletion);
+    }
+
+    private static JsonNode parse(String body) {
+        try {
+            return MAPPER.readTree(body);
+        } catch (JsonProcessingException e) {
+            return MAPPER.missingNode();
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInWeightStore.java
@@ -0,0 +1,72 @@
+package org.cactusshift.standin;
+
+import java.io.IOException;
+
+/** Stand-in for the rate-limited weight store. Every model has every version. */
+public final class StandInWeightStore implements StandIn, StandInHandler {
+    private static final int WEIGHT_BYTES = 65_536;
+
+    private static final int PATH_SEGMENTS = 4;
+
+    private final StandInServer server;
+
+    private final RateLimit limit;
+
+    private StandInWeightStore(int port, double loadsPerSecond) {
+        this.server = StandInServer.create(port, this);
+        this.limit = new RateLimit(loadsPerSecond, System.nanoTime());
+    }
+
+    /**
+     * Creates a store that does not listen yet.
+     *
+     * @param port the port; 0 lets the operating system choose
+     * @param loadsPerSecond the limit of loads; 0 for none
+     * @return the store
+     */
+    public static StandInWeightStore create(int port, double loadsPerSecond) {
+        return new StandInWeightStore(port, loadsPerSecond);
+    }
+
+    @Override
+    public void start() throws IOException {
+        server.start();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public StandInFaults faults() {
+        return server.faults();
+    }
+
+    @Override
+    public ReceivedLog log() {
+        return server.log();
+    }
+
+    @Override
+    public void crash() {
+        server.crash();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    @Override
+    public StandInAnswer handle(StandInRequest request) {
+        if (!request.path().startsWith("/v1/weights/") || request.segments().length != PATH_SEGMENTS) {
+            return StandInAnswer.error(StandInAnswer.NOT_FOUND, "not_found");
+        }
+        if (!limit.tryTake(1, System.nanoTime())) {
+            return StandInAnswer.error(StandInAnswer.TOO_MANY_REQUESTS, "over_rate")
+                    .withHeader("Retry-After", "1");
+        }
+        return StandInAnswer.bytes(new byte[WEIGHT_BYTES]);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/platform/StandInFleet.java
@@ -0,0 +1,127 @@
+package org.cactusshift.standin.platform;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cactusshift.config.ServiceConfig.Kind;
+import org.cactusshift.standin.InstanceEntry;
+import org.cactusshift.standin.LaunchedUpstream;
+import org.cactusshift.standin.StandIn;
+import org.cactusshift.standin.StandInInstanceList;
+import org.cactusshift.standin.StandInPlainService;
+import org.cactusshift.standin.UpstreamLauncher;
+import org.cactusshift.standin.engine.EngineSettings;
+import org.cactusshift.standin.engine.StandInEngine;
+
+/** The upstreams of a platform: starts, lists, drains and stops them. Stopped ones are kept for their logs. */
+final class StandInFleet implements UpstreamLauncher {
+    private final PlatformSettings settings;
+
+    private final StandInInstanceList instanceList;
+
+    private final Optional<String> weightStoreAddress;
+
+    private final Map<String, Member> members = new LinkedHashMap<>();
+
+    private final AtomicInteger lastOrdered = new AtomicInteger();
+
+    StandInFleet(PlatformSettings settings, StandInInstanceList instanceList, String weightStoreAddress) {
+        this.settings = settings;
+        this.instanceList = instanceList;
+        this.weightStoreAddress = Optional.of(weightStoreAddress);
+    }
+
+    synchronized StandIn start(UpstreamSpec spec) throws IOException {
+        if (members.containsKey(spec.upstreamId())) {
+            throw new IllegalArgumentException("there is an upstream " + spec.upstreamId());
+        }
+        StandIn upstream = spec.kind() == Kind.MODEL ? engineOf(spec) : plainOf();
+        upstream.start();
+        members.put(spec.upstreamId(), new Member(spec, upstream));
+        instanceList.put(new InstanceEntry(
+                spec.upstreamId(),
+                InstanceEntry.Kind.UPSTREAM,
+                upstream.address(),
+                "",
+                spec.failureDomain(),
+                InstanceEntry.State.LIVE));
+        return upstream;
+    }
+
+    @Override
+    public LaunchedUpstream launch(String failureDomain, String service, boolean reclaimable) throws IOException {
+        UpstreamSpec spec = like(service, failureDomain, reclaimable);
+        return new LaunchedUpstream(spec.upstreamId(), start(spec).address());
+    }
+
+    @Override
+    public synchronized void release(String upstreamId) {
+        Member member = members.get(upstreamId);
+        if (member != null) {
+            member.upstream().close();
+            instanceList.remove(upstreamId);
+        }
+    }
+
+    /** Marks the reclaimable upstreams of a failure domain as leaving and returns their names. */
+    synchronized List<String> markReclaimed(String failureDomain) {
+        List<String> reclaimed = members.values().stream()
+                .map(Member::spec)
+                .filter(spec -> spec.reclaimable() && spec.failureDomain().equals(failureDomain))
+                .map(UpstreamSpec::upstreamId)
+                .toList();
+        for (String upstreamId : reclaimed) {
+            instanceList.markLeaving(upstreamId);
+            if (members.get(upstreamId).upstream() instanceof StandInEngine engine) {
+                engine.setDraining(true);
+            }
+        }
+        return reclaimed;
+    }
+
+    synchronized Map<String, StandIn> upstreams() {
+        Map<String, StandIn> upstreams = new LinkedHashMap<>();
+        members.forEach((name, member) -> upstreams.put(name, member.upstream()));
+        return upstreams;
+    }
+
+    synchronized void close() {
+        members.values().forEach(member -> member.upstream().close());
+    }
+
+    private StandInEngine engineOf(UpstreamSpec spec) {
+        return StandInEngine.create(EngineSettings.mixed(spec.upstreamId(), spec.service(), settings.engineTiming())
+                .withRole(spec.role(), spec.memoryPieces())
+                .withFencing(spec.checksFencing())
+                .withWeights(spec.version(), weightStoreAddress));
+    }
+
+    private StandInPlainService plainOf() {
+        return StandInPlainService.create(settings.plainService());
+    }
+
+    /** Returns an upstream like the first one of a service. */
+    private synchronized UpstreamSpec like(String service, String failureDomain, boolean reclaimable)
+            throws IOException {
+        UpstreamSpec first = members.values().stream()
+                .map(Member::spec)
+                .filter(spec -> spec.service().equals(service))
+                .findFirst()
+                .orElseThrow(() -> new IOException("no such service: " + service));
+        return new UpstreamSpec(
+                service + "-ordered-" + lastOrdered.incrementAndGet(),
+                service,
+                first.kind(),
+                first.version(),
+                failureDomain,
+                first.role(),
+                first.memoryPieces(),
+                reclaimable,
+                first.checksFencing());
+    }
+
+    private record Member(UpstreamSpec spec, StandIn upstream) {}
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/platform/StandInPlatform.java
@@ -0,0 +1,264 @@
+package org.cactusshift.standin.platform;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.standin.DaemonThreads;
+import org.cactusshift.standin.OrderingSettings;
+import org.cactusshift.standin.StandIn;
+import org.cactusshift.standin.StandInInstanceList;
+import org.cactusshift.standin.StandInKeyValueService;
+import org.cactusshift.standin.StandInOrderingService;
+import org.cactusshift.standin.StandInPage;
+import org.cactusshift.standin.StandInPlainService;
+import org.cactusshift.standin.StandInUsageService;
+import org.cactusshift.standin.StandInWeightStore;
+import org.cactusshift.standin.engine.StandInEngine;
+
+/** Stand-ins for every outside system of one site. */
+public final class StandInPlatform implements AutoCloseable {
+    private final PlatformSettings settings;
+
+    private final StandInKeyValueService keyValueService;
+
+    private final StandInUsageService usageService = StandInUsageService.create(0);
+
+    private final StandInInstanceList instanceList;
+
+    private final StandInWeightStore weightStore;
+
+    private final StandInPage page = StandInPage.create(0, this::upstreams);
+
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("stand-in-platform"));
+
+    private StandInFleet fleet;
+
+    private StandInOrderingService orderingService;
+
+    private StandInPlatform(PlatformSettings settings) {
+        this.settings = settings;
+        this.keyValueService = StandInKeyValueService.create(settings.keyValue());
+        this.instanceList = StandInInstanceList.create(0, settings.instanceListLagMillis());
+        this.weightStore = StandInWeightStore.create(0, settings.weightLoadsPerSecond());
+    }
+
+    /**
+     * Creates a platform that does not listen yet.
+     *
+     * @param settings the settings
+     * @return the platform
+     */
+    public static StandInPlatform create(PlatformSettings settings) {
+        return new StandInPlatform(settings);
+    }
+
+    /**
+     * Starts every stand-in.
+     *
+     * @throws IOException if a port can't be opened
+     */
+    public void start() throws IOException {
+        keyValueService.start();
+        usageService.start();
+        instanceList.start();
+        weightStore.start();
+        fleet = new StandInFleet(settings, instanceList, weightStore.address());
+        orderingService = StandInOrderingService.create(
+                new OrderingSettings(0, settings.provisionMillis(), settings.capacityPerFailureDomain()), fleet);
+        orderingService.start();
+        for (UpstreamSpec spec : settings.upstreams()) {
+            fleet.start(spec);
+        }
+        page.start();
+    }
+
+    /**
+     * Starts a further upstream.
+     *
+     * @param spec the upstream
+     * @return the stand-in
+     * @throws IOException if its port can't be opened
+     */
+    public StandIn startUpstream(UpstreamSpec spec) throws IOException {
+        return fleet.start(spec);
+    }
+
+    /**
+     * Takes the reclaimable upstreams of a failure domain back.
+     *
+     * @param failureDomain the failure domain
+     * @param noticeMillis how long they still run after they were marked as leaving, in milliseconds
+     * @return the names of the upstreams
+     */
+    public List<String> reclaim(String failureDomain, long noticeMillis) {
+        List<String> reclaimed = fleet.markReclaimed(failureDomain);
+        timer.schedule(() -> reclaimed.forEach(fleet::release), noticeMillis, TimeUnit.MILLISECONDS);
+        return reclaimed;
+    }
+
+    /**
+     * Returns every upstream ever started, ordered ones included.
+     *
+     * @return the stand-ins by upstream id
+     */
+    public Map<String, StandIn> upstreams() {
+        return fleet.upstreams();
+    }
+
+    /**
+     * Returns an engine.
+     *
+     * @param upstreamId its name
+     * @return the engine
+     * @throws ClassCastException if it is no engine
+     */
+    public StandInEngine engine(String upstreamId) {
+        return (StandInEngine) upstreams().get(upstreamId);
+    }
+
+    /**
+     * Returns every engine.
+     *
+     * @return the engines
+     */
+    public List<StandInEngine> engines() {
+        List<StandInEngine> engines = new ArrayList<>();
+        for (StandIn upstream : upstreams().values()) {
+            if (upstream instanceof StandInEngine engine) {
+                engines.add(engine);
+            }
+        }
+        return engines;
+    }
+
+    /**
+     * Returns every instance of a plain service.
+     *
+     * @return the instances
+     */
+    public List<StandInPlainService> plainServices() {
+        List<StandInPlainService> services = new ArrayList<>();
+        for (StandIn upstream : upstreams().values()) {
+            if (upstream instanceof StandInPlainService service) {
+                services.add(service);
+            }
+        }
+        return services;
+    }
+
+    /**
+     * Returns a configuration with the addresses at which its upstreams listen here.
+     *
+     * @param site the configuration from which the settings were made
+     * @return the configuration
+     */
+    public SiteConfig withAddresses(SiteConfig site) {
+        Map<String, StandIn> upstreams = upstreams();
+        List<UpstreamConfig> placed = site.upstreams().stream()
+                .map(upstream -> withAddress(
+                        upstream, upstreams.get(upstream.id().value()).address()))
+                .toList();
+        return new SiteConfig(
+                site.schemaVersion(),
+                site.site(),
+                site.shutdownDate(),
+                site.failureDomains(),
+                site.accounts(),
+                site.services(),
+                placed,
+                site.limits(),
+                site.timing());
+    }
+
+    /**
+     * Returns the key-value service.
+     *
+     * @return the stand-in
+     */
+    public StandInKeyValueService keyValueService() {
+        return keyValueService;
+    }
+
+    /**
+     * Returns the interface for ordering upstreams.
+     *
+     * @return the stand-in
+     */
+    public StandInOrderingService orderingService() {
+        return orderingService;
+    }
+
+    /**
+     * Returns the interface that takes usage reports.
+     *
+     * @return the stand-in
+     */
+    public StandInUsageService usageService() {
+        return usageService;
+    }
+
+    /**
+     * Returns the list of instances; the caller adds entry instances.
+     *
+     * @return the stand-in
+     */
+    public StandInInstanceList instanceList() {
+        return instanceList;
+    }
+
+    /**
+     * Returns the weight store.
+     *
+     * @return the stand-in
+     */
+    public StandInWeightStore weightStore() {
+        return weightStore;
+    }
+
+    /**
+     * Returns the page that shows what upstreams received.
+     *
+     * @return the stand-in
+     */
+    public StandInPage page() {
+        return page;
+    }
+
+    /** Stops every stand-in. */
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        page.close();
+        if (orderingService != null) {
+            orderingService.close();
+        }
+        if (fleet != null) {
+            fleet.close();
+        }
+        weightStore.close();
+        instanceList.close();
+        usageService.close();
+        keyValueService.close();
+    }
+
+    private static UpstreamConfig withAddress(UpstreamConfig upstream, String address) {
+        return new UpstreamConfig(
+                upstream.id(),
+                upstream.service(),
+                upstream.failureDomain(),
+                address,
+                upstream.role(),
+                upstream.reclaimable(),
+                upstream.checksFencing(),
+                upstream.draining(),
+                upstream.pricePerHour(),
+                upstream.memoryPieces());
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** All stand-ins of one site together. */
+package org.cactusshift.standin.platform;
--- /dev/null
+++ b/org.cactusshift.standin/src/test/java/org/cactusshift/standin/platform/StandInPlatformTest.java
@@ -0,0 +1,131 @@
+package org.cactusshift.standin.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.standin.StandInClient;
+import org.cactusshift.standin.engine.EngineTiming;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class StandInPlatformTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final long BOUND_MILLIS = 20_000;
+
+    private static final String ORDERS = "/v1/failure-domains/a/orders";
+
+    private final StandInClient client = StandInClient.create();
+
+    private final StandInPlatform platform = StandInPlatform.create(
+            PlatformSettings.ofCounts(Map.of("lm", 2), Map.of("app", 1), List.of("a", "b"), EngineTiming.fast())
+                    .withDelays(50, 0));
+
+    @BeforeEach
+    void start() throws IOException {
+        platform.start();
+    }
+
+    @AfterEach
+    void stop() {
+        platform.close();
+        client.close();
+    }
+
+    @Test
+    void sameTokenGivesTheSameOrderAndItsUpstreamServes() throws IOException {
+        String order =
+                "{\"token\": \"t1\", \"service\": \"lm\", \"count\": 1, \"reclaimable\": true, \"fencing_number\": 7}";
+        platform.orderingService().faults().dropAnswers(1);
+        String address = platform.orderingService().address();
+        assertThrows(IOException.class, () -> client.post(address, ORDERS, order, "o1"));
+        assertEquals(201, client.post(address, ORDERS, order, "o2").status());
+        assertEquals(1, platform.orderingService().orders().size());
+        awaitTrue(() -> firstOrder().path("state").asText().equals("running"));
+        JsonNode upstream = firstOrder().path("upstreams").path(0);
+        assertEquals(200, client.get(upstream.path("address").asText(), "/load").status());
+        assertTrue(instances().contains(upstream.path("upstream_id").asText() + " live"));
+        assertEquals(List.of(upstream.path("upstream_id").asText()), platform.reclaim("a", 1));
+        awaitTrue(() -> instances().size() == 3);
+        assertThrows(
+                IOException.class, () -> client.get(upstream.path("address").asText(), "/load"));
+    }
+
+    @Test
+    void orderBeyondTheCapacityIsRefused() throws IOException {
+        platform.orderingService().setCapacity("a", 1);
+        String order = "{\"token\": \"t1\", \"service\": \"lm\", \"count\": 2, \"fencing_number\": 1}";
+        StandInClient.Answer answer = client.post(platform.orderingService().address(), ORDERS, order, "o1");
+        assertEquals(409, answer.status());
+        assertTrue(answer.text().contains("unavailable"));
+        assertEquals(List.of(), platform.orderingService().orders());
+    }
+
+    @Test
+    void versionIsLoadedFromTheWeightStore() throws IOException {
+        String order = "{\"order_id\": \"v\", \"fencing_number\": 1, \"kind\": \"load_version\", \"version\": \"2\"}";
+        String engine = platform.engine("lm-1").address();
+        assertEquals(202, client.post(engine, "/orders", order, "v").status());
+        awaitTrue(() -> read(engine, "/orders").path("version").asText().equals("2"));
+        assertEquals(1, platform.weightStore().log().count());
+    }
+
+    @Test
+    void pageShowsEveryHeaderThatAnUpstreamReceived() throws IOException {
+        client.post(platform.plainServices().get(0).address(), "/payouts", "{}", "attempt-1");
+        JsonNode shown = read(platform.page().address(), "/").path("upstreams");
+        JsonNode plain = null;
+        for (JsonNode upstream : shown) {
+            plain = upstream.path("upstream").asText().equals("app-1") ? upstream : plain;
+        }
+        assertEquals(3, shown.size());
+        assertEquals(
+                "attempt-1",
+                plain.path("requests")
+                        .path(0)
+                        .path("headers")
+                        .path("x-request-id")
+                        .asText());
+        assertTrue(plain.path("header_names").toString().contains("content-type"));
+    }
+
+    private JsonNode firstOrder() throws IOException {
+        return read(platform.orderingService().address(), ORDERS).path("orders").path(0);
+    }
+
+    private List<String> instances() throws IOException {
+        List<String> found = new ArrayList<>();
+        for (JsonNode entry :
+                read(platform.instanceList().address(), "/v1/instances").path("instances")) {
+            found.add(entry.path("instance_id").asText() + " "
+                    + entry.path("state").asText());
+        }
+        return found;
+    }
+
+    private JsonNode read(String address, String path) throws IOException {
+        return MAPPER.readTree(client.get(address, path).text());
+    }
+
+    private static void awaitTrue(Callable<Boolean> condition) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BOUND_MILLIS);
+        try {
+            while (!condition.call()) {
+                assertTrue(System.nanoTime() < endNanos, "the condition was not met in time");
+                TimeUnit.MILLISECONDS.sleep(2);
+            }
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
