Track membership from the instance list and heartbeats

A member that is heard stays, as the list lags; a silent one stays suspect, as a partition looks the same, until a list read since lacks it or it had said that it leaves. A timeout was ruled out as proof that a member is gone. Heartbeats go to everyone up to 16 nodes, above that to a ring of doubling distances and between two representatives of each failure domain.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/membership/PeerSelection.java
@@ -0,0 +1,105 @@
+package org.cactusshift.internal.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.InstanceId;
+
+/**
+ * Chooses to whom a node sends heartbeats.
+ *
+ * <p>Up to {@link #FULL_MESH_NODES} nodes everyone sends to everyone: {@code n - 1} messages a beat. Above, a node
+ * sends within its failure domain to the nodes at distances 1, 2, 4, ... on a ring, {@code ceil(log2(d))} messages for
+ * {@code d} nodes of the failure domain, and the {@link #REPRESENTATIVES} representatives of each failure domain send
+ * to those of the other ones. At 1,800 nodes in 22 failure domains that is 7 messages a beat, and 49 for the 44
+ * representatives.
+ */
+public final class PeerSelection {
+    /** The number of nodes up to which everyone sends to everyone. */
+    public static final int FULL_MESH_NODES = 16;
+
+    /** The number of nodes of a failure domain that speak with other failure domains. */
+    public static final int REPRESENTATIVES = 2;
+
+    private static final String RING = "heartbeat ring";
+    private static final String REPRESENTATIVE = "representative";
+
+    private final InstanceId self;
+    private final FailureDomainId failureDomain;
+
+    private PeerSelection(InstanceId self, FailureDomainId failureDomain) {
+        this.self = self;
+        this.failureDomain = failureDomain;
+    }
+
+    /**
+     * Returns the selection of a node.
+     *
+     * @param self the node
+     * @param failureDomain its failure domain
+     * @return the selection
+     */
+    public static PeerSelection of(InstanceId self, FailureDomainId failureDomain) {
+        return new PeerSelection(self, failureDomain);
+    }
+
+    /**
+     * Chooses the receivers of the next beat; suspects are among them, as else they could never be heard again.
+     *
+     * @param members the members without this node
+     * @return the receivers
+     */
+    public List<Member> select(Collection<Member> members) {
+        if (members.size() < FULL_MESH_NODES) {
+            return List.copyOf(members);
+        }
+        Map<InstanceId, Member> byId = members.stream().collect(Collectors.toMap(Member::id, Function.identity()));
+        Map<FailureDomainId, Set<InstanceId>> domains = domainsOf(members);
+        Map<InstanceId, Member> chosen = new LinkedHashMap<>();
+        for (InstanceId id : ringPeers(domains.get(failureDomain))) {
+            chosen.put(id, byId.get(id));
+        }
+        if (representatives(failureDomain, domains).contains(self)) {
+            for (FailureDomainId other : domains.keySet()) {
+                if (!other.equals(failureDomain)) {
+                    representatives(other, domains).forEach(id -> chosen.put(id, byId.get(id)));
+                }
+            }
+        }
+        return List.copyOf(chosen.values());
+    }
+
+    private Map<FailureDomainId, Set<InstanceId>> domainsOf(Collection<Member> members) {
+        Map<FailureDomainId, Set<InstanceId>> domains = new TreeMap<>();
+        domains.computeIfAbsent(failureDomain, unused -> new TreeSet<>()).add(self);
+        for (Member member : members) {
+            domains.computeIfAbsent(member.failureDomain(), unused -> new TreeSet<>())
+                    .add(member.id());
+        }
+        return domains;
+    }
+
+    private List<InstanceId> ringPeers(Set<InstanceId> domain) {
+        List<InstanceId> ring = RendezvousOrder.of(RING, domain);
+        int place = ring.indexOf(self);
+        List<InstanceId> peers = new ArrayList<>();
+        for (int distance = 1; distance < ring.size(); distance *= 2) {
+            peers.add(ring.get((place + distance) % ring.size()));
+        }
+        return peers;
+    }
+
+    private static List<InstanceId> representatives(
+            FailureDomainId domain, Map<FailureDomainId, Set<InstanceId>> domains) {
+        List<InstanceId> order = RendezvousOrder.of(REPRESENTATIVE, domains.get(domain));
+        return order.subList(0, Math.min(REPRESENTATIVES, order.size()));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/membership/RendezvousOrder.java
@@ -0,0 +1,43 @@
+package org.cactusshift.internal.coordination.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.cactusshift.id.InstanceId;
+
+/**
+ * Orders instances by rendezvous hashing, so that all nodes with the same view choose the same ones and a change of the
+ * view changes few choices.
+ */
+public final class RendezvousOrder {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private RendezvousOrder() {}
+
+    /**
+     * Returns the instances, best choice first.
+     *
+     * @param purpose what the choice is for, so that different duties fall to different instances
+     * @param instances the instances
+     * @return the order
+     */
+    public static List<InstanceId> of(String purpose, Collection<InstanceId> instances) {
+        Comparator<InstanceId> byScore = Comparator.comparingLong(id -> score(purpose, id));
+        return instances.stream()
+                .sorted(byScore.reversed().thenComparing(Comparator.naturalOrder()))
+                .toList();
+    }
+
+    private static long score(String purpose, InstanceId id) {
+        long hash = FNV_OFFSET;
+        for (byte b : (purpose + "/" + id).getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (b & 0xff)) * FNV_PRIME;
+        }
+        hash ^= hash >>> 33;
+        hash *= 0xff51afd7ed558ccdL;
+        hash ^= hash >>> 33;
+        return hash;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/membership/MembershipTableTest.java
@@ -0,0 +1,106 @@
+package org.cactusshift.internal.coordination.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class MembershipTableTest {
+    private static final InstanceId SELF = InstanceId.fromString("n0");
+    private static final InstanceId PEER = InstanceId.fromString("n1");
+    private static final FailureDomainId DOMAIN = FailureDomainId.fromString("ostend-a");
+
+    private final MembershipTable table = MembershipTable.create(SELF, 2000);
+
+    @ParameterizedTest
+    @CsvSource({
+        // heard at, listed, list read at, says leaving, now, state
+        "1000, true, 1000, false, 2000, LIVE",
+        "1000, true, 1000, false, 3001, SUSPECT",
+        "1000, true, 1000, false, 60000, SUSPECT",
+        "1000, false, 1000, false, 3001, SUSPECT",
+        "1000, false, 3000, false, 60000, SUSPECT",
+        "1000, false, 3001, false, 7000, SUSPECT",
+        "1000, false, 3001, false, 7001, GONE",
+        "1000, true, 1000, true, 2000, LEAVING",
+        "1000, true, 1000, true, 3001, GONE",
+    })
+    void followsListAndHeartbeats(
+            long heardMillis, boolean listed, long listMillis, boolean leaving, long nowMillis, Member.State state) {
+        table.onHeartbeat(sighting("i1", leaving), heardMillis);
+        table.onInstanceList(listed ? List.of(entry(false)) : List.of(), listMillis);
+
+        assertEquals(state, table.member(PEER, nowMillis).orElseThrow().state());
+        assertEquals(
+                state != Member.State.GONE,
+                table.members(nowMillis).stream().anyMatch(member -> member.id().equals(PEER)));
+    }
+
+    @Test
+    void listedButNeverHeardIsSuspect() {
+        table.onInstanceList(List.of(entry(false)), 0);
+
+        assertEquals(Member.State.SUSPECT, table.member(PEER, 1).orElseThrow().state());
+    }
+
+    @Test
+    void platformCanMarkLeaving() {
+        table.onHeartbeat(sighting("i1", false), 0);
+        table.onInstanceList(List.of(entry(true)), 10);
+
+        assertEquals(Member.State.LEAVING, table.member(PEER, 20).orElseThrow().state());
+    }
+
+    @Test
+    void lateMessageOfEarlierIncarnationIsIgnored() {
+        assertTrue(table.onHeartbeat(sighting("i1", true), 0));
+        assertTrue(table.onHeartbeat(sighting("i2", false), 10));
+        assertFalse(table.onHeartbeat(sighting("i1", true), 20));
+
+        Member member = table.member(PEER, 30).orElseThrow();
+        assertEquals(Optional.of(IncarnationId.fromString("i2")), member.incarnation());
+        assertEquals(Member.State.LIVE, member.state());
+    }
+
+    @Test
+    void leavesItselfOut() {
+        table.onHeartbeat(new PeerSighting(SELF, IncarnationId.fromString("i0"), DOMAIN, "127.0.0.1:1", false), 0);
+
+        assertEquals(List.of(), table.members(0));
+    }
+
+    @Test
+    void upstreamThatLeavesOrVanishesTakesNoNewWork() {
+        ListedInstance first = upstream("e1", false);
+        ListedInstance second = upstream("e2", false);
+        table.onInstanceList(List.of(first, second), 0);
+        assertEquals(Set.of(), table.leavingUpstreams());
+        table.onInstanceList(List.of(upstream("e1", true)), 1000);
+        assertEquals(Set.of(UpstreamId.fromString("e1"), UpstreamId.fromString("e2")), table.leavingUpstreams());
+        table.onInstanceList(List.of(first, second), 2000);
+        assertEquals(Set.of(), table.leavingUpstreams());
+    }
+
+    private static PeerSighting sighting(String incarnation, boolean leaving) {
+        return new PeerSighting(PEER, IncarnationId.fromString(incarnation), DOMAIN, "127.0.0.1:1", leaving);
+    }
+
+    private static ListedInstance entry(boolean leaving) {
+        return new ListedInstance(
+                PEER.value(), ListedInstance.Kind.ENTRY, "127.0.0.1:2", "127.0.0.1:1", DOMAIN, leaving);
+    }
+
+    private static ListedInstance upstream(String id, boolean leaving) {
+        return new ListedInstance(id, ListedInstance.Kind.UPSTREAM, "127.0.0.1:3", "", DOMAIN, leaving);
+    }
+}
