Verify keys and stop a node that is cut off from honouring them

The view of the keys is fresh for a bounded time after a read of the head by this node or a peer. Without it, service goes on only when each failure domain with nodes has said that it has no contact either. A majority of all nodes was ruled out: three failure domains that lose the fourth together with the store would go on while withdrawals are accepted in the fourth. A planted rule that takes silence for evidence is caught by the simulation.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/key/KeyRing.java
@@ -0,0 +1,84 @@
+package org.cactusshift.internal.coordination.key;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.id.KeyId;
+
+/**
+ * Verifies keys against the installed configuration.
+ *
+ * <p>Readers see one immutable table, swapped as a whole. An unknown key costs the same hash as a known one, so that
+ * the time of an answer does not tell which key ids exist.
+ */
+public final class KeyRing implements KeyVerifier {
+    private static final byte[] NO_HASH = new byte[32];
+
+    private final KeyHasher hasher;
+    private final KeyFreshness freshness;
+    private final AtomicReference<KeyTable> table = new AtomicReference<>(KeyTable.EMPTY);
+
+    private KeyRing(KeyHasher hasher, KeyFreshness freshness) {
+        this.hasher = hasher;
+        this.freshness = freshness;
+    }
+
+    /**
+     * Returns a verifier without keys.
+     *
+     * @param hasher hashes presented keys
+     * @param freshness decides whether keys may be honoured at all
+     * @return the verifier
+     */
+    public static KeyRing create(KeyHasher hasher, KeyFreshness freshness) {
+        return new KeyRing(hasher, freshness);
+    }
+
+    /**
+     * Installs the keys of a configuration; an older one than installed is ignored.
+     *
+     * @param version the configuration's version
+     * @param config the configuration
+     */
+    public void install(long version, SiteConfig config) {
+        table.updateAndGet(old -> version > old.version() ? old.install(version, config) : old);
+    }
+
+    /**
+     * Refuses keys that a newer configuration withdraws, before that configuration is installed.
+     *
+     * @param version the version that withdraws them
+     * @param keys the keys
+     */
+    public void withdraw(long version, Collection<KeyId> keys) {
+        table.updateAndGet(old -> old.withdraw(version, Set.copyOf(keys)));
+    }
+
+    @Override
+    public KeyVerdict verify(Optional<String> bearer, long nowMillis) {
+        if (bearer.isEmpty()) {
+            return KeyVerdict.of(KeyVerdict.Status.MISSING);
+        }
+        if (freshness.status(nowMillis) == KeyFreshness.Status.CUT_OFF) {
+            return KeyVerdict.of(KeyVerdict.Status.STALE_VIEW);
+        }
+        Optional<ClientKey> presented = ClientKey.parse(bearer.get());
+        if (presented.isEmpty()) {
+            return KeyVerdict.of(KeyVerdict.Status.INVALID);
+        }
+        Optional<KeyTable.Entry> known = table.get().find(presented.get().id());
+        byte[] hash = known.map(KeyTable.Entry::hash).orElse(NO_HASH);
+        boolean matches = hasher.matches(presented.get(), hash);
+        return known.filter(entry -> matches)
+                .map(entry -> KeyVerdict.accepted(entry.account(), entry.id()))
+                .orElseGet(() -> KeyVerdict.of(KeyVerdict.Status.INVALID));
+    }
+
+    @Override
+    public boolean isStillValid(KeyId key, long nowMillis) {
+        return freshness.status(nowMillis) != KeyFreshness.Status.CUT_OFF
+                && table.get().find(key).isPresent();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/key/FreshnessSimulation.java
@@ -0,0 +1,192 @@
+package org.cactusshift.internal.coordination.key;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.InstanceId;
+
+/**
+ * Nodes in failure domains that lose each other, the key-value service and their lives at random.
+ *
+ * <p>A partition separates whole failure domains. Time moves in ticks; in each, nodes that can read the head do so at
+ * their period and nodes exchange heartbeats at theirs. A withdrawal raises the version.
+ */
+final class FreshnessSimulation {
+    static final long TICK_MILLIS = 100;
+    static final long HEARTBEAT_MILLIS = 500;
+    static final long READ_MILLIS = 1000;
+    static final long FRESHNESS_MILLIS = 4000;
+    static final long EVIDENCE_MILLIS = 2000;
+
+    private static final int DOMAINS = 4;
+    private static final int NODES_PER_DOMAIN = 2;
+
+    private final Random random;
+    private final EvidenceRule rule;
+    private final List<Node> nodes = new ArrayList<>();
+    private final boolean[][] linkUp = new boolean[DOMAINS][DOMAINS];
+    private final boolean[] storeUp = new boolean[DOMAINS];
+    private final Map<Long, Long> learnedMillis = new HashMap<>();
+    private long storeVersion = 1;
+    private long nowMillis;
+    private OptionalLong worstHonouredMillis = OptionalLong.empty();
+
+    /** One node. */
+    static final class Node {
+        final InstanceId id;
+        final int domain;
+        KeyFreshness freshness;
+        long version;
+        boolean alive = true;
+
+        Node(int domain, int number) {
+            this.id = InstanceId.fromString("n" + domain + "-" + number);
+            this.domain = domain;
+        }
+
+        FailureDomainId failureDomain() {
+            return FailureDomainId.fromString("fd" + domain);
+        }
+    }
+
+    FreshnessSimulation(long seed, EvidenceRule rule) {
+        this.random = new Random(seed);
+        this.rule = rule;
+        for (int domain = 0; domain < DOMAINS; domain++) {
+            storeUp[domain] = true;
+            for (int other = 0; other < DOMAINS; other++) {
+                linkUp[domain][other] = true;
+            }
+            for (int number = 0; number < NODES_PER_DOMAIN; number++) {
+                nodes.add(new Node(domain, number));
+            }
+        }
+        nodes.forEach(this::start);
+    }
+
+    private void start(Node node) {
+        node.freshness = KeyFreshness.withRule(node.id, node.failureDomain(), FRESHNESS_MILLIS, EVIDENCE_MILLIS, rule);
+        Map<InstanceId, FailureDomainId> members = new HashMap<>();
+        nodes.forEach(member -> members.put(member.id, member.failureDomain()));
+        node.freshness.onMembers(members);
+        node.version = 0;
+        node.alive = true;
+    }
+
+    /** Runs with random faults; returns the longest time for which a withdrawn key was honoured. */
+    OptionalLong runWithFaults(long durationMillis) {
+        while (nowMillis < durationMillis) {
+            if (random.nextInt(20) == 0) {
+                injectFault();
+            }
+            step();
+        }
+        return worstHonouredMillis;
+    }
+
+    void step() {
+        nowMillis += TICK_MILLIS;
+        for (Node node : nodes) {
+            if (node.alive && storeUp[node.domain] && (nowMillis + node.domain * 300L) % READ_MILLIS == 0) {
+                install(node, storeVersion);
+                node.freshness.onStoreContact(nowMillis, storeVersion);
+            }
+        }
+        for (Node node : nodes) {
+            if (node.alive && (nowMillis + nodes.indexOf(node) * 100L) % HEARTBEAT_MILLIS == 0) {
+                nodes.forEach(peer -> heartbeat(node, peer));
+            }
+        }
+        measure();
+    }
+
+    private void injectFault() {
+        int domain = random.nextInt(DOMAINS);
+        Node node = nodes.get(random.nextInt(nodes.size()));
+        switch (random.nextInt(7)) {
+            case 0 -> isolate(domain, false);
+            case 1 -> isolate(domain, true);
+            case 2 -> setLink(domain, random.nextInt(DOMAINS), random.nextBoolean());
+            case 3 -> storeUp[domain] = random.nextBoolean();
+            case 4 -> setStore(random.nextInt(3) == 0);
+            case 5 -> withdraw();
+            default -> setAlive(node, !node.alive);
+        }
+    }
+
+    void setStore(boolean up) {
+        IntStream.range(0, DOMAINS).forEach(domain -> storeUp[domain] = up);
+    }
+
+    void setAlive(Node node, boolean alive) {
+        if (alive) {
+            start(node);
+        }
+        node.alive = alive;
+    }
+
+    void isolate(int domain, boolean connected) {
+        IntStream.range(0, DOMAINS).forEach(other -> setLink(domain, other, connected));
+    }
+
+    private void setLink(int one, int other, boolean up) {
+        if (one != other) {
+            linkUp[one][other] = up;
+            linkUp[other][one] = up;
+        }
+    }
+
+    /** Withdraws a key if some living node can reach the service, as then it is not away for everyone. */
+    private void withdraw() {
+        if (nodes.stream().anyMatch(node -> node.alive && storeUp[node.domain])) {
+            storeVersion++;
+        }
+    }
+
+    private void heartbeat(Node node, Node peer) {
+        if (node == peer || !peer.alive || !linkUp[node.domain][peer.domain]) {
+            return;
+        }
+        node.freshness.onPeer(StoreContact.of(
+                peer.id, peer.failureDomain(), nowMillis, peer.freshness.contactAgeMillis(nowMillis), peer.version));
+        install(node, peer.version);
+    }
+
+    private void install(Node node, long version) {
+        if (version > node.version) {
+            node.version = version;
+            node.freshness.onInstalled(version);
+        }
+    }
+
+    /** A withdrawal counts from when a living node knows of it, without a gap since. */
+    private void measure() {
+        for (long version = 2; version <= storeVersion; version++) {
+            long wanted = version;
+            if (nodes.stream().noneMatch(node -> node.alive && node.version >= wanted)) {
+                learnedMillis.remove(version);
+            } else {
+                learnedMillis.putIfAbsent(version, nowMillis);
+            }
+        }
+        for (Node node : nodes) {
+            Long learned = learnedMillis.get(node.version + 1);
+            if (node.alive && learned != null && honours(node)) {
+                worstHonouredMillis = OptionalLong.of(Math.max(worstHonouredMillis.orElse(0), nowMillis - learned));
+            }
+        }
+    }
+
+    boolean honours(Node node) {
+        return node.freshness.status(nowMillis) != KeyFreshness.Status.CUT_OFF;
+    }
+
+    List<Node> nodes() {
+        return nodes;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/key/KeyFreshnessTest.java
@@ -0,0 +1,148 @@
+package org.cactusshift.internal.coordination.key;
+
+import static org.cactusshift.internal.coordination.key.KeyFreshness.Status;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.InstanceId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class KeyFreshnessTest {
+    private static final long FRESHNESS_MILLIS = 4000;
+    private static final long EVIDENCE_MILLIS = 2000;
+    private static final long NOW_MILLIS = 100_000;
+    private static final long LAST_CONTACT_MILLIS = 50_000;
+
+    /**
+     * The site has two nodes in each of the failure domains a to d; this node is a0. In {@code heard}, the nodes that
+     * answered recently; each says that it has no contact.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "store away, everyone answers               | a1 b0 b1 c0 c1 d0 d1 | STORE_AWAY",
+                "store away, one node of each domain down   | b0 c1 d0             | STORE_AWAY",
+                "own neighbour down                         | b0 b1 c0 c1 d0 d1    | STORE_AWAY",
+                "this node cut off                          | ''                   | CUT_OFF",
+                "this failure domain cut off                | a1                   | CUT_OFF",
+                "one failure domain silent                  | a1 b0 b1 c0 c1       | CUT_OFF",
+                "half of the failure domains silent         | a1 b0 b1             | CUT_OFF",
+            })
+    void tellsStoreAwayFromCutOff(String label, String heard, Status expected) {
+        KeyFreshness freshness = site(Map.of("b", 2, "c", 2, "d", 2, "a", 2));
+        for (String peer : heard.isEmpty() ? new String[0] : heard.split(" ")) {
+            say(freshness, peer, NOW_MILLIS - 100, NOW_MILLIS - LAST_CONTACT_MILLIS, 3);
+        }
+
+        assertEquals(expected, freshness.status(NOW_MILLIS), label);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // asked this long ago, age in the answer, version in the answer, status
+        "100, 1000, 3, FRESH",
+        "100, 3900, 3, FRESH",
+        "100, 3901, 3, STORE_AWAY",
+        "2000, 9000, 3, STORE_AWAY",
+        "2001, 9000, 3, CUT_OFF",
+        "100, -1, 3, STORE_AWAY",
+        "100, 1000, 4, CUT_OFF",
+        "100, 9000, 4, CUT_OFF",
+        "100, 1000, 2, FRESH",
+    })
+    void usesContactOfPeer(long agoMillis, long ageMillis, long version, Status expected) {
+        KeyFreshness freshness = site(Map.of("a", 2));
+        say(freshness, "a1", NOW_MILLIS - agoMillis, ageMillis, version);
+
+        assertEquals(expected, freshness.status(NOW_MILLIS));
+    }
+
+    @Test
+    void contactOfPeerCountsOnceItsVersionIsInstalled() {
+        KeyFreshness freshness = site(Map.of("a", 2));
+        say(freshness, "a1", NOW_MILLIS, 0, 4);
+        assertEquals(Status.CUT_OFF, freshness.status(NOW_MILLIS));
+        freshness.onInstalled(4);
+        assertEquals(Status.FRESH, freshness.status(NOW_MILLIS));
+    }
+
+    @Test
+    void readOfNewerHeadIsNoContactUntilInstalled() {
+        KeyFreshness freshness = site(Map.of("a", 2));
+        freshness.onStoreContact(NOW_MILLIS, 4);
+        assertEquals(Status.CUT_OFF, freshness.status(NOW_MILLIS));
+    }
+
+    @Test
+    void nodeThatKnowsNoOtherStops() {
+        KeyFreshness freshness = site(Map.of());
+        assertEquals(Status.CUT_OFF, freshness.status(NOW_MILLIS));
+    }
+
+    @Test
+    void nodeThatHadNoContactHonoursNothing() {
+        KeyFreshness freshness = KeyFreshness.create(
+                InstanceId.fromString("a0"), FailureDomainId.fromString("a"), FRESHNESS_MILLIS, EVIDENCE_MILLIS);
+        assertEquals(Status.CUT_OFF, freshness.status(0));
+        assertEquals(-1, freshness.contactAgeMillis(0));
+    }
+
+    /** At 11 regions with two failure domains of 82 nodes each, a node hears two representatives of each. */
+    @ParameterizedTest
+    @CsvSource({"21, 2, STORE_AWAY", "21, 1, CUT_OFF", "20, 2, CUT_OFF"})
+    void needsTwoNodesOfEachLargeFailureDomain(int domainsHeard, int nodesHeard, Status expected) {
+        Map<String, Integer> domains = new HashMap<>();
+        for (int i = 0; i < 21; i++) {
+            domains.put("fd" + i + "-", 82);
+        }
+        KeyFreshness freshness = site(domains);
+        say(freshness, "a1", NOW_MILLIS, -1, 3);
+        for (int i = 0; i < domainsHeard; i++) {
+            for (int n = 0; n < nodesHeard; n++) {
+                say(freshness, "fd" + i + "-" + n, NOW_MILLIS, -1, 3);
+            }
+        }
+
+        assertEquals(expected, freshness.status(NOW_MILLIS));
+    }
+
+    @Test
+    void evidenceIsPassedOnWithItsAge() {
+        KeyFreshness representative = site(Map.of("a", 9, "b", 9));
+        say(representative, "a1", NOW_MILLIS - 200, -1, 3);
+        say(representative, "b0", NOW_MILLIS - 300, -1, 3);
+        say(representative, "b1", NOW_MILLIS - 400, -1, 3);
+        KeyFreshness other = site(Map.of("a", 9, "b", 9));
+        say(other, "a1", NOW_MILLIS, -1, 3);
+        assertEquals(Status.CUT_OFF, other.status(NOW_MILLIS));
+        representative.evidence(NOW_MILLIS).forEach(other::onRelayedEvidence);
+
+        assertEquals(Status.STORE_AWAY, other.status(NOW_MILLIS));
+        assertEquals(Status.CUT_OFF, other.status(NOW_MILLIS + EVIDENCE_MILLIS - 399));
+    }
+
+    private static KeyFreshness site(Map<String, Integer> nodesByDomain) {
+        KeyFreshness freshness = KeyFreshness.create(
+                InstanceId.fromString("a0"), FailureDomainId.fromString("a"), FRESHNESS_MILLIS, EVIDENCE_MILLIS);
+        Map<InstanceId, FailureDomainId> members = new HashMap<>();
+        nodesByDomain.forEach((domain, nodes) -> {
+            for (int i = 0; i < nodes; i++) {
+                members.put(InstanceId.fromString(domain + i), FailureDomainId.fromString(domain));
+            }
+        });
+        freshness.onMembers(members);
+        freshness.onInstalled(3);
+        freshness.onStoreContact(LAST_CONTACT_MILLIS, 3);
+        return freshness;
+    }
+
+    private static void say(KeyFreshness freshness, String peer, long askedMillis, long ageMillis, long version) {
+        FailureDomainId domain = FailureDomainId.fromString(peer.substring(0, peer.length() - 1));
+        freshness.onPeer(StoreContact.of(InstanceId.fromString(peer), domain, askedMillis, ageMillis, version));
+    }
+}
