Distribute the configuration through relays and peers

Watch progress is not taken for contact, since its age has no bound; reads are. A read that finds, twice, what the watch has not told replaces the watch. Only changed parts are fetched and parsed. Withdrawn keys are in the head and take effect before parts are read.

--- a/org.cactusshift/src/main/java/org/cactusshift/config/SiteConfigCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/config/SiteConfigCodec.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -51,15 +52,43 @@
         for (String field : SiteConfigFields.KEYED) {
             listOf(copy, field);
         }
-        for (JsonNode account : copy.path(SiteConfigFields.ACCOUNTS)) {
-            listOf((ObjectNode) account, KEYS);
-            account.path(KEYS).forEach(key -> setDefault(key, "withdrawn", BooleanNode.FALSE));
-        }
+        copy.path(SiteConfigFields.ACCOUNTS).forEach(SiteConfigCodec::setAccountDefaults);
         copy.path(SiteConfigFields.SERVICES).forEach(SiteConfigCodec::setServiceDefaults);
         copy.path(SiteConfigFields.UPSTREAMS).forEach(SiteConfigCodec::setUpstreamDefaults);
         return Json.mapper().treeToValue(copy, SiteConfig.class);
     }
 
+    /**
+     * Returns the accounts of the file format's object keyed by account id.
+     *
+     * @param keyed the object; not changed
+     * @return the accounts in the order of their ids
+     * @throws JsonProcessingException if it does not fit the records
+     */
+    public static List<AccountConfig> accounts(JsonNode keyed) throws JsonProcessingException {
+        JsonNode list = listOf(keyed);
+        list.forEach(SiteConfigCodec::setAccountDefaults);
+        return List.of(Json.mapper().treeToValue(list, AccountConfig[].class));
+    }
+
+    /**
+     * Returns the upstreams of the file format's object keyed by upstream id.
+     *
+     * @param keyed the object; not changed
+     * @return the upstreams in the order of their ids
+     * @throws JsonProcessingException if it does not fit the records
+     */
+    public static List<UpstreamConfig> upstreams(JsonNode keyed) throws JsonProcessingException {
+        JsonNode list = listOf(keyed);
+        list.forEach(SiteConfigCodec::setUpstreamDefaults);
+        return List.of(Json.mapper().treeToValue(list, UpstreamConfig[].class));
+    }
+
+    private static void setAccountDefaults(JsonNode account) {
+        listOf((ObjectNode) account, KEYS);
+        account.path(KEYS).forEach(key -> setDefault(key, "withdrawn", BooleanNode.FALSE));
+    }
+
     private static void setServiceDefaults(JsonNode service) {
         setDefault(service, "activeVersion", TextNode.valueOf(""));
         setDefault(service, "openRoute", BooleanNode.FALSE);
@@ -91,15 +120,19 @@
     }
 
     private static void listOf(ObjectNode parent, String field) {
-        ArrayNode list = JsonNodeFactory.instance.arrayNode();
+        parent.set(field, listOf(parent.path(field)));
+    }
+
+    private static ArrayNode listOf(JsonNode keyed) {
         Map<String, JsonNode> byId = new TreeMap<>();
-        parent.path(field).properties().forEach(item -> byId.put(item.getKey(), item.getValue()));
+        keyed.properties().forEach(item -> byId.put(item.getKey(), item.getValue()));
+        ArrayNode list = JsonNodeFactory.instance.arrayNode();
         byId.forEach((id, item) -> {
             ObjectNode content = JsonNodeFactory.instance.objectNode();
             content.put(ID, id);
-            content.setAll((ObjectNode) item);
+            content.setAll((ObjectNode) item.deepCopy());
             list.add(content);
         });
-        parent.set(field, list);
+        return list;
     }
 }
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ConfigDistributor.java
@@ -0,0 +1,280 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.membership.Member;
+import org.cactusshift.internal.coordination.membership.RendezvousOrder;
+
+/**
+ * Brings the accepted configuration to this node and serves it to others.
+ *
+ * <p>Store calls, peer calls and decisions each have their own thread, so that a slow key-value service does not hold
+ * up what peers tell. Nothing is kept on disk: a node that starts while the service is away takes the highest version
+ * among its peers' answers.
+ */
+public final class ConfigDistributor implements ConfigSource, AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(ConfigDistributor.class.getName());
+    private static final String RELAY = "configuration relay";
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
+    private final InstanceId self;
+    private final FailureDomainId failureDomain;
+    private final Supplier<List<Member>> members;
+    private final LongSupplier contactAgeMillis;
+    private final LongSupplier nowMillis;
+    private final ConfigInstaller installer;
+    private final StoreFollower store;
+    private final PeerFollower peers;
+    private final ScheduledExecutorService decisions = Executors.newSingleThreadScheduledExecutor(named("config"));
+    private final ExecutorService storeLane = Executors.newSingleThreadExecutor(named("config-store"));
+    private final ExecutorService peerLane = Executors.newSingleThreadExecutor(named("config-peers"));
+    private final AtomicBoolean reading = new AtomicBoolean();
+    private final AtomicBoolean fetching = new AtomicBoolean();
+    private volatile DistributionTiming timing = DistributionTiming.beforeFirstConfig();
+    private long lastReadMillis = NEVER_MILLIS;
+    private long lastWatchMillis = NEVER_MILLIS;
+    private long lastFetchMillis = NEVER_MILLIS;
+    private long lastFollowMillis = NEVER_MILLIS;
+
+    private ConfigDistributor(ConfigDistributorBuilder builder) {
+        this.self = builder.self;
+        this.failureDomain = builder.failureDomain;
+        this.members = builder.members;
+        this.contactAgeMillis = builder.contactAgeMillis;
+        this.nowMillis = builder.nowMillis;
+        this.installer = new ConfigInstaller(builder.events);
+        this.store = new StoreFollower(builder.repository, installer, nowMillis, task -> submit(storeLane, task));
+        this.peers = new PeerFollower(builder.peers, installer);
+    }
+
+    static ConfigDistributor of(ConfigDistributorBuilder builder) {
+        return new ConfigDistributor(builder);
+    }
+
+    /**
+     * Returns a builder.
+     *
+     * @return the builder
+     */
+    public static ConfigDistributorBuilder builder() {
+        return new ConfigDistributorBuilder();
+    }
+
+    /** Starts to look for a configuration. */
+    public void start() {
+        subscribe(installed -> timing = DistributionTiming.of(installed.config().timing()));
+        decisions.scheduleWithFixedDelay(this::tick, 0, timing.tickMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Notes a version that a peer's heartbeat names.
+     *
+     * @param peerAddress the peer address of the sender
+     * @param version the version that it has installed
+     */
+    public void onPeerVersion(String peerAddress, long version) {
+        if (version > installer.version()) {
+            peers.hear(peerAddress, version);
+            submit(decisions, this::tick);
+        }
+    }
+
+    /**
+     * Returns what to answer a peer that asks for the configuration.
+     *
+     * @param haveVersion the version that the peer has
+     * @return the bundle, empty when nothing newer is installed here
+     */
+    public Optional<ConfigBundle> bundleFor(long haveVersion) {
+        return installer.bundleFor(haveVersion);
+    }
+
+    /**
+     * Tells a follower of the installed version and of each newer one.
+     *
+     * @param onVersion receives the versions; must not block
+     * @return ends the subscription
+     */
+    public Runnable followVersions(LongConsumer onVersion) {
+        return installer.subscribe(installed -> onVersion.accept(installed.version()));
+    }
+
+    /**
+     * Returns the version installed.
+     *
+     * @return the version; 0 when there is none
+     */
+    public long version() {
+        return installer.version();
+    }
+
+    /**
+     * Tells why this node has no configuration.
+     *
+     * @return the reason for an operator; empty when a configuration is installed
+     */
+    public Optional<String> notServingReason() {
+        if (installer.current().isPresent()) {
+            return Optional.empty();
+        }
+        if (store.lastFailure().isPresent()) {
+            return Optional.of("no configuration: " + store.lastFailure().get() + "; " + peers.answers()
+                    + " peers answered and none had one");
+        }
+        return Optional.of(
+                store.isEmptyStore() ? "no configuration was accepted yet" : "the configuration has not been read yet");
+    }
+
+    @Override
+    public Optional<InstalledConfig> current() {
+        return installer.current();
+    }
+
+    @Override
+    public void subscribe(Consumer<InstalledConfig> listener) {
+        installer.subscribe(listener);
+    }
+
+    /** Stops all work; open calls are abandoned. */
+    @Override
+    public void close() {
+        decisions.shutdownNow();
+        submit(storeLane, store::closeWatch);
+        submit(peerLane, peers::unfollow);
+        storeLane.shutdown();
+        peerLane.shutdown();
+    }
+
+    private void tick() {
+        try {
+            takeSteps();
+        } catch (RuntimeException e) {
+            // An exception would end the schedule for good.
+            LOG.log(System.Logger.Level.ERROR, "deciding on the distribution failed", e);
+        }
+    }
+
+    private void takeSteps() {
+        long now = nowMillis.getAsLong();
+        Set<DistributionPolicy.Step> steps = DistributionPolicy.of(timing).decide(view(), now);
+        for (DistributionPolicy.Step step : steps) {
+            take(step, now);
+        }
+    }
+
+    private void take(DistributionPolicy.Step step, long now) {
+        switch (step) {
+            case READ_HEAD -> {
+                lastReadMillis = now;
+                submitOnce(storeLane, reading, store::readHead);
+            }
+            case OPEN_WATCH -> {
+                lastWatchMillis = now;
+                submit(storeLane, store::openWatch);
+            }
+            case CLOSE_WATCH -> {
+                submit(storeLane, store::closeWatch);
+            }
+            case FOLLOW -> {
+                lastFollowMillis = now;
+                relayAddress()
+                        .ifPresent(relay ->
+                                submit(peerLane, () -> peers.follow(relay, version -> onPeerVersion(relay, version))));
+            }
+            case UNFOLLOW -> submit(peerLane, peers::unfollow);
+            case FETCH -> {
+                lastFetchMillis = now;
+                submitOnce(peerLane, fetching, peers::fetch);
+            }
+            default -> throw new IllegalStateException("unknown step " + step);
+        }
+    }
+
+    private DistributionView view() {
+        return new DistributionView(
+                rank(),
+                relayAddress(),
+                installer.version(),
+                peers.heardVersion(),
+                contactAgeMillis.getAsLong(),
+                store.isWatching(),
+                peers.followed(),
+                lastReadMillis,
+                lastWatchMillis,
+                lastFetchMillis,
+                lastFollowMillis);
+    }
+
+    private int rank() {
+        return relayOrder().indexOf(self);
+    }
+
+    private List<InstanceId> relayOrder() {
+        List<InstanceId> live = new ArrayList<>();
+        live.add(self);
+        neighbours().forEach(member -> live.add(member.id()));
+        return RendezvousOrder.of(RELAY, live);
+    }
+
+    private Optional<String> relayAddress() {
+        List<InstanceId> order = relayOrder();
+        if (order.indexOf(self) < DistributionPolicy.RELAYS) {
+            return Optional.empty();
+        }
+        int choice = order.indexOf(self) % DistributionPolicy.RELAYS;
+        return neighbours().stream()
+                .filter(member -> member.id().equals(order.get(choice)))
+                .map(Member::peerAddress)
+                .findFirst();
+    }
+
+    private List<Member> neighbours() {
+        return members.get().stream()
+                .filter(member -> member.state() == Member.State.LIVE)
+                .filter(member -> member.failureDomain().equals(failureDomain))
+                .toList();
+    }
+
+    private static void submitOnce(ExecutorService lane, AtomicBoolean running, Runnable task) {
+        if (running.compareAndSet(false, true)) {
+            submit(lane, () -> {
+                try {
+                    task.run();
+                } finally {
+                    running.set(false);
+                }
+            });
+        }
+    }
+
+    private static void submit(ExecutorService lane, Runnable task) {
+        try {
+            lane.execute(task);
+        } catch (RejectedExecutionException e) {
+            // The node is shutting down.
+        }
+    }
+
+    private static ThreadFactory named(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ConfigInstaller.java
@@ -0,0 +1,95 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.cactusshift.errors.Failure;
+
+/** Installs versions one at a time and tells the listeners of each, in the order of versions. */
+final class ConfigInstaller {
+    private static final System.Logger LOG = System.getLogger(ConfigInstaller.class.getName());
+
+    private final ConfigReplica replica = new ConfigReplica();
+    private final ConfigEvents events;
+    private final List<Consumer<InstalledConfig>> listeners = new CopyOnWriteArrayList<>();
+    private final Object installLock = new Object();
+
+    ConfigInstaller(ConfigEvents events) {
+        this.events = events;
+    }
+
+    /** Tells of a newer head at once, before its parts are read. */
+    void announce(ConfigHead head) {
+        if (head.version() > replica.version()) {
+            events.onNewerHead(head);
+        }
+    }
+
+    /** Announces a head, gets its bundle and installs it; does nothing for a head that is not newer. */
+    Either<Failure, ConfigReplica.Offer> install(ConfigHead head, Supplier<Either<Failure, ConfigBundle>> load) {
+        if (head.version() <= replica.version()) {
+            return Either.right(ConfigReplica.Offer.NOT_NEWER);
+        }
+        events.onNewerHead(head);
+        return load.get().map(this::offer);
+    }
+
+    /** Offers a bundle. */
+    ConfigReplica.Offer offer(ConfigBundle bundle) {
+        synchronized (installLock) {
+            ConfigReplica.Offer offer = replica.offer(bundle);
+            if (offer == ConfigReplica.Offer.INSTALLED) {
+                InstalledConfig installed = replica.current().orElseThrow();
+                events.onInstalled(installed);
+                listeners.forEach(listener -> tell(listener, installed));
+            } else if (offer == ConfigReplica.Offer.CORRUPT) {
+                LOG.log(
+                        System.Logger.Level.ERROR,
+                        "configuration version {0} is malformed",
+                        bundle.head().version());
+            }
+            return offer;
+        }
+    }
+
+    /** Adds a listener and tells it of the installed version; returns its removal. */
+    Runnable subscribe(Consumer<InstalledConfig> listener) {
+        synchronized (installLock) {
+            replica.current().ifPresent(installed -> tell(listener, installed));
+            listeners.add(listener);
+        }
+        return () -> listeners.remove(listener);
+    }
+
+    private static void tell(Consumer<InstalledConfig> listener, InstalledConfig installed) {
+        try {
+            listener.accept(installed);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "a configuration listener failed", e);
+        }
+    }
+
+    void storeContact(long sentMillis, long version) {
+        events.onStoreContact(sentMillis, version);
+    }
+
+    Optional<InstalledConfig> current() {
+        return replica.current();
+    }
+
+    long version() {
+        return replica.version();
+    }
+
+    Map<String, byte[]> parts() {
+        return replica.parts();
+    }
+
+    Optional<ConfigBundle> bundleFor(long haveVersion) {
+        return replica.bundleFor(haveVersion);
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ConfigRepository.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ConfigRepository.java
@@ -16,6 +16,8 @@
 import org.cactusshift.id.SiteId;
 import org.cactusshift.internal.coordination.store.KeyValueStore;
 import org.cactusshift.internal.coordination.store.VersionedValue;
+import org.cactusshift.internal.coordination.store.Watch;
+import org.cactusshift.internal.coordination.store.WatchListener;
 
 /**
  * The accepted configuration of a site in the key-value service.
@@ -59,12 +61,7 @@
         return new ApplyConfigCommand(this);
     }
 
-    /**
-     * Returns the key of the head, for a watch.
-     *
-     * @return the full key
-     */
-    public String headKey() {
+    String headKey() {
         return keys.head();
     }
 
@@ -77,6 +74,19 @@
         return values.read(keys.head(), ConfigHead.class);
     }
 
+    /**
+     * Opens a watch on the head; its first event is the present head, if there is one.
+     *
+     * @param listener receives the changes
+     * @return the watch, or the failure
+     */
+    public Either<Failure, Watch> watchHead(WatchListener listener) {
+        return store.get(keys.head()).flatMap(found -> {
+            long from = found.map(VersionedValue::modRevision).orElse(1L);
+            return store.watch(keys.head(), from, listener);
+        });
+    }
+
     /**
      * Reads the accepted configuration.
      *
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/DistributionTiming.java
@@ -0,0 +1,36 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import org.cactusshift.config.TimingConfig;
+
+/**
+ * Periods of the distribution, in milliseconds.
+ *
+ * @param tickMillis the period at which the next steps are decided
+ * @param readMillis the period at which a relay reads the head
+ * @param staleMillis the age of the last store contact beyond which a node that is no relay reads the head itself
+ * @param retryMillis the pause after a failed step
+ */
+public record DistributionTiming(long tickMillis, long readMillis, long staleMillis, long retryMillis) {
+    private static final long TICK_MILLIS = 50;
+    private static final int READS_PER_FRESHNESS = 4;
+
+    /**
+     * Returns periods that leave a node three reads to keep its keys fresh.
+     *
+     * @param timing the site's timing
+     * @return the periods
+     */
+    public static DistributionTiming of(TimingConfig timing) {
+        long read = timing.keyFreshnessMillis() / READS_PER_FRESHNESS;
+        return new DistributionTiming(TICK_MILLIS, read, 2 * read, Math.min(read, timing.heartbeatMillis()));
+    }
+
+    /**
+     * Returns the periods of a node that has no configuration yet.
+     *
+     * @return the periods
+     */
+    public static DistributionTiming beforeFirstConfig() {
+        return new DistributionTiming(TICK_MILLIS, 1000, 2000, 500);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/KeyUpdates.java
@@ -0,0 +1,42 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import org.cactusshift.internal.coordination.key.KeyFreshness;
+import org.cactusshift.internal.coordination.key.KeyRing;
+
+/** Keeps the keys of a node in step with the configuration; withdrawals take effect before the parts are read. */
+public final class KeyUpdates implements ConfigEvents {
+    private final KeyRing keys;
+    private final KeyFreshness freshness;
+
+    private KeyUpdates(KeyRing keys, KeyFreshness freshness) {
+        this.keys = keys;
+        this.freshness = freshness;
+    }
+
+    /**
+     * Returns the events for a node's keys.
+     *
+     * @param keys the verifier
+     * @param freshness the rule of the verifier
+     * @return the events
+     */
+    public static KeyUpdates of(KeyRing keys, KeyFreshness freshness) {
+        return new KeyUpdates(keys, freshness);
+    }
+
+    @Override
+    public void onNewerHead(ConfigHead head) {
+        keys.withdraw(head.version(), head.withdrawnKeys());
+    }
+
+    @Override
+    public void onInstalled(InstalledConfig installed) {
+        keys.install(installed.version(), installed.config());
+        freshness.onInstalled(installed.version());
+    }
+
+    @Override
+    public void onStoreContact(long sentMillis, long version) {
+        freshness.onStoreContact(sentMillis, version);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/PeerFollower.java
@@ -0,0 +1,111 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
+import org.cactusshift.errors.Failure;
+
+/** Gets configurations from other nodes; its methods block and run in one thread. */
+final class PeerFollower {
+    private static final int BOOTSTRAP_PEERS = 16;
+
+    private final ConfigPeers peers;
+    private final ConfigInstaller installer;
+    private final AtomicLong heardVersion = new AtomicLong();
+    private volatile String heardFrom = "";
+    private volatile Optional<String> followed = Optional.empty();
+    private volatile int answers;
+    private Runnable endStream = () -> {};
+
+    PeerFollower(ConfigPeers peers, ConfigInstaller installer) {
+        this.peers = peers;
+        this.installer = installer;
+    }
+
+    /** Notes that a peer has a version; the next fetch goes to the peer with the highest one. */
+    void hear(String peerAddress, long version) {
+        long before = heardVersion.getAndAccumulate(version, Math::max);
+        if (version > before) {
+            heardFrom = peerAddress;
+        }
+    }
+
+    /** Fetches a newer version from the peer that has it, or from any peer when none is installed. */
+    void fetch() {
+        if (installer.version() == 0) {
+            bootstrap();
+        } else {
+            fetchNewer(heardFrom);
+        }
+    }
+
+    /** Takes the highest version among the answers of several peers. */
+    private void bootstrap() {
+        List<ConfigBundle> bundles = new ArrayList<>();
+        int answered = 0;
+        for (String address : peers.addresses().stream().limit(BOOTSTRAP_PEERS).toList()) {
+            Either<Failure, Optional<ConfigBundle>> answer = peers.fetch(address, 0);
+            answered += answer.isRight() ? 1 : 0;
+            answer.forEach(bundle -> bundle.ifPresent(bundles::add));
+        }
+        answers = answered;
+        bundles.sort(
+                Comparator.comparingLong((ConfigBundle bundle) -> bundle.head().version())
+                        .reversed());
+        for (ConfigBundle bundle : bundles) {
+            installer.announce(bundle.head());
+            if (installer.offer(bundle) == ConfigReplica.Offer.INSTALLED) {
+                return;
+            }
+        }
+    }
+
+    private void fetchNewer(String address) {
+        long have = installer.version();
+        Either<Failure, Optional<ConfigBundle>> answer = peers.fetch(address, have);
+        if (answer.isLeft() || answer.get().isEmpty()) {
+            // The peer is gone or was replaced; a later heartbeat of any peer names the version again.
+            heardVersion.compareAndSet(heardVersion.get(), installer.version());
+            return;
+        }
+        installer.announce(answer.get().get().head());
+        if (installer.offer(answer.get().get()) == ConfigReplica.Offer.INCOMPLETE) {
+            peers.fetch(address, 0).forEach(bundle -> bundle.ifPresent(installer::offer));
+        }
+    }
+
+    /** Follows a relay instead of the present one. */
+    void follow(String relayAddress, LongConsumer onVersion) {
+        unfollow();
+        followed = Optional.of(relayAddress);
+        endStream = peers.follow(relayAddress, onVersion, () -> forget(relayAddress));
+    }
+
+    void unfollow() {
+        followed = Optional.empty();
+        endStream.run();
+        endStream = () -> {};
+    }
+
+    private void forget(String relayAddress) {
+        if (followed.filter(relayAddress::equals).isPresent()) {
+            followed = Optional.empty();
+        }
+    }
+
+    Optional<String> followed() {
+        return followed;
+    }
+
+    long heardVersion() {
+        return heardVersion.get();
+    }
+
+    int answers() {
+        return answers;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/StoreFollower.java
@@ -0,0 +1,135 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+import org.cactusshift.internal.coordination.store.Watch;
+import org.cactusshift.internal.coordination.store.WatchListener;
+
+/** Reads and watches the configuration's head in the key-value service; its methods block and run in one thread. */
+final class StoreFollower {
+    private final ConfigRepository repository;
+    private final ConfigInstaller installer;
+    private final LongSupplier nowMillis;
+    private final Consumer<Runnable> lane;
+    private volatile Optional<Failure> lastFailure = Optional.empty();
+    private volatile boolean emptyStore;
+    private volatile boolean watching;
+    private volatile long watchedVersion;
+    private long missedVersion;
+    private HeadListener listener;
+    private Watch watch;
+
+    StoreFollower(
+            ConfigRepository repository, ConfigInstaller installer, LongSupplier nowMillis, Consumer<Runnable> lane) {
+        this.repository = repository;
+        this.installer = installer;
+        this.nowMillis = nowMillis;
+        this.lane = lane;
+    }
+
+    /** Reads the head and installs what it names. */
+    void readHead() {
+        long sentMillis = nowMillis.getAsLong();
+        Either<Failure, Optional<ConfigHead>> read = repository.head();
+        if (read.isLeft()) {
+            lastFailure = Optional.of(read.getLeft());
+            return;
+        }
+        emptyStore = read.get().isEmpty();
+        lastFailure = Optional.empty();
+        read.get().ifPresent(this::install);
+        long version = read.get().map(ConfigHead::version).orElse(0L);
+        installer.storeContact(sentMillis, version);
+        reopenIfSilent(version);
+    }
+
+    /** A version that two reads in a row found and of which the watch has not told proves that the watch is dead. */
+    private void reopenIfSilent(long version) {
+        boolean silent = watch != null && missedVersion > watchedVersion;
+        missedVersion = version;
+        if (silent) {
+            closeWatch();
+            openWatch();
+        }
+    }
+
+    private void install(ConfigHead head) {
+        Supplier<Either<Failure, ConfigBundle>> load = () -> repository.load(head, installer.parts());
+        installer.install(head, load).peekLeft(failure -> lastFailure = Optional.of(failure));
+    }
+
+    void openWatch() {
+        if (watching) {
+            return;
+        }
+        watching = true;
+        watchedVersion = 0;
+        missedVersion = 0;
+        HeadListener opening = new HeadListener();
+        listener = opening;
+        Either<Failure, Watch> opened = repository.watchHead(opening);
+        if (opened.isLeft()) {
+            watching = false;
+            lastFailure = Optional.of(opened.getLeft());
+        } else {
+            watch = opened.get();
+        }
+    }
+
+    void closeWatch() {
+        if (watch != null) {
+            watch.close();
+            watch = null;
+        }
+        listener = null;
+        watching = false;
+    }
+
+    boolean isWatching() {
+        return watching;
+    }
+
+    boolean isEmptyStore() {
+        return emptyStore;
+    }
+
+    Optional<Failure> lastFailure() {
+        return lastFailure;
+    }
+
+    /** Hands events of one watch to the lane. */
+    private final class HeadListener implements WatchListener {
+        @Override
+        public void onChange(String key, Optional<VersionedValue> value, long revision) {
+            value.flatMap(found -> StoredValues.decode(found, ConfigHead.class).toJavaOptional())
+                    .ifPresent(head -> {
+                        watchedVersion = Math.max(watchedVersion, head.version());
+                        installer.announce(head);
+                        lane.accept(() -> install(head));
+                    });
+        }
+
+        @Override
+        public void onProgress(long revision) {
+            // Progress has no bound on its age, so it is no proof of contact; reads of the head are.
+        }
+
+        @Override
+        public void onEnd(Failure failure) {
+            lane.accept(() -> dropWatch(this));
+        }
+    }
+
+    /** Forgets a watch that ended, unless another one took its place. */
+    private void dropWatch(HeadListener ended) {
+        if (listener == ended) {
+            watch = null;
+            watching = false;
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/configsync/ConfigDistributorTest.java
@@ -0,0 +1,231 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
+import java.util.stream.IntStream;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.internal.coordination.key.KeyFreshness;
+import org.cactusshift.internal.coordination.key.KeyHasher;
+import org.cactusshift.internal.coordination.key.KeyRing;
+import org.cactusshift.internal.coordination.membership.Member;
+import org.cactusshift.internal.coordination.store.InMemoryKeyValueStore;
+import org.cactusshift.internal.coordination.store.StoreCallKind;
+import org.cactusshift.internal.coordination.store.StoreFault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ConfigDistributorTest {
+    private static final FailureDomainId DOMAIN = FailureDomainId.fromString("ostend-a");
+    private static final long WAIT_MILLIS = 10_000;
+    private static final int NODES = 5;
+
+    private final InMemoryKeyValueStore store = InMemoryKeyValueStore.create(ConfigDistributorTest::nowMillis);
+    private final Map<String, ConfigDistributor> distributors = new ConcurrentHashMap<>();
+    private final Map<String, KeyRing> rings = new ConcurrentHashMap<>();
+    private int knownNodes;
+    private SiteConfig example;
+    private ConfigRepository repository;
+
+    @BeforeEach
+    void openRepository() throws Exception {
+        example = SiteConfigs.example();
+        repository = ConfigRepository.open(store, example.site());
+    }
+
+    @AfterEach
+    void closeAll() {
+        distributors.values().forEach(ConfigDistributor::close);
+    }
+
+    @Test
+    void changesReachEveryNodeInOrder() {
+        startNodes(NODES);
+        List<Long> seen = new CopyOnWriteArrayList<>();
+        node(4).subscribe(installed -> seen.add(installed.version()));
+        assertEquals(Optional.of("no configuration was accepted yet"), awaitReason(node(0)));
+        for (int version = 1; version <= 5; version++) {
+            apply(SiteConfigs.withWeight(example, "auditors", version), version - 1);
+        }
+        awaitVersion(5);
+        await(() -> seen.contains(5L));
+
+        assertEquals(seen.stream().sorted().toList(), seen);
+        assertEquals(Optional.empty(), node(0).notServingReason());
+    }
+
+    @Test
+    void onlyRelaysWatchTheStore() {
+        AtomicInteger watches = new AtomicInteger();
+        store.setFaults((kind, key) -> {
+            watches.addAndGet(kind == StoreCallKind.WATCH ? 1 : 0);
+            return StoreFault.NONE;
+        });
+        apply(example, 0);
+        startNodes(NODES);
+        awaitVersion(1);
+        apply(SiteConfigs.withWeight(example, "auditors", 2), 1);
+        awaitVersion(2);
+
+        assertEquals(DistributionPolicy.RELAYS, watches.get());
+    }
+
+    @Test
+    void silentWatchIsReplaced() {
+        apply(example, 0);
+        startNodes(1);
+        awaitVersion(1);
+        store.setFaults((kind, key) -> kind == StoreCallKind.WATCH ? StoreFault.UNAVAILABLE : StoreFault.NONE);
+        store.endWatches();
+        apply(SiteConfigs.withWeight(example, "auditors", 2), 1);
+
+        awaitVersion(2);
+    }
+
+    @Test
+    void nodeThatStartsWhileTheStoreIsAwayTakesTheHighestVersionOfItsPeers() {
+        apply(example, 0);
+        startNodes(2);
+        awaitVersion(1);
+        store.setFaults((kind, key) -> StoreFault.UNAVAILABLE);
+        start(2);
+        awaitVersion(1);
+        assertEquals(example, node(2).current().orElseThrow().config());
+    }
+
+    @Test
+    void nodeWithNeitherStoreNorPeersSaysWhy() {
+        store.setFaults((kind, key) -> StoreFault.UNAVAILABLE);
+        start(0);
+        await(() -> node(0).notServingReason().orElse("").contains("unavailable"));
+
+        assertTrue(node(0).current().isEmpty());
+        assertTrue(node(0).notServingReason().orElseThrow().contains("0 peers answered"));
+    }
+
+    @Test
+    void withdrawalPrecedesThePartsThatCannotBeRead() {
+        apply(example, 0);
+        startNodes(2);
+        awaitVersion(1);
+        KeyId key = KeyId.fromString("auditors-1");
+        await(() -> rings.values().stream().allMatch(ring -> ring.isStillValid(key, nowMillis())));
+        store.setFaults((kind, key2) ->
+                kind != StoreCallKind.SWAP && key2.contains("/2-") ? StoreFault.UNAVAILABLE : StoreFault.NONE);
+        apply(SiteConfigs.withWithdrawn(example, "auditors-1"), 1);
+
+        await(() -> rings.values().stream().noneMatch(ring -> ring.isStillValid(key, nowMillis())));
+        assertEquals(1, node(0).version());
+    }
+
+    private void startNodes(int count) {
+        knownNodes = count;
+        for (int i = 0; i < count; i++) {
+            start(i);
+        }
+    }
+
+    private void start(int number) {
+        InstanceId self = InstanceId.fromString("n" + number);
+        KeyFreshness freshness = KeyFreshness.create(self, DOMAIN, 4000, 2000);
+        KeyRing ring = KeyRing.create(KeyHasher.fromHex("00ff"), freshness);
+        rings.put(self.value(), ring);
+        ConfigDistributor distributor = ConfigDistributor.builder()
+                .setSelf(self, DOMAIN)
+                .setRepository(repository)
+                .setPeers(new LocalPeers(self.value()))
+                .setEvents(KeyUpdates.of(ring, freshness))
+                .setMembers(() -> members(self.value()))
+                .setContactAgeMillis(() -> freshness.contactAgeMillis(nowMillis()))
+                .setNowMillis(ConfigDistributorTest::nowMillis)
+                .build();
+        distributors.put(self.value(), distributor);
+        distributor.start();
+    }
+
+    private List<Member> members(String self) {
+        return IntStream.range(0, knownNodes)
+                .mapToObj(i -> "n" + i)
+                .filter(id -> !id.equals(self))
+                .map(id -> new Member(InstanceId.fromString(id), DOMAIN, id, Optional.empty(), Member.State.LIVE))
+                .toList();
+    }
+
+    private ConfigDistributor node(int number) {
+        return distributors.get("n" + number);
+    }
+
+    private void apply(SiteConfig config, long against) {
+        ApplyResult result =
+                repository.apply().setConfig(config).setAgainst(against).call().get();
+        assertEquals(ApplyResult.Outcome.APPLIED, result.outcome());
+    }
+
+    private void awaitVersion(long version) {
+        await(() -> distributors.values().stream().allMatch(node -> node.version() == version));
+    }
+
+    private static Optional<String> awaitReason(ConfigDistributor node) {
+        await(() -> node.notServingReason().orElse("").contains("accepted"));
+        return node.notServingReason();
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long deadline = nowMillis() + WAIT_MILLIS;
+        while (!condition.getAsBoolean()) {
+            assertTrue(nowMillis() < deadline, "the condition did not come true in time");
+            Thread.onSpinWait();
+        }
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** Calls other distributors of the test directly; a peer's address is its id. */
+    private final class LocalPeers implements ConfigPeers {
+        private final String self;
+
+        LocalPeers(String self) {
+            this.self = self;
+        }
+
+        @Override
+        public List<String> addresses() {
+            return distributors.keySet().stream().filter(id -> !id.equals(self)).toList();
+        }
+
+        @Override
+        public Either<Failure, Optional<ConfigBundle>> fetch(String peerAddress, long haveVersion) {
+            ConfigDistributor peer = distributors.get(peerAddress);
+            return peer == null
+                    ? Either.left(Failure.noEffect("fetch configuration", peerAddress, "not started"))
+                    : Either.right(peer.bundleFor(haveVersion));
+        }
+
+        @Override
+        public Runnable follow(String peerAddress, LongConsumer onVersion, Runnable onEnd) {
+            ConfigDistributor peer = distributors.get(peerAddress);
+            if (peer == null) {
+                onEnd.run();
+                return () -> {};
+            }
+            return peer.followVersions(onVersion);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/configsync/ConfigReplicaTest.java
@@ -0,0 +1,115 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.internal.coordination.store.InMemoryKeyValueStore;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ConfigReplicaTest {
+    private static final int ACCOUNTS = 300;
+
+    private final ConfigReplica replica = new ConfigReplica();
+    private ConfigRepository repository;
+    private SiteConfig config;
+
+    @BeforeEach
+    void applyFirstVersion() throws Exception {
+        config = SiteConfigs.large(SiteConfigs.example(), ACCOUNTS, 0);
+        repository = ConfigRepository.open(InMemoryKeyValueStore.create(() -> 0L), config.site());
+        apply(config, 0);
+    }
+
+    @Test
+    void installsHigherVersionsOnly() {
+        ConfigBundle first = bundle();
+        assertEquals(ConfigReplica.Offer.INSTALLED, replica.offer(first));
+        apply(SiteConfigs.withWeight(config, "account-00003", 2), 1);
+        assertEquals(ConfigReplica.Offer.INSTALLED, replica.offer(bundle()));
+        assertEquals(ConfigReplica.Offer.NOT_NEWER, replica.offer(first));
+        assertEquals(2, replica.version());
+    }
+
+    @Test
+    void sendsOnlyTheChangedPartAndKeepsTheOtherAccounts() throws IOException {
+        replica.offer(bundle());
+        SiteConfig before = replica.current().orElseThrow().config();
+        ConfigReplica other = new ConfigReplica();
+        other.offer(bundle());
+        SiteConfig changed = SiteConfigs.withWeight(config, "account-00003", 2);
+        apply(changed, 1);
+        replica.offer(bundle());
+
+        ConfigBundle delta = replica.bundleFor(1).orElseThrow();
+        assertEquals(1, delta.parts().size());
+        assertEquals(ConfigReplica.Offer.INSTALLED, other.offer(ConfigBundle.fromValues(delta.toValues())));
+        assertEquals(new InstalledConfig(2, changed), other.current().orElseThrow());
+        SiteConfig after = replica.current().orElseThrow().config();
+        long same = after.accounts().stream()
+                .filter(account -> before.accounts().stream().anyMatch(old -> old == account))
+                .count();
+        assertTrue(same >= ACCOUNTS * 3 / 4, () -> same + " accounts are the same objects");
+        assertTrue(replica.bundleFor(2).isEmpty());
+    }
+
+    @Test
+    void deltaIsIncompleteForNodeWithoutItsBase() {
+        replica.offer(bundle());
+        apply(SiteConfigs.withWeight(config, "account-00003", 2), 1);
+        replica.offer(bundle());
+
+        assertEquals(
+                ConfigReplica.Offer.INCOMPLETE,
+                new ConfigReplica().offer(replica.bundleFor(1).orElseThrow()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{}", "null", "[]", "not json", "{\"accounts\":{\"a\":1}}"})
+    void refusesPartsThatDoNotMatchTheirDigest(String forged) {
+        ConfigBundle bundle = bundle();
+        for (String name : Set.copyOf(bundle.parts().keySet())) {
+            TreeMap<String, byte[]> parts = new TreeMap<>(bundle.parts());
+            parts.put(name, forged.getBytes(StandardCharsets.UTF_8));
+            ConfigBundle broken = new ConfigBundle(bundle.head(), bundle.indexBytes(), parts);
+            assertEquals(ConfigReplica.Offer.CORRUPT, replica.offer(broken));
+        }
+        assertEquals(0, replica.version());
+    }
+
+    @Test
+    void refusesIndexThatDoesNotMatchItsDigest() {
+        ConfigBundle bundle = bundle();
+        byte[] forged = "{\"parts\":[],\"replacedKeys\":[]}".getBytes(StandardCharsets.UTF_8);
+
+        assertEquals(
+                ConfigReplica.Offer.CORRUPT, replica.offer(new ConfigBundle(bundle.head(), forged, bundle.parts())));
+    }
+
+    @Test
+    void currentIsOneSnapshot() {
+        replica.offer(bundle());
+
+        assertSame(replica.current().orElseThrow(), replica.current().orElseThrow());
+    }
+
+    private ConfigBundle bundle() {
+        ConfigHead head = repository.head().get().orElseThrow();
+        return repository.load(head, Map.of()).get();
+    }
+
+    private void apply(SiteConfig next, long against) {
+        ApplyResult result =
+                repository.apply().setConfig(next).setAgainst(against).call().get();
+        assertEquals(ApplyResult.Outcome.APPLIED, result.outcome());
+    }
+}
