Claim non-repeatable calls in a group-committed log

A payout may be dispatched only after its claim is durable, and a store write for each payout would bind payouts to the store's few hundred writes. The owner of a claim shard gathers the claims that come while a write is in flight and writes them together as lines of a log head, which holds the fencing number; a full head of 64 KB becomes a segment that is written once. A successor fences the head and reads all segments before it grants.

A write of unknown effect neither grants nor drops its claims: the next write holds the same lines, less the claims withdrawn meanwhile, and settles both. A dispatcher that gave up withdraws its attempt at whoever owns the shard until that is durable, so that a key whose caller was told "not run" is not blocked by a claim that was written after all.

Ruled out: a record per claim, one write each, and several records in one transaction, which the store's interface has not got.

The model checker finds each call of the claim table atomic.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimKey.java
@@ -0,0 +1,69 @@
+package org.cactusshift.internal.coordination.claim;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Base64;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.lease.RendezvousHash;
+
+/**
+ * Identifies what may run at most once: a client account, a service and the caller's idempotency key, as one digest.
+ *
+ * <p>The digest has a fixed length whatever the caller sends, and keeps callers' keys out of the store.
+ *
+ * @param digest the SHA-256 of the parts, in URL-safe base64
+ */
+public record ClaimKey(String digest) {
+    private static final byte PART_END = 0;
+
+    /**
+     * Returns the key of a call.
+     *
+     * @param account the client account
+     * @param service the service
+     * @param idempotencyKey the caller's key
+     * @return the key
+     */
+    public static ClaimKey of(AccountId account, ServiceId service, String idempotencyKey) {
+        MessageDigest sha = sha256();
+        update(sha, account.value());
+        update(sha, service.value());
+        update(sha, idempotencyKey);
+        return new ClaimKey(Base64.getUrlEncoder().withoutPadding().encodeToString(sha.digest()));
+    }
+
+    /**
+     * Returns the key of a claim.
+     *
+     * @param claim the claim
+     * @return the key
+     */
+    public static ClaimKey of(CallClaim claim) {
+        return of(claim.account(), claim.service(), claim.idempotencyKey());
+    }
+
+    /**
+     * Returns the shard that the key belongs to.
+     *
+     * @param shardCount the number of shards, the same on all nodes of a site and for good
+     * @return the number of the shard, from 0
+     */
+    public int shard(int shardCount) {
+        return (int) Long.remainderUnsigned(RendezvousHash.hash(digest), shardCount);
+    }
+
+    private static void update(MessageDigest sha, String part) {
+        sha.update(part.getBytes(StandardCharsets.UTF_8));
+        sha.update(PART_END);
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimMessages.java
@@ -0,0 +1,94 @@
+package org.cactusshift.internal.coordination.claim;
+
+import com.google.protobuf.ByteString;
+import java.util.HexFormat;
+import java.util.Optional;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.messages.ClaimResult.Verdict;
+import org.cactusshift.messages.RecordedOutcome;
+
+/** Converts claims and outcomes to and from the messages between nodes. */
+final class ClaimMessages {
+    private ClaimMessages() {}
+
+    static org.cactusshift.messages.CallClaim toMessage(CallClaim claim) {
+        return org.cactusshift.messages.CallClaim.newBuilder()
+                .setAccountId(claim.account().value())
+                .setServiceId(claim.service().value())
+                .setIdempotencyKey(claim.idempotencyKey())
+                .setBodyDigest(ByteString.copyFrom(HexFormat.of().parseHex(claim.bodyDigestHex())))
+                .setAttemptId(claim.attempt().value())
+                .build();
+    }
+
+    static RecordedOutcome toSettlement(CallClaim claim, Optional<CallOutcome> outcome) {
+        RecordedOutcome.Builder settlement = RecordedOutcome.newBuilder()
+                .setAccountId(claim.account().value())
+                .setServiceId(claim.service().value())
+                .setIdempotencyKey(claim.idempotencyKey())
+                .setAttemptId(claim.attempt().value());
+        outcome.map(ClaimMessages::toMessage).ifPresent(settlement::setOutcome);
+        return settlement.build();
+    }
+
+    static ClaimKey keyOf(org.cactusshift.messages.CallClaim claim) {
+        return ClaimKey.of(
+                AccountId.fromString(claim.getAccountId()),
+                ServiceId.fromString(claim.getServiceId()),
+                claim.getIdempotencyKey());
+    }
+
+    static ClaimKey keyOf(RecordedOutcome settlement) {
+        return ClaimKey.of(
+                AccountId.fromString(settlement.getAccountId()),
+                ServiceId.fromString(settlement.getServiceId()),
+                settlement.getIdempotencyKey());
+    }
+
+    static CallOutcome fromMessage(org.cactusshift.messages.CallOutcome outcome) {
+        return new CallOutcome(
+                outcome.getStatus(), outcome.getContentType(), outcome.getBody().toByteArray(), !outcome.getUnknown());
+    }
+
+    static org.cactusshift.messages.CallOutcome toMessage(CallOutcome outcome) {
+        boolean small = outcome.body().length <= ClaimLogEntry.MAXIMUM_BODY_BYTES;
+        return org.cactusshift.messages.CallOutcome.newBuilder()
+                .setStatus(outcome.status())
+                .setContentType(outcome.contentType())
+                .setBody(small ? ByteString.copyFrom(outcome.body()) : ByteString.EMPTY)
+                .setUnknown(!outcome.known())
+                .build();
+    }
+
+    static org.cactusshift.messages.ClaimResult toMessage(OwnerAnswer answer) {
+        org.cactusshift.messages.ClaimResult.Builder result =
+                org.cactusshift.messages.ClaimResult.newBuilder().setVerdict(verdictOf(answer.kind()));
+        answer.outcome().map(ClaimMessages::toMessage).ifPresent(result::setOutcome);
+        return result.build();
+    }
+
+    static OwnerAnswer fromMessage(org.cactusshift.messages.ClaimResult result) {
+        return switch (result.getVerdict()) {
+            case GRANTED -> OwnerAnswer.of(OwnerAnswer.Kind.GRANTED);
+            case REPEATED ->
+                OwnerAnswer.repeated(
+                        result.hasOutcome() ? Optional.of(fromMessage(result.getOutcome())) : Optional.empty());
+            case OPEN -> OwnerAnswer.of(OwnerAnswer.Kind.OPEN);
+            case BODY_MISMATCH -> OwnerAnswer.of(OwnerAnswer.Kind.BODY_MISMATCH);
+            case UNAVAILABLE -> OwnerAnswer.of(OwnerAnswer.Kind.UNAVAILABLE);
+            default -> OwnerAnswer.of(OwnerAnswer.Kind.NOT_OWNER);
+        };
+    }
+
+    private static Verdict verdictOf(OwnerAnswer.Kind kind) {
+        return switch (kind) {
+            case GRANTED -> Verdict.GRANTED;
+            case REPEATED -> Verdict.REPEATED;
+            case OPEN -> Verdict.OPEN;
+            case BODY_MISMATCH -> Verdict.BODY_MISMATCH;
+            case UNAVAILABLE -> Verdict.UNAVAILABLE;
+            default -> Verdict.NOT_OWNER;
+        };
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimService.java
@@ -0,0 +1,349 @@
+package org.cactusshift.internal.coordination.claim;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.IntStream;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.messages.ClaimRequest;
+import org.cactusshift.messages.ClaimResponse;
+import org.cactusshift.messages.RecordOutcomeRequest;
+import org.cactusshift.messages.RecordOutcomeResponse;
+import org.cactusshift.messages.RecordedOutcome;
+import org.cactusshift.messages.Sender;
+
+/**
+ * Claims calls at the owners of the claim shards, and owns the shards that this node holds.
+ *
+ * <p>An attempt may ask more than once, of one owner or of its successor: the log holds the attempt, so that the same
+ * attempt is granted again and another one is not. A caller that is told {@link ClaimResult.Verdict#UNAVAILABLE} will
+ * never be granted for that attempt, because the attempt ends with that answer; in case its claim was written after
+ * all, it is withdrawn at the owner, again and again until that is durable.
+ */
+public final class ClaimService implements CallClaims, AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(ClaimService.class.getName());
+    private static final long PATIENCE_MILLIS = 2_000;
+    private static final long RETRY_MILLIS = 50;
+    private static final long TICK_MILLIS = 100;
+    private static final long SETTLE_TIMEOUT_MILLIS = 1_000;
+    private static final long STOP_MILLIS = 2_000;
+
+    private final ClaimServiceSetup setup;
+    private final List<ClaimShard> shards;
+    private final List<ClaimSettlements> settlements;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(daemon("claim-timer"));
+    private final ExecutorService commits;
+    private final ExecutorService settlers = Executors.newSingleThreadExecutor(daemon("claim-settler"));
+    private final Set<Integer> committing = ConcurrentHashMap.newKeySet();
+
+    private ClaimService(ClaimServiceSetup setup, int maximumBatchLines) {
+        this.setup = setup;
+        this.shards = IntStream.range(0, setup.shardCount())
+                .mapToObj(shard -> new ClaimShard(setup, shard, maximumBatchLines))
+                .toList();
+        this.settlements = IntStream.range(0, setup.shardCount())
+                .mapToObj(shard -> new ClaimSettlements())
+                .toList();
+        this.commits = Executors.newFixedThreadPool(setup.shardCount(), daemon("claim-commit"));
+    }
+
+    /**
+     * Returns a service that is not started.
+     *
+     * @param setup what it works with
+     * @return the service
+     */
+    public static ClaimService create(ClaimServiceSetup setup) {
+        return new ClaimService(setup, ClaimQueue.MAXIMUM_BATCH_LINES);
+    }
+
+    /** Returns a service that writes fewer claims at once, to compare with. */
+    static ClaimService create(ClaimServiceSetup setup, int maximumBatchLines) {
+        return new ClaimService(setup, maximumBatchLines);
+    }
+
+    /** Starts to own shards and to settle claims. */
+    public void start() {
+        timer.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        settlers.execute(this::settleUntilStopped);
+    }
+
+    @Override
+    public ClaimResult claim(CallClaim claim, long nowMillis, long deadlineMillis) {
+        ClaimKey key = ClaimKey.of(claim);
+        int shard = key.shard(setup.shardCount());
+        long endMillis = Math.min(deadlineMillis, nowMillis + PATIENCE_MILLIS);
+        boolean mayBeWritten = false;
+        long leftMillis = endMillis - nowMillis;
+        while (leftMillis > 0) {
+            Optional<DutyHolder> owner = setup.directory().holder(DutyId.claim(shard));
+            if (owner.isPresent()) {
+                mayBeWritten = true;
+                OwnerAnswer answer = ask(owner.get(), claim, key, leftMillis);
+                if (answer.kind() == OwnerAnswer.Kind.UNAVAILABLE) {
+                    break;
+                }
+                if (answer.kind() != OwnerAnswer.Kind.NOT_OWNER) {
+                    return resultOf(answer);
+                }
+            }
+            if (!sleep(RETRY_MILLIS)) {
+                break;
+            }
+            leftMillis = endMillis - setup.clockMillis().getAsLong();
+        }
+        if (mayBeWritten) {
+            release(claim, nowMillis);
+        }
+        return ClaimResult.of(ClaimResult.Verdict.UNAVAILABLE);
+    }
+
+    private static ClaimResult resultOf(OwnerAnswer answer) {
+        return switch (answer.kind()) {
+            case GRANTED -> ClaimResult.of(ClaimResult.Verdict.GRANTED);
+            case REPEATED ->
+                answer.outcome().filter(CallOutcome::known).isPresent()
+                        ? new ClaimResult(ClaimResult.Verdict.REPEATED, answer.outcome())
+                        : ClaimResult.of(ClaimResult.Verdict.OPEN);
+            case OPEN -> ClaimResult.of(ClaimResult.Verdict.OPEN);
+            case BODY_MISMATCH -> ClaimResult.of(ClaimResult.Verdict.BODY_MISMATCH);
+            default -> ClaimResult.of(ClaimResult.Verdict.UNAVAILABLE);
+        };
+    }
+
+    /** Asks the owner; an answer that does not come counts as one that may come from its successor. */
+    private OwnerAnswer ask(DutyHolder owner, CallClaim claim, ClaimKey key, long timeoutMillis) {
+        if (isSelf(owner)) {
+            CompletableFuture<OwnerAnswer> answer =
+                    submit(key, claim.bodyDigestHex(), claim.attempt().value());
+            return await(answer, timeoutMillis);
+        }
+        ClaimRequest request = ClaimRequest.newBuilder()
+                .setSender(sender())
+                .addClaims(ClaimMessages.toMessage(claim))
+                .build();
+        Either<Failure, ClaimResponse> response = setup.peers().claim(owner, request, timeoutMillis);
+        if (response.isLeft() || response.get().getResultsCount() != 1) {
+            return OwnerAnswer.of(OwnerAnswer.Kind.NOT_OWNER);
+        }
+        return ClaimMessages.fromMessage(response.get().getResults(0));
+    }
+
+    @Override
+    public void recordOutcome(CallClaim claim, CallOutcome outcome, long nowMillis) {
+        settlement(claim, Optional.of(outcome));
+    }
+
+    @Override
+    public void release(CallClaim claim, long nowMillis) {
+        settlement(claim, Optional.empty());
+    }
+
+    private void settlement(CallClaim claim, Optional<CallOutcome> outcome) {
+        int shard = ClaimKey.of(claim).shard(setup.shardCount());
+        settlements.get(shard).add(ClaimMessages.toSettlement(claim, outcome));
+    }
+
+    /**
+     * Answers claims of other nodes, as the owner of their shards.
+     *
+     * @param request the claims
+     * @return a result for each claim, in order
+     */
+    public ClaimResponse claim(ClaimRequest request) {
+        List<CompletableFuture<OwnerAnswer>> answers = new ArrayList<>();
+        for (org.cactusshift.messages.CallClaim claim : request.getClaimsList()) {
+            String bodyDigest = HexFormat.of().formatHex(claim.getBodyDigest().toByteArray());
+            answers.add(submit(ClaimMessages.keyOf(claim), bodyDigest, claim.getAttemptId()));
+        }
+        ClaimResponse.Builder response = ClaimResponse.newBuilder();
+        long endMillis = setup.clockMillis().getAsLong() + PATIENCE_MILLIS;
+        for (CompletableFuture<OwnerAnswer> answer : answers) {
+            long leftMillis = Math.max(0, endMillis - setup.clockMillis().getAsLong());
+            response.addResults(ClaimMessages.toMessage(await(answer, leftMillis)));
+        }
+        return response.build();
+    }
+
+    /**
+     * Settles claims of other nodes, as the owner of their shards.
+     *
+     * @param request outcomes, and withdrawals as settlements without outcome
+     * @return how many of the first settlements are durable
+     */
+    public RecordOutcomeResponse recordOutcome(RecordOutcomeRequest request) {
+        return RecordOutcomeResponse.newBuilder()
+                .setRecorded(settle(request.getOutcomesList()))
+                .build();
+    }
+
+    /** Tells whether all outcomes and withdrawals of this node are durable. */
+    boolean isSettled() {
+        return settlements.stream().allMatch(ClaimSettlements::isEmpty);
+    }
+
+    /** Settles what is left, within a bounded time, and stops. */
+    @Override
+    public void close() {
+        long endMillis = setup.clockMillis().getAsLong() + STOP_MILLIS;
+        while (!isSettled() && setup.clockMillis().getAsLong() < endMillis && sleep(RETRY_MILLIS)) {
+            LOG.log(System.Logger.Level.DEBUG, "waiting for outcomes to become durable");
+        }
+        timer.shutdownNow();
+        settlers.shutdownNow();
+        commits.shutdownNow();
+    }
+
+    private int settle(List<RecordedOutcome> batch) {
+        List<CompletableFuture<OwnerAnswer>> answers = new ArrayList<>();
+        for (RecordedOutcome settlement : batch) {
+            answers.add(settle(settlement));
+        }
+        int settled = 0;
+        for (CompletableFuture<OwnerAnswer> answer : answers) {
+            if (await(answer, SETTLE_TIMEOUT_MILLIS).kind() != OwnerAnswer.Kind.GRANTED) {
+                break;
+            }
+            settled++;
+        }
+        return settled;
+    }
+
+    private CompletableFuture<OwnerAnswer> settle(RecordedOutcome settlement) {
+        ClaimKey key = ClaimMessages.keyOf(settlement);
+        int shard = key.shard(setup.shardCount());
+        CompletableFuture<OwnerAnswer> answer = settlement.hasOutcome()
+                ? shards.get(shard)
+                        .record(key, settlement.getAttemptId(), ClaimMessages.fromMessage(settlement.getOutcome()))
+                : shards.get(shard).withdraw(key, settlement.getAttemptId());
+        scheduleCommit(shard);
+        return answer;
+    }
+
+    private CompletableFuture<OwnerAnswer> submit(ClaimKey key, String bodyDigest, String attempt) {
+        int shard = key.shard(setup.shardCount());
+        CompletableFuture<OwnerAnswer> answer = shards.get(shard).submit(key, bodyDigest, attempt);
+        if (!answer.isDone()) {
+            scheduleCommit(shard);
+        }
+        return answer;
+    }
+
+    private void tick() {
+        for (int shard = 0; shard < shards.size(); shard++) {
+            scheduleCommit(shard);
+        }
+    }
+
+    private void scheduleCommit(int shard) {
+        if (!committing.add(shard)) {
+            return;
+        }
+        try {
+            commits.execute(() -> commit(shard));
+        } catch (RejectedExecutionException e) {
+            LOG.log(System.Logger.Level.DEBUG, "claim commit after shutdown", e);
+        }
+    }
+
+    private void commit(int shard) {
+        // Removed first: a line that comes during the commit schedules the next one.
+        committing.remove(shard);
+        try {
+            shards.get(shard).commit();
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "claim commit", e);
+        }
+    }
+
+    private void settleUntilStopped() {
+        while (sleep(RETRY_MILLIS)) {
+            for (int shard = 0; shard < settlements.size(); shard++) {
+                try {
+                    sendSettlements(shard);
+                } catch (RuntimeException e) {
+                    LOG.log(System.Logger.Level.ERROR, "settle claims", e);
+                }
+            }
+        }
+    }
+
+    private void sendSettlements(int shard) {
+        List<RecordedOutcome> batch = settlements.get(shard).next();
+        Optional<DutyHolder> owner = setup.directory().holder(DutyId.claim(shard));
+        if (batch.isEmpty() || owner.isEmpty()) {
+            return;
+        }
+        int settled = isSelf(owner.get()) ? settle(batch) : settleAt(owner.get(), batch);
+        settlements.get(shard).onSettled(batch.subList(0, Math.min(settled, batch.size())));
+    }
+
+    private int settleAt(DutyHolder owner, List<RecordedOutcome> batch) {
+        RecordOutcomeRequest request = RecordOutcomeRequest.newBuilder()
+                .setSender(sender())
+                .addAllOutcomes(batch)
+                .build();
+        return setup.peers()
+                .recordOutcome(owner, request, SETTLE_TIMEOUT_MILLIS)
+                .map(RecordOutcomeResponse::getRecorded)
+                .getOrElse(0);
+    }
+
+    private boolean isSelf(DutyHolder owner) {
+        return owner.incarnation().equals(setup.self().incarnation());
+    }
+
+    private Sender sender() {
+        return Sender.newBuilder()
+                .setInstanceId(setup.self().instance().value())
+                .setIncarnationId(setup.self().incarnation().value())
+                .setPeerAddress(setup.self().peerAddress())
+                .build();
+    }
+
+    private static OwnerAnswer await(CompletableFuture<OwnerAnswer> answer, long timeoutMillis) {
+        try {
+            return answer.get(timeoutMillis, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            return OwnerAnswer.of(OwnerAnswer.Kind.UNAVAILABLE);
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("claim answers are never failed", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return OwnerAnswer.of(OwnerAnswer.Kind.UNAVAILABLE);
+        }
+    }
+
+    private static boolean sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private static ThreadFactory daemon(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimShard.java
@@ -0,0 +1,257 @@
+package org.cactusshift.internal.coordination.claim;
+
+import io.vavr.control.Either;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.ReentrantLock;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.lease.Authority;
+import org.cactusshift.internal.coordination.lease.DutyId;
+
+/**
+ * One claim shard at the node that owns it.
+ *
+ * <p>Claims that arrive while a write is in flight wait and go into the next write together. A claim is granted only
+ * after the write that holds it is durable under this owner's fencing number.
+ *
+ * <p>Two locks: {@code lock} guards the queue and is held for moments; {@code commitLock} keeps the calls to the store
+ * one at a time.
+ */
+final class ClaimShard {
+    private static final System.Logger LOG = System.getLogger(ClaimShard.class.getName());
+    private static final int REMEMBERED_WITHDRAWALS = 10_000;
+
+    private final ClaimServiceSetup setup;
+    private final DutyId duty;
+    private final ReentrantLock commitLock = new ReentrantLock();
+    private final Object lock = new Object();
+    private final ClaimQueue queue;
+    private final Map<String, Boolean> withdrawnAttempts = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > REMEMBERED_WITHDRAWALS;
+        }
+    };
+    private Optional<ClaimStore> store = Optional.empty();
+    private Optional<ClaimTable> table = Optional.empty();
+
+    ClaimShard(ClaimServiceSetup setup, int shard, int maximumBatchLines) {
+        this.setup = setup;
+        this.duty = DutyId.claim(shard);
+        this.queue = ClaimQueue.create(maximumBatchLines);
+    }
+
+    /** Takes a claim; the answer comes when it is durable or refused. */
+    CompletableFuture<OwnerAnswer> submit(ClaimKey key, String bodyDigest, String attempt) {
+        synchronized (lock) {
+            if (!isOwner()) {
+                return answered(OwnerAnswer.Kind.NOT_OWNER);
+            }
+            if (withdrawnAttempts.containsKey(attempt)) {
+                return answered(OwnerAnswer.Kind.UNAVAILABLE);
+            }
+            long nowEpochMillis = setup.wallClockMillis().getAsLong();
+            ClaimTable.Answer answer = table.get().begin(key, bodyDigest, attempt, nowEpochMillis);
+            switch (answer.finding()) {
+                case ENTERED:
+                    return queue.add(ClaimLogEntry.claim(key, attempt, bodyDigest, nowEpochMillis))
+                            .answer();
+                case PENDING:
+                    return queue.find(ClaimLogEntry.Kind.CLAIM, key, attempt)
+                            .map(PendingEntry::answer)
+                            .orElse(answered(OwnerAnswer.Kind.UNAVAILABLE));
+                case DONE:
+                    return CompletableFuture.completedFuture(OwnerAnswer.repeated(answer.outcome()));
+                default:
+                    return answered(kindOf(answer.finding()));
+            }
+        }
+    }
+
+    private static OwnerAnswer.Kind kindOf(ClaimTable.Finding finding) {
+        return switch (finding) {
+            case GRANTED -> OwnerAnswer.Kind.GRANTED;
+            case OPEN -> OwnerAnswer.Kind.OPEN;
+            case BODY_MISMATCH -> OwnerAnswer.Kind.BODY_MISMATCH;
+            default -> OwnerAnswer.Kind.UNAVAILABLE;
+        };
+    }
+
+    /** Takes the outcome of a call; true when it is durable, or has no claim that it could belong to. */
+    CompletableFuture<OwnerAnswer> record(ClaimKey key, String attempt, CallOutcome outcome) {
+        synchronized (lock) {
+            if (!isOwner()) {
+                return answered(OwnerAnswer.Kind.NOT_OWNER);
+            }
+            if (table.get().record(key, attempt, outcome)) {
+                return queue.add(ClaimLogEntry.outcome(key, attempt, outcome)).answer();
+            }
+            return queue.find(ClaimLogEntry.Kind.OUTCOME, key, attempt)
+                    .map(PendingEntry::answer)
+                    .orElse(answered(OwnerAnswer.Kind.GRANTED));
+        }
+    }
+
+    /** Takes back a claim whose call was not sent; answered when that is durable. */
+    CompletableFuture<OwnerAnswer> withdraw(ClaimKey key, String attempt) {
+        synchronized (lock) {
+            if (!isOwner()) {
+                return answered(OwnerAnswer.Kind.NOT_OWNER);
+            }
+            withdrawnAttempts.put(attempt, true);
+            Optional<ClaimTable.Phase> phase = table.get().withdraw(key, attempt);
+            queue.find(ClaimLogEntry.Kind.CLAIM, key, attempt)
+                    .ifPresent(claim -> claim.answer().complete(OwnerAnswer.of(OwnerAnswer.Kind.UNAVAILABLE)));
+            switch (queue.withdrawClaim(key, attempt)) {
+                case UNWRITTEN:
+                    table.get().remove(key, attempt);
+                    return answered(OwnerAnswer.Kind.GRANTED);
+                case IN_DOUBT:
+                    return answered(OwnerAnswer.Kind.UNAVAILABLE);
+                default:
+                    return withdrawWritten(key, attempt, phase);
+            }
+        }
+    }
+
+    private CompletableFuture<OwnerAnswer> withdrawWritten(
+            ClaimKey key, String attempt, Optional<ClaimTable.Phase> phase) {
+        boolean withdrawable = phase.isPresent() && phase.get() != ClaimTable.Phase.DONE;
+        if (!withdrawable) {
+            return answered(OwnerAnswer.Kind.GRANTED);
+        }
+        return queue.add(ClaimLogEntry.release(key, attempt)).answer();
+    }
+
+    private static CompletableFuture<OwnerAnswer> answered(OwnerAnswer.Kind kind) {
+        return CompletableFuture.completedFuture(OwnerAnswer.of(kind));
+    }
+
+    boolean hasWork() {
+        synchronized (lock) {
+            return queue.hasWork();
+        }
+    }
+
+    /** Takes the shard over or gives it up, and writes what waits in one write. */
+    void commit() {
+        if (!commitLock.tryLock()) {
+            return;
+        }
+        try {
+            openOrClose();
+            if (store.isPresent() && hasWork()) {
+                write();
+            }
+        } finally {
+            commitLock.unlock();
+        }
+    }
+
+    private Optional<Authority> authority() {
+        return setup.authorities().authority(duty, setup.clockMillis().getAsLong());
+    }
+
+    private boolean isOwner() {
+        return table.isPresent()
+                && authority()
+                        .filter(present ->
+                                present.fencingNumber() == store.get().fencingNumber())
+                        .isPresent();
+    }
+
+    private void openOrClose() {
+        Optional<Authority> authority = authority();
+        boolean changed = store.isPresent()
+                && authority.isPresent()
+                && authority.get().fencingNumber() != store.get().fencingNumber();
+        if (changed) {
+            close();
+        }
+        if (authority.isEmpty() || store.isPresent()) {
+            return;
+        }
+        Either<Failure, ClaimStore> opened = ClaimStore.open(setup, duty, authority.get());
+        Either<Failure, ClaimTable> loaded = opened.flatMap(ClaimStore::load);
+        if (loaded.isLeft()) {
+            LOG.log(System.Logger.Level.WARNING, loaded.getLeft()::toString);
+            return;
+        }
+        synchronized (lock) {
+            store = Optional.of(opened.get());
+            table = Optional.of(loaded.get());
+        }
+    }
+
+    /** Gives the shard up; what is in doubt is settled by the next owner's log and the same attempt's next claim. */
+    private void close() {
+        List<PendingEntry> left;
+        synchronized (lock) {
+            store = Optional.empty();
+            table = Optional.empty();
+            left = queue.takeAll();
+        }
+        left.forEach(pending -> pending.answer().complete(OwnerAnswer.of(OwnerAnswer.Kind.NOT_OWNER)));
+    }
+
+    private void write() {
+        ClaimQueue.Batch batch;
+        synchronized (lock) {
+            if (!isOwner()) {
+                return;
+            }
+            batch = queue.takeBatch();
+        }
+        boolean full = !store.get().hasRoom() && batch.fresh().stream().anyMatch(PendingEntry::isClaim);
+        Either<Failure, Long> written = full
+                ? Either.left(Failure.throttled("claim", duty.toString(), "the log is full until old claims expire"))
+                : store.get()
+                        .append(batch.all().stream().map(PendingEntry::entry).toList());
+        if (written.isLeft()) {
+            LOG.log(System.Logger.Level.WARNING, written.getLeft()::toString);
+            onFailed(batch, written.getLeft());
+            return;
+        }
+        synchronized (lock) {
+            queue.onDurable().forEach(this::forget);
+            batch.all().forEach(this::onDurable);
+        }
+        batch.all().forEach(pending -> pending.answer().complete(OwnerAnswer.of(OwnerAnswer.Kind.GRANTED)));
+    }
+
+    private void onDurable(PendingEntry pending) {
+        if (pending.isClaim()) {
+            table.get().confirm(pending.key(), pending.entry().attempt());
+        } else if (pending.entry().kind() == ClaimLogEntry.Kind.RELEASE) {
+            forget(pending);
+        }
+    }
+
+    private void forget(PendingEntry pending) {
+        table.get().remove(pending.key(), pending.entry().attempt());
+    }
+
+    private void onFailed(ClaimQueue.Batch batch, Failure failure) {
+        List<PendingEntry> refused = List.of();
+        synchronized (lock) {
+            switch (failure.kind()) {
+                case REJECTED:
+                    break;
+                case UNKNOWN_EFFECT:
+                    queue.onUnknown(batch);
+                    break;
+                default:
+                    refused = queue.onNoEffect(batch);
+                    refused.forEach(this::forget);
+                    break;
+            }
+        }
+        refused.forEach(pending -> pending.answer().complete(OwnerAnswer.of(OwnerAnswer.Kind.UNAVAILABLE)));
+        if (failure.kind() == Failure.Kind.REJECTED) {
+            close();
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/claim/ClaimServiceTest.java
@@ -0,0 +1,241 @@
+package org.cactusshift.internal.coordination.claim;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.AttemptId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.claim.ClaimResult.Verdict;
+import org.cactusshift.internal.coordination.store.InMemoryKeyValueStore;
+import org.cactusshift.internal.coordination.store.StoreCallKind;
+import org.cactusshift.internal.coordination.store.StoreFault;
+import org.cactusshift.internal.coordination.store.StoreFaults;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ClaimServiceTest {
+    private static final SiteId SITE = SiteId.fromString("test-site");
+    private static final LongSupplier CLOCK = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    private static final long WAIT_MILLIS = 20_000;
+    private static final CallOutcome PAID =
+            new CallOutcome(201, "text/plain", "paid".getBytes(StandardCharsets.UTF_8), true);
+
+    private final InMemoryKeyValueStore store = InMemoryKeyValueStore.create(CLOCK);
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRepeatReceivesTheRecordedOutcome(boolean remote) throws InterruptedException {
+        try (ClaimService owner = owner("a", 10);
+                ClaimService other = remoteTo(owner, "a")) {
+            ClaimService service = remote ? other : owner;
+            CallClaim first = call("key", "00", "attempt-1");
+            assertEquals(Verdict.GRANTED, claim(service, first).verdict());
+            assertEquals(Verdict.GRANTED, claim(service, first).verdict());
+            assertEquals(
+                    Verdict.OPEN, claim(service, call("key", "00", "attempt-2")).verdict());
+            assertEquals(
+                    Verdict.BODY_MISMATCH,
+                    claim(service, call("key", "01", "attempt-3")).verdict());
+            service.recordOutcome(first, PAID, CLOCK.getAsLong());
+            await(service::isSettled);
+            ClaimResult repeated = claim(service, call("key", "00", "attempt-4"));
+            assertEquals(Verdict.REPEATED, repeated.verdict());
+            assertArrayEquals(PAID.body(), repeated.outcome().orElseThrow().body());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aWithdrawnKeyIsFree(boolean remote) throws InterruptedException {
+        try (ClaimService owner = owner("a", 10);
+                ClaimService other = remoteTo(owner, "a")) {
+            ClaimService service = remote ? other : owner;
+            CallClaim first = call("key", "00", "attempt-1");
+            assertEquals(Verdict.GRANTED, claim(service, first).verdict());
+            service.release(first, CLOCK.getAsLong());
+            await(service::isSettled);
+            assertEquals(
+                    Verdict.GRANTED,
+                    claim(service, call("key", "01", "attempt-2")).verdict());
+        }
+    }
+
+    @Test
+    void anUnknownOutcomeIsNotRepeatedAsOne() throws InterruptedException {
+        try (ClaimService owner = owner("a", 10)) {
+            CallClaim first = call("key", "00", "attempt-1");
+            assertEquals(Verdict.GRANTED, claim(owner, first).verdict());
+            owner.recordOutcome(first, CallOutcome.UNKNOWN, CLOCK.getAsLong());
+            await(owner::isSettled);
+            assertEquals(
+                    Verdict.OPEN, claim(owner, call("key", "00", "attempt-2")).verdict());
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = StoreFault.class,
+            names = {"UNAVAILABLE", "LOSE_REQUEST", "LOSE_ANSWER", "DELAY_EFFECT"})
+    void aClaimRefusedWhileTheStoreIsAwayDoesNotBlockItsKey(StoreFault fault) throws InterruptedException {
+        try (ClaimService owner = owner("a", 10)) {
+            assertEquals(
+                    Verdict.GRANTED,
+                    claim(owner, call("other", "00", "attempt-1")).verdict());
+            store.setFaults((kind, key) -> kind.isWrite() ? fault : StoreFault.UNAVAILABLE);
+            CallClaim refused = call("key", "00", "attempt-2");
+            long nowMillis = CLOCK.getAsLong();
+            assertEquals(
+                    Verdict.UNAVAILABLE,
+                    owner.claim(refused, nowMillis, nowMillis + 300).verdict());
+            store.setFaults(StoreFaults.NONE);
+            store.applyDelayed();
+            await(owner::isSettled);
+            assertEquals(
+                    Verdict.GRANTED,
+                    claim(owner, call("key", "00", "attempt-3")).verdict());
+        }
+    }
+
+    @Test
+    void aSuccessorKnowsEveryClaimOverManySegments() throws Exception {
+        int claims = 1_500;
+        try (ClaimService owner = owner("a", 10)) {
+            assertEquals(claims, claimAll(owner, "a", claims, 64));
+        }
+        assertTrue(store.list("/cactusshift/test-site/record/claim/0/segment/")
+                        .get()
+                        .values()
+                        .size()
+                > 2);
+        try (ClaimService successor = owner("b", 11)) {
+            assertEquals(
+                    Verdict.OPEN,
+                    claim(successor, call("key-0", "00", "attempt-x")).verdict());
+            assertEquals(
+                    Verdict.OPEN,
+                    claim(successor, call("key-" + (claims - 1), "00", "attempt-y"))
+                            .verdict());
+            assertEquals(0, claimAll(successor, "b", claims, 64));
+        }
+    }
+
+    /** Prints the claims per store write, at one outstanding write of ten milliseconds. */
+    @ParameterizedTest
+    @CsvSource({"1,200,16", "128,200,16", "128,2000,128"})
+    void claimsShareWrites(int batchLines, int claims, int clients) throws Exception {
+        AtomicInteger writes = new AtomicInteger();
+        ClaimService owner = ClaimService.create(setup("a", 10, true, new NoPeers()), batchLines);
+        owner.start();
+        claim(owner, call("first", "00", "attempt-0"));
+        store.setFaults((kind, key) -> {
+            if (kind == StoreCallKind.SWAP) {
+                writes.incrementAndGet();
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+            }
+            return StoreFault.NONE;
+        });
+        long startMillis = CLOCK.getAsLong();
+        assertEquals(claims, claimAll(owner, "a", claims, clients));
+        long tookMillis = Math.max(1, CLOCK.getAsLong() - startMillis);
+        owner.close();
+        System.out.printf(
+                "lines a write <= %d, %d clients: %d claims in %d writes, %.1f claims a write, %d claims/s%n",
+                batchLines,
+                clients,
+                claims,
+                writes.get(),
+                (double) claims / writes.get(),
+                claims * 1_000L / tookMillis);
+        if (batchLines == 1) {
+            assertTrue(writes.get() >= claims);
+        } else {
+            assertTrue(writes.get() * 4 < claims, writes.get() + " writes");
+        }
+    }
+
+    private ClaimService owner(String name, long fencingNumber) {
+        ClaimService service = ClaimService.create(setup(name, fencingNumber, true, new NoPeers()));
+        service.start();
+        return service;
+    }
+
+    private ClaimService remoteTo(ClaimService owner, String ownerName) {
+        ClaimServiceSetup setup = setup(ownerName, 0, false, new DirectPeers(owner));
+        ClaimService service = ClaimService.create(setup);
+        service.start();
+        return service;
+    }
+
+    private ClaimServiceSetup setup(String ownerName, long fencingNumber, boolean self, ClaimPeers peers) {
+        FixedOwner view = new FixedOwner(FixedOwner.node(ownerName), self, fencingNumber);
+        return new ClaimServiceSetup(
+                SITE,
+                FixedOwner.node(self ? ownerName : "remote"),
+                1,
+                store,
+                view,
+                view,
+                peers,
+                CLOCK,
+                System::currentTimeMillis);
+    }
+
+    private static int claimAll(ClaimService service, String prefix, int claims, int clients)
+            throws InterruptedException, ExecutionException {
+        ExecutorService executor = Executors.newFixedThreadPool(clients);
+        try {
+            List<Future<Verdict>> verdicts = new ArrayList<>();
+            for (int i = 0; i < claims; i++) {
+                CallClaim claim = call("key-" + i, "00", prefix + "-attempt-" + i);
+                verdicts.add(executor.submit(() -> claim(service, claim).verdict()));
+            }
+            int granted = 0;
+            for (Future<Verdict> verdict : verdicts) {
+                granted += verdict.get() == Verdict.GRANTED ? 1 : 0;
+            }
+            return granted;
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
+    private static ClaimResult claim(ClaimService service, CallClaim claim) {
+        long nowMillis = CLOCK.getAsLong();
+        return service.claim(claim, nowMillis, nowMillis + WAIT_MILLIS);
+    }
+
+    private static CallClaim call(String key, String bodyDigestHex, String attempt) {
+        return new CallClaim(
+                AccountId.fromString("acme"),
+                ServiceId.fromString("settle-app"),
+                key,
+                bodyDigestHex,
+                AttemptId.fromString(attempt));
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long endMillis = CLOCK.getAsLong() + WAIT_MILLIS;
+        while (!condition.getAsBoolean()) {
+            assertTrue(CLOCK.getAsLong() < endMillis, "condition not met in time");
+            Thread.sleep(10);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/claim/ClaimShardTest.java
@@ -0,0 +1,36 @@
+package org.cactusshift.internal.coordination.claim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class ClaimShardTest {
+    private static final int STEPS = 150;
+    private static final int HEALING_STEPS = 120;
+    private static final int SEEDS = 300;
+
+    @Property(tries = 3_000, seed = "4714", shrinking = ShrinkingMode.OFF)
+    void noCallIsDispatchedTwiceAndNoKeyIsBlocked(@ForAll long seed) {
+        ClaimSimulation simulation = new ClaimSimulation(seed, ClaimSimulation.Plant.NONE).run(STEPS, HEALING_STEPS);
+        assertEquals(List.of(), simulation.violations());
+    }
+
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void checkerCatches(ClaimSimulation.Plant plant) {
+        boolean caught = false;
+        for (long seed = 0; seed < SEEDS && !caught; seed++) {
+            caught = !new ClaimSimulation(seed, plant)
+                    .run(STEPS, HEALING_STEPS)
+                    .violations()
+                    .isEmpty();
+        }
+        assertTrue(caught);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/claim/ClaimTableTest.java
@@ -0,0 +1,60 @@
+package org.cactusshift.internal.coordination.claim;
+
+import java.util.Optional;
+import org.jetbrains.lincheck.datastructures.IntGen;
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.Param;
+import org.junit.jupiter.api.Test;
+
+/** Checks that each call of the table is atomic. Public because the model checker creates instances. */
+@Param(name = "key", gen = IntGen.class, conf = "1:2")
+@Param(name = "attempt", gen = IntGen.class, conf = "1:2")
+public class ClaimTableTest {
+    private final ClaimTable table = ClaimTable.create();
+
+    @Operation
+    public ClaimTable.Finding begin(@Param(name = "key") int key, @Param(name = "attempt") int attempt) {
+        return table.begin(key(key), "body", attempt(attempt), 0).finding();
+    }
+
+    @Operation
+    public boolean confirm(@Param(name = "key") int key, @Param(name = "attempt") int attempt) {
+        return table.confirm(key(key), attempt(attempt));
+    }
+
+    @Operation
+    public Optional<ClaimTable.Phase> withdraw(@Param(name = "key") int key, @Param(name = "attempt") int attempt) {
+        return table.withdraw(key(key), attempt(attempt));
+    }
+
+    @Operation
+    public boolean remove(@Param(name = "key") int key, @Param(name = "attempt") int attempt) {
+        return table.remove(key(key), attempt(attempt));
+    }
+
+    @Operation
+    public boolean record(@Param(name = "key") int key, @Param(name = "attempt") int attempt) {
+        return table.record(key(key), attempt(attempt), CallOutcome.UNKNOWN);
+    }
+
+    @Test
+    void everyInterleavingIsThatOfSomeOrder() {
+        new ModelCheckingOptions()
+                .threads(2)
+                .actorsPerThread(3)
+                .actorsBefore(1)
+                .actorsAfter(1)
+                .iterations(8)
+                .invocationsPerIteration(200)
+                .check(ClaimTableTest.class);
+    }
+
+    private static ClaimKey key(int number) {
+        return new ClaimKey("key-" + number);
+    }
+
+    private static String attempt(int number) {
+        return "attempt-" + number;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/claim/DirectPeers.java
@@ -0,0 +1,29 @@
+package org.cactusshift.internal.coordination.claim;
+
+import io.vavr.control.Either;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.messages.ClaimRequest;
+import org.cactusshift.messages.ClaimResponse;
+import org.cactusshift.messages.RecordOutcomeRequest;
+import org.cactusshift.messages.RecordOutcomeResponse;
+
+/** Peers that are all one service in the same process. */
+final class DirectPeers implements ClaimPeers {
+    private final ClaimService owner;
+
+    DirectPeers(ClaimService owner) {
+        this.owner = owner;
+    }
+
+    @Override
+    public Either<Failure, ClaimResponse> claim(DutyHolder holder, ClaimRequest request, long timeoutMillis) {
+        return Either.right(owner.claim(request));
+    }
+
+    @Override
+    public Either<Failure, RecordOutcomeResponse> recordOutcome(
+            DutyHolder holder, RecordOutcomeRequest request, long timeoutMillis) {
+        return Either.right(owner.recordOutcome(request));
+    }
+}
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutySimulation.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutySimulation.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.stream.Collectors;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
@@ -31,6 +33,13 @@
 
     private static final int MAXIMUM_NESTING = 2;
 
+    // Injected faults would be logged by the thousand. Kept here because the log manager holds loggers weakly.
+    private static final Logger LOGGER = Logger.getLogger("org.cactusshift.internal.coordination");
+
+    static {
+        LOGGER.setLevel(Level.OFF);
+    }
+
     private final Random random;
     private final List<SimulatedNode> nodes = new ArrayList<>();
     private final Set<DutyId> duties;
@@ -148,7 +157,7 @@
     }
 
     private void runNode(SimulatedNode node) {
-        if (node.isDown() || node.isRunning()) {
+        if (node.isDown()) {
             return;
         }
         SimulatedNode previous = caller;
@@ -196,6 +205,9 @@
         if (healed || faultless) {
             return StoreFault.NONE;
         }
+        if (caller != null) {
+            maybePauseInside();
+        }
         if (nowMillis < outageEndsAtMillis || (caller != null && caller.isCut())) {
             return random.nextBoolean() ? StoreFault.UNAVAILABLE : StoreFault.LOSE_REQUEST;
         }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/SimulatedNode.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/SimulatedNode.java
@@ -70,7 +70,7 @@
     }
 
     public boolean isDown() {
-        return killed || simulation.nowMillis() < pausedUntilMillis;
+        return killed || running || simulation.nowMillis() < pausedUntilMillis;
     }
 
     public boolean isKilled() {
@@ -81,10 +81,7 @@
         return simulation.nowMillis() < cutUntilMillis;
     }
 
-    boolean isRunning() {
-        return running;
-    }
-
+    /** Marks the node as stopped in the middle of its work. */
     void setRunning(boolean running) {
         this.running = running;
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/usage/UsageSimulation.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/usage/UsageSimulation.java
@@ -10,14 +10,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.DutySimulation;
+import org.cactusshift.internal.coordination.lease.ForgetfulStore;
 import org.cactusshift.internal.coordination.lease.SimulatedNode;
 import org.cactusshift.messages.UsageAck;
 import org.cactusshift.messages.UsageBatch;
@@ -38,13 +37,6 @@
         REPORTED_BEFORE_DURABLE
     }
 
-    // Injected faults would be logged by the thousand. Kept here because the log manager holds loggers weakly.
-    private static final Logger LOGGER = Logger.getLogger("org.cactusshift");
-
-    static {
-        LOGGER.setLevel(Level.OFF);
-    }
-
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final UsageKey KEY = new UsageKey(AccountId.fromString("acme"), ServiceId.fromString("share-lm"));
 
