Add the command line

Each command is one class; they check and show files, replace the accepted configuration against a version, list and compare versions, create and withdraw keys. Applying files keeps the accepted keys of accounts that exist: taking them from files was ruled out, as it would bring a withdrawn key back.

--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ApplyReport.java
@@ -0,0 +1,41 @@
+package org.cactusshift.pgm;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.internal.coordination.configsync.ApplyResult;
+import org.cactusshift.internal.coordination.configsync.ConfigDifference;
+
+/** Prints the result of a change of the configuration. */
+final class ApplyReport {
+    private ApplyReport() {}
+
+    static void print(ApplyResult result, long against, boolean json, Console console) {
+        if (json) {
+            console.json(result);
+            return;
+        }
+        switch (result.outcome()) {
+            case APPLIED -> console.err().println("accepted as version " + result.version());
+            case UNCHANGED -> console.err().println("version " + result.version() + " is already the same");
+            case CONFLICT -> {
+                console.err()
+                        .println("not applied: made against version " + against + ", but version " + result.version()
+                                + " is accepted; the two differ in:");
+                printDifferences(
+                        result.differences(), "accepted", "proposed", new Console(console.err(), console.err()));
+            }
+            default -> throw new IllegalStateException("unknown outcome " + result.outcome());
+        }
+    }
+
+    static void printDifferences(List<ConfigDifference> differences, String first, String second, Console console) {
+        List<List<String>> rows = new ArrayList<>();
+        rows.add(List.of("pointer", first, second));
+        differences.forEach(d -> rows.add(List.of(d.pointer(), orNone(d.accepted()), orNone(d.proposed()))));
+        console.table(rows);
+    }
+
+    private static String orNone(String value) {
+        return value.isEmpty() ? "(none)" : value;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/CommandRegistry.java
@@ -0,0 +1,71 @@
+package org.cactusshift.pgm;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/** The commands by name. */
+public final class CommandRegistry {
+    private final List<Command> commands;
+
+    private CommandRegistry(List<Command> commands) {
+        this.commands = List.copyOf(commands);
+    }
+
+    /**
+     * Returns a registry.
+     *
+     * @param commands the commands, in the order of the help text
+     * @return the registry
+     */
+    public static CommandRegistry of(List<Command> commands) {
+        return new CommandRegistry(commands);
+    }
+
+    /**
+     * Returns the commands of the product.
+     *
+     * @return the registry
+     */
+    public static CommandRegistry standard() {
+        return of(List.of(
+                new ReplayCommand(),
+                new ConfigValidateCommand(),
+                new ConfigShowCommand(),
+                new ConfigApplyCommand(),
+                new ConfigDiffCommand(),
+                new ConfigHistoryCommand(),
+                new KeyCreateCommand(),
+                new KeyWithdrawCommand(),
+                new AccountListCommand(),
+                new VersionCommand()));
+    }
+
+    /**
+     * Finds the command that the first words name.
+     *
+     * @param args the arguments of the process
+     * @return the command, empty when there is none
+     */
+    public Optional<Command> find(String[] args) {
+        return commands.stream().filter(command -> isNamed(command, args)).findFirst();
+    }
+
+    private static boolean isNamed(Command command, String[] args) {
+        String[] words = wordsOf(command);
+        return args.length >= words.length && Arrays.equals(words, Arrays.copyOf(args, words.length));
+    }
+
+    static String[] wordsOf(Command command) {
+        return command.name().split(" ");
+    }
+
+    /**
+     * Returns all commands.
+     *
+     * @return the commands, in the order of the help text
+     */
+    public List<Command> commands() {
+        return commands;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/CommonOptions.java
@@ -0,0 +1,132 @@
+package org.cactusshift.pgm;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.cactusshift.config.ConfigFile;
+import org.cactusshift.config.ConfigLoader;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.InvalidConfigException;
+import org.cactusshift.id.SiteId;
+
+/** Options that several commands share. */
+final class CommonOptions {
+    private static final String HOME_VARIABLE = "CACTUSSHIFT_HOME";
+
+    private CommonOptions() {}
+
+    static Option site() {
+        return Option.builder()
+                .longOpt("site")
+                .hasArg()
+                .argName("SITE")
+                .desc("the site; picks its overlay")
+                .get();
+    }
+
+    static Option base() {
+        return Option.builder()
+                .longOpt("base")
+                .hasArg()
+                .argName("FILE")
+                .desc("the base file; examples/base.json by default")
+                .get();
+    }
+
+    static Option overlay() {
+        return Option.builder()
+                .longOpt("overlay")
+                .hasArg()
+                .argName("FILE")
+                .desc("the overlay; overlays/SITE.json beside the base file by default")
+                .get();
+    }
+
+    static Option store() {
+        return Option.builder()
+                .longOpt("store")
+                .hasArg()
+                .argName("ADDRESS,...")
+                .desc("addresses of the key-value service, as IP:PORT")
+                .get();
+    }
+
+    static Option json() {
+        return Option.builder().longOpt("json").desc("prints JSON").get();
+    }
+
+    static SiteId siteOf(CommandLine line) throws UsageException {
+        try {
+            return SiteId.fromString(required(line, "site"));
+        } catch (IllegalArgumentException e) {
+            throw new UsageException(e.getMessage());
+        }
+    }
+
+    /** Loads the configuration that {@code --base}, {@code --overlay} and {@code --site} name. */
+    static SiteConfig loadFiles(CommandLine line) throws UsageException, InvalidConfigException {
+        Path base = line.hasOption("base")
+                ? Path.of(line.getOptionValue("base"))
+                : examples().resolve("base.json");
+        Optional<ConfigFile> overlay = Optional.empty();
+        if (line.hasOption("overlay")) {
+            overlay = Optional.of(ConfigFile.read(Path.of(line.getOptionValue("overlay"))));
+        } else if (line.hasOption("site")) {
+            Path directory = base.toAbsolutePath().resolveSibling("overlays");
+            overlay = Optional.of(ConfigFile.read(directory.resolve(siteOf(line) + ".json")));
+        } else if (!line.hasOption("base")) {
+            throw new UsageException("--site or --base is missing");
+        }
+        SiteConfig config = ConfigLoader.create().load(ConfigFile.read(base), overlay);
+        if (line.hasOption("site") && !config.site().equals(siteOf(line))) {
+            throw new UsageException("the files are for site " + config.site());
+        }
+        return config;
+    }
+
+    /** Returns the directory with the example files, from the script that started the process or from here upwards. */
+    static Path examples() {
+        String home = System.getenv(HOME_VARIABLE);
+        Path directory = Path.of(home == null ? "" : home).toAbsolutePath();
+        while (directory.getParent() != null && !Files.exists(directory.resolve("examples/base.json"))) {
+            directory = directory.getParent();
+        }
+        return directory.resolve("examples");
+    }
+
+    static String required(CommandLine line, String option) throws UsageException {
+        if (!line.hasOption(option)) {
+            throw new UsageException("--" + option + " is missing");
+        }
+        return line.getOptionValue(option);
+    }
+
+    static List<String> addresses(CommandLine line) throws UsageException {
+        List<String> addresses = Arrays.stream(required(line, "store").split(","))
+                .map(String::strip)
+                .toList();
+        for (String address : addresses) {
+            if (!address.matches("[0-9a-fA-F.:\\[\\]]+:\\d{1,5}")) {
+                throw new UsageException("--store: not an IP address and port: " + address);
+            }
+        }
+        return addresses;
+    }
+
+    static long number(CommandLine line, String option) throws UsageException {
+        String text = required(line, option);
+        try {
+            long number = Long.parseLong(text);
+            if (number >= 0) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Reported below together with negative numbers.
+        }
+        throw new UsageException("--" + option + ": not a version number: " + text);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ConfigApplyCommand.java
@@ -0,0 +1,82 @@
+package org.cactusshift.pgm;
+
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cactusshift.config.ConfigLoader;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.internal.coordination.configsync.AcceptedKeys;
+import org.cactusshift.internal.coordination.configsync.ApplyResult;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+
+/** Replaces the accepted configuration by files. */
+public final class ConfigApplyCommand implements Command {
+    @Override
+    public String name() {
+        return "config apply";
+    }
+
+    @Override
+    public String summary() {
+        return "replaces the accepted configuration if still the same";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(CommonOptions.site())
+                .addOption(CommonOptions.store())
+                .addOption(Option.builder()
+                        .longOpt("against")
+                        .hasArg()
+                        .argName("N")
+                        .desc("the version that the change was made against; 0 for the first")
+                        .get())
+                .addOption(CommonOptions.base())
+                .addOption(CommonOptions.overlay())
+                .addOption(Option.builder()
+                        .longOpt("author")
+                        .hasArg()
+                        .argName("NAME")
+                        .desc("who makes the change; the system's user by default")
+                        .get())
+                .addOption(Option.builder()
+                        .longOpt("comment")
+                        .hasArg()
+                        .argName("TEXT")
+                        .desc("why the change is made")
+                        .get())
+                .addOption(Option.builder()
+                        .longOpt("replace-keys")
+                        .desc("takes the keys of existing accounts from the files too")
+                        .get())
+                .addOption(CommonOptions.json());
+    }
+
+    @Override
+    public int run(CommandLine line, Console console) throws UsageException, CactusshiftException {
+        long against = CommonOptions.number(line, "against");
+        SiteConfig proposed = CommonOptions.loadFiles(line);
+        try (StoreSession session = StoreSession.open(line)) {
+            SiteConfig config = line.hasOption("replace-keys") ? proposed : withAcceptedKeys(proposed, session);
+            ApplyResult result = StoreSession.get(session.apply(line, line.getOptionValue("comment", ""))
+                    .setConfig(config)
+                    .setAgainst(against)
+                    .call());
+            ApplyReport.print(result, against, line.hasOption("json"), console);
+            return result.outcome() == ApplyResult.Outcome.CONFLICT ? ExitStatus.FAILED : ExitStatus.DONE;
+        }
+    }
+
+    private static SiteConfig withAcceptedKeys(SiteConfig proposed, StoreSession session) throws CactusshiftException {
+        Optional<InstalledConfig> accepted =
+                StoreSession.get(session.repository().current());
+        if (accepted.isEmpty()) {
+            return proposed;
+        }
+        SiteConfig merged = AcceptedKeys.carryOver(proposed, accepted.get().config());
+        return ConfigLoader.create().check("files with accepted keys", merged);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ConfigDiffCommand.java
@@ -0,0 +1,67 @@
+package org.cactusshift.pgm;
+
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.internal.coordination.configsync.AcceptedKeys;
+import org.cactusshift.internal.coordination.configsync.ConfigDiff;
+import org.cactusshift.internal.coordination.configsync.ConfigDifference;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+
+/** Prints the differences between an accepted version and files or another version. */
+public final class ConfigDiffCommand implements Command {
+    @Override
+    public String name() {
+        return "config diff";
+    }
+
+    @Override
+    public String summary() {
+        return "compares an accepted version with files or another one";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(CommonOptions.site())
+                .addOption(CommonOptions.store())
+                .addOption(version("from", "the version to compare; the accepted one by default"))
+                .addOption(version("to", "the version to compare with instead of the files"))
+                .addOption(CommonOptions.base())
+                .addOption(CommonOptions.overlay())
+                .addOption(CommonOptions.json());
+    }
+
+    private static Option version(String name, String description) {
+        return Option.builder()
+                .longOpt(name)
+                .hasArg()
+                .argName("N")
+                .desc(description)
+                .get();
+    }
+
+    @Override
+    public int run(CommandLine line, Console console) throws UsageException, CactusshiftException {
+        try (StoreSession session = StoreSession.open(line)) {
+            InstalledConfig from = line.hasOption("from")
+                    ? StoreSession.get(session.repository().at(CommonOptions.number(line, "from")))
+                    : session.current();
+            SiteConfig to = line.hasOption("to")
+                    ? StoreSession.get(session.repository().at(CommonOptions.number(line, "to")))
+                            .config()
+                    : AcceptedKeys.carryOver(CommonOptions.loadFiles(line), from.config());
+            List<ConfigDifference> differences = ConfigDiff.between(from.config(), to);
+            if (line.hasOption("json")) {
+                console.json(differences);
+            } else {
+                String second = line.hasOption("to") ? "version " + line.getOptionValue("to") : "files";
+                ApplyReport.printDifferences(differences, "version " + from.version(), second, console);
+            }
+            return ExitStatus.DONE;
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/Console.java
@@ -0,0 +1,58 @@
+package org.cactusshift.pgm;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.PrintStream;
+import java.util.List;
+import org.cactusshift.config.Json;
+
+/**
+ * The streams of a command.
+ *
+ * @param out receives results only
+ * @param err receives messages
+ */
+public record Console(PrintStream out, PrintStream err) {
+    /**
+     * Returns the streams of the process.
+     *
+     * @return the console
+     */
+    public static Console system() {
+        return new Console(System.out, System.err);
+    }
+
+    /**
+     * Writes a value as indented JSON.
+     *
+     * @param value the value
+     */
+    public void json(Object value) {
+        try {
+            out.println(Json.mapper().writerWithDefaultPrettyPrinter().writeValueAsString(value));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a result could not be written as JSON", e);
+        }
+    }
+
+    /**
+     * Writes rows in columns as wide as their longest cell.
+     *
+     * @param rows the rows, all with the same number of cells; the first holds the titles
+     */
+    public void table(List<List<String>> rows) {
+        int columns = rows.get(0).size();
+        int[] widths = new int[columns];
+        for (List<String> row : rows) {
+            for (int i = 0; i < columns; i++) {
+                widths[i] = Math.max(widths[i], row.get(i).length());
+            }
+        }
+        for (List<String> row : rows) {
+            StringBuilder text = new StringBuilder();
+            for (int i = 0; i < columns; i++) {
+                text.append(row.get(i)).append(" ".repeat(widths[i] - row.get(i).length() + 2));
+            }
+            out.println(text.toString().stripTrailing());
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/KeyWithdrawCommand.java
@@ -0,0 +1,53 @@
+package org.cactusshift.pgm;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.internal.coordination.configsync.AcceptedKeys;
+
+/** Withdraws a key. */
+public final class KeyWithdrawCommand implements Command {
+    @Override
+    public String name() {
+        return "key withdraw";
+    }
+
+    @Override
+    public String summary() {
+        return "withdraws a key; its open requests end within seconds";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(CommonOptions.site())
+                .addOption(CommonOptions.store())
+                .addOption(Option.builder()
+                        .longOpt("key")
+                        .hasArg()
+                        .argName("KEY-ID")
+                        .desc("the id of the key, the part between cs- and the last dot")
+                        .get());
+    }
+
+    @Override
+    public int run(CommandLine line, Console console) throws UsageException, CactusshiftException {
+        KeyId key = keyOf(line);
+        ConfigEdit edit = accepted -> AcceptedKeys.withdraw(accepted, key);
+        try (StoreSession session = StoreSession.open(line)) {
+            long version = edit.apply(session, line, "withdraw key " + key);
+            console.err().println("key " + key + " is withdrawn in version " + version);
+            return ExitStatus.DONE;
+        }
+    }
+
+    private static KeyId keyOf(CommandLine line) throws UsageException {
+        try {
+            return KeyId.fromString(CommonOptions.required(line, "key"));
+        } catch (IllegalArgumentException e) {
+            throw new UsageException(e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ReplayCommand.java
@@ -0,0 +1,67 @@
+package org.cactusshift.pgm;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.replay.ReplayReport;
+
+/** Replays a recorded trace and compares the measures with the stated outcomes. */
+public final class ReplayCommand implements Command {
+    @Override
+    public String name() {
+        return "replay";
+    }
+
+    @Override
+    public String summary() {
+        return "replays a trace in virtual time and checks its outcomes";
+    }
+
+    @Override
+    public String arguments() {
+        return "TRACE";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("policy")
+                        .hasArg()
+                        .argName("NAME,...")
+                        .desc("the policies; known: "
+                                + String.join(", ", org.cactusshift.replay.ReplayCommand.policyNames()))
+                        .get())
+                .addOption(Option.builder()
+                        .longOpt("seed")
+                        .hasArg()
+                        .argName("N")
+                        .desc("the seed; 1 by default")
+                        .get())
+                .addOption(CommonOptions.json());
+    }
+
+    @Override
+    public int run(CommandLine line, Console console) throws UsageException, CactusshiftException {
+        if (line.getArgList().size() != 1) {
+            throw new UsageException("exactly one trace is needed");
+        }
+        org.cactusshift.replay.ReplayCommand replay = org.cactusshift.replay.ReplayCommand.create()
+                .setTrace(Path.of(line.getArgList().get(0)));
+        if (line.hasOption("policy")) {
+            replay.setPolicies(List.of(line.getOptionValue("policy").split(",")));
+        }
+        if (line.hasOption("seed")) {
+            replay.setSeed(CommonOptions.number(line, "seed"));
+        }
+        Either<Failure, ReplayReport> answer = replay.call();
+        ReplayReport report = StoreSession.get(answer);
+        console.out().println(line.hasOption("json") ? report.toJson() : report.toText());
+        return report.isMet() ? ExitStatus.DONE : ExitStatus.FAILED;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/StoreSession.java
@@ -0,0 +1,61 @@
+package org.cactusshift.pgm;
+
+import io.vavr.control.Either;
+import org.apache.commons.cli.CommandLine;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.configsync.ApplyConfigCommand;
+import org.cactusshift.internal.coordination.configsync.ConfigRepository;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.transport.store.EtcdKeyValueStore;
+import org.cactusshift.internal.transport.store.EtcdStoreSettings;
+
+/** A connection to the accepted configuration of a site. */
+final class StoreSession implements AutoCloseable {
+    private final EtcdKeyValueStore store;
+    private final ConfigRepository repository;
+
+    private StoreSession(EtcdKeyValueStore store, ConfigRepository repository) {
+        this.store = store;
+        this.repository = repository;
+    }
+
+    /** Opens the site and the key-value service that the options name. */
+    static StoreSession open(CommandLine line) throws UsageException {
+        EtcdStoreSettings settings = EtcdStoreSettings.forAddresses(CommonOptions.addresses(line));
+        EtcdKeyValueStore store = EtcdKeyValueStore.create(settings);
+        return new StoreSession(store, ConfigRepository.open(store, CommonOptions.siteOf(line)));
+    }
+
+    ConfigRepository repository() {
+        return repository;
+    }
+
+    /** Returns the accepted configuration. */
+    InstalledConfig current() throws CactusshiftException {
+        return get(repository.current())
+                .orElseThrow(() -> new CactusshiftException(Failure.rejected(
+                        "read configuration", "key-value service", "the site has no accepted configuration")));
+    }
+
+    /** Returns an apply command with author and time filled in. */
+    ApplyConfigCommand apply(CommandLine line, String comment) {
+        return repository
+                .apply()
+                .setAuthor(line.getOptionValue("author", System.getProperty("user.name")))
+                .setComment(comment)
+                .setNowEpochMillis(System.currentTimeMillis());
+    }
+
+    static <T> T get(Either<Failure, T> answer) throws CactusshiftException {
+        if (answer.isLeft()) {
+            throw new CactusshiftException(answer.getLeft());
+        }
+        return answer.get();
+    }
+
+    @Override
+    public void close() {
+        store.close();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one class for each command. */
+package org.cactusshift.pgm;
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/AcceptedKeys.java
@@ -0,0 +1,126 @@
+package org.cactusshift.internal.coordination.configsync;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.KeyConfig;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.KeyId;
+
+/** Changes of the keys in an accepted configuration. */
+public final class AcceptedKeys {
+    private static final String STEP = "change keys";
+
+    private AcceptedKeys() {}
+
+    /**
+     * Returns a proposed configuration in which accounts that exist keep their accepted keys.
+     *
+     * <p>Keys are created and withdrawn while files stay as they are; taking them from a file would bring a withdrawn
+     * key back and drop a new one.
+     *
+     * @param proposed the configuration from files
+     * @param accepted the accepted configuration
+     * @return the proposed configuration with the accepted keys
+     */
+    public static SiteConfig carryOver(SiteConfig proposed, SiteConfig accepted) {
+        Map<AccountId, AccountConfig> known =
+                accepted.accounts().stream().collect(Collectors.toMap(AccountConfig::id, Function.identity()));
+        List<AccountConfig> accounts = proposed.accounts().stream()
+                .map(account -> Optional.ofNullable(known.get(account.id()))
+                        .map(old -> withKeys(account, old.keys()))
+                        .orElse(account))
+                .toList();
+        return withAccounts(proposed, accounts);
+    }
+
+    /**
+     * Returns the configuration with one more key.
+     *
+     * @param accepted the configuration
+     * @param account the client account
+     * @param key the id of the key
+     * @param hash the keyed hash of the key
+     * @return the changed configuration
+     * @throws CactusshiftException if there is no such account
+     */
+    public static SiteConfig add(SiteConfig accepted, AccountId account, KeyId key, String hash)
+            throws CactusshiftException {
+        requireAny(
+                accepted.accounts().stream().anyMatch(known -> known.id().equals(account)),
+                "no client account is named " + account);
+        List<AccountConfig> accounts = accepted.accounts().stream()
+                .map(known -> known.id().equals(account)
+                        ? withKeys(known, plus(known.keys(), new KeyConfig(key, hash, false)))
+                        : known)
+                .toList();
+        return withAccounts(accepted, accounts);
+    }
+
+    /**
+     * Returns the configuration with a key withdrawn; the key stays in it, so that its id is not used again.
+     *
+     * @param accepted the configuration
+     * @param key the id of the key
+     * @return the changed configuration, equal when the key was withdrawn before
+     * @throws CactusshiftException if there is no such key
+     */
+    public static SiteConfig withdraw(SiteConfig accepted, KeyId key) throws CactusshiftException {
+        requireAny(
+                accepted.accounts().stream()
+                        .flatMap(account -> account.keys().stream())
+                        .anyMatch(known -> known.id().equals(key)),
+                "no key is named " + key);
+        List<AccountConfig> accounts = accepted.accounts().stream()
+                .map(account -> withKeys(
+                        account,
+                        account.keys().stream()
+                                .map(known ->
+                                        known.id().equals(key) ? new KeyConfig(known.id(), known.hash(), true) : known)
+                                .toList()))
+                .toList();
+        return withAccounts(accepted, accounts);
+    }
+
+    private static void requireAny(boolean found, String message) throws CactusshiftException {
+        if (!found) {
+            throw new CactusshiftException(Failure.rejected(STEP, "local", message));
+        }
+    }
+
+    private static List<KeyConfig> plus(List<KeyConfig> keys, KeyConfig key) {
+        List<KeyConfig> all = new ArrayList<>(keys);
+        all.add(key);
+        return all;
+    }
+
+    private static AccountConfig withKeys(AccountConfig account, List<KeyConfig> keys) {
+        return new AccountConfig(
+                account.id(),
+                account.weight(),
+                account.tokensPerSecond(),
+                account.maximumConcurrentRequests(),
+                account.services(),
+                keys);
+    }
+
+    private static SiteConfig withAccounts(SiteConfig config, List<AccountConfig> accounts) {
+        return new SiteConfig(
+                config.schemaVersion(),
+                config.site(),
+                config.shutdownDate(),
+                config.failureDomains(),
+                accounts,
+                config.services(),
+                config.upstreams(),
+                config.limits(),
+                config.timing());
+    }
+}
