Add a TCP relay and process control for failure tests

Failure tests need faults between processes that no stand-in can make: a cut, one direction held, connections that stay open and silent, late bytes, and a node paused or killed by its own process id. The relay holds bytes rather than drops them, as TCP would send them again after a partition heals. The client now follows the answer, and sends a read again on a fresh connection when one that served earlier calls broke off.

--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInKeyValueService.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInKeyValueService.java
@@ -303,6 +303,7 @@
         ObjectNode created = KeyValueJson.header(revision()).put("created", true);
         sendLine(stream, KeyValueJson.result(created));
         long next = from;
+        long sentAtMillis = nowMillis();
         while (true) {
             if (down || server.faults().isUnavailable()) {
                 throw new IOException("the service became unavailable");
@@ -320,7 +321,11 @@
                         KeyValueJson.result(KeyValueJson.header(revision).put("canceled", true)));
                 return;
             }
-            sendLine(stream, KeyValueJson.changes(revision, changes.get()));
+            long sinceSentMillis = nowMillis() - sentAtMillis;
+            if (!changes.get().isEmpty() || sinceSentMillis >= settings.progressMillis()) {
+                sendLine(stream, KeyValueJson.changes(revision, changes.get()));
+                sentAtMillis = nowMillis();
+            }
             next = Math.max(next, revision + 1);
         }
     }
--- a/org.cactusshift.standin/src/test/java/org/cactusshift/standin/EtcdKeyValueStoreTest.java
+++ b/org.cactusshift.standin/src/test/java/org/cactusshift/standin/EtcdKeyValueStoreTest.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.internal.coordination.store.LeaseGrant;
 import org.cactusshift.internal.coordination.store.RangeResult;
@@ -104,7 +103,7 @@
         assertEquals(1000, lease.ttlMillis());
         assertTrue(store.compareAndSwap("a", 0, VALUE, lease).get().isApplied());
         assertEquals(lease, store.keepAlive(lease).get());
-        awaitTrue(() -> store.get("a").get().isEmpty());
+        Await.until(() -> store.get("a").get().isEmpty());
         assertEquals(Failure.Kind.REJECTED, store.keepAlive(lease).getLeft().kind());
         assertEquals(
                 Failure.Kind.REJECTED,
@@ -128,6 +127,13 @@
         assertTrue(store.get("a").isRight());
     }
 
+    @Test
+    void readOnASilentConnectionIsSentAgainOnAFreshOne() {
+        swap("a", 0);
+        service.faults().silenceOpenConnections();
+        assertTrue(store.get("a").get().isPresent());
+    }
+
     @Test
     void writeThatCannotConnectHasNoEffectAndTheNextAddressIsTried() {
         service.crash();
@@ -171,11 +177,11 @@
         assertEquals("put p/b 4", nextChange());
         store.compareAndDelete("p/a", 2);
         assertEquals("delete p/a 5", nextChange());
-        awaitTrue(() -> events.contains("progress 5"));
+        Await.until(() -> events.contains("progress 5"));
         watch.close();
         events.clear();
         store.watch("p/", swap("p/c", 0).revision(), listener()).get();
-        awaitTrue(() -> events.contains("progress 6"));
+        Await.until(() -> events.contains("progress 6"));
         assertEquals(1, events.stream().filter("put p/c 6"::equals).count());
         assertEquals(2, service.calls(StoreCallKind.WATCH));
     }
@@ -188,7 +194,7 @@
         store.watch("", 1, listener()).get();
         assertEquals("progress 1", events.poll(BOUND_MILLIS, TimeUnit.MILLISECONDS));
         loss.inject(service.faults());
-        awaitTrue(() -> events.contains("end"));
+        Await.until(() -> events.contains("end"));
     }
 
     private SwapResult swap(String key, long expected) {
@@ -212,14 +218,6 @@
         return range.values().stream().map(VersionedValue::key).toList();
     }
 
-    private static void awaitTrue(BooleanSupplier condition) {
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BOUND_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < endNanos, "the condition was not met in time");
-            Thread.onSpinWait();
-        }
-    }
-
     private WatchListener listener() {
         return new WatchListener() {
             @Override
--- a/org.cactusshift.standin/src/test/java/org/cactusshift/standin/engine/StandInEngineTest.java
+++ b/org.cactusshift.standin/src/test/java/org/cactusshift/standin/engine/StandInEngineTest.java
@@ -15,13 +15,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.config.UpstreamConfig.Role;
+import org.cactusshift.standin.Await;
 import org.cactusshift.standin.ReceivedRequest;
 import org.cactusshift.standin.StandInClient;
 import org.junit.jupiter.api.AfterEach;
@@ -103,10 +103,10 @@
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
             socket.getOutputStream().write(body);
-            awaitTrue(() -> stateOf("gone").equals("running"));
+            Await.until(() -> stateOf("gone").equals("running"));
         }
-        awaitTrue(() -> stateOf("gone").equals("cancelled"));
-        awaitTrue(() -> outcomeOf("gone") == ReceivedRequest.Outcome.CANCELLED);
+        Await.until(() -> stateOf("gone").equals("cancelled"));
+        Await.until(() -> outcomeOf("gone") == ReceivedRequest.Outcome.CANCELLED);
     }
 
     @Test
@@ -114,14 +114,14 @@
         long epoch = read(engine, "/load").path("epoch").asLong();
         engine.faults().setCrashMarker(Optional.of("POISON"));
         Future<StandInClient.Answer> innocent = post(body(true, true, "", LONG_TOKENS), "innocent");
-        awaitTrue(() -> stateOf("innocent").equals("running"));
+        Await.until(() -> stateOf("innocent").equals("running"));
         assertThrows(
                 IOException.class,
                 () -> client.post(
                         engine.address(), CHAT, withContent(body(true, false, "", 1), "some POISON"), "poison"));
         assertThrows(ExecutionException.class, innocent::get);
         assertThrows(IOException.class, () -> read(engine, "/load"));
-        awaitTrue(() -> outcomeOf("innocent") == ReceivedRequest.Outcome.CRASHED);
+        Await.until(() -> outcomeOf("innocent") == ReceivedRequest.Outcome.CRASHED);
         engine.start();
         assertNotEquals(epoch, read(engine, "/load").path("epoch").asLong());
         assertEquals(404, client.get(engine.address(), "/requests/innocent").status());
@@ -139,15 +139,15 @@
     @Test
     void orderTakesTheEngineOutOfServiceAndIsRepeatableByItsId() throws Exception {
         Future<StandInClient.Answer> running = post(body(true, true, "", LONG_TOKENS), "running");
-        awaitTrue(() -> stateOf("running").equals("running"));
+        Await.until(() -> stateOf("running").equals("running"));
         assertEquals(202, order("o1", 5, "decode"));
         assertEquals(409, order("o2", 5, "mixed"));
         assertThrows(ExecutionException.class, running::get);
         assertEquals(ReceivedRequest.Outcome.CUT_BY_ORDER, outcomeOf("running"));
-        awaitTrue(() ->
+        Await.until(() ->
                 read(engine, "/orders").path("last").path("state").asText().equals("done"));
         assertEquals("decode", read(engine, "/orders").path("role").asText());
-        awaitTrue(() -> read(engine, "/load").path("role").asText().equals("decode"));
+        Await.until(() -> read(engine, "/load").path("role").asText().equals("decode"));
         assertEquals(202, order("o1", 5, "decode"));
         assertEquals(409, order("o3", 4, "mixed"));
         assertEquals(
@@ -163,7 +163,7 @@
     void engineThatIgnoresFencingShowsAStaleEffect() throws IOException {
         engine.faults().setIgnoringFencing(true);
         order("o1", 5, "decode");
-        awaitTrue(() ->
+        Await.until(() ->
                 read(engine, "/orders").path("last").path("state").asText().equals("done"));
         assertEquals(202, order("o2", 4, "mixed"));
         assertEquals(
@@ -191,9 +191,9 @@
                 EngineSettings.mixed("small", "share-lm", slow).withRole(Role.MIXED, 1))) {
             small.start();
             Future<StandInClient.Answer> first = postTo(small, body(true, false, "", 40), "first");
-            awaitTrue(() -> small.log().withAttempt("first").size() == 1);
+            Await.until(() -> small.log().withAttempt("first").size() == 1);
             Future<StandInClient.Answer> late = postTo(small, withPriority(body(true, false, "", 40), 5), "late");
-            awaitTrue(() -> read(small, "/load").path("waiting").asInt() == 1);
+            Await.until(() -> read(small, "/load").path("waiting").asInt() == 1);
             Future<StandInClient.Answer> soon = postTo(small, withPriority(body(true, false, "", 40), -5), "soon");
             soon.get(BOUND_MILLIS, TimeUnit.MILLISECONDS);
             assertFalse(late.isDone());
@@ -324,16 +324,4 @@
     private static ObjectNode object(String body) throws IOException {
         return (ObjectNode) MAPPER.readTree(body);
     }
-
-    private static void awaitTrue(Callable<Boolean> condition) {
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BOUND_MILLIS);
-        try {
-            while (!condition.call()) {
-                assertTrue(System.nanoTime() < endNanos, "the condition was not met in time");
-                TimeUnit.MILLISECONDS.sleep(2);
-            }
-        } catch (Exception e) {
-            throw new IllegalStateException(e);
-        }
-    }
 }
--- a/org.cactusshift.standin/src/test/java/org/cactusshift/standin/platform/StandInPlatformTest.java
+++ b/org.cactusshift.standin/src/test/java/org/cactusshift/standin/platform/StandInPlatformTest.java
@@ -10,8 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Callable;
-import java.util.concurrent.TimeUnit;
+import org.cactusshift.standin.Await;
 import org.cactusshift.standin.StandInClient;
 import org.cactusshift.standin.engine.EngineTiming;
 import org.junit.jupiter.api.AfterEach;
@@ -21,8 +20,6 @@
 class StandInPlatformTest {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private static final long BOUND_MILLIS = 20_000;
-
     private static final String ORDERS = "/v1/failure-domains/a/orders";
 
     private final StandInClient client = StandInClient.create();
@@ -51,12 +48,12 @@
         assertThrows(IOException.class, () -> client.post(address, ORDERS, order, "o1"));
         assertEquals(201, client.post(address, ORDERS, order, "o2").status());
         assertEquals(1, platform.orderingService().orders().size());
-        awaitTrue(() -> firstOrder().path("state").asText().equals("running"));
+        Await.until(() -> firstOrder().path("state").asText().equals("running"));
         JsonNode upstream = firstOrder().path("upstreams").path(0);
         assertEquals(200, client.get(upstream.path("address").asText(), "/load").status());
         assertTrue(instances().contains(upstream.path("upstream_id").asText() + " live"));
         assertEquals(List.of(upstream.path("upstream_id").asText()), platform.reclaim("a", 1));
-        awaitTrue(() -> instances().size() == 3);
+        Await.until(() -> instances().size() == 3);
         assertThrows(
                 IOException.class, () -> client.get(upstream.path("address").asText(), "/load"));
     }
@@ -76,7 +73,7 @@
         String order = "{\"order_id\": \"v\", \"fencing_number\": 1, \"kind\": \"load_version\", \"version\": \"2\"}";
         String engine = platform.engine("lm-1").address();
         assertEquals(202, client.post(engine, "/orders", order, "v").status());
-        awaitTrue(() -> read(engine, "/orders").path("version").asText().equals("2"));
+        Await.until(() -> read(engine, "/orders").path("version").asText().equals("2"));
         assertEquals(1, platform.weightStore().log().count());
     }
 
@@ -116,16 +113,4 @@
     private JsonNode read(String address, String path) throws IOException {
         return MAPPER.readTree(client.get(address, path).text());
     }
-
-    private static void awaitTrue(Callable<Boolean> condition) {
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BOUND_MILLIS);
-        try {
-            while (!condition.call()) {
-                assertTrue(System.nanoTime() < endNanos, "the condition was not met in time");
-                TimeUnit.MILLISECONDS.sleep(2);
-            }
-        } catch (Exception e) {
-            throw new IllegalStateException(e);
-        }
-    }
 }
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/Await.java
@@ -0,0 +1,32 @@
+package org.cactusshift.systemtest;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+/** Polls for a condition with a bound. */
+public final class Await {
+    private static final long BOUND_MILLIS = 20_000;
+
+    private static final long POLL_MILLIS = 2;
+
+    private Await() {}
+
+    /**
+     * Waits until a condition holds, and fails when it does not within the bound.
+     *
+     * @param condition the condition
+     */
+    public static void until(Callable<Boolean> condition) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BOUND_MILLIS);
+        try {
+            while (!condition.call()) {
+                assertTrue(System.nanoTime() < endNanos, "the condition was not met in time");
+                TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+            }
+        } catch (Exception e) {
+            throw new IllegalStateException("the condition could not be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/NodeProcess.java
@@ -0,0 +1,206 @@
+package org.cactusshift.systemtest;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.config.Json;
+import org.cactusshift.config.NodeSettings;
+import org.cactusshift.standin.StandInClient;
+
+/** A Java process that a failure test started, with the signals that it may send by the process's own id. */
+final class NodeProcess implements AutoCloseable {
+    private static final String NODE_MAIN = "org.cactusshift.node.NodeMain";
+
+    private static final List<String> JVM_OPTIONS = List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
+    private static final long SIGNAL_LIMIT_MILLIS = 10_000;
+
+    private static final long POLL_MILLIS = 20;
+
+    private static final int HTTP_OK = 200;
+
+    private final Process process;
+
+    private final Path output;
+
+    private NodeProcess(Process process, Path output) {
+        this.process = process;
+        this.output = output;
+    }
+
+    /**
+     * Starts a node.
+     *
+     * @param settings its settings, written to a file in the directory
+     * @param directory for the settings and the output
+     * @return the process
+     * @throws IOException if it can't be started
+     */
+    static NodeProcess startNode(NodeSettings settings, Path directory) throws IOException {
+        String name = settings.instanceId().value();
+        Path file = directory.resolve(name + ".json");
+        Files.write(file, Json.mapper().writeValueAsBytes(settings));
+        return start(NODE_MAIN, directory.resolve(name + ".log"), "--settings", file.toString());
+    }
+
+    /**
+     * Starts a class of the tests' class path.
+     *
+     * @param mainClass the class
+     * @param output the file that standard output and standard error go to, after what it holds
+     * @param arguments the arguments
+     * @return the process
+     * @throws IOException if it can't be started
+     */
+    static NodeProcess start(String mainClass, Path output, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(JVM_OPTIONS);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null")))
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
+                .start();
+        return new NodeProcess(process, output);
+    }
+
+    /**
+     * Returns the process id.
+     *
+     * @return the id
+     */
+    long pid() {
+        return process.pid();
+    }
+
+    /**
+     * Tells whether the process lives.
+     *
+     * @return true also while it is paused
+     */
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /**
+     * Stops the process where it stands (SIGSTOP).
+     *
+     * @throws IOException if the signal can't be sent
+     */
+    void pause() throws IOException {
+        signal("STOP");
+    }
+
+    /**
+     * Lets a paused process go on (SIGCONT).
+     *
+     * @throws IOException if the signal can't be sent
+     */
+    void resume() throws IOException {
+        signal("CONT");
+    }
+
+    /**
+     * Kills the process at once (SIGKILL).
+     *
+     * @throws IOException if the signal can't be sent
+     */
+    void kill() throws IOException {
+        signal("KILL");
+    }
+
+    /**
+     * Asks the process to stop (SIGTERM).
+     *
+     * @throws IOException if the signal can't be sent
+     */
+    void terminate() throws IOException {
+        signal("TERM");
+    }
+
+    /**
+     * Waits for the end of the process.
+     *
+     * @param limitMillis the longest wait, in milliseconds
+     * @return the exit status, empty when it still lives
+     * @throws InterruptedException if the wait was interrupted
+     */
+    OptionalInt awaitExit(long limitMillis) throws InterruptedException {
+        return process.waitFor(limitMillis, TimeUnit.MILLISECONDS)
+                ? OptionalInt.of(process.exitValue())
+                : OptionalInt.empty();
+    }
+
+    /**
+     * Waits until a page answers with status 200.
+     *
+     * @param client the client
+     * @param address the address as {@code ADDRESS:PORT}
+     * @param path the path, such as {@code /readyz}
+     * @param limitMillis the longest wait, in milliseconds
+     * @return false when the process ended or the limit passed before
+     * @throws InterruptedException if the wait was interrupted
+     */
+    boolean awaitPage(StandInClient client, String address, String path, long limitMillis) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
+        while (isAlive() && System.nanoTime() < endNanos) {
+            if (statusOf(client, address, path)
+                    .filter(status -> status == HTTP_OK)
+                    .isPresent()) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+        return false;
+    }
+
+    /**
+     * Returns what the process has printed.
+     *
+     * @return the text of standard output and standard error
+     * @throws IOException if the file can't be read
+     */
+    String output() throws IOException {
+        return Files.readString(output, StandardCharsets.UTF_8);
+    }
+
+    /** Kills the process if it lives and waits for its end. */
+    @Override
+    public void close() {
+        process.destroyForcibly();
+        try {
+            process.waitFor(SIGNAL_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Optional<Integer> statusOf(StandInClient client, String address, String path) {
+        try {
+            return Optional.of(client.get(address, path).status());
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private void signal(String name) throws IOException {
+        Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
+        try {
+            if (!kill.waitFor(SIGNAL_LIMIT_MILLIS, TimeUnit.MILLISECONDS) || kill.exitValue() != 0) {
+                throw new IOException("signal " + name + " was not sent to process " + process.pid());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/NodeProcessTest.java
@@ -0,0 +1,74 @@
+package org.cactusshift.systemtest;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.OptionalInt;
+import org.cactusshift.standin.StandInClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class NodeProcessTest {
+    private static final long BOUND_MILLIS = 60_000;
+
+    private static final int EXIT_OF_SIGKILL = 128 + 9;
+
+    private static final int EXIT_OF_SIGTERM = 128 + 15;
+
+    private final StandInClient client = StandInClient.create();
+
+    private String address;
+
+    private NodeProcess process;
+
+    @BeforeEach
+    void start(@TempDir Path directory) throws IOException, InterruptedException {
+        address = FreePorts.addresses(1).get(0);
+        String port = address.substring(address.lastIndexOf(':') + 1);
+        process = NodeProcess.start(PlainServiceMain.class.getName(), directory.resolve("out"), port);
+        assertTrue(process.awaitPage(client, address, "/load", BOUND_MILLIS), process.output());
+    }
+
+    @AfterEach
+    void stop() {
+        process.close();
+        client.close();
+    }
+
+    @Test
+    void pausedProcessAnswersNothingUntilItIsResumed() throws IOException {
+        process.pause();
+        assertThrows(IOException.class, () -> client.get(address, "/load"));
+        assertTrue(process.isAlive());
+        process.resume();
+        assertEquals(200, client.get(address, "/load").status());
+    }
+
+    @Test
+    void killedProcessEndsWithoutItsShutdownHook() throws IOException, InterruptedException {
+        process.kill();
+        assertEquals(OptionalInt.of(EXIT_OF_SIGKILL), process.awaitExit(BOUND_MILLIS));
+        assertFalse(process.output().contains("stopping"));
+        assertThrows(IOException.class, () -> client.get(address, "/load"));
+    }
+
+    @Test
+    void terminatedProcessRunsItsShutdownHook() throws IOException, InterruptedException {
+        process.terminate();
+        assertEquals(OptionalInt.of(EXIT_OF_SIGTERM), process.awaitExit(BOUND_MILLIS));
+        assertTrue(process.output().contains("stopping"));
+    }
+
+    @Test
+    void pausedProcessIsKilledAtTheEnd() throws IOException {
+        process.pause();
+        process.close();
+        assertFalse(process.isAlive());
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/RelayLink.java
@@ -0,0 +1,144 @@
+package org.cactusshift.systemtest;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** One connection through a {@link TcpRelay}; a reader and a writer for each direction. */
+final class RelayLink {
+    private static final int BUFFER_BYTES = 16_384;
+
+    private static final int QUEUE_CHUNKS = 256;
+
+    private static final byte[] END = new byte[0];
+
+    private final TcpRelay relay;
+
+    private final Socket caller;
+
+    private final Socket upstream;
+
+    private final Map<Direction, BlockingQueue<Chunk>> queues = new EnumMap<>(Direction.class);
+
+    private volatile boolean silent;
+
+    RelayLink(TcpRelay relay, Socket caller, Socket upstream) throws IOException {
+        this.relay = relay;
+        this.caller = caller;
+        this.upstream = upstream;
+        caller.setTcpNoDelay(true);
+        upstream.setTcpNoDelay(true);
+        for (Direction direction : Direction.values()) {
+            queues.put(direction, new LinkedBlockingQueue<>(QUEUE_CHUNKS));
+        }
+    }
+
+    boolean isSilent() {
+        return silent;
+    }
+
+    void silence() {
+        silent = true;
+    }
+
+    /** Breaks both sides at once. */
+    void reset() {
+        relay.forget(this);
+        reset(caller);
+        reset(upstream);
+    }
+
+    /** Reads from one side until its end. */
+    void read(Direction direction) {
+        try {
+            InputStream input = sourceOf(direction).getInputStream();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            int count = input.read(buffer);
+            while (count >= 0) {
+                queues.get(direction).put(new Chunk(Arrays.copyOf(buffer, count), dueNanos()));
+                count = input.read(buffer);
+            }
+            queues.get(direction).put(new Chunk(END, dueNanos()));
+        } catch (IOException e) {
+            breakUnlessSilent();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Writes to the other side what was read, when it is due and may pass. */
+    void write(Direction direction) {
+        try {
+            OutputStream output = sinkOf(direction).getOutputStream();
+            while (true) {
+                Chunk chunk = queues.get(direction).take();
+                TimeUnit.NANOSECONDS.sleep(chunk.dueNanos() - System.nanoTime());
+                if (!relay.awaitPassage(this, direction)) {
+                    drain(direction);
+                    return;
+                }
+                if (chunk.bytes().length == 0) {
+                    endOf(direction);
+                    return;
+                }
+                output.write(chunk.bytes());
+            }
+        } catch (IOException e) {
+            breakUnlessSilent();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException e) {
+            // It was closed before.
+        }
+    }
+
+    /** Takes what a silent side still sends, so that it never notices. */
+    private void drain(Direction direction) throws InterruptedException {
+        while (silent && !sourceOf(direction).isClosed()) {
+            queues.get(direction).take();
+        }
+    }
+
+    private void endOf(Direction direction) throws IOException {
+        sinkOf(direction).shutdownOutput();
+        if (sinkOf(direction).isInputShutdown() || sourceOf(direction).isOutputShutdown()) {
+            relay.forget(this);
+            caller.close();
+            upstream.close();
+        }
+    }
+
+    private void breakUnlessSilent() {
+        if (!silent) {
+            reset();
+        }
+    }
+
+    private long dueNanos() {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(relay.delayMillis());
+    }
+
+    private Socket sourceOf(Direction direction) {
+        return direction == Direction.TO_TARGET ? caller : upstream;
+    }
+
+    private Socket sinkOf(Direction direction) {
+        return direction == Direction.TO_TARGET ? upstream : caller;
+    }
+
+    private record Chunk(byte[] bytes, long dueNanos) {}
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/TcpRelay.java
@@ -0,0 +1,243 @@
+package org.cactusshift.systemtest;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * Forwards loopback TCP connections to a target, with switches for the faults of a network.
+ *
+ * <p>The switches:
+ *
+ * <ul>
+ *   <li>{@link #cut()}: breaks all connections and refuses new ones;
+ *   <li>{@link #hold}: bytes of one direction wait until {@link #restore()}, as in a network partition;
+ *   <li>{@link #silenceOpenConnections()}: the connections open now never bring anything again, not even their end,
+ *       while new ones work;
+ *   <li>{@link #setDelayMillis}: every byte arrives later.
+ * </ul>
+ */
+final class TcpRelay implements AutoCloseable {
+    private static final int BACKLOG = 256;
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 2000;
+
+    private final String target;
+
+    private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task, "tcp-relay");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /** Guards the switches and the links; notified at each change. */
+    private final Object lock = new Object();
+
+    private final Set<RelayLink> links = new HashSet<>();
+
+    private final Set<Direction> held = EnumSet.noneOf(Direction.class);
+
+    private final int port;
+
+    private ServerSocket listener;
+
+    private long delayMillis;
+
+    private TcpRelay(String target, ServerSocket listener) {
+        this.target = target;
+        this.listener = listener;
+        this.port = listener.getLocalPort();
+    }
+
+    /**
+     * Starts a relay.
+     *
+     * @param target where the connections go, as {@code ADDRESS:PORT}
+     * @return the relay, which forwards everything
+     * @throws IOException if no port can be opened
+     */
+    static TcpRelay start(String target) throws IOException {
+        TcpRelay relay = new TcpRelay(target, listen(0));
+        relay.acceptFrom(relay.listener);
+        return relay;
+    }
+
+    /**
+     * Returns where the relay listens.
+     *
+     * @return the address as {@code ADDRESS:PORT}
+     */
+    String address() {
+        return InetAddress.getLoopbackAddress().getHostAddress() + ":" + port;
+    }
+
+    /**
+     * Returns how many connections are open.
+     *
+     * @return the number
+     */
+    int openConnections() {
+        synchronized (lock) {
+            return links.size();
+        }
+    }
+
+    /**
+     * Breaks all connections and refuses new ones.
+     *
+     * @throws IOException if the listening socket can't be closed
+     */
+    void cut() throws IOException {
+        List<RelayLink> broken;
+        synchronized (lock) {
+            listener.close();
+            broken = List.copyOf(links);
+            lock.notifyAll();
+        }
+        broken.forEach(RelayLink::reset);
+    }
+
+    /**
+     * Holds the bytes of one direction back on all connections, open and new.
+     *
+     * @param direction the direction
+     */
+    void hold(Direction direction) {
+        synchronized (lock) {
+            held.add(direction);
+        }
+    }
+
+    /** Holds the bytes of both directions back. */
+    void holdBoth() {
+        hold(Direction.TO_TARGET);
+        hold(Direction.FROM_TARGET);
+    }
+
+    /** Makes the connections open now silent for good; new ones work. */
+    void silenceOpenConnections() {
+        synchronized (lock) {
+            links.forEach(RelayLink::silence);
+            lock.notifyAll();
+        }
+    }
+
+    /**
+     * Delays every byte that arrives from now on.
+     *
+     * @param delayMillis the delay of each direction, in milliseconds
+     */
+    void setDelayMillis(long delayMillis) {
+        synchronized (lock) {
+            this.delayMillis = delayMillis;
+        }
+    }
+
+    /**
+     * Ends a cut and all holds; held bytes go on. Silent connections stay silent.
+     *
+     * @throws IOException if the port can't be opened again
+     */
+    void restore() throws IOException {
+        ServerSocket reopened = null;
+        synchronized (lock) {
+            held.clear();
+            if (listener.isClosed()) {
+                reopened = listen(port);
+                listener = reopened;
+            }
+            lock.notifyAll();
+        }
+        if (reopened != null) {
+            acceptFrom(reopened);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        cut();
+        threads.shutdownNow();
+    }
+
+    long delayMillis() {
+        synchronized (lock) {
+            return delayMillis;
+        }
+    }
+
+    /** Waits until bytes of a link may pass; returns false when the link is silent or closed. */
+    boolean awaitPassage(RelayLink link, Direction direction) throws InterruptedException {
+        synchronized (lock) {
+            while (held.contains(direction) && !link.isSilent() && links.contains(link)) {
+                lock.wait();
+            }
+            return !link.isSilent() && links.contains(link);
+        }
+    }
+
+    void forget(RelayLink link) {
+        synchronized (lock) {
+            links.remove(link);
+            lock.notifyAll();
+        }
+    }
+
+    private void acceptFrom(ServerSocket from) {
+        threads.execute(() -> {
+            try {
+                while (true) {
+                    Socket caller = from.accept();
+                    threads.execute(() -> connect(caller));
+                }
+            } catch (IOException e) {
+                // The socket was closed by a cut or at the end.
+            }
+        });
+    }
+
+    private void connect(Socket caller) {
+        Socket upstream = new Socket();
+        try {
+            int colon = target.lastIndexOf(':');
+            upstream.connect(
+                    new InetSocketAddress(target.substring(0, colon), Integer.parseInt(target.substring(colon + 1))),
+                    CONNECT_TIMEOUT_MILLIS);
+            RelayLink link = new RelayLink(this, caller, upstream);
+            if (register(link)) {
+                threads.execute(() -> link.read(Direction.TO_TARGET));
+                threads.execute(() -> link.write(Direction.TO_TARGET));
+                threads.execute(() -> link.read(Direction.FROM_TARGET));
+                threads.execute(() -> link.write(Direction.FROM_TARGET));
+            }
+        } catch (IOException e) {
+            RelayLink.reset(caller);
+            RelayLink.reset(upstream);
+        }
+    }
+
+    /** Adds a link, unless a cut came in between. */
+    private boolean register(RelayLink link) throws SocketException {
+        synchronized (lock) {
+            if (listener.isClosed()) {
+                throw new SocketException("cut");
+            }
+            return links.add(link);
+        }
+    }
+
+    private static ServerSocket listen(int port) throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+        return socket;
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/EtcdKeyValueStore.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/EtcdKeyValueStore.java
@@ -30,6 +30,8 @@
  *
  * <p>The addresses are tried in turn, starting with the one that answered last. A write goes to the next address only
  * when no byte of it can have been sent; once a byte may have been sent, anything but an answer is an unknown effect.
+ * A read that fails on a connection that served earlier calls is sent again on a fresh one, since open connections may
+ * go silent while new ones work.
  */
 public final class EtcdKeyValueStore implements KeyValueStore, AutoCloseable {
     private static final int HTTP_OK = 200;
@@ -173,12 +175,23 @@
 
     private <T> Either<Failure, T> callAt(
             StoreConnectionPool pool, String step, EtcdRequest request, Decoder<T> decoder, boolean isWrite) {
-        StoreConnection connection;
         try {
-            connection = pool.take();
+            StoreConnection connection = pool.take();
+            Either<Failure, T> result = callOn(connection, pool, step, request, decoder, isWrite);
+            boolean isWorthAnother = !isWrite && connection.isReused() && connection.isBroken();
+            return isWorthAnother ? callOn(pool.open(), pool, step, request, decoder, false) : result;
         } catch (IOException e) {
             return Either.left(Failure.noEffect(step, pool.address(), "cannot connect: " + e.getMessage()));
         }
+    }
+
+    private <T> Either<Failure, T> callOn(
+            StoreConnection connection,
+            StoreConnectionPool pool,
+            String step,
+            EtcdRequest request,
+            Decoder<T> decoder,
+            boolean isWrite) {
         Future<?> deadline = deadlines.schedule(connection::abort, settings.callTimeoutMillis(), TimeUnit.MILLISECONDS);
         try {
             StoreConnection.StoreAnswer answer = connection.exchange(request, settings.callTimeoutMillis());
@@ -189,7 +202,7 @@
             return result;
         } catch (IOException e) {
             deadline.cancel(false);
-            connection.abort();
+            connection.markBroken();
             pool.discardIdle();
             return Either.left(broken(isWrite, step, pool.address(), "no answer: " + e.getMessage()));
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/StoreConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/StoreConnection.java
@@ -5,9 +5,11 @@
 import java.net.Socket;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionReuseStrategy;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
@@ -27,10 +29,18 @@
 
     private static final HttpProcessor PROCESSOR = HttpProcessors.client();
 
+    private static final ConnectionReuseStrategy REUSE = DefaultConnectionReuseStrategy.INSTANCE;
+
     private final HttpHost host;
 
     private final DefaultBHttpClientConnection connection;
 
+    private boolean reusable;
+
+    private boolean reused;
+
+    private boolean broken;
+
     private StoreConnection(HttpHost host, DefaultBHttpClientConnection connection) {
         this.host = host;
         this.connection = connection;
@@ -68,8 +78,10 @@
      * @throws IOException if the exchange broke off; the request may have taken effect
      */
     StoreAnswer exchange(EtcdRequest request, long timeoutMillis) throws IOException {
-        try (ClassicHttpResponse response = begin(request, timeoutMillis)) {
+        HttpCoreContext context = HttpCoreContext.create();
+        try (ClassicHttpResponse response = begin(request, timeoutMillis, context)) {
             byte[] body = EntityUtils.toByteArray(response.getEntity());
+            reusable = REUSE.keepAlive(context.getRequest(), response, context);
             return new StoreAnswer(response.getCode(), body == null ? new byte[0] : body);
         }
     }
@@ -83,11 +95,15 @@
      * @throws IOException if the exchange broke off; the request may have taken effect
      */
     ClassicHttpResponse begin(EtcdRequest request, long timeoutMillis) throws IOException {
+        return begin(request, timeoutMillis, HttpCoreContext.create());
+    }
+
+    private ClassicHttpResponse begin(EtcdRequest request, long timeoutMillis, HttpCoreContext context)
+            throws IOException {
         ClassicHttpRequest message = ClassicRequestBuilder.post(request.path())
                 .setHttpHost(host)
                 .setEntity(new ByteArrayEntity(request.body(), ContentType.APPLICATION_JSON))
                 .build();
-        HttpCoreContext context = HttpCoreContext.create();
         connection.setSocketTimeout(Timeout.ofMilliseconds(timeoutMillis));
         try {
             EXECUTOR.preProcess(message, PROCESSOR, context);
@@ -99,6 +115,32 @@
         }
     }
 
+    /** Tells whether the last answer was read to its end and leaves the connection open for another request. */
+    boolean isReusable() {
+        return reusable;
+    }
+
+    /** Notes that the connection has served an earlier call. */
+    void markReused() {
+        reused = true;
+    }
+
+    /** Tells whether the connection has served an earlier call, so that a fresh one may fare better. */
+    boolean isReused() {
+        return reused;
+    }
+
+    /** Closes the connection after a call that broke off. */
+    void markBroken() {
+        broken = true;
+        abort();
+    }
+
+    /** Tells whether a call broke off on the connection. */
+    boolean isBroken() {
+        return broken;
+    }
+
     /** Tells whether the peer has closed an idle connection. */
     boolean isStale() {
         try {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/StoreConnectionPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/StoreConnectionPool.java
@@ -36,18 +36,29 @@
         Optional<StoreConnection> found = poll();
         while (found.isPresent()) {
             if (!found.get().isStale()) {
+                found.get().markReused();
                 return found.get();
             }
             found.get().abort();
             found = poll();
         }
+        return open();
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @return the connection; returned by {@link #giveBack} or aborted
+     * @throws IOException if it can't be opened
+     */
+    StoreConnection open() throws IOException {
         return StoreConnection.open(address, settings.connectTimeoutMillis());
     }
 
-    /** Keeps a connection whose last answer was read to its end. */
+    /** Keeps a connection for later calls when its last answer allows it, else closes it. */
     void giveBack(StoreConnection connection) {
         synchronized (idle) {
-            if (!closed && idle.size() < settings.idleConnectionsPerAddress()) {
+            if (!closed && connection.isReusable() && idle.size() < settings.idleConnectionsPerAddress()) {
                 idle.push(connection);
                 return;
             }
