Keep long prompts and brief ones apart, and let slack decide

A prompt that an engine processes slows every sequence beside it, so brief answers with deadlines of seconds came late. All nodes now keep long prompts to the front of the fleet and brief ones behind, in the proportion in which their work arrives; a node prefers upstreams near its own place, so that each upstream hears mostly from nodes that know what they sent; and a long prompt waits when the attempts beside it have less slack than it would take. The cost that is compared is now apart from the time that is promised, so that a preference never refuses a request.

Tried and dropped: a bias by place without keeping long prompts out, which changed nothing since backlogs spilled over the whole fleet; and pacing by the reported rate of one sequence. The role planner counts less loss for mixing, since routing now avoids most of it.

--- a/org.cactusshift.replay/src/main/java/org/cactusshift/replay/OracleRouting.java
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/OracleRouting.java
@@ -16,6 +16,7 @@
 /** Routes by the true state of the upstreams and the true lengths; a bound, not a policy that could be run. */
 final class OracleRouting implements RoutingPolicy {
     private static final double MAXIMUM_BACKLOG_MILLIS = 500;
+    private static final double LONG_ZONE_MILLIS = 1_500;
 
     private final SimulatedFleet fleet;
     private final Map<String, TraceEvent.Request> requests;
@@ -29,9 +30,15 @@
     public Optional<Route> choose(FleetView view, RouteQuery query, long nowMillis, RandomGenerator random) {
         TraceEvent.Request request = requests.get(query.request().id().value());
         List<Candidate> candidates = new ArrayList<>();
+        boolean zoned =
+                view.upstreams().stream().anyMatch(state -> query.allows(state, nowMillis) && query.isInZone(state));
         for (UpstreamState state : view.upstreams()) {
             SimulatedUpstream upstream = fleet.find(state.id().value());
-            if (query.allows(state, nowMillis) && !upstream.isDown()) {
+            boolean keepsOut = zoned
+                    && !query.isInZone(state)
+                    && query.isLong()
+                    && upstream.load().running() > 0;
+            if (query.allows(state, nowMillis) && !upstream.isDown() && !keepsOut) {
                 candidates.add(
                         upstream instanceof EngineSimulator
                                 ? weigh(state, (EngineSimulator) upstream, query, request)
@@ -40,7 +47,7 @@
         }
         return candidates.stream()
                 .filter(Candidate::hasRoom)
-                .min(Comparator.comparingDouble(Candidate::completionMillis))
+                .min(Comparator.comparingDouble(Candidate::costMillis))
                 .map(chosen ->
                         new Route(view.find(chosen.upstream()).orElseThrow(), Optional.empty(), chosen, candidates));
     }
@@ -60,6 +67,7 @@
                 state.id(),
                 backlogMillis + prefillMillis,
                 backlogMillis + prefillMillis + decodeMillis,
+                backlogMillis + prefillMillis + decodeMillis + (query.isInZone(state) ? 0 : LONG_ZONE_MILLIS),
                 cachedTokens,
                 fits && load.waiting() == 0 && backlogMillis <= MAXIMUM_BACKLOG_MILLIS,
                 Optional.empty());
@@ -68,6 +76,7 @@
     private static Candidate weigh(UpstreamState state, SimulatedUpstream upstream, TraceEvent.Request request) {
         var load = upstream.load();
         double waitMillis = (load.running() + load.waiting()) * request.serviceMillis() / 4.0;
-        return new Candidate(state.id(), waitMillis, waitMillis + request.serviceMillis(), 0, true, Optional.empty());
+        return new Candidate(
+                state.id(), waitMillis, waitMillis + request.serviceMillis(), waitMillis, 0, true, Optional.empty());
     }
 }
--- a/org.cactusshift.replay/src/main/java/org/cactusshift/replay/PolicyResult.java
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/PolicyResult.java
@@ -10,10 +10,15 @@
  * @param policy the policy
  * @param measures the measures by name
  * @param refusals refusals by reason
+ * @param kinds what became of each kind of work
  * @param timeline the measures over time
  */
 public record PolicyResult(
-        String policy, Map<String, Double> measures, Map<String, Long> refusals, List<TimelinePoint> timeline) {
+        String policy,
+        Map<String, Double> measures,
+        Map<String, Long> refusals,
+        Map<String, KindResult> kinds,
+        List<TimelinePoint> timeline) {
     /** Requests answered whole, within their deadline, once. */
     public static final String GOODPUT = "goodput";
     /** Requests of the trace. */
@@ -58,6 +63,16 @@
         return Optional.ofNullable(measures.get(name));
     }
 
+    /**
+     * What became of one kind of work.
+     *
+     * @param requests requests
+     * @param goodput requests answered whole, within their deadline, once
+     * @param refused requests that were refused
+     * @param late requests that were neither
+     */
+    public record KindResult(long requests, long goodput, long refused, long late) {}
+
     /**
      * A span of the timeline.
      *
--- a/org.cactusshift.replay/src/main/java/org/cactusshift/replay/ReplayRun.java
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/ReplayRun.java
@@ -57,7 +57,7 @@
         }
         int nodeCount = oracle ? 1 : trace.header().nodes();
         for (int i = 0; i < nodeCount; i++) {
-            nodes.add(new SimulatedNode(i, trace.header().services(), this::dispatchPolicy, events, fleet));
+            nodes.add(new SimulatedNode(i, nodeCount, trace.header().services(), this::dispatchPolicy, events, fleet));
         }
         this.driver = new FleetDriver(trace.header(), policy, events, fleet, nodes, accounts);
         this.measures = new RunMeasures(trace.header(), calls, fleet);
--- a/org.cactusshift.replay/src/main/java/org/cactusshift/replay/RunMeasures.java
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/RunMeasures.java
@@ -64,7 +64,7 @@
         measures.put(PolicyResult.RETRY_SHARE, ratio(extra, counted.size()));
         measures.put(PolicyResult.FIRST_TOKEN_P95_MILLIS, firstTokenP95Millis(counted));
         measures.replaceAll((name, value) -> Math.round(value * 10_000) / 10_000.0);
-        return new PolicyResult(policy, measures, refusals(counted), timeline(counted));
+        return new PolicyResult(policy, measures, refusals(counted), kinds(counted), timeline(counted));
     }
 
     private static boolean isQuarantined(Call call) {
@@ -112,6 +112,19 @@
         return refusals;
     }
 
+    private static Map<String, PolicyResult.KindResult> kinds(List<Call> counted) {
+        Map<String, PolicyResult.KindResult> kinds = new TreeMap<>();
+        counted.stream().map(call -> call.request.kind()).distinct().forEach(kind -> {
+            List<Call> own = counted.stream()
+                    .filter(call -> call.request.kind().equals(kind))
+                    .toList();
+            long good = count(own, Call::isGood);
+            long refused = count(own, call -> call.refusal.isPresent());
+            kinds.put(kind, new PolicyResult.KindResult(own.size(), good, refused, own.size() - good - refused));
+        });
+        return kinds;
+    }
+
     private List<PolicyResult.TimelinePoint> timeline(List<Call> counted) {
         List<PolicyResult.TimelinePoint> points = new ArrayList<>();
         for (long end = SPAN_MILLIS; end <= header.durationMillis(); end += SPAN_MILLIS) {
--- a/org.cactusshift.replay/src/main/java/org/cactusshift/replay/SimulatedNode.java
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/SimulatedNode.java
@@ -45,7 +45,12 @@
     }
 
     SimulatedNode(
-            int index, List<TraceService> services, PolicyFactory policy, EventQueue events, SimulatedFleet fleet) {
+            int index,
+            int nodes,
+            List<TraceService> services,
+            PolicyFactory policy,
+            EventQueue events,
+            SimulatedFleet fleet) {
         this.events = Objects.requireNonNull(events);
         this.fleet = Objects.requireNonNull(fleet);
         for (TraceService service : services) {
@@ -55,7 +60,9 @@
                     MAXIMUM_QUEUED_REQUESTS,
                     RETRY_BUDGET_RATIO);
             long seed = 31L * index + service.id().hashCode();
-            dispatchers.put(service.id(), ServiceDispatcher.create(options, policy.create(), new Random(seed)));
+            ServiceDispatcher dispatcher = ServiceDispatcher.create(options, policy.create(), new Random(seed));
+            dispatcher.onPeers(index, nodes);
+            dispatchers.put(service.id(), dispatcher);
         }
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Dispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Dispatcher.java
@@ -114,6 +114,15 @@
      */
     List<DispatchDecision> onTime(long nowMillis);
 
+    /**
+     * Takes the place of this node among the live nodes in the order of their ids. A dispatcher may prefer upstreams
+     * near it, so that each upstream hears mostly from few nodes.
+     *
+     * @param index the place, from 0
+     * @param nodes the number of live nodes, this one included
+     */
+    default void onPeers(int index, int nodes) {}
+
     /**
      * Takes cache events of an engine. A dispatcher that doesn't route by prefix ignores them.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -24,6 +24,7 @@
 import org.cactusshift.internal.coordination.retry.RetryBudget;
 import org.cactusshift.internal.coordination.routing.Candidate;
 import org.cactusshift.internal.coordination.routing.FleetView;
+import org.cactusshift.internal.coordination.routing.MixMeter;
 import org.cactusshift.internal.coordination.routing.PrefixIndex;
 import org.cactusshift.internal.coordination.routing.Promise;
 import org.cactusshift.internal.coordination.routing.Route;
@@ -56,11 +57,13 @@
     private final AccountLimiter limiter = AccountLimiter.create();
     private final RetryBudget retryBudget;
     private final WorkEstimator estimator = new WorkEstimator();
+    private final MixMeter mix = MixMeter.create();
     private final RemoteSends remoteSends = new RemoteSends();
     private final DecisionLog log = new DecisionLog();
     private final Map<RequestId, PendingRequest> queued = new HashMap<>();
     private final Map<AttemptId, Attempt> attempts = new HashMap<>();
     private final Map<AccountId, AccountTotals> totals = new LinkedHashMap<>();
+    private double nodePlace;
     private long nextAttempt;
 
     private ServiceDispatcher(DispatcherOptions options, DispatchPolicy policy, RandomGenerator random) {
@@ -113,7 +116,7 @@
     public List<DispatchDecision> submit(DispatchRequest request, long nowMillis) {
         retryBudget.onRequest();
         totalsOf(request.account()).requestsInFlight++;
-        PendingRequest pending = pending(request);
+        PendingRequest pending = pending(request, nowMillis);
         Optional<DispatchDecision> refusal = check(pending, nowMillis);
         if (refusal.isPresent()) {
             return List.of(refusal.get());
@@ -132,10 +135,11 @@
         return decisions;
     }
 
-    private PendingRequest pending(DispatchRequest request) {
+    private PendingRequest pending(DispatchRequest request, long nowMillis) {
         long outputTokens = estimator.expectedOutputTokens(request);
         long serviceMillis =
                 policy.refusesEarly() ? estimator.shortestServiceMillis(uncachedTokens(request), outputTokens) : 0;
+        mix.onArrival(request.promptTokens(), estimator.cost(request.promptTokens(), outputTokens), nowMillis);
         return new PendingRequest(request, outputTokens, request.deadlineMillis() - serviceMillis);
     }
 
@@ -319,6 +323,11 @@
         return pump(nowMillis);
     }
 
+    @Override
+    public void onPeers(int index, int nodes) {
+        nodePlace = (double) index / nodes;
+    }
+
     @Override
     public void onCacheEvents(UpstreamId upstream, List<PrefixIndex.Event> events) {
         events.forEach(event -> fleet.prefixes().onEvent(upstream, event));
@@ -486,7 +495,19 @@
                 pending.request.promptTokens() + pending.deliveredTokens,
                 pending.remainingOutputTokens(),
                 suspects.reservedIds(),
-                policy.protectsNonRepeatable() && !pending.request.repeatable());
+                policy.protectsNonRepeatable() && !pending.request.repeatable(),
+                longShare(),
+                nodePlace);
+    }
+
+    /** Returns the share of the fleet for long prompts, in whole upstreams, so that each kind has at least one. */
+    private double longShare() {
+        int all = fleet.upstreams().size();
+        double share = mix.longShare();
+        if (all < 2 || share >= 1 || share <= 0) {
+            return 1;
+        }
+        return (double) Math.max(1, Math.min(all - 1, Math.round(share * all))) / all;
     }
 
     private DispatchDecision send(PendingRequest pending, Route route, boolean alone, long nowMillis) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/roles/RoleSplit.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/roles/RoleSplit.java
@@ -12,7 +12,7 @@
  */
 record RoleSplit(int prefill, int decode, int mixed) {
     private static final double USABLE_SHARE = 0.9;
-    private static final double MIXING_LOSS = 0.3;
+    private static final double MIXING_LOSS = 0.05;
     private static final double LONE_ROLE_LOSS = 2;
 
     static RoleSplit of(List<EngineInRole> engines) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/CostRouting.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/CostRouting.java
@@ -28,7 +28,8 @@
     private static final double MAXIMUM_BACKLOG_MILLIS = 1_000;
     private static final double TRANSFER_TOKENS_PER_SECOND = 100_000;
     private static final double BRIEF_PREFILL_MILLIS = 100;
-    private static final double PROMISE_MARGIN = 1.1;
+    private static final double LONG_ZONE_MILLIS = 1_500;
+    private static final double HOME_MILLIS = 1_000;
     private static final double UNKNOWN_REQUEST_MILLIS = 20;
     private static final int UNKNOWN_MAXIMUM_REQUESTS = 64;
     private static final double MEMORY_PRESSURE_PIECES = 8;
@@ -92,9 +93,11 @@
                 .toList();
         boolean onlyPrefill = open.stream().allMatch(CostRouting::isPrefill);
         Optional<Prefill> prefill = onlyPrefill ? Optional.empty() : bestPrefill(open, query, cached, nowMillis);
+        boolean zoned = open.stream().anyMatch(upstream -> query.isInZone(upstream));
         List<Candidate> candidates = new ArrayList<>(open.size());
         for (UpstreamState upstream : open) {
-            if (onlyPrefill || !isPrefill(upstream)) {
+            boolean keepsOut = zoned && query.isLong() && !query.isInZone(upstream) && upstream.requests() > 0;
+            if ((onlyPrefill || !isPrefill(upstream)) && !keepsOut) {
                 candidates.add(cost(upstream, query, cached.getOrDefault(upstream.id(), 0), prefill, nowMillis));
             }
         }
@@ -148,7 +151,10 @@
         int neededPieces = Math.max(0, query.pieces() - cachedPieces);
         int leftPieces =
                 upstream.freePieces() == Integer.MAX_VALUE ? Integer.MAX_VALUE : upstream.freePieces() - neededPieces;
-        double penaltyMillis = memoryPenaltyMillis(leftPieces) + stalePenaltyMillis(upstream, nowMillis);
+        double penaltyMillis = memoryPenaltyMillis(leftPieces)
+                + stalePenaltyMillis(upstream, nowMillis)
+                + distanceMillis(upstream, query.nodePlace())
+                + (query.isLong() || query.isInZone(upstream) ? 0 : LONG_ZONE_MILLIS);
         double waitMillis = used.map(engine -> backlogMillis(engine.upstream(), nowMillis))
                 .orElse(backlogMillis(upstream, nowMillis));
         double prefillMillis = ownMillis - backlogMillis(upstream, nowMillis);
@@ -156,24 +162,21 @@
         return new Candidate(
                 upstream.id(),
                 firstTokenMillis,
+                firstTokenMillis + decodeMillis,
                 firstTokenMillis + decodeMillis + penaltyMillis,
                 used.map(Prefill::cachedTokens).orElse(ownCachedTokens),
                 empty
                         || (leftPieces >= 0
                                 && hasShortBacklog(upstream, waitMillis)
-                                && (used.isPresent() || keepsPromises(upstream, prefillMillis, nowMillis))),
+                                && (used.isPresent()
+                                        || prefillMillis <= BRIEF_PREFILL_MILLIS
+                                        || keepsPromises(upstream, ownMillis, nowMillis))),
                 used.map(engine -> engine.upstream().id()));
     }
 
-    /**
-     * Tells whether the sequences that run would keep their deadlines beside a further prompt, which slows them. A
-     * brief prompt is always taken.
-     */
-    private static boolean keepsPromises(UpstreamState upstream, double prefillMillis, long nowMillis) {
-        double rate = upstream.decodeTokensPerSecond();
-        return rate <= 0
-                || prefillMillis <= BRIEF_PREFILL_MILLIS
-                || rate >= PROMISE_MARGIN * upstream.requiredTokensPerSecond(nowMillis);
+    /** Tells whether the attempts of this node would keep their deadlines behind a further prompt, which slows them. */
+    private static boolean keepsPromises(UpstreamState upstream, double firstTokenMillis, long nowMillis) {
+        return firstTokenMillis <= upstream.leastSlackMillis(nowMillis);
     }
 
     private static boolean hasShortBacklog(UpstreamState upstream, double backlogMillis) {
@@ -183,6 +186,15 @@
         return backlogMillis <= MAXIMUM_BACKLOG_MILLIS;
     }
 
+    /**
+     * Returns a penalty for upstreams far from the node's own place, so that each upstream gets most of its requests
+     * from few nodes, which know what they sent. It gives way to a longer wait.
+     */
+    private static double distanceMillis(UpstreamState upstream, double nodePlace) {
+        double apart = Math.abs(upstream.place() - nodePlace);
+        return HOME_MILLIS * 2 * Math.min(apart, 1 - apart);
+    }
+
     private static double memoryPenaltyMillis(int leftPieces) {
         if (leftPieces >= MEMORY_PRESSURE_PIECES) {
             return 0;
@@ -197,11 +209,10 @@
     }
 
     private static Candidate draw(List<Candidate> open, RandomGenerator random) {
-        double best =
-                open.stream().mapToDouble(Candidate::completionMillis).min().orElseThrow();
+        double best = open.stream().mapToDouble(Candidate::costMillis).min().orElseThrow();
         double margin = NEAR_MARGIN_MILLIS + NEAR_MARGIN_RATIO * best;
         List<Candidate> near = open.stream()
-                .filter(candidate -> candidate.completionMillis() <= best + margin)
+                .filter(candidate -> candidate.costMillis() <= best + margin)
                 .toList();
         double total = near.stream().mapToDouble(c -> weight(c, best, margin)).sum();
         double point = random.nextDouble() * total;
@@ -215,6 +226,6 @@
     }
 
     private static double weight(Candidate candidate, double best, double margin) {
-        return 1.01 - (candidate.completionMillis() - best) / margin;
+        return 1.01 - (candidate.costMillis() - best) / margin;
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/Promise.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/Promise.java
@@ -31,13 +31,13 @@
     }
 
     /**
-     * Returns the rate that still keeps the deadline.
+     * Returns how long the rest may be held up.
      *
+     * @param tokensPerSecond the rate at which the rest is generated, above 0
      * @param nowMillis the present time
-     * @return tokens a second; 0 when the deadline has passed, since no rate keeps it
+     * @return the slack in milliseconds; negative when the deadline can't be kept
      */
-    double requiredTokensPerSecond(long nowMillis) {
-        long leftMillis = deadlineMillis - nowMillis;
-        return leftMillis <= 0 ? 0 : remainingTokens * 1_000.0 / leftMillis;
+    double slackMillis(double tokensPerSecond, long nowMillis) {
+        return deadlineMillis - nowMillis - remainingTokens * 1_000 / tokensPerSecond;
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/Route.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/Route.java
@@ -36,7 +36,7 @@
      * @return the route
      */
     public static Route withoutCosts(UpstreamState upstream, Optional<UpstreamState> prefill) {
-        Candidate chosen = new Candidate(upstream.id(), 0, 0, 0, true, prefill.map(UpstreamState::id));
+        Candidate chosen = new Candidate(upstream.id(), 0, 0, 0, 0, true, prefill.map(UpstreamState::id));
         return new Route(upstream, prefill, chosen, List.of(chosen));
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/RouteQuery.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/RouteQuery.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Set;
+import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.dispatch.DispatchRequest;
 
@@ -13,13 +14,17 @@
  * @param expectedOutputTokens output tokens still expected
  * @param excluded upstreams that must not be chosen, such as those set aside for a suspect
  * @param orderedOnly whether reclaimable upstreams must not be chosen
+ * @param longShare the share of the fleet that long prompts should keep to, 0 to 1
+ * @param nodePlace the place of this node among all, from 0 to below 1
  */
 public record RouteQuery(
         DispatchRequest request,
         long promptTokens,
         long expectedOutputTokens,
         Set<UpstreamId> excluded,
-        boolean orderedOnly) {
+        boolean orderedOnly,
+        double longShare,
+        double nodePlace) {
     /** Checks that no part is missing. */
     public RouteQuery {
         Objects.requireNonNull(request, "request");
@@ -39,6 +44,30 @@
                 && !(orderedOnly && upstream.config().reclaimable());
     }
 
+    /**
+     * Tells whether the prompt is long enough to slow the answers beside it.
+     *
+     * @return whether it is long
+     */
+    public boolean isLong() {
+        return request.promptTokens() >= MixMeter.LONG_PROMPT_TOKENS;
+    }
+
+    /**
+     * Tells whether an upstream is in the part of the fleet that the request should keep to, the same at all nodes:
+     * long prompts at the front of the declaration, brief ones behind.
+     *
+     * @param upstream the upstream
+     * @return whether it is; always true while all requests are of one kind
+     */
+    public boolean isInZone(UpstreamState upstream) {
+        if (longShare >= 1) {
+            return true;
+        }
+        boolean longZone = upstream.role() != UpstreamConfig.Role.MIXED || upstream.place() < longShare;
+        return longZone == isLong();
+    }
+
     /**
      * Returns the KV cache pieces that the request fills.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/UpstreamState.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/UpstreamState.java
@@ -22,13 +22,15 @@
 
     private static final long SEND_MEMORY_MILLIS = 30_000;
     private static final long REFUSAL_PAUSE_MILLIS = 250;
-    private static final long REQUIRED_RATE_PERIOD_MILLIS = 100;
+    private static final long SLACK_PERIOD_MILLIS = 100;
+    private static final double FASTEST_MEMORY = 0.98;
 
     private final UpstreamHealth health = UpstreamHealth.create();
     private final ArrayDeque<Change> changes = new ArrayDeque<>();
     private UpstreamConfig config;
     private Optional<EngineLoad> load = Optional.empty();
     private boolean leaving;
+    private double place;
     private int inFlight;
     private double backlogTokens;
     private long backlogAtMillis;
@@ -36,8 +38,9 @@
     private int requests;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private final Set<Promise> promises = new LinkedHashSet<>();
-    private double requiredTokensPerSecond;
-    private long requiredAtMillis = -REQUIRED_RATE_PERIOD_MILLIS;
+    private double leastSlackMillis;
+    private long slackAtMillis = -SLACK_PERIOD_MILLIS;
+    private double fastestDecodeTokensPerSecond;
     private double remoteTokensPerSecond;
 
     private UpstreamState(UpstreamConfig config) {
@@ -92,6 +95,24 @@
         leaving = isLeaving;
     }
 
+    /**
+     * Sets the place in the fleet.
+     *
+     * @param newPlace from 0 for the first upstream of the declaration to below 1
+     */
+    void setPlace(double newPlace) {
+        place = newPlace;
+    }
+
+    /**
+     * Returns the place in the fleet, the same at all nodes.
+     *
+     * @return from 0 for the first upstream of the declaration to below 1
+     */
+    double place() {
+        return place;
+    }
+
     /**
      * Returns the health.
      *
@@ -213,20 +234,26 @@
     }
 
     /**
-     * Returns the rate of one sequence at which all attempts of this node keep their deadlines.
+     * Returns how long the attempts of this node may be held up without one missing its deadline.
+     *
+     * <p>Attempts that are lost already don't count.
      *
      * @param nowMillis the present time
-     * @return tokens a second; computed anew at most every 100 ms
+     * @return the least slack in milliseconds, computed anew at most every 100 ms; infinite when nothing is expected
      */
-    public double requiredTokensPerSecond(long nowMillis) {
-        if (nowMillis - requiredAtMillis >= REQUIRED_RATE_PERIOD_MILLIS) {
-            requiredTokensPerSecond = promises.stream()
-                    .mapToDouble(promise -> promise.requiredTokensPerSecond(nowMillis))
-                    .max()
-                    .orElse(0);
-            requiredAtMillis = nowMillis;
+    public double leastSlackMillis(long nowMillis) {
+        if (fastestDecodeTokensPerSecond <= 0) {
+            return Double.POSITIVE_INFINITY;
+        }
+        if (nowMillis - slackAtMillis >= SLACK_PERIOD_MILLIS) {
+            leastSlackMillis = promises.stream()
+                    .mapToDouble(promise -> promise.slackMillis(fastestDecodeTokensPerSecond, nowMillis))
+                    .filter(slackMillis -> slackMillis > 0)
+                    .min()
+                    .orElse(Double.POSITIVE_INFINITY);
+            slackAtMillis = nowMillis;
         }
-        return requiredTokensPerSecond;
+        return leastSlackMillis;
     }
 
     /**
@@ -236,6 +263,7 @@
      */
     public void add(Promise promise) {
         promises.add(promise);
+        slackAtMillis = -SLACK_PERIOD_MILLIS;
     }
 
     /**
@@ -310,6 +338,8 @@
             health.onRestart(nowMillis);
         }
         load = Optional.of(report);
+        fastestDecodeTokensPerSecond =
+                Math.max(FASTEST_MEMORY * fastestDecodeTokensPerSecond, report.decodeTokensPerSecond());
         backlogTokens = report.queuedPrefillTokens();
         backlogAtMillis = report.measuredAtMillis();
         usedPieces = report.usedPieces();
