Test gateway faults; ask for patience while bytes arrive

An engine that sent comments without pause hid a caller's hang-up, a withdrawn key and the deadline, since the gateway asked whether the answer was wanted only during silence; a stream was seen to go on for ten minutes after its key was withdrawn. The upstream connection now asks at a fixed period, whatever arrives. Asking after each event was ruled out: comments make no event.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpClientPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpClientPool.java
@@ -64,7 +64,7 @@
      *
      * @param address the upstream, as {@code ADDRESS:PORT}
      * @param request the request with its whole entity
-     * @param observer is asked while the upstream is silent
+     * @param observer is asked while the answer arrives
      * @return the answer, to be closed by the caller; or how the exchange was lost
      */
     public Either<UpstreamException, ClientExchange> send(
@@ -77,7 +77,7 @@
      *
      * @param address the upstream, as {@code ADDRESS:PORT}
      * @param request the request with its whole entity
-     * @param observer is asked while the upstream is silent
+     * @param observer is asked while the answer arrives
      * @param progressTimeoutMillis the longest silence of the upstream
      * @return the answer, to be closed by the caller; or how the exchange was lost
      */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/UpstreamConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/UpstreamConnection.java
@@ -29,6 +29,7 @@
     private long progressTimeoutMillis;
     private WaitObserver observer = WaitObserver.PATIENT;
     private long idleSinceMillis;
+    private long lastAskedMillis;
 
     private UpstreamConnection(Socket socket, String address, LongSupplier clockMillis) throws IOException {
         super(Http1Config.custom()
@@ -67,6 +68,7 @@
         progressTimeoutMillis = timeoutMillis;
         observer = waitObserver;
         mayHaveSent = false;
+        lastAskedMillis = clockMillis.getAsLong();
     }
 
     boolean mayHaveSent() {
@@ -159,6 +161,10 @@
         @Override
         public int read(byte[] bytes, int offset, int length) throws IOException {
             long silentSinceMillis = clockMillis.getAsLong();
+            if (silentSinceMillis - lastAskedMillis >= WaitObserver.SLICE_MILLIS) {
+                // Also while bytes arrive: an upstream may send comments for as long as a request waits.
+                checkPatience(silentSinceMillis);
+            }
             while (true) {
                 try {
                     return in.read(bytes, offset, length);
@@ -173,7 +179,8 @@
                 throw UpstreamException.of(
                         Loss.ABANDONED, "await answer", address, "the answer is not wanted any more");
             }
-            long silentMillis = clockMillis.getAsLong() - silentSinceMillis;
+            lastAskedMillis = clockMillis.getAsLong();
+            long silentMillis = lastAskedMillis - silentSinceMillis;
             if (silentMillis >= progressTimeoutMillis) {
                 throw UpstreamException.of(
                         Loss.SILENT, "await answer", address, "no progress for " + silentMillis + " ms");
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/WaitObserver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/WaitObserver.java
@@ -1,9 +1,9 @@
 package org.cactusshift.internal.transport.http;
 
-/** Is asked, about every {@value #SLICE_MILLIS} milliseconds while an upstream is silent, whether to go on waiting. */
+/** Is asked, at most every {@value #SLICE_MILLIS} milliseconds while an answer arrives, whether it is still wanted. */
 @FunctionalInterface
 public interface WaitObserver {
-    /** The longest time between two questions, in milliseconds. */
+    /** The time between two questions, in milliseconds. */
     int SLICE_MILLIS = 100;
 
     /** Waits until the progress timeout. */
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/EngineFaultsTest.java
@@ -0,0 +1,253 @@
+package org.cactusshift.internal.transport.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd.Outcome;
+import org.cactusshift.internal.transport.http.RawClient;
+import org.cactusshift.internal.transport.http.ScriptedServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EngineFaultsTest {
+    private static final long PATIENCE_MILLIS = 10_000;
+    private static final String FIRST_DELTA = "{\"role\":\"assistant\",\"content\":\"aaa \"}";
+
+    /** A fault of the first engine, after which the second must answer. */
+    enum Fault {
+        NOT_ADMITTED(Outcome.NOT_RUN),
+        NOT_ADMITTED_IN_STREAM(Outcome.NOT_RUN),
+        INTERNAL_ERROR(Outcome.CRASHED),
+        CROSSED_ANSWER(Outcome.SILENT),
+        SILENT(Outcome.SILENT),
+        SILENT_IN_STREAM(Outcome.SILENT),
+        ERROR_IN_STREAM(Outcome.CRASHED),
+        NO_JSON_IN_STREAM(Outcome.CRASHED),
+        DONE_TOO_EARLY(Outcome.CRASHED),
+        NO_STREAM(Outcome.CRASHED);
+
+        private final Outcome outcome;
+
+        Fault(Outcome outcome) {
+            this.outcome = outcome;
+        }
+
+        ScriptedServer start() throws IOException {
+            return ScriptedServer.start((request, socket, out) -> {
+                String id = request.header("X-Request-Id");
+                String notAdmitted = "{\"error\":{\"message\":\"full\",\"code\":\"not_admitted\"}}";
+                switch (this) {
+                    case NOT_ADMITTED -> ScriptedServer.answer(out, 503, "", notAdmitted);
+                    case INTERNAL_ERROR -> ScriptedServer.answer(out, 500, "", "oops");
+                    case NO_STREAM -> ScriptedServer.answer(out, 200, "Content-Type: application/json\r\n", "{}");
+                    case SILENT -> out.flush();
+                    case CROSSED_ANSWER -> {
+                        FakeEngine.begin(out, "another-attempt");
+                        FakeEngine.event(out, FakeEngine.chunk("{\"content\":\"SOMEONE ELSE'S\"}", "\"stop\""));
+                        FakeEngine.event(out, "[DONE]");
+                        FakeEngine.end(out);
+                    }
+                    default -> {
+                        FakeEngine.begin(out, id);
+                        ScriptedServer.chunk(out, ": keep-alive\n\n");
+                        inStream(out, notAdmitted);
+                    }
+                }
+            });
+        }
+
+        private void inStream(java.io.OutputStream out, String notAdmitted) throws IOException {
+            if (this == NOT_ADMITTED_IN_STREAM) {
+                FakeEngine.event(out, notAdmitted);
+                return;
+            }
+            FakeEngine.event(out, FakeEngine.chunk(FIRST_DELTA, "null"));
+            switch (this) {
+                case ERROR_IN_STREAM -> FakeEngine.event(out, "{\"error\":{\"message\":\"x\"}}");
+                case NO_JSON_IN_STREAM -> FakeEngine.event(out, "<html>");
+                case DONE_TOO_EARLY -> FakeEngine.event(out, "[DONE]");
+                default -> out.flush();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void anotherEngineAnswersAfterAFault(Fault fault) throws Exception {
+        try (ScriptedServer first = fault.start();
+                ScriptedServer second = FakeEngine.healthy();
+                GatewayFixture gateway = GatewayFixture.withEngines(first.address(), second.address())) {
+            HttpResponse<String> response = gateway.chat(false);
+            assertEquals(200, response.statusCode(), response.body());
+            assertTrue(response.body().contains("\"" + FakeEngine.ANSWER + "\""), response.body());
+            assertFalse(response.body().contains("SOMEONE"));
+            assertEquals(fault.outcome, gateway.models().ends.get(0).outcome());
+            assertEquals(Outcome.COMPLETED, gateway.models().ends.get(1).outcome());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "NOT_ADMITTED,not-run,503",
+        "CROSSED_ANSWER,unknown,502",
+        "SILENT,unknown,502",
+        "INTERNAL_ERROR,unknown,502"
+    })
+    void tellsWhetherARefusedRequestMayHaveRun(Fault fault, String outcome, int status) throws Exception {
+        try (ScriptedServer only = fault.start();
+                GatewayFixture gateway = GatewayFixture.withEngines(only.address())) {
+            for (boolean stream : new boolean[] {false, true}) {
+                HttpResponse<String> response = gateway.chat(stream);
+                assertEquals(status, response.statusCode());
+                assertEquals(
+                        outcome,
+                        response.headers().firstValue("x-cactusshift-outcome").orElse(""));
+                assertTrue(gateway.usage.isEmpty());
+            }
+        }
+    }
+
+    @Test
+    void passesTheEnginesRejectionOn() throws Exception {
+        String error = "{\"error\":{\"message\":\"too long\",\"code\":\"context_length_exceeded\"}}";
+        try (ScriptedServer engine = ScriptedServer.start((request, socket, out) ->
+                        ScriptedServer.answer(out, 400, "Content-Type: application/json\r\n", error));
+                GatewayFixture gateway = GatewayFixture.withEngines(engine.address(), engine.address())) {
+            HttpResponse<String> response = gateway.chat(true);
+            assertEquals(400, response.statusCode());
+            assertEquals(error, response.body());
+            assertEquals(
+                    "unknown",
+                    response.headers().firstValue("x-cactusshift-outcome").orElse(""));
+            assertEquals(1, engine.received().size());
+        }
+    }
+
+    @Test
+    void endsABrokenStreamWithAnErrorAndWithoutDone() throws Exception {
+        try (ScriptedServer only = FakeEngine.crashingAfter(2);
+                GatewayFixture gateway = GatewayFixture.withEngines(only.address())) {
+            HttpResponse<String> response = gateway.chat(true);
+            assertTrue(response.body().contains("\"upstream_lost\""), response.body());
+            assertFalse(response.body().contains("[DONE]"));
+            assertEquals(2, gateway.usage.get(0).completionTokens());
+            assertEquals(1, gateway.usage.get(0).requests());
+        }
+    }
+
+    @Test
+    void ignoresWhatFollowsTheEndOfAnAnswer() throws Exception {
+        try (ScriptedServer engine = ScriptedServer.start((request, socket, out) -> {
+                    FakeEngine.begin(out, request.header("X-Request-Id"));
+                    FakeEngine.event(out, FakeEngine.chunk("{\"content\":\"whole\"}", "\"stop\""));
+                    FakeEngine.event(out, "[DONE]");
+                    ScriptedServer.chunk(out, "trailing text, not an event");
+                    FakeEngine.end(out);
+                });
+                GatewayFixture gateway = GatewayFixture.withEngines(engine.address())) {
+            assertTrue(gateway.chat(false).body().contains("\"whole\""));
+            assertTrue(gateway.chat(true).body().endsWith("data: [DONE]\n\n"));
+            assertEquals(1, engine.connections());
+        }
+    }
+
+    @Test
+    void finishesAnAnswerThatOnlyLacksItsClosingEvents() throws Exception {
+        try (ScriptedServer engine = ScriptedServer.start((request, socket, out) -> {
+                    FakeEngine.begin(out, request.header("X-Request-Id"));
+                    FakeEngine.event(out, FakeEngine.chunk("{\"content\":\"whole \"}", "\"stop\""));
+                    throw new IOException("crash");
+                });
+                ScriptedServer second = FakeEngine.healthy();
+                GatewayFixture gateway = GatewayFixture.withEngines(engine.address(), second.address())) {
+            HttpResponse<String> response = gateway.chat(true);
+            assertTrue(response.body().endsWith("data: [DONE]\n\n"), response.body());
+            assertTrue(second.received().isEmpty());
+            assertEquals(1, gateway.usage.size());
+            assertEquals(0, gateway.dispatch.openRequests());
+        }
+    }
+
+    /** An engine that sends one token, then nothing until its connection is closed. */
+    private static ScriptedServer stalling(CountDownLatch started, CountDownLatch cancelled) throws IOException {
+        return ScriptedServer.start((request, socket, out) -> {
+            FakeEngine.begin(out, request.header("X-Request-Id"));
+            FakeEngine.event(out, FakeEngine.chunk(FIRST_DELTA, "null"));
+            started.countDown();
+            boolean open = true;
+            while (open) {
+                try {
+                    ScriptedServer.chunk(out, ": keep-alive\n\n");
+                    Thread.sleep(10);
+                } catch (IOException e) {
+                    open = false;
+                }
+            }
+            cancelled.countDown();
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aCallerThatHangsUpCancelsTheEngine(boolean stream) throws Exception {
+        CountDownLatch started = new CountDownLatch(1);
+        CountDownLatch cancelled = new CountDownLatch(1);
+        try (ScriptedServer engine = stalling(started, cancelled);
+                GatewayFixture gateway = GatewayFixture.withEngines(engine.address())) {
+            String body = GatewayFixture.chatBody(stream);
+            try (RawClient caller = RawClient.connect(gateway.listener.address())) {
+                caller.send("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                        + GatewayFixture.KEY + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                assertTrue(started.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            }
+            assertTrue(cancelled.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            GatewayFixture.await(() -> gateway.dispatch.openRequests() == 0);
+            assertEquals(Outcome.CANCELLED, gateway.models().ends.get(0).outcome());
+        }
+    }
+
+    @Test
+    void aWithdrawnKeyEndsItsOpenStream() throws Exception {
+        CountDownLatch started = new CountDownLatch(1);
+        CountDownLatch cancelled = new CountDownLatch(1);
+        try (ScriptedServer engine = stalling(started, cancelled);
+                GatewayFixture gateway = GatewayFixture.withEngines(engine.address())) {
+            Thread withdrawal = new Thread(() -> {
+                try {
+                    started.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                gateway.keyValid = false;
+            });
+            withdrawal.start();
+            HttpResponse<String> response = gateway.chat(true);
+            assertTrue(response.body().contains("invalid_api_key"), response.body());
+            assertFalse(response.body().contains("[DONE]"));
+            assertTrue(cancelled.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    @Test
+    void aNamedDeadlineEndsARequestAtOnce() throws Exception {
+        CountDownLatch cancelled = new CountDownLatch(1);
+        try (ScriptedServer engine = stalling(new CountDownLatch(1), cancelled);
+                GatewayFixture gateway = GatewayFixture.withEngines(engine.address())) {
+            HttpResponse<String> response = gateway.post(
+                    "/v1/chat/completions", GatewayFixture.chatBody(false), "x-cactusshift-timeout-ms", "300");
+            assertEquals(504, response.statusCode());
+            assertEquals(
+                    "unknown",
+                    response.headers().firstValue("x-cactusshift-outcome").orElse(""));
+            assertTrue(cancelled.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        }
+    }
+}
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/GatewayFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/GatewayFixture.java
@@ -197,11 +197,13 @@
                 .header("Authorization", "Bearer " + KEY);
     }
 
-    HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    HttpResponse<String> send(HttpRequest request) throws Exception {
+        // The client's own timeout ends with the headers; this one bounds the body too.
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    HttpResponse<String> post(String path, String body, String... headers) throws IOException, InterruptedException {
+    HttpResponse<String> post(String path, String body, String... headers) throws Exception {
         HttpRequest.Builder builder = request(path).POST(HttpRequest.BodyPublishers.ofString(body));
         if (headers.length > 0) {
             builder.headers(headers);
@@ -209,7 +211,7 @@
         return send(builder.build());
     }
 
-    HttpResponse<String> chat(boolean stream) throws IOException, InterruptedException {
+    HttpResponse<String> chat(boolean stream) throws Exception {
         return post("/v1/chat/completions", chatBody(stream));
     }
 
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/ServiceGatewayTest.java
@@ -0,0 +1,298 @@
+package org.cactusshift.internal.transport.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.internal.transport.http.RawClient;
+import org.cactusshift.internal.transport.http.ScriptedServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ServiceGatewayTest {
+    private static final String PAY = "/services/settle-app/pay?crew=1";
+    private static final long PATIENCE_MILLIS = 10_000;
+
+    private static ScriptedServer healthy() throws IOException {
+        return ScriptedServer.start((request, socket, out) ->
+                ScriptedServer.answer(out, 201, "Content-Type: text/plain\r\nX-Kept: yes\r\n", "paid"));
+    }
+
+    private static ScriptedServer crashing() throws IOException {
+        return ScriptedServer.start((request, socket, out) -> socket.close());
+    }
+
+    private static ScriptedServer refusing() throws IOException {
+        return ScriptedServer.start(
+                (request, socket, out) -> ScriptedServer.answer(out, 503, "X-Not-Run: true\r\n", "busy"));
+    }
+
+    private static String outcome(HttpResponse<String> response) {
+        return response.headers().firstValue("x-cactusshift-outcome").orElse("");
+    }
+
+    @Test
+    void passesACallOnWithoutWhatIsTheCallersOwn() throws Exception {
+        try (ScriptedServer service = healthy();
+                GatewayFixture gateway = GatewayFixture.withServices(service.address())) {
+            HttpResponse<String> response = gateway.post(
+                    PAY,
+                    "body",
+                    "api-key",
+                    "s3cr3t",
+                    "X-Api-Key",
+                    "s3cr3t",
+                    "Idempotency-Key",
+                    "i1",
+                    "X-Own",
+                    "o",
+                    "x-cactusshift-timeout-ms",
+                    "9000",
+                    "Proxy-Authorization",
+                    "s3cr3t");
+            assertEquals(201, response.statusCode());
+            assertEquals("paid", response.body());
+            assertEquals("yes", response.headers().firstValue("x-kept").orElse(""));
+            ScriptedServer.Received received = service.received().get(0);
+            assertEquals("POST /pay?crew=1 HTTP/1.1", received.line());
+            assertEquals("body", received.body());
+            assertEquals("i1", received.header("Idempotency-Key"));
+            assertEquals("o", received.header("X-Own"));
+            assertNull(received.header("x-cactusshift-timeout-ms"));
+            String all = received.headers().toString();
+            assertFalse(all.contains("s3cr3t") || all.contains("secret"), all);
+            assertEquals(1, gateway.usage.get(0).requests());
+        }
+    }
+
+    @Test
+    void removesHeadersThatTheConnectionHeaderNames() throws Exception {
+        try (ScriptedServer service = healthy();
+                GatewayFixture gateway = GatewayFixture.withServices(service.address());
+                RawClient caller = RawClient.connect(gateway.listener.address())) {
+            caller.send("GET /services/settle-app/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + GatewayFixture.KEY
+                    + "\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n\r\n");
+            assertTrue(caller.readToEnd().startsWith("HTTP/1.1 201"));
+            assertNull(service.received().get(0).header("X-Hop"));
+            assertNull(service.received().get(0).header("TE"));
+        }
+    }
+
+    /** What befalls a call at its first upstream. */
+    enum Fault {
+        CRASH,
+        REFUSAL,
+        HALF_ANSWER,
+        CROSSED;
+
+        ScriptedServer start() throws IOException {
+            return switch (this) {
+                case CRASH -> crashing();
+                case REFUSAL -> refusing();
+                case HALF_ANSWER ->
+                    ScriptedServer.start((request, socket, out) -> {
+                        out.write(
+                                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npai".getBytes(StandardCharsets.US_ASCII));
+                        socket.close();
+                    });
+                case CROSSED ->
+                    ScriptedServer.start((request, socket, out) ->
+                            ScriptedServer.answer(out, 200, "X-Request-Id: other\r\n", "someone else's"));
+            };
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void aCallThatMayHaveRunIsNeverSentAgain(Fault fault) throws Exception {
+        try (ScriptedServer first = fault.start();
+                ScriptedServer second = healthy();
+                GatewayFixture gateway = GatewayFixture.withServices(first.address(), second.address())) {
+            for (String[] headers : new String[][] {{}, {"Idempotency-Key", "i1"}}) {
+                int before = second.received().size();
+                HttpResponse<String> response = gateway.post(PAY, "body", headers);
+                if (fault == Fault.REFUSAL) {
+                    assertEquals(201, response.statusCode());
+                } else {
+                    assertEquals(502, response.statusCode());
+                    assertEquals("unknown", outcome(response));
+                    assertEquals(before, second.received().size());
+                }
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "GET,/services/settle-app/pay,''",
+        "HEAD,/services/settle-app/pay,''",
+        "POST,/services/settle-app/balance,''",
+        "POST,/services/settle-app/balance/x,''",
+        "PUT,/services/settle-app/balance?x=1,i1"
+    })
+    void aRepeatableCallIsSentAgain(String method, String path, String key) throws Exception {
+        try (ScriptedServer first = crashing();
+                ScriptedServer second = healthy();
+                GatewayFixture gateway = GatewayFixture.withServices(first.address(), second.address())) {
+            HttpRequest.Builder builder =
+                    gateway.request(path).method(method, HttpRequest.BodyPublishers.ofString("b"));
+            if (!key.isEmpty()) {
+                builder.header("Idempotency-Key", key);
+            }
+            assertEquals(201, gateway.send(builder.build()).statusCode());
+            assertTrue(gateway.claims.log.isEmpty());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "POST,/services/settle-app/balance-transfer,X-None",
+        "POST,/services/settle-app/Balance,X-None",
+        "GET,/services/settle-app/pay,X-HTTP-Method-Override",
+        "DELETE,/services/settle-app/pay,X-None",
+        "OPTIONS,/services/settle-app/pay,X-None"
+    })
+    void otherCallsAreNotSentAgain(String method, String path, String header) throws Exception {
+        try (ScriptedServer first = crashing();
+                ScriptedServer second = healthy();
+                GatewayFixture gateway = GatewayFixture.withServices(first.address(), second.address())) {
+            HttpRequest request = gateway.request(path)
+                    .method(method, HttpRequest.BodyPublishers.noBody())
+                    .header(header, "POST")
+                    .build();
+            assertEquals("unknown", outcome(gateway.send(request)));
+            assertTrue(second.received().isEmpty());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "/balance/../pay",
+                "/balance/%2e%2e/pay",
+                "/balance/%2E./pay",
+                "/balance/..;x/pay",
+                "/balance%2f..%2fpay",
+                "/balance//pay",
+                "/balance/%252e%252e/pay",
+                "/balance/%5c../pay",
+                "/./pay"
+            })
+    void refusesPathsThatCanBeReadTwoWays(String path) throws Exception {
+        try (ScriptedServer service = healthy();
+                GatewayFixture gateway = GatewayFixture.withServices(service.address());
+                RawClient caller = RawClient.connect(gateway.listener.address())) {
+            caller.send("POST /services/settle-app" + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                    + GatewayFixture.KEY + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            String answer = caller.readToEnd();
+            assertTrue(answer.startsWith("HTTP/1.1 400"), answer);
+            assertTrue(service.received().isEmpty());
+        }
+    }
+
+    @Test
+    void aRepeatOfAClaimedCallGetsTheRecordedAnswer() throws Exception {
+        try (ScriptedServer service = healthy();
+                GatewayFixture gateway = GatewayFixture.withServices(service.address())) {
+            HttpResponse<String> first = gateway.post(PAY, "body", "Idempotency-Key", "i1");
+            HttpResponse<String> repeat = gateway.post(PAY, "body", "Idempotency-Key", "i1");
+            assertEquals(first.statusCode(), repeat.statusCode());
+            assertEquals("paid", repeat.body());
+            assertEquals(
+                    "text/plain", repeat.headers().firstValue("content-type").orElse(""));
+            assertEquals(1, service.received().size());
+            HttpResponse<String> other = gateway.post(PAY, "other body", "Idempotency-Key", "i1");
+            assertEquals(422, other.statusCode());
+            assertEquals(1, service.received().size());
+            assertEquals(List.of("claim", "record 201", "claim", "claim"), gateway.claims.log);
+        }
+    }
+
+    @Test
+    void aRepeatOfALostCallIsToldThatItsOutcomeIsUnknown() throws Exception {
+        try (ScriptedServer service = crashing();
+                GatewayFixture gateway = GatewayFixture.withServices(service.address())) {
+            gateway.post(PAY, "body", "Idempotency-Key", "i1");
+            HttpResponse<String> repeat = gateway.post(PAY, "body", "Idempotency-Key", "i1");
+            assertEquals(409, repeat.statusCode());
+            assertEquals("unknown", outcome(repeat));
+            assertEquals(1, service.received().size());
+            assertEquals(List.of("claim", "record unknown", "claim"), gateway.claims.log);
+        }
+    }
+
+    @Test
+    void aClaimIsReleasedOnlyWhenTheCallDidNotRun() throws Exception {
+        try (ScriptedServer service = refusing();
+                GatewayFixture gateway = GatewayFixture.withServices(service.address())) {
+            HttpResponse<String> response = gateway.post(PAY, "body", "Idempotency-Key", "i1");
+            assertEquals(503, response.statusCode());
+            assertEquals("not-run", outcome(response));
+            assertEquals("2", response.headers().firstValue("retry-after").orElse(""));
+            assertEquals(List.of("claim", "release"), gateway.claims.log);
+        }
+    }
+
+    @Test
+    void aCallThatCannotBeClaimedIsNotRun() throws Exception {
+        try (ScriptedServer service = healthy();
+                GatewayFixture gateway = GatewayFixture.withServices(service.address())) {
+            gateway.claims.available = false;
+            HttpResponse<String> response = gateway.post(PAY, "body", "Idempotency-Key", "i1");
+            assertEquals(503, response.statusCode());
+            assertEquals("not-run", outcome(response));
+            assertTrue(service.received().isEmpty());
+        }
+    }
+
+    @Test
+    void aClaimedCallIsFinishedWhenItsCallerHangsUp() throws Exception {
+        CountDownLatch started = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (ScriptedServer service = ScriptedServer.start((request, socket, out) -> {
+                    started.countDown();
+                    release.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+                    ScriptedServer.answer(out, 200, "", "paid");
+                });
+                GatewayFixture gateway = GatewayFixture.withServices(service.address())) {
+            try (RawClient caller = RawClient.connect(gateway.listener.address())) {
+                caller.send("POST /services/settle-app/pay HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                        + GatewayFixture.KEY + "\r\nIdempotency-Key: i1\r\nContent-Length: 4\r\n\r\nbody");
+                assertTrue(started.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            }
+            // Longer than the gateway takes to notice a caller that has gone.
+            Thread.sleep(400);
+            release.countDown();
+            GatewayFixture.await(() -> gateway.claims.log.equals(List.of("claim", "record 200")));
+        }
+    }
+
+    @Test
+    void streamsALargeAnswer() throws Exception {
+        String large = "0123456789".repeat(30_000);
+        try (ScriptedServer service =
+                        ScriptedServer.start((request, socket, out) -> ScriptedServer.answer(out, 200, "", large));
+                GatewayFixture gateway = GatewayFixture.withServices(service.address())) {
+            assertEquals(
+                    large, gateway.post(PAY, "body", "Idempotency-Key", "i1").body());
+            assertEquals(
+                    "300000",
+                    gateway.post("/services/settle-app/balance", "")
+                            .headers()
+                            .firstValue("content-length")
+                            .orElse(""));
+            assertEquals(1, service.connections());
+        }
+    }
+}
