Record each order before it is sent and finish it before the next

An engine must not receive conflicting orders, also from a holder that was paused or whose calls are still in flight, and some engines ignore fencing numbers. Each duty's record holds at most one outstanding order for each target, written before the order is sent. A successor asks the target first and finishes that order. Towards a target that does not check it stays quiet for a time to live and the time that bytes may be in flight, and an order leaves the record only when no call of it that was given up can arrive.

Ruled out: a second order id after an unknown result, which a late first one would contradict.

Beyond that pause an engine that does not check does go back, which a test shows.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/order/OrderServiceSetup.java
@@ -0,0 +1,38 @@
+package org.cactusshift.internal.coordination.order;
+
+import java.util.Objects;
+import java.util.function.LongSupplier;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.lease.AuthoritySource;
+import org.cactusshift.internal.coordination.store.KeyValueStore;
+
+/**
+ * What an {@link OrderService} works with.
+ *
+ * @param site the site
+ * @param timing the periods
+ * @param store the key-value service
+ * @param authorities tells which duties this node holds
+ * @param target sends the orders
+ * @param listener hears how orders ended
+ * @param clockMillis the monotonic clock
+ */
+public record OrderServiceSetup(
+        SiteId site,
+        OrderTiming timing,
+        KeyValueStore store,
+        AuthoritySource authorities,
+        OrderTarget target,
+        OrderListener listener,
+        LongSupplier clockMillis) {
+    /** Checks that no part is missing. */
+    public OrderServiceSetup {
+        Objects.requireNonNull(site, "site");
+        Objects.requireNonNull(timing, "timing");
+        Objects.requireNonNull(store, "store");
+        Objects.requireNonNull(authorities, "authorities");
+        Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(listener, "listener");
+        Objects.requireNonNull(clockMillis, "clockMillis");
+    }
+}
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutySimulation.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutySimulation.java
@@ -51,6 +51,7 @@
     private boolean faultless;
     private long nowMillis = 1_000_000;
     private long outageEndsAtMillis;
+    private long pauseEndsAtMillis = Long.MAX_VALUE;
     private int incarnations;
     private int nesting;
     private SimulatedNode caller;
@@ -172,14 +173,22 @@
         if (healed || nesting >= MAXIMUM_NESTING || random.nextInt(40) != 0) {
             return;
         }
+        pauseInside(random.nextInt(15_000));
+    }
+
+    /** Stops the running node in the middle of its work; the others go on. A pause within a pause ends with it. */
+    public void pauseInside(long durationMillis) {
         SimulatedNode paused = caller;
+        long outerEndMillis = pauseEndsAtMillis;
+        long endMillis = Math.min(nowMillis + durationMillis, outerEndMillis);
+        pauseEndsAtMillis = endMillis;
         nesting++;
         paused.setRunning(true);
-        int steps = 1 + random.nextInt(60);
-        for (int i = 0; i < steps; i++) {
+        while (nowMillis < endMillis) {
             step();
         }
         paused.setRunning(false);
+        pauseEndsAtMillis = outerEndMillis;
         nesting--;
         caller = paused;
     }
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/order/OrderSimulation.java
@@ -0,0 +1,182 @@
+package org.cactusshift.internal.coordination.order;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.OrderId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.lease.DutySimulation;
+import org.cactusshift.internal.coordination.lease.ForgetfulStore;
+import org.cactusshift.internal.coordination.lease.SimulatedNode;
+
+/** One engine ordered by the nodes of a {@link DutySimulation}, over a network that delays, drops and repeats. */
+final class OrderSimulation {
+    static final long FLIGHT_MILLIS = 2_000;
+    static final OrderTiming TIMING =
+            new OrderTiming(DutySimulation.TTL_MILLIS + FLIGHT_MILLIS, FLIGHT_MILLIS, 300, 300);
+
+    /** A fault planted so that a checker has something to catch. */
+    enum Plant {
+        NONE,
+        /** A new holder sends at once. */
+        NO_QUIET_TIME,
+        /** An order is cleared while a call of it that was given up may still arrive. */
+        CLEARED_WHILE_IN_FLIGHT,
+        /** Orders are sent that the record does not hold. */
+        SENT_BEFORE_DURABLE
+    }
+
+    private static final DutyId DUTY =
+            DutyId.engineOrders(FailureDomainId.fromString("ostend-a"), ServiceId.fromString("share-lm"));
+
+    private final DutySimulation duties;
+    private final Plant plant;
+    private final boolean checksFencing;
+    private final long longestGapMillis;
+    private final SimulatedEngine engine;
+    private final Map<SimulatedNode, OrderDuty> drivers = new HashMap<>();
+    private final List<Flight> flights = new ArrayList<>();
+    private final List<String> violations = new ArrayList<>();
+    private int lastOrder;
+
+    private record Flight(Order order, long fencingNumber, long arrivesAtMillis) {}
+
+    /**
+     * Creates a simulation.
+     *
+     * @param longestGapMillis the longest pause of a sender between the check of its authority and the sending
+     */
+    OrderSimulation(long seed, boolean checksFencing, long longestGapMillis, Plant plant) {
+        this.duties = new DutySimulation(seed, 3, Set.of(DUTY));
+        this.plant = plant;
+        this.checksFencing = checksFencing;
+        this.longestGapMillis = longestGapMillis;
+        this.engine = new SimulatedEngine(checksFencing);
+        for (SimulatedNode node : duties.nodes()) {
+            node.setHooks(() -> {}, () -> begin(node));
+            begin(node);
+        }
+        duties.setOnNodeRun(this::runCurrent);
+    }
+
+    OrderSimulation run(int steps, int healingSteps) {
+        duties.run(steps);
+        duties.heal(healingSteps);
+        violations.addAll(duties.violations());
+        checkHistory();
+        drivers.forEach((node, driver) -> {
+            if (!driver.outstanding().isEmpty()) {
+                violations.add("left outstanding: " + driver.outstanding());
+            }
+        });
+        return this;
+    }
+
+    List<String> violations() {
+        return violations;
+    }
+
+    int begun() {
+        return engine.begun().size();
+    }
+
+    private OrderTiming timing() {
+        return switch (plant) {
+            case NO_QUIET_TIME -> new OrderTiming(0, TIMING.flightMillis(), 300, 300);
+            case CLEARED_WHILE_IN_FLIGHT -> new OrderTiming(TIMING.quietMillis(), 0, 300, 300);
+            default -> TIMING;
+        };
+    }
+
+    private void begin(SimulatedNode node) {
+        OrderServiceSetup setup = new OrderServiceSetup(
+                DutySimulation.SITE,
+                timing(),
+                plant == Plant.SENT_BEFORE_DURABLE
+                        ? new ForgetfulStore(duties.store(), duties::random)
+                        : duties.store(),
+                node,
+                new SimulatedTarget(),
+                OrderListener.NONE,
+                node::clockMillis);
+        drivers.put(node, new OrderDuty(setup, DUTY));
+    }
+
+    private void runCurrent() {
+        deliver();
+        SimulatedNode node = duties.current();
+        OrderDuty driver = drivers.get(node);
+        if (!duties.isHealed() && duties.random().nextInt(4) == 0) {
+            OrderId id = OrderId.fromString("order-" + (lastOrder + 1));
+            OrderContent content = new OrderContent.SetRole(UpstreamConfig.Role.PREFILL);
+            if (driver.submit(new Order(id, "engine-1", "127.0.0.1:1", checksFencing, content))
+                    .isRight()) {
+                lastOrder++;
+            }
+        }
+        driver.cycle();
+    }
+
+    private void deliver() {
+        for (Flight flight : new ArrayList<>(flights)) {
+            if (flight.arrivesAtMillis() <= duties.nowMillis()) {
+                flights.remove(flight);
+                receive(flight.order(), flight.fencingNumber());
+            }
+        }
+    }
+
+    private OrderTarget.Receipt receive(Order order, long fencingNumber) {
+        return engine.receive(
+                order, fencingNumber, duties.nowMillis(), duties.random().nextInt(1_500));
+    }
+
+    /** Orders are submitted one after the other, so an engine may never go back to an earlier one. */
+    private void checkHistory() {
+        int highest = 0;
+        for (Order order : engine.begun()) {
+            int number = Integer.parseInt(order.id().value().substring("order-".length()));
+            if (number <= highest) {
+                violations.add("the engine began " + order.id() + " after order-" + highest);
+            }
+            highest = Math.max(highest, number);
+        }
+    }
+
+    private final class SimulatedTarget implements OrderTarget {
+        @Override
+        public Either<Failure, Receipt> send(Order order, long fencingNumber) {
+            if (!duties.isHealed() && longestGapMillis > 0 && duties.random().nextInt(8) == 0) {
+                duties.pauseInside(duties.random().nextInt((int) longestGapMillis));
+            }
+            Failure lost = Failure.unknownEffect("send order", order.target(), "no answer");
+            int kind = duties.isHealed() ? 0 : duties.random().nextInt(10);
+            if (kind < 5) {
+                return Either.right(receive(order, fencingNumber));
+            }
+            if (kind < 7) {
+                receive(order, fencingNumber);
+            } else if (kind < 9) {
+                long arrivesAtMillis = duties.nowMillis() + duties.random().nextInt((int) FLIGHT_MILLIS);
+                flights.add(new Flight(order, fencingNumber, arrivesAtMillis));
+            }
+            return Either.left(lost);
+        }
+
+        @Override
+        public Either<Failure, Progress> progress(Order order) {
+            deliver();
+            if (!duties.isHealed() && duties.random().nextInt(5) == 0) {
+                return Either.left(Failure.noEffect("read orders", order.target(), "no answer"));
+            }
+            return Either.right(engine.progress(order, duties.nowMillis()));
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/order/SimulatedEngine.java
@@ -0,0 +1,59 @@
+package org.cactusshift.internal.coordination.order;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cactusshift.internal.coordination.order.OrderTarget.Progress;
+import org.cactusshift.internal.coordination.order.OrderTarget.Receipt;
+
+/** An engine that keeps a history of the orders that it began to carry out. */
+final class SimulatedEngine {
+    private final boolean checksFencing;
+    private final List<Order> begun = new ArrayList<>();
+    private Optional<Order> running = Optional.empty();
+    private Optional<Order> last = Optional.empty();
+    private long runsUntilMillis;
+    private long highestFencing;
+
+    SimulatedEngine(boolean checksFencing) {
+        this.checksFencing = checksFencing;
+    }
+
+    List<Order> begun() {
+        return begun;
+    }
+
+    Receipt receive(Order order, long fencingNumber, long nowMillis, long durationMillis) {
+        finish(nowMillis);
+        if (checksFencing && fencingNumber < highestFencing) {
+            return Receipt.STALE_FENCING_NUMBER;
+        }
+        highestFencing = Math.max(highestFencing, fencingNumber);
+        if (running.isPresent()) {
+            return running.get().id().equals(order.id()) ? Receipt.ACCEPTED : Receipt.BUSY;
+        }
+        boolean repeated = last.filter(done -> done.id().equals(order.id())).isPresent();
+        if (!repeated) {
+            begun.add(order);
+            running = Optional.of(order);
+            runsUntilMillis = nowMillis + durationMillis;
+        }
+        return Receipt.ACCEPTED;
+    }
+
+    Progress progress(Order order, long nowMillis) {
+        finish(nowMillis);
+        if (running.filter(now -> now.id().equals(order.id())).isPresent()) {
+            return Progress.RUNNING;
+        }
+        boolean done = last.filter(ended -> ended.id().equals(order.id())).isPresent();
+        return done ? Progress.DONE : Progress.NOT_RECEIVED;
+    }
+
+    private void finish(long nowMillis) {
+        if (running.isPresent() && nowMillis >= runsUntilMillis) {
+            last = running;
+            running = Optional.empty();
+        }
+    }
+}
