Report watch progress only as far as it was delivered

While an etcd watch catches up, the header of a message with changes is ahead of what the watch has brought, so taking it as progress could hide a lost change from the configuration's readers. Progress now follows the last change, and only a message without changes counts as a progress notification; the in-memory store had the same gap between two threads. Dropping progress on messages with changes was ruled out, as a busy watch would then look silent.

--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInAnswer.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInAnswer.java
@@ -25,6 +25,9 @@
     /** Status of a request over the rate. */
     public static final int TOO_MANY_REQUESTS = 429;
 
+    /** Status of a failure of which nothing is known. */
+    public static final int SERVER_ERROR = 500;
+
     /** Status of a refusal before running. */
     public static final int UNAVAILABLE = 503;
 
--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInFaults.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInFaults.java
@@ -16,6 +16,8 @@
 
     private volatile boolean paused;
 
+    private volatile boolean failing;
+
     private volatile boolean notAdmitting;
 
     private volatile boolean crossing;
@@ -100,6 +102,17 @@
         return this;
     }
 
+    /**
+     * Sets whether each answer is replaced by a server error after its request has taken effect.
+     *
+     * @param failing true to fail
+     * @return these switches
+     */
+    public StandInFaults setFailing(boolean failing) {
+        this.failing = failing;
+        return this;
+    }
+
     /**
      * Sets whether new work is refused before running.
      *
@@ -153,6 +166,7 @@
         dropAnswers(0);
         return setUnavailable(false)
                 .setPaused(false)
+                .setFailing(false)
                 .setDelayMillis(0)
                 .setNotAdmitting(false)
                 .setCrossing(false)
@@ -178,6 +192,15 @@
         return paused;
     }
 
+    /**
+     * Tells whether answers are replaced by server errors.
+     *
+     * @return true while failing
+     */
+    public boolean isFailing() {
+        return failing;
+    }
+
     /**
      * Tells whether new work is refused.
      *
--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInServer.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInServer.java
@@ -174,6 +174,10 @@
             received.end(ReceivedRequest.Outcome.ANSWER_DROPPED);
             throw new IOException("the answer was dropped");
         }
+        if (faults.isFailing()) {
+            received.end(ReceivedRequest.Outcome.ANSWER_DROPPED);
+            return StandInAnswer.error(StandInAnswer.SERVER_ERROR, "internal_error");
+        }
         return answer;
     }
 
--- a/org.cactusshift.standin/src/test/java/org/cactusshift/standin/StandInPlainServiceTest.java
+++ b/org.cactusshift.standin/src/test/java/org/cactusshift/standin/StandInPlainServiceTest.java
@@ -44,6 +44,13 @@
                 first.log().withAttempt("a1").get(0).outcome());
     }
 
+    @Test
+    void executionMayEndWithAServerError() throws IOException {
+        first.faults().setFailing(true);
+        assertEquals(500, client.post(first.address(), "/payouts", BODY, "a1").status());
+        assertEquals(Map.of("p1", 1), StandInPlainService.executionsByPayment(List.of(first)));
+    }
+
     @Test
     void refusedAndCrashingCallsDoNotExecute() throws IOException {
         first.faults().setNotAdmitting(true);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/InMemoryKeyValueStore.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/InMemoryKeyValueStore.java
@@ -95,12 +95,7 @@
 
     /** Reports progress to every watch. */
     public void reportProgress() {
-        deliver();
-        long revision;
-        synchronized (lock) {
-            revision = state.revision();
-        }
-        watches.forEach(watch -> watch.progress(revision));
+        watches.forEach(InMemoryWatch::reportProgress);
     }
 
     /** Ends every watch, as a lost connection does. */
@@ -232,19 +227,15 @@
 
         void deliver() {
             synchronized (lock) {
-                Either<Failure, List<KeyChange>> changes = state.changes(prefix, nextRevision);
-                nextRevision = Math.max(nextRevision, state.revision() + 1);
-                if (changes.isLeft()) {
-                    addEnd(changes.getLeft());
-                } else {
-                    changes.get().forEach(this::addChange);
-                }
+                addChanges();
             }
             runEvents();
         }
 
-        void progress(long revision) {
+        void reportProgress() {
             synchronized (lock) {
+                addChanges();
+                long revision = state.revision();
                 events.add(() -> listener.onProgress(revision));
             }
             runEvents();
@@ -272,6 +263,16 @@
             }
         }
 
+        private void addChanges() {
+            Either<Failure, List<KeyChange>> changes = state.changes(prefix, nextRevision);
+            nextRevision = Math.max(nextRevision, state.revision() + 1);
+            if (changes.isLeft()) {
+                addEnd(changes.getLeft());
+            } else {
+                changes.get().forEach(this::addChange);
+            }
+        }
+
         private void addChange(KeyChange change) {
             events.add(() -> listener.onChange(change.key(), change.value(), change.revision()));
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/etcd/EtcdWatchMessage.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/etcd/EtcdWatchMessage.java
@@ -17,4 +17,16 @@
     public EtcdWatchMessage {
         changes = List.copyOf(changes);
     }
+
+    /**
+     * Returns the revision up to which everything has been delivered.
+     *
+     * <p>A message with changes is no progress notification: while a watch catches up, its header is ahead of what it
+     * has brought.
+     *
+     * @return the revision of the last change, or that of the header when there is none
+     */
+    public long deliveredRevision() {
+        return changes.isEmpty() ? revision : changes.get(changes.size() - 1).revision();
+    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/EtcdWatch.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/EtcdWatch.java
@@ -125,7 +125,7 @@
                 }
             }
             if (!closed) {
-                listener.onProgress(message.revision());
+                listener.onProgress(message.deliveredRevision());
             }
         }
     }
