Check layers and the purity of the deciding code

Layers are one-way; deciding packages read no clock, do no I/O, start no thread and wait for none. Drivers, known by the ends of their names, are exempt from the last two. Planted classes break each rule, and a test shows that each is caught.

--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/ArchitectureRules.java
@@ -0,0 +1,148 @@
+package org.cactusshift;
+
+import static com.tngtech.archunit.base.DescribedPredicate.describe;
+import static com.tngtech.archunit.core.domain.JavaCall.Predicates.target;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.AccessTarget.CodeUnitCallTarget;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.lang.ArchRule;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/** The rules of the library's structure. */
+final class ArchitectureRules {
+    /** The packages of the deciding code. */
+    static final String[] DECIDING = {
+        "org.cactusshift.internal.coordination.dispatch..",
+        "org.cactusshift.internal.coordination.routing..",
+        "org.cactusshift.internal.coordination.fairness..",
+        "org.cactusshift.internal.coordination.limits..",
+        "org.cactusshift.internal.coordination.retry..",
+        "org.cactusshift.internal.coordination.quarantine..",
+        "org.cactusshift.internal.coordination.roles..",
+        "org.cactusshift.internal.coordination.capacity..",
+        "org.cactusshift.internal.coordination.lease..",
+        "org.cactusshift.internal.coordination.claim..",
+        "org.cactusshift.internal.coordination.usage..",
+        "org.cactusshift.internal.coordination.key..",
+        "org.cactusshift.internal.coordination.membership..",
+        "org.cactusshift.internal.coordination.summary..",
+        "org.cactusshift.internal.coordination.configsync..",
+    };
+
+    /** Classes that wait or send on behalf of the deciding code beside them. */
+    private static final Set<String> DRIVER_SUFFIXES =
+            Set.of("Service", "Driver", "Distributor", "Repository", "Follower");
+
+    private static final Set<String> CLOCK_METHODS = Set.of(
+            "java.lang.System.nanoTime",
+            "java.lang.System.currentTimeMillis",
+            "java.time.Instant.now",
+            "java.time.LocalDate.now",
+            "java.time.LocalDateTime.now",
+            "java.time.ZonedDateTime.now",
+            "java.time.Clock.systemUTC",
+            "java.time.Clock.systemDefaultZone",
+            "java.time.Clock.millis",
+            "java.time.Clock.instant");
+
+    private ArchitectureRules() {}
+
+    static ArchRule layersAreOneWay() {
+        return layeredArchitecture()
+                .consideringOnlyDependenciesInLayers()
+                .withOptionalLayers(true)
+                .layer("transport")
+                .definedBy("org.cactusshift.internal.transport..")
+                .layer("protocol")
+                .definedBy("org.cactusshift.internal.protocol..")
+                .layer("coordination")
+                .definedBy("org.cactusshift.internal.coordination..")
+                .layer("state")
+                .definedBy("org.cactusshift.internal.state..")
+                .whereLayer("transport")
+                .mayNotBeAccessedByAnyLayer()
+                .whereLayer("protocol")
+                .mayOnlyBeAccessedByLayers("transport")
+                .whereLayer("coordination")
+                .mayOnlyBeAccessedByLayers("transport", "protocol")
+                .whereLayer("state")
+                .mayOnlyBeAccessedByLayers("transport", "protocol", "coordination");
+    }
+
+    static ArchRule publicPackagesUseNothingInternal() {
+        return noClasses()
+                .that()
+                .resideInAnyPackage("org.cactusshift.id..", "org.cactusshift.errors..", "org.cactusshift.config..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("org.cactusshift.internal..");
+    }
+
+    static ArchRule decidingCodeReadsNoClock() {
+        return noClasses()
+                .that()
+                .resideInAnyPackage(DECIDING)
+                .should()
+                .callMethodWhere(target(describe("reads a clock", ArchitectureRules::readsClock)));
+    }
+
+    static ArchRule decidingCodeDoesNoIo() {
+        return noClasses()
+                .that(areDeciding())
+                .should()
+                .dependOnClassesThat(resideInAnyPackage(
+                        "java.net..",
+                        "java.nio.file..",
+                        "java.nio.channels..",
+                        "org.apache.hc..",
+                        "io.grpc..",
+                        "io.netty.."));
+    }
+
+    static ArchRule decidingCodeStartsNoThread() {
+        return noClasses()
+                .that(areDeciding())
+                .should()
+                .dependOnClassesThat(describe("run or wait for threads", ArchitectureRules::isThreading))
+                .orShould()
+                .callMethodWhere(target(describe("sleeps or waits", ArchitectureRules::waits)));
+    }
+
+    private static DescribedPredicate<JavaClass> areDeciding() {
+        return resideInAnyPackage(DECIDING).and(describe("are no drivers", type -> !isDriver(type)));
+    }
+
+    private static boolean isDriver(JavaClass type) {
+        JavaClass outermost = type;
+        while (outermost.getEnclosingClass().isPresent()) {
+            outermost = outermost.getEnclosingClass().get();
+        }
+        return DRIVER_SUFFIXES.stream().anyMatch(outermost.getSimpleName()::endsWith);
+    }
+
+    private static boolean readsClock(CodeUnitCallTarget target) {
+        return CLOCK_METHODS.contains(target.getOwner().getName() + "." + target.getName());
+    }
+
+    private static boolean isThreading(JavaClass type) {
+        return type.isAssignableTo(Thread.class)
+                || type.isAssignableTo(Executor.class)
+                || type.isEquivalentTo(Executors.class);
+    }
+
+    /** A future that is completed by its owner starts no thread; asynchronous stages and waiting for it do. */
+    private static boolean waits(CodeUnitCallTarget target) {
+        String name = target.getName();
+        if (target.getOwner().isAssignableTo(Future.class)) {
+            return name.endsWith("Async") || name.equals("get") || name.equals("join");
+        }
+        return target.getOwner().isEquivalentTo(Object.class) && name.equals("wait");
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/ArchitectureTest.java
@@ -0,0 +1,67 @@
+package org.cactusshift;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import java.util.stream.Stream;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.routing.planted.PlantedViolations;
+import org.cactusshift.internal.state.planted.UpwardState;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ArchitectureTest {
+    private static final JavaClasses PRODUCT = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+            .importPackages("org.cactusshift");
+
+    static Stream<ArchRule> rules() {
+        return Stream.of(
+                ArchitectureRules.layersAreOneWay(),
+                ArchitectureRules.publicPackagesUseNothingInternal(),
+                ArchitectureRules.decidingCodeReadsNoClock(),
+                ArchitectureRules.decidingCodeDoesNoIo(),
+                ArchitectureRules.decidingCodeStartsNoThread());
+    }
+
+    @ParameterizedTest
+    @MethodSource("rules")
+    void productKeepsTheRules(ArchRule rule) {
+        rule.check(PRODUCT);
+    }
+
+    static Stream<Arguments> violations() {
+        return Stream.of(
+                Arguments.of(ArchitectureRules.layersAreOneWay(), UpwardState.class),
+                Arguments.of(ArchitectureRules.decidingCodeReadsNoClock(), PlantedViolations.ReadsClock.class),
+                Arguments.of(ArchitectureRules.decidingCodeReadsNoClock(), PlantedViolations.ReadsWallClock.class),
+                Arguments.of(ArchitectureRules.decidingCodeDoesNoIo(), PlantedViolations.OpensSocket.class),
+                Arguments.of(ArchitectureRules.decidingCodeStartsNoThread(), PlantedViolations.StartsThread.class),
+                Arguments.of(ArchitectureRules.decidingCodeStartsNoThread(), PlantedViolations.StartsPool.class),
+                Arguments.of(
+                        ArchitectureRules.decidingCodeStartsNoThread(), PlantedViolations.RunsAsynchronously.class));
+    }
+
+    @ParameterizedTest
+    @MethodSource("violations")
+    void plantedViolationIsCaught(ArchRule rule, Class<?> violating) {
+        JavaClasses classes = new ClassFileImporter().importClasses(violating, InstalledConfig.class);
+
+        assertTrue(rule.evaluate(classes).hasViolation());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"dispatch", "routing", "lease", "claim", "usage", "key", "membership", "configsync"})
+    void everyDecidingPackageHasClasses(String name) {
+        String packageName = "org.cactusshift.internal.coordination." + name;
+        boolean found = PRODUCT.stream()
+                .anyMatch(type -> type.getPackageName().equals(packageName)
+                        && !type.getSimpleName().equals("package-info"));
+        assertTrue(found, packageName);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/routing/planted/PlantedViolations.java
@@ -0,0 +1,53 @@
+package org.cactusshift.internal.coordination.routing.planted;
+
+import java.net.Socket;
+import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+
+/** Classes that break the rules on purpose. */
+public final class PlantedViolations {
+    private PlantedViolations() {}
+
+    /** Reads the monotonic clock. */
+    public static final class ReadsClock {
+        long now() {
+            return System.nanoTime();
+        }
+    }
+
+    /** Reads the wall clock. */
+    public static final class ReadsWallClock {
+        Instant now() {
+            return Instant.now();
+        }
+    }
+
+    /** Does I/O. */
+    public static final class OpensSocket {
+        Object open() {
+            return new Socket();
+        }
+    }
+
+    /** Starts a thread. */
+    public static final class StartsThread {
+        void start() {
+            new Thread(() -> {}).start();
+        }
+    }
+
+    /** Starts a pool. */
+    public static final class StartsPool {
+        Object start() {
+            return Executors.newCachedThreadPool();
+        }
+    }
+
+    /** Runs a stage in another thread. */
+    public static final class RunsAsynchronously {
+        Object start() {
+            return CompletableFuture.runAsync(() -> {});
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/state/planted/UpwardState.java
@@ -0,0 +1,9 @@
+package org.cactusshift.internal.state.planted;
+
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+
+/** Uses a higher layer on purpose. */
+public final class UpwardState {
+    /** The dependency. */
+    InstalledConfig installed;
+}
