--- a/org.cactusshift/src/main/java/org/cactusshift/config/ConfigLoader.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/config/ConfigLoader.java
@@ -105,6 +105,7 @@
         try {
             JsonNode tree = Json.mapper().readTree(file.content());
             if (tree.isObject()) {
+                findInfinite(file.name(), JsonPointer.empty(), tree, unreadable);
                 return tree;
             }
             unreadable.add(new ConfigProblem(file.name(), "", "is not a JSON object"));
@@ -117,6 +118,20 @@
         return emptyObject();
     }
 
+    /** Reports numbers beyond the range of a double, which the schema check can't compare. */
+    private static void findInfinite(String file, JsonPointer pointer, JsonNode node, List<ConfigProblem> found) {
+        if (node.isDouble() && !Double.isFinite(node.doubleValue())) {
+            found.add(new ConfigProblem(file, pointer.toString(), "is out of the range of numbers"));
+        }
+        node.properties()
+                .forEach(field -> findInfinite(file, pointer.appendProperty(field.getKey()), field.getValue(), found));
+        if (node.isArray()) {
+            for (int i = 0; i < node.size(); i++) {
+                findInfinite(file, pointer.appendIndex(i), node.get(i), found);
+            }
+        }
+    }
+
     private static JsonNode emptyObject() {
         return JsonNodeFactory.instance.objectNode();
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/config/ConfigLoaderTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/config/ConfigLoaderTest.java
@@ -100,7 +100,7 @@
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
-            value = {"{", "[]", "'{\"site\":\"a\",\"site\":\"b\"}'", "{} {}", "''", "{\"a\":1e}"})
+            value = {"{", "[]", "'{\"site\":\"a\",\"site\":\"b\"}'", "{} {}", "''", "{\"a\":1e}", "{\"a\":[1e999]}"})
     void reportsUnreadableFiles(String content) {
         ConfigFile file = ConfigFile.of("broken", content);
 
