Wire the node

A node runs gateway, peers, configuration, keys, membership, duties, usage and claims in one process.

The peer server binds before it serves, so that its port can stand in the node's identity.

--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/NodeMain.java
@@ -0,0 +1,74 @@
+package org.cactusshift.node;
+
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.cactusshift.config.NodeSettings;
+import org.cactusshift.config.NodeSettingsLoader;
+import org.cactusshift.errors.CactusshiftException;
+
+/** Starts the daemon from a settings file and stops it gracefully on SIGTERM or SIGINT. */
+public final class NodeMain {
+    private static final System.Logger LOG = System.getLogger(NodeMain.class.getName());
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+    private static final Option SETTINGS = Option.builder("s")
+            .longOpt("settings")
+            .hasArg()
+            .argName("FILE")
+            .required()
+            .desc("settings of this process, JSON")
+            .get();
+
+    private NodeMain() {}
+
+    /**
+     * Runs the daemon until a signal.
+     *
+     * @param args the arguments
+     */
+    public static void main(String[] args) {
+        Path file;
+        try {
+            CommandLine line = new DefaultParser().parse(new Options().addOption(SETTINGS), args);
+            file = Path.of(line.getOptionValue(SETTINGS));
+        } catch (ParseException | InvalidPathException e) {
+            System.err.println("node: " + e.getMessage() + "; usage: node --settings FILE");
+            System.exit(EXIT_USAGE);
+            return;
+        }
+        int exitCode = run(file);
+        if (exitCode != 0) {
+            System.exit(exitCode);
+        }
+    }
+
+    /**
+     * Starts a node that runs until the process is signalled.
+     *
+     * @param settingsFile the settings
+     * @return 0 when the node runs, else 1 after a message to standard error
+     */
+    public static int run(Path settingsFile) {
+        try {
+            NodeSettings settings = NodeSettingsLoader.create().load(settingsFile);
+            Node node = Node.start(settings);
+            // The exit status of a signalled JVM tells of the signal; a graceful stop is a success.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "shutdown"));
+            return 0;
+        } catch (CactusshiftException e) {
+            System.err.println("node: " + e.getMessage());
+            return EXIT_FAILED;
+        }
+    }
+
+    private static void stop(Node node) {
+        boolean complete = node.stop();
+        LOG.log(System.Logger.Level.INFO, complete ? "stopped" : "stopped at the limit with work still open");
+        Runtime.getRuntime().halt(complete ? 0 : EXIT_FAILED);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/CoordinationSlot.java
@@ -0,0 +1,118 @@
+package org.cactusshift.node.internal;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.cactusshift.config.TimingConfig;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.claim.CallClaim;
+import org.cactusshift.internal.coordination.claim.CallClaims;
+import org.cactusshift.internal.coordination.claim.CallOutcome;
+import org.cactusshift.internal.coordination.claim.ClaimResult;
+import org.cactusshift.internal.coordination.usage.UsageRecord;
+import org.cactusshift.internal.coordination.usage.UsageRecorder;
+import org.cactusshift.messages.ClaimRequest;
+import org.cactusshift.messages.ClaimResponse;
+import org.cactusshift.messages.RecordOutcomeRequest;
+import org.cactusshift.messages.RecordOutcomeResponse;
+import org.cactusshift.messages.UsageAck;
+import org.cactusshift.messages.UsageBatch;
+
+/**
+ * The duties of a node, which start with its first configuration because their periods stand in it.
+ *
+ * <p>Until then nothing is claimed and no duty is held; no request is served either. Safe for use by several threads.
+ */
+final class CoordinationSlot implements CallClaims, UsageRecorder, AutoCloseable {
+    private final Function<TimingConfig, Coordination> factory;
+    private volatile Coordination running;
+    private Collection<InstanceId> members = List.of();
+    private boolean closed;
+
+    CoordinationSlot(Function<TimingConfig, Coordination> factory) {
+        this.factory = factory;
+    }
+
+    /** Starts the duties at the first call; later calls change nothing. */
+    synchronized void start(TimingConfig timing) {
+        if (running == null && !closed) {
+            Coordination created = factory.apply(timing);
+            created.duties().setMembers(members);
+            created.start();
+            running = created;
+        }
+    }
+
+    /** Sets the members among which duties are ranked. */
+    synchronized void setMembers(Collection<InstanceId> live) {
+        members = List.copyOf(live);
+        if (running != null) {
+            running.duties().setMembers(members);
+        }
+    }
+
+    List<String> heldDuties() {
+        return running().stream()
+                .flatMap(coordination -> coordination.duties().heldDuties().stream())
+                .map(Object::toString)
+                .sorted()
+                .toList();
+    }
+
+    private Optional<Coordination> running() {
+        return Optional.ofNullable(running);
+    }
+
+    @Override
+    public ClaimResult claim(CallClaim claim, long nowMillis, long deadlineMillis) {
+        return running()
+                .map(coordination -> coordination.claims().claim(claim, nowMillis, deadlineMillis))
+                .orElseGet(() -> ClaimResult.of(ClaimResult.Verdict.UNAVAILABLE));
+    }
+
+    @Override
+    public void recordOutcome(CallClaim claim, CallOutcome outcome, long nowMillis) {
+        running().ifPresent(coordination -> coordination.claims().recordOutcome(claim, outcome, nowMillis));
+    }
+
+    @Override
+    public void release(CallClaim claim, long nowMillis) {
+        running().ifPresent(coordination -> coordination.claims().release(claim, nowMillis));
+    }
+
+    @Override
+    public void record(UsageRecord usage, long epochMillis) {
+        running()
+                .orElseThrow(() -> new IllegalStateException("usage before the first configuration"))
+                .usage()
+                .record(usage, epochMillis);
+    }
+
+    ClaimResponse claim(ClaimRequest request) {
+        return running()
+                .map(coordination -> coordination.claims().claim(request))
+                .orElseThrow(() -> new IllegalArgumentException("the node has no configuration"));
+    }
+
+    RecordOutcomeResponse recordOutcome(RecordOutcomeRequest request) {
+        return running()
+                .map(coordination -> coordination.claims().recordOutcome(request))
+                .orElseThrow(() -> new IllegalArgumentException("the node has no configuration"));
+    }
+
+    UsageAck handOver(UsageBatch batch) {
+        return running()
+                .map(coordination -> coordination.usage().handOver(batch))
+                .orElseGet(UsageAck::getDefaultInstance);
+    }
+
+    /** Hands over what this node holds, then gives up the duties. */
+    @Override
+    public synchronized void close() {
+        closed = true;
+        if (running != null) {
+            running.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/GrpcClaimPeers.java
@@ -0,0 +1,42 @@
+package org.cactusshift.node.internal;
+
+import io.vavr.control.Either;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.claim.ClaimPeers;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.transport.peer.PeerConnections;
+import org.cactusshift.messages.ClaimRequest;
+import org.cactusshift.messages.ClaimResponse;
+import org.cactusshift.messages.RecordOutcomeRequest;
+import org.cactusshift.messages.RecordOutcomeResponse;
+
+/** Claims calls at other nodes over gRPC. */
+public final class GrpcClaimPeers implements ClaimPeers {
+    private final PeerConnections connections;
+
+    private GrpcClaimPeers(PeerConnections connections) {
+        this.connections = connections;
+    }
+
+    /**
+     * Returns the peers.
+     *
+     * @param connections the connections to other nodes
+     * @return the peers
+     */
+    public static GrpcClaimPeers over(PeerConnections connections) {
+        return new GrpcClaimPeers(connections);
+    }
+
+    @Override
+    public Either<Failure, ClaimResponse> claim(DutyHolder owner, ClaimRequest request, long timeoutMillis) {
+        return connections.call(owner.peerAddress(), "claim", timeoutMillis, stub -> stub.claim(request));
+    }
+
+    @Override
+    public Either<Failure, RecordOutcomeResponse> recordOutcome(
+            DutyHolder owner, RecordOutcomeRequest request, long timeoutMillis) {
+        return connections.call(
+                owner.peerAddress(), "record outcome", timeoutMillis, stub -> stub.recordOutcome(request));
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/GrpcUsagePeers.java
@@ -0,0 +1,36 @@
+package org.cactusshift.node.internal;
+
+import io.vavr.control.Either;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.usage.UsagePeers;
+import org.cactusshift.internal.transport.peer.PeerConnections;
+import org.cactusshift.messages.UsageAck;
+import org.cactusshift.messages.UsageBatch;
+
+/** Hands usage counts to other nodes over gRPC. */
+public final class GrpcUsagePeers implements UsagePeers {
+    private static final long TIMEOUT_MILLIS = 1_000;
+
+    private final PeerConnections connections;
+
+    private GrpcUsagePeers(PeerConnections connections) {
+        this.connections = connections;
+    }
+
+    /**
+     * Returns the peers.
+     *
+     * @param connections the connections to other nodes
+     * @return the peers
+     */
+    public static GrpcUsagePeers over(PeerConnections connections) {
+        return new GrpcUsagePeers(connections);
+    }
+
+    @Override
+    public Either<Failure, UsageAck> handOver(DutyHolder holder, UsageBatch batch) {
+        return connections.call(
+                holder.peerAddress(), "hand over usage", TIMEOUT_MILLIS, stub -> stub.handOverUsage(batch));
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/InstanceListPoller.java
@@ -0,0 +1,86 @@
+package org.cactusshift.node.internal;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.configsync.ConfigSource;
+import org.cactusshift.internal.coordination.dispatch.DispatchService;
+import org.cactusshift.internal.coordination.dispatch.LeavingCause;
+import org.cactusshift.internal.coordination.membership.MembershipTable;
+import org.cactusshift.internal.transport.platform.HttpInstanceList;
+
+/** Reads the platform's list of instances periodically and marks the upstreams that are leaving. */
+final class InstanceListPoller implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(InstanceListPoller.class.getName());
+    private static final long PERIOD_MILLIS = 1_000;
+
+    private final HttpInstanceList list;
+    private final MembershipTable membership;
+    private final ConfigSource config;
+    private final DispatchService dispatch;
+    private final LongSupplier clockMillis;
+    private final ScheduledFuture<?> timer;
+    private Set<UpstreamId> leaving = Set.of();
+
+    private InstanceListPoller(
+            HttpInstanceList list,
+            MembershipTable membership,
+            ConfigSource config,
+            DispatchService dispatch,
+            LongSupplier clockMillis,
+            ScheduledExecutorService scheduler) {
+        this.list = list;
+        this.membership = membership;
+        this.config = config;
+        this.dispatch = dispatch;
+        this.clockMillis = clockMillis;
+        this.timer = scheduler.scheduleWithFixedDelay(this::poll, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    static InstanceListPoller start(
+            HttpInstanceList list,
+            MembershipTable membership,
+            ConfigSource config,
+            DispatchService dispatch,
+            LongSupplier clockMillis,
+            ScheduledExecutorService scheduler) {
+        return new InstanceListPoller(list, membership, config, dispatch, clockMillis, scheduler);
+    }
+
+    private void poll() {
+        try {
+            list.read()
+                    .peek(instances -> membership.onInstanceList(instances, clockMillis.getAsLong()))
+                    .peekLeft(failure -> LOG.log(System.Logger.Level.WARNING, failure::toString));
+            mark(membership.leavingUpstreams());
+        } catch (RuntimeException e) {
+            // The next period goes on; an exception here is a defect, not a failure of the platform.
+            LOG.log(System.Logger.Level.ERROR, "instance list", e);
+        }
+    }
+
+    private void mark(Set<UpstreamId> nowLeaving) {
+        if (config.current().isEmpty()) {
+            return;
+        }
+        Set<UpstreamId> changed = new HashSet<>(leaving);
+        changed.addAll(nowLeaving);
+        for (UpstreamConfig upstream : config.current().get().config().upstreams()) {
+            if (changed.contains(upstream.id())) {
+                boolean isLeaving = nowLeaving.contains(upstream.id());
+                dispatch.onLeaving(upstream.service(), upstream.id(), LeavingCause.INSTANCE_LIST, isLeaving);
+            }
+        }
+        leaving = Set.copyOf(nowLeaving);
+    }
+
+    @Override
+    public void close() {
+        timer.cancel(false);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeExecutors.java
@@ -0,0 +1,43 @@
+package org.cactusshift.node.internal;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadFactory;
+
+/**
+ * The threads that the parts of a node share.
+ *
+ * @param scheduler runs short timers
+ * @param workers runs calls that block
+ */
+public record NodeExecutors(ScheduledExecutorService scheduler, ExecutorService workers) implements AutoCloseable {
+    private static final int SCHEDULER_THREADS = 4;
+
+    /**
+     * Returns new executors with daemon threads.
+     *
+     * @return the executors
+     */
+    public static NodeExecutors create() {
+        ScheduledThreadPoolExecutor scheduler =
+                new ScheduledThreadPoolExecutor(SCHEDULER_THREADS, daemon("node-timer"));
+        scheduler.setRemoveOnCancelPolicy(true);
+        return new NodeExecutors(scheduler, Executors.newCachedThreadPool(daemon("node-worker")));
+    }
+
+    private static ThreadFactory daemon(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    @Override
+    public void close() {
+        scheduler.shutdownNow();
+        workers.shutdownNow();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
@@ -0,0 +1,351 @@
+package org.cactusshift.node.internal;
+
+import io.opentelemetry.sdk.trace.export.SpanExporter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGeneratorFactory;
+import javax.net.ssl.SSLContext;
+import org.cactusshift.config.LimitsConfig;
+import org.cactusshift.config.NodeSettings;
+import org.cactusshift.config.TimingConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.RequestId;
+import org.cactusshift.internal.coordination.configsync.ConfigDistributor;
+import org.cactusshift.internal.coordination.configsync.ConfigRepository;
+import org.cactusshift.internal.coordination.configsync.KeyUpdates;
+import org.cactusshift.internal.coordination.dispatch.DispatchService;
+import org.cactusshift.internal.coordination.dispatch.DispatcherOptions;
+import org.cactusshift.internal.coordination.dispatch.Explanation;
+import org.cactusshift.internal.coordination.dispatch.ServiceDispatcher;
+import org.cactusshift.internal.coordination.key.KeyFreshness;
+import org.cactusshift.internal.coordination.key.KeyHasher;
+import org.cactusshift.internal.coordination.key.KeyRing;
+import org.cactusshift.internal.coordination.membership.Member;
+import org.cactusshift.internal.coordination.membership.MembershipTable;
+import org.cactusshift.internal.transport.gateway.Gateway;
+import org.cactusshift.internal.transport.gateway.GatewayComponents;
+import org.cactusshift.internal.transport.gateway.GatewayMetrics;
+import org.cactusshift.internal.transport.gateway.UpstreamLoadPoller;
+import org.cactusshift.internal.transport.http.ClientSettings;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.internal.transport.http.HttpHandler;
+import org.cactusshift.internal.transport.http.HttpListener;
+import org.cactusshift.internal.transport.http.ListenerSettings;
+import org.cactusshift.internal.transport.peer.PeerConnections;
+import org.cactusshift.internal.transport.peer.PeerServer;
+import org.cactusshift.internal.transport.platform.HttpInstanceList;
+import org.cactusshift.internal.transport.platform.PlatformCalls;
+import org.cactusshift.internal.transport.store.EtcdKeyValueStore;
+import org.cactusshift.internal.transport.store.EtcdStoreSettings;
+import org.cactusshift.internal.transport.tls.TlsContext;
+
+/** The parts of a node, wired together. */
+public final class NodeParts {
+    private static final System.Logger LOG = System.getLogger(NodeParts.class.getName());
+    private static final long PLATFORM_TIMEOUT_MILLIS = 1_000;
+    private static final long DRAIN_EXPIRY_PERIOD_MILLIS = 500;
+
+    private final LongSupplier clockMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    private final NodeSettings settings;
+    private final IncarnationId incarnation = NodeIdentity.newIncarnation();
+    private final NodeExecutors executors = NodeExecutors.create();
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Telemetry telemetry;
+    private final Optional<TlsContext> tls;
+    private final PeerConnections connections;
+    private final EtcdKeyValueStore store;
+    private final PlatformCalls platform = PlatformCalls.create(PLATFORM_TIMEOUT_MILLIS);
+    private final MembershipTable membership;
+    private final KeyFreshness freshness;
+    private final KeyHasher hasher;
+    private final KeyRing keys;
+    private final DispatchService dispatch;
+    private final HttpClientPool upstreams;
+
+    private PeerServer peerServer;
+    private NodeIdentity identity;
+    private ConfigDistributor config;
+    private CoordinationSlot coordination;
+    private HeartbeatService heartbeats;
+    private Optional<InstanceListPoller> instanceList = Optional.empty();
+    private UpstreamLoadPoller loads;
+    private HttpListener callers;
+    private HttpListener operators;
+    private volatile boolean stopping;
+
+    private NodeParts(NodeSettings settings, Optional<SpanExporter> spans) throws CactusshiftException {
+        this.settings = settings;
+        this.telemetry = Telemetry.create(settings, spans);
+        this.tls = settings.tls().isPresent()
+                ? Optional.of(orThrow(TlsContext.load(settings.tls().get(), executors.scheduler())))
+                : Optional.empty();
+        this.connections = PeerConnections.create(tls, executors.workers());
+        this.store = EtcdKeyValueStore.create(EtcdStoreSettings.forAddresses(settings.storeAddresses()));
+        this.membership = MembershipTable.create(settings.instanceId(), NodeDefaults.TIMING.suspicionMillis());
+        this.freshness = KeyFreshness.create(
+                settings.instanceId(),
+                settings.failureDomain(),
+                NodeDefaults.TIMING.keyFreshnessMillis(),
+                NodeDefaults.TIMING.suspicionMillis());
+        this.hasher = KeyHasher.fromHex(settings.keyHashSecretHex());
+        this.keys = KeyRing.create(hasher, freshness);
+        this.dispatch = DispatchService.create(
+                (service, site) -> ServiceDispatcher.create(
+                        DispatcherOptions.create(incarnation, service.kind(), site.limits()),
+                        RandomGeneratorFactory.of("L64X128MixRandom").create()),
+                clockMillis,
+                executors.scheduler());
+        this.upstreams = HttpClientPool.create(() -> ClientSettings.of(timing()), clockMillis, executors.scheduler());
+    }
+
+    /**
+     * Starts all parts.
+     *
+     * @param settings the settings of the process
+     * @param spans one more receiver of spans, or empty
+     * @return the parts
+     * @throws CactusshiftException if an address can't be bound or a certificate can't be read
+     */
+    public static NodeParts start(NodeSettings settings, Optional<SpanExporter> spans) throws CactusshiftException {
+        NodeParts parts = new NodeParts(settings, spans);
+        try {
+            parts.startPeers();
+            parts.startServing();
+        } catch (CactusshiftException e) {
+            parts.executors.close();
+            throw e;
+        }
+        return parts;
+    }
+
+    private void startPeers() throws CactusshiftException {
+        peerServer = orThrow(PeerServer.start(address(settings.peerAddress()), tls, executors.workers()));
+        identity = new NodeIdentity(settings, incarnation, host(settings.peerAddress()) + ":" + peerServer.port());
+        config = ConfigDistributor.builder()
+                .setSelf(settings.instanceId(), settings.failureDomain())
+                .setRepository(ConfigRepository.open(store, settings.site()))
+                .setPeers(GrpcConfigPeers.over(connections, identity.sender(), this::peerAddresses))
+                .setEvents(KeyUpdates.of(keys, freshness))
+                .setMembers(() -> membership.members(clockMillis.getAsLong()))
+                .setContactAgeMillis(() -> freshness.contactAgeMillis(clockMillis.getAsLong()))
+                .setNowMillis(clockMillis)
+                .build();
+        coordination = new CoordinationSlot(
+                timing -> Coordination.create(identity, store, connections, platform, timing, clockMillis));
+        PeerExchange exchange = new PeerExchange(identity, membership, freshness, config, dispatch, clockMillis);
+        UpstreamDrains drains = new UpstreamDrains(config, dispatch, clockMillis);
+        executors
+                .scheduler()
+                .scheduleWithFixedDelay(
+                        drains::expire, DRAIN_EXPIRY_PERIOD_MILLIS, DRAIN_EXPIRY_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        peerServer.serve(new NodePeerCalls(exchange, config, coordination, drains));
+        config.subscribe(installed -> coordination.start(installed.config().timing()));
+        config.subscribe(dispatch::install);
+        config.start();
+        heartbeats = HeartbeatService.start(
+                new HeartbeatService.Parts(
+                        identity,
+                        exchange,
+                        connections,
+                        coordination,
+                        executors.workers(),
+                        executors.scheduler(),
+                        clockMillis),
+                NodeDefaults.TIMING.heartbeatMillis(),
+                NodeDefaults.TIMING.suspicionMillis());
+        instanceList = settings.instanceListAddress()
+                .map(address -> InstanceListPoller.start(
+                        HttpInstanceList.create(platform, address),
+                        membership,
+                        config,
+                        dispatch,
+                        clockMillis,
+                        executors.scheduler()));
+    }
+
+    private void startServing() throws CactusshiftException {
+        loads = UpstreamLoadPoller.start(config, dispatch, upstreams, clockMillis, executors.scheduler());
+        Gateway gateway = Gateway.create(new GatewayComponents(
+                config,
+                keys,
+                dispatch,
+                coordination,
+                coordination,
+                upstreams,
+                telemetry.tracer(),
+                GatewayMetrics.create(registry),
+                clockMillis,
+                Clock.systemUTC(),
+                this::isReady));
+        callers = listen(settings.callerAddress(), gateway);
+        operators = listen(
+                settings.operatorAddress(),
+                OperatorPages.create(
+                        registry, hasher, settings.operatorKeyHash(), this::isReady, this::status, this::explain));
+        LOG.log(System.Logger.Level.INFO, "node {0} listens on {1}", settings.instanceId(), callerAddress());
+    }
+
+    private HttpListener listen(String address, HttpHandler handler) throws CactusshiftException {
+        Supplier<SSLContext> context = null;
+        if (tls.isPresent()) {
+            SSLContext created = orThrow(tls.get().sslContext());
+            context = () -> created;
+        }
+        try {
+            return HttpListener.open(address(address), () -> ListenerSettings.of(limits(), timing()), handler, context);
+        } catch (IOException e) {
+            throw new CactusshiftException(Failure.noEffect("listen", address, e.toString()));
+        }
+    }
+
+    private LimitsConfig limits() {
+        return config.current().map(installed -> installed.config().limits()).orElse(NodeDefaults.LIMITS);
+    }
+
+    private TimingConfig timing() {
+        return Optional.ofNullable(config)
+                .flatMap(ConfigDistributor::current)
+                .map(installed -> installed.config().timing())
+                .orElse(NodeDefaults.TIMING);
+    }
+
+    private List<String> peerAddresses() {
+        Set<String> addresses = new LinkedHashSet<>();
+        membership.members(clockMillis.getAsLong()).stream()
+                .sorted((left, right) -> left.state().compareTo(right.state()))
+                .map(Member::peerAddress)
+                .forEach(addresses::add);
+        addresses.addAll(settings.peerAddresses());
+        addresses.remove(identity.peerAddress());
+        return List.copyOf(addresses);
+    }
+
+    /**
+     * Tells whether the node takes requests.
+     *
+     * @return true when it has a configuration and is not stopping
+     */
+    public boolean isReady() {
+        return !stopping && config.current().isPresent();
+    }
+
+    private Object status() {
+        long nowMillis = clockMillis.getAsLong();
+        return new NodeStatus(
+                settings.instanceId(),
+                incarnation,
+                settings.site(),
+                isReady(),
+                stopping ? Optional.of("the node is shutting down") : config.notServingReason(),
+                config.version(),
+                freshness.status(nowMillis).name(),
+                freshness.contactAgeMillis(nowMillis),
+                dispatch.openRequests(),
+                coordination.heldDuties(),
+                membership.members(nowMillis).stream()
+                        .map(member -> new NodeStatus.MemberStatus(
+                                member.id(),
+                                member.failureDomain().value(),
+                                member.state().name()))
+                        .toList());
+    }
+
+    private Optional<Object> explain(String request) {
+        try {
+            List<Explanation> found = dispatch.explain(RequestId.fromString(request));
+            return found.isEmpty() ? Optional.empty() : Optional.of(found);
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Stops gracefully.
+     *
+     * @return false when the limit passed with requests still open
+     */
+    public boolean stop() {
+        stopping = true;
+        heartbeats.sayLeaving();
+        boolean complete = stopListener(callers);
+        loads.close();
+        instanceList.ifPresent(InstanceListPoller::close);
+        coordination.close();
+        heartbeats.close();
+        stopListener(operators);
+        config.close();
+        peerServer.close();
+        connections.close();
+        dispatch.close();
+        upstreams.close();
+        store.close();
+        platform.close();
+        telemetry.close();
+        tls.ifPresent(TlsContext::close);
+        executors.close();
+        return complete;
+    }
+
+    private boolean stopListener(HttpListener listener) {
+        try {
+            return listener.stop(timing().shutdownTimeoutMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /**
+     * Returns where callers connect.
+     *
+     * @return the address, as {@code ADDRESS:PORT}
+     */
+    public String callerAddress() {
+        return host(settings.callerAddress()) + ":" + callers.address().getPort();
+    }
+
+    /**
+     * Returns where operators connect.
+     *
+     * @return the address, as {@code ADDRESS:PORT}
+     */
+    public String operatorAddress() {
+        return host(settings.operatorAddress()) + ":" + operators.address().getPort();
+    }
+
+    /**
+     * Returns where other nodes connect.
+     *
+     * @return the address, as {@code ADDRESS:PORT}
+     */
+    public String peerAddress() {
+        return identity.peerAddress();
+    }
+
+    private static String host(String address) {
+        return address.substring(0, address.lastIndexOf(':'));
+    }
+
+    private static InetSocketAddress address(String address) {
+        return new InetSocketAddress(host(address), Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
+    }
+
+    private static <T> T orThrow(Either<Failure, T> either) throws CactusshiftException {
+        if (either.isLeft()) {
+            throw new CactusshiftException(either.getLeft());
+        }
+        return either.get();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodePeerCalls.java
@@ -0,0 +1,72 @@
+package org.cactusshift.node.internal;
+
+import java.util.function.Consumer;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.configsync.ConfigDistributor;
+import org.cactusshift.internal.transport.peer.PeerCalls;
+import org.cactusshift.messages.ClaimRequest;
+import org.cactusshift.messages.ClaimResponse;
+import org.cactusshift.messages.ConfigVersion;
+import org.cactusshift.messages.DrainRequest;
+import org.cactusshift.messages.DrainStatus;
+import org.cactusshift.messages.FetchConfigRequest;
+import org.cactusshift.messages.FetchConfigResponse;
+import org.cactusshift.messages.HeartbeatRequest;
+import org.cactusshift.messages.HeartbeatResponse;
+import org.cactusshift.messages.RecordOutcomeRequest;
+import org.cactusshift.messages.RecordOutcomeResponse;
+import org.cactusshift.messages.UsageAck;
+import org.cactusshift.messages.UsageBatch;
+import org.cactusshift.messages.WatchConfigRequest;
+
+/** Answers the calls of other nodes. */
+final class NodePeerCalls implements PeerCalls {
+    private final PeerExchange exchange;
+    private final ConfigDistributor config;
+    private final CoordinationSlot coordination;
+    private final UpstreamDrains drains;
+
+    NodePeerCalls(
+            PeerExchange exchange, ConfigDistributor config, CoordinationSlot coordination, UpstreamDrains drains) {
+        this.exchange = exchange;
+        this.config = config;
+        this.coordination = coordination;
+        this.drains = drains;
+    }
+
+    @Override
+    public HeartbeatResponse heartbeat(HeartbeatRequest request) {
+        return exchange.answer(request);
+    }
+
+    @Override
+    public FetchConfigResponse fetchConfig(FetchConfigRequest request) {
+        return GrpcConfigPeers.toResponse(config.bundleFor(request.getHaveVersion()));
+    }
+
+    @Override
+    public Runnable watchConfig(WatchConfigRequest request, Consumer<ConfigVersion> sink) {
+        return config.followVersions(version ->
+                sink.accept(ConfigVersion.newBuilder().setVersion(version).build()));
+    }
+
+    @Override
+    public ClaimResponse claim(ClaimRequest request) {
+        return coordination.claim(request);
+    }
+
+    @Override
+    public RecordOutcomeResponse recordOutcome(RecordOutcomeRequest request) {
+        return coordination.recordOutcome(request);
+    }
+
+    @Override
+    public UsageAck handOverUsage(UsageBatch batch) {
+        return coordination.handOver(batch);
+    }
+
+    @Override
+    public DrainStatus acknowledgeDrain(DrainRequest request) {
+        return drains.acknowledge(UpstreamId.fromString(request.getUpstreamId()), request.getConfigVersion());
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/PeerExchange.java
@@ -0,0 +1,193 @@
+package org.cactusshift.node.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.configsync.ConfigDistributor;
+import org.cactusshift.internal.coordination.dispatch.DispatchService;
+import org.cactusshift.internal.coordination.key.KeyFreshness;
+import org.cactusshift.internal.coordination.key.StoreContact;
+import org.cactusshift.internal.coordination.membership.Member;
+import org.cactusshift.internal.coordination.membership.MembershipTable;
+import org.cactusshift.internal.coordination.membership.PeerSighting;
+import org.cactusshift.internal.coordination.summary.AccountKey;
+import org.cactusshift.internal.coordination.summary.OutgoingTotals;
+import org.cactusshift.internal.coordination.summary.RemoteTotals;
+import org.cactusshift.internal.coordination.summary.ServiceTotals;
+import org.cactusshift.messages.AccountService;
+import org.cactusshift.messages.HeartbeatRequest;
+import org.cactusshift.messages.HeartbeatResponse;
+import org.cactusshift.messages.Sender;
+import org.cactusshift.messages.SuspectFingerprint;
+
+/** Composes heartbeats and applies what those of other nodes say. Safe for use by several threads. */
+final class PeerExchange {
+    private static final int FULL_TOTALS_EVERY = 20;
+
+    private final NodeIdentity self;
+    private final MembershipTable membership;
+    private final KeyFreshness freshness;
+    private final ConfigDistributor config;
+    private final DispatchService dispatch;
+    private final LongSupplier clockMillis;
+    private final OutgoingTotals outgoing = OutgoingTotals.create(FULL_TOTALS_EVERY);
+    private final RemoteTotals remoteTotals = RemoteTotals.create();
+    private final RemoteSuspects remoteSuspects = RemoteSuspects.create();
+    private final Map<InstanceId, IncarnationId> heard = new HashMap<>();
+    private long sequence;
+    private volatile boolean leaving;
+
+    PeerExchange(
+            NodeIdentity self,
+            MembershipTable membership,
+            KeyFreshness freshness,
+            ConfigDistributor config,
+            DispatchService dispatch,
+            LongSupplier clockMillis) {
+        this.self = self;
+        this.membership = membership;
+        this.freshness = freshness;
+        this.config = config;
+        this.dispatch = dispatch;
+        this.clockMillis = clockMillis;
+    }
+
+    void setLeaving() {
+        leaving = true;
+    }
+
+    synchronized HeartbeatRequest nextRequest() {
+        sequence++;
+        HeartbeatRequest.Builder request = HeartbeatRequest.newBuilder()
+                .setSender(self.sender())
+                .setSequence(sequence)
+                .setConfigVersion(config.version())
+                .setStoreContactAgeMillis(freshness.contactAgeMillis(clockMillis.getAsLong()))
+                .setLeaving(leaving);
+        outgoing.next(dispatch.serviceSinceStart())
+                .forEach((key, totals) -> request.addAccounts(toMessage(key, totals)));
+        dispatch.suspects()
+                .forEach(suspect -> request.addSuspects(SuspectFingerprint.newBuilder()
+                        .setFingerprint(suspect.fingerprint())
+                        .setCrashes(suspect.crashes())
+                        .setAgeMillis(suspect.ageMillis())));
+        return request.build();
+    }
+
+    HeartbeatResponse answer(HeartbeatRequest request) {
+        long nowMillis = clockMillis.getAsLong();
+        Sender sender = request.getSender();
+        if (membership.onHeartbeat(sighting(sender, request.getLeaving()), nowMillis)) {
+            IncarnationId incarnation = IncarnationId.fromString(sender.getIncarnationId());
+            remember(InstanceId.fromString(sender.getInstanceId()), incarnation);
+            config.onPeerVersion(sender.getPeerAddress(), request.getConfigVersion());
+            applyTotals(incarnation, request.getAccountsList());
+            remoteSuspects.accept(incarnation, request.getSuspectsList()).forEach(dispatch::onRemoteSuspect);
+        }
+        return HeartbeatResponse.newBuilder()
+                .setSender(self.sender())
+                .setSequence(request.getSequence())
+                .setConfigVersion(config.version())
+                .setStoreContactAgeMillis(freshness.contactAgeMillis(nowMillis))
+                .setLeaving(leaving)
+                .build();
+    }
+
+    void onResponse(HeartbeatResponse response, long askedMillis) {
+        Sender sender = response.getSender();
+        if (!membership.onHeartbeat(sighting(sender, response.getLeaving()), clockMillis.getAsLong())) {
+            return;
+        }
+        config.onPeerVersion(sender.getPeerAddress(), response.getConfigVersion());
+        freshness.onPeer(StoreContact.of(
+                InstanceId.fromString(sender.getInstanceId()),
+                FailureDomainId.fromString(sender.getFailureDomain()),
+                askedMillis,
+                response.getStoreContactAgeMillis(),
+                response.getConfigVersion()));
+    }
+
+    /** Applies what the membership says now and returns the members. */
+    List<Member> refreshMembers(CoordinationSlot duties) {
+        List<Member> members = membership.members(clockMillis.getAsLong());
+        freshness.onMembers(members.stream().collect(Collectors.toMap(Member::id, Member::failureDomain)));
+        Set<InstanceId> live = new HashSet<>();
+        members.stream().filter(PeerExchange::takesDuties).map(Member::id).forEach(live::add);
+        if (!leaving) {
+            live.add(self.settings().instanceId());
+        }
+        duties.setMembers(live);
+        forgetGone(members);
+        return members;
+    }
+
+    private static boolean takesDuties(Member member) {
+        return member.state() == Member.State.LIVE;
+    }
+
+    private synchronized void remember(InstanceId instance, IncarnationId incarnation) {
+        IncarnationId before = heard.put(instance, incarnation);
+        if (before != null && !before.equals(incarnation)) {
+            forget(before);
+        }
+    }
+
+    private synchronized void forgetGone(List<Member> members) {
+        Set<InstanceId> present = members.stream().map(Member::id).collect(Collectors.toSet());
+        List<InstanceId> gone = new ArrayList<>(heard.keySet());
+        gone.removeAll(present);
+        gone.forEach(instance -> forget(heard.remove(instance)));
+    }
+
+    private void forget(IncarnationId incarnation) {
+        remoteSuspects.forget(incarnation);
+        remoteTotals
+                .forget(incarnation)
+                .forEach((key, inFlight) -> dispatch.onRemoteService(key.service(), key.account(), 0, 0, inFlight));
+    }
+
+    private void applyTotals(IncarnationId incarnation, List<AccountService> accounts) {
+        for (AccountService account : accounts) {
+            AccountKey key = new AccountKey(
+                    ServiceId.fromString(account.getServiceId()), AccountId.fromString(account.getAccountId()));
+            ServiceTotals totals =
+                    new ServiceTotals(account.getPrefillTokens(), account.getDecodeTokens(), account.getInFlight());
+            ServiceTotals difference = remoteTotals.accept(incarnation, key, totals);
+            dispatch.onRemoteService(
+                    key.service(),
+                    key.account(),
+                    difference.prefillTokens(),
+                    difference.decodeTokens(),
+                    difference.requestsInFlight());
+        }
+    }
+
+    private static AccountService toMessage(AccountKey key, ServiceTotals totals) {
+        return AccountService.newBuilder()
+                .setServiceId(key.service().value())
+                .setAccountId(key.account().value())
+                .setPrefillTokens(totals.prefillTokens())
+                .setDecodeTokens(totals.decodeTokens())
+                .setInFlight(totals.requestsInFlight())
+                .build();
+    }
+
+    private static PeerSighting sighting(Sender sender, boolean leaving) {
+        return new PeerSighting(
+                InstanceId.fromString(sender.getInstanceId()),
+                IncarnationId.fromString(sender.getIncarnationId()),
+                FailureDomainId.fromString(sender.getFailureDomain()),
+                sender.getPeerAddress(),
+                leaving);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/RemoteSuspects.java
@@ -0,0 +1,38 @@
+package org.cactusshift.node.internal;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.messages.SuspectFingerprint;
+
+/** Adds up what other nodes saw of each crash-inducing fingerprint. Safe for use by several threads. */
+final class RemoteSuspects {
+    private final Map<IncarnationId, Map<Long, Integer>> crashesBySender = new HashMap<>();
+
+    private RemoteSuspects() {}
+
+    static RemoteSuspects create() {
+        return new RemoteSuspects();
+    }
+
+    /** Returns the fingerprints that the sender names, with the crashes seen by all other nodes together. */
+    synchronized Map<Long, Integer> accept(IncarnationId sender, List<SuspectFingerprint> suspects) {
+        Map<Long, Integer> reported = new HashMap<>();
+        suspects.forEach(suspect -> reported.merge(suspect.getFingerprint(), suspect.getCrashes(), Integer::sum));
+        crashesBySender.put(sender, reported);
+        Map<Long, Integer> sums = new HashMap<>();
+        reported.keySet().forEach(fingerprint -> sums.put(fingerprint, crashes(fingerprint)));
+        return sums;
+    }
+
+    synchronized void forget(IncarnationId sender) {
+        crashesBySender.remove(sender);
+    }
+
+    private int crashes(long fingerprint) {
+        return crashesBySender.values().stream()
+                .mapToInt(reported -> reported.getOrDefault(fingerprint, 0))
+                .sum();
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/peer/PeerServer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/peer/PeerServer.java
@@ -4,6 +4,7 @@
 import io.grpc.Server;
 import io.grpc.ServerCredentials;
 import io.grpc.netty.NettyServerBuilder;
+import io.grpc.util.MutableHandlerRegistry;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -21,22 +22,24 @@
     private static final long CLOSE_GRACE_MILLIS = 500;
 
     private final Server server;
+    private final MutableHandlerRegistry services;
 
-    private PeerServer(Server server) {
+    private PeerServer(Server server, MutableHandlerRegistry services) {
         this.server = server;
+        this.services = services;
     }
 
     /**
-     * Binds and starts.
+     * Binds and starts; calls are rejected until {@link #serve} is called.
      *
      * @param address where to listen; port 0 takes a free one
      * @param tls certificates, or empty for plain text
-     * @param calls answers the calls
      * @param executor runs the calls
      * @return the started server, or the failure when the address can't be bound
      */
     public static Either<Failure, PeerServer> start(
-            InetSocketAddress address, Optional<TlsContext> tls, PeerCalls calls, Executor executor) {
+            InetSocketAddress address, Optional<TlsContext> tls, Executor executor) {
+        MutableHandlerRegistry services = new MutableHandlerRegistry();
         ServerCredentials credentials =
                 tls.map(TlsContext::mutualServerCredentials).orElseGet(InsecureServerCredentials::create);
         Server server = NettyServerBuilder.forAddress(address, credentials)
@@ -46,15 +49,24 @@
                 .keepAliveTimeout(KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS)
                 .permitKeepAliveTime(MINIMUM_CLIENT_KEEP_ALIVE_MILLIS, TimeUnit.MILLISECONDS)
                 .permitKeepAliveWithoutCalls(true)
-                .addService(PeerEndpoint.create(calls))
+                .fallbackHandlerRegistry(services)
                 .build();
         try {
-            return Either.right(new PeerServer(server.start()));
+            return Either.right(new PeerServer(server.start(), services));
         } catch (IOException e) {
             return Either.left(Failure.noEffect("listen for peers", address.toString(), e.toString()));
         }
     }
 
+    /**
+     * Begins to answer calls.
+     *
+     * @param calls answers the calls
+     */
+    public void serve(PeerCalls calls) {
+        services.addService(PeerEndpoint.create(calls));
+    }
+
     /**
      * Returns the port that the server listens on.
      *
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/peer/PeerServerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/peer/PeerServerTest.java
@@ -103,8 +103,10 @@
     }
 
     private PeerServer start(String holder) {
-        return PeerServer.start(new InetSocketAddress("127.0.0.1", 0), tls(holder), new EchoCalls(), executor)
+        PeerServer server = PeerServer.start(new InetSocketAddress("127.0.0.1", 0), tls(holder), executor)
                 .get();
+        server.serve(new EchoCalls());
+        return server;
     }
 
     private Optional<TlsContext> tls(String holder) {
