Run a whole site on loopback with one command

The demo starts stand-ins for every outside system and three nodes in one process, publishes the example configuration with fresh keys, sends 26 s of a recorded trace whose mix shifts, and prints each measure beside what is demanded. Each answer is compared with what the engine must have said, and the reported usage with what callers were told.

--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/CommandRegistry.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/CommandRegistry.java
@@ -29,6 +29,9 @@
      */
     public static CommandRegistry standard() {
         return of(List.of(
+                new DemoCommand(),
+                new NodeCommand(),
+                new StatusCommand(),
                 new ReplayCommand(),
                 new ConfigValidateCommand(),
                 new ConfigShowCommand(),
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/DemoCommand.java
@@ -0,0 +1,61 @@
+package org.cactusshift.pgm;
+
+import java.io.IOException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.pgm.demo.Demo;
+
+/** Runs a whole site on loopback. */
+public final class DemoCommand implements Command {
+    private static final String DEFAULT_SITE = "be-coast";
+    private static final String LOG_LEVEL_PROPERTY = "cactusshift.logLevel";
+
+    @Override
+    public String name() {
+        return "demo";
+    }
+
+    @Override
+    public String summary() {
+        return "runs stand-ins, three nodes and recorded traffic on loopback";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(CommonOptions.site())
+                .addOption(Option.builder()
+                        .longOpt("hold")
+                        .desc("serves until a signal in place of sending traffic")
+                        .get())
+                .addOption(Option.builder()
+                        .longOpt("verbose")
+                        .desc("shows the nodes' logs on standard error")
+                        .get());
+    }
+
+    @Override
+    public int run(CommandLine line, Console console) throws UsageException, CactusshiftException {
+        String site = line.hasOption("site") ? CommonOptions.siteOf(line).value() : DEFAULT_SITE;
+        System.setProperty(LOG_LEVEL_PROPERTY, line.hasOption("verbose") ? "info" : "error");
+        Demo demo = Demo.create()
+                .setExamples(CommonOptions.examples())
+                .setSite(site)
+                .setStreams(console.out(), console.err());
+        try {
+            if (line.hasOption("hold")) {
+                demo.hold();
+                return ExitStatus.DONE;
+            }
+            return demo.run() ? ExitStatus.DONE : ExitStatus.FAILED;
+        } catch (IOException e) {
+            throw new CactusshiftException(Failure.noEffect("start demo", "local", e.toString()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ExitStatus.FAILED;
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/Demo.java
@@ -0,0 +1,146 @@
+package org.cactusshift.pgm.demo;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.node.Node;
+
+/** Runs a whole site on loopback, either under recorded traffic or until it is signalled. */
+public final class Demo {
+    private static final int NODES = 3;
+    private static final long WINDOW_START_MILLIS = 18_000;
+    private static final long WINDOW_END_MILLIS = 44_000;
+    private static final long USAGE_LIMIT_MILLIS = 15_000;
+    private static final long USAGE_POLL_MILLIS = 100;
+
+    private Path examples = Path.of("examples");
+    private String site = "be-coast";
+    private PrintStream out = System.out;
+    private PrintStream err = System.err;
+
+    private Demo() {}
+
+    /**
+     * Returns a demo of the site {@code be-coast}.
+     *
+     * @return the demo
+     */
+    public static Demo create() {
+        return new Demo();
+    }
+
+    /**
+     * Sets where the example configuration and the traces lie.
+     *
+     * @param newExamples the directory
+     * @return this demo
+     */
+    public Demo setExamples(Path newExamples) {
+        examples = newExamples;
+        return this;
+    }
+
+    /**
+     * Sets the site.
+     *
+     * @param newSite the name of an overlay
+     * @return this demo
+     */
+    public Demo setSite(String newSite) {
+        site = newSite;
+        return this;
+    }
+
+    /**
+     * Sets where results and progress go.
+     *
+     * @param newOut receives the table or the addresses
+     * @param newErr receives the progress
+     * @return this demo
+     */
+    public Demo setStreams(PrintStream newOut, PrintStream newErr) {
+        out = newOut;
+        err = newErr;
+        return this;
+    }
+
+    /**
+     * Sends a window of the site's recorded trace and prints the measures.
+     *
+     * @return true when every stated outcome holds
+     * @throws CactusshiftException if the site can't start or the trace can't be read
+     * @throws IOException if a stand-in can't listen
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public boolean run() throws CactusshiftException, IOException, InterruptedException {
+        SpanLog spans = new SpanLog();
+        try (DemoSite running = DemoSite.start(examples, site, NODES, spans)) {
+            Path trace = examples.resolve("traces").resolve(site + "-mix-shift.jsonl");
+            List<DemoCall> calls = DemoTrace.read(trace, running.config(), WINDOW_START_MILLIS, WINDOW_END_MILLIS);
+            DemoProgress progress = new DemoProgress(err, calls.size());
+            List<DemoResult> results = new DemoTraffic(running).run(calls, progress::show);
+            progress.end();
+            DemoMeasures measures = new DemoMeasures(calls, results, running.config(), running.platform());
+            awaitUsage(measures);
+            boolean stopped = running.stopNodes();
+            List<DemoMeasure> rows = new ArrayList<>(measures.rows());
+            rows.add(DemoMeasure.equal("nodes that cut a request at stop", stopped ? 0 : 1, 0));
+            rows.add(DemoMeasure.atLeast("spans for each call", (double) spans.count() / calls.size(), 2));
+            out.printf("site %s: %d nodes, %d calls%n", site, NODES, calls.size());
+            DemoTable.print(rows, out);
+            return rows.stream().allMatch(DemoMeasure::holds);
+        }
+    }
+
+    /** Windows are reported after they end, so the last one is waited for. */
+    private static void awaitUsage(DemoMeasures measures) throws InterruptedException {
+        long limitMillis = System.currentTimeMillis() + USAGE_LIMIT_MILLIS;
+        while (measures.tokensOff() != 0 && System.currentTimeMillis() < limitMillis) {
+            Thread.sleep(USAGE_POLL_MILLIS);
+        }
+    }
+
+    /**
+     * Serves until the process is signalled.
+     *
+     * @throws CactusshiftException if the site can't start
+     * @throws IOException if a stand-in can't listen
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void hold() throws CactusshiftException, IOException, InterruptedException {
+        DemoSite running = DemoSite.start(examples, site, NODES, new SpanLog());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running), "demo-shutdown"));
+        Node first = running.nodes().get(0);
+        AccountConfig account = running.config().accounts().get(0);
+        String plain = running.config().services().stream()
+                .filter(service -> service.kind() == ServiceConfig.Kind.PLAIN && !service.openRoute())
+                .map(service -> service.id().value())
+                .findFirst()
+                .orElse("");
+        out.println("OPENAI_BASE_URL=http://" + first.callerAddress() + "/v1");
+        out.println("OPENAI_API_KEY=" + running.bearer(account.id()));
+        out.println("SERVICE_URL=http://" + first.callerAddress() + "/services/" + plain);
+        out.println("METRICS_URL=http://" + first.operatorAddress() + "/metrics");
+        out.println("STATUS_URL=http://" + first.operatorAddress() + "/status");
+        out.println("ENGINES_URL=http://" + running.platform().page().address() + "/");
+        out.println("STORE=" + running.platform().keyValueService().address());
+        out.println("READY");
+        out.flush();
+        new CountDownLatch(1).await();
+    }
+
+    private void stop(DemoSite running) {
+        err.println("shutting down; open requests are finished first");
+        boolean complete = running.stopNodes();
+        running.close();
+        err.println(complete ? "stopped; no open request was cut" : "stopped at the limit; open requests were cut");
+        err.flush();
+        Runtime.getRuntime().halt(complete ? 0 : 1);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/DemoCaller.java
@@ -0,0 +1,229 @@
+package org.cactusshift.pgm.demo;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.cactusshift.config.Json;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.internal.protocol.openai.SseParser;
+import org.cactusshift.internal.transport.http.ClientExchange;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.internal.transport.http.UpstreamException;
+import org.cactusshift.internal.transport.http.WaitObserver;
+import org.cactusshift.standin.engine.ExpectedAnswer;
+
+/** Makes calls through the callers' interface and checks each answer against what the stand-ins must say. */
+final class DemoCaller {
+    private static final System.Logger LOG = System.getLogger(DemoCaller.class.getName());
+    private static final String DONE = "[DONE]";
+    private static final int OK = 200;
+    private static final int MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024;
+    private static final int BUFFER_BYTES = 8 * 1024;
+    private static final long LATE_LIMIT_MILLIS = 20_000;
+
+    private final HttpClientPool pool;
+    private final Function<AccountId, String> bearer;
+    private final LongSupplier clockMillis;
+
+    DemoCaller(HttpClientPool pool, Function<AccountId, String> bearer, LongSupplier clockMillis) {
+        this.pool = pool;
+        this.bearer = bearer;
+        this.clockMillis = clockMillis;
+    }
+
+    /** Makes a call at a node and returns what came of it. */
+    DemoResult call(String nodeAddress, DemoCall call) {
+        long startMillis = clockMillis.getAsLong();
+        Either<UpstreamException, ClientExchange> sent =
+                pool.send(nodeAddress, request(call), WaitObserver.PATIENT, call.timeoutMillis() + LATE_LIMIT_MILLIS);
+        if (sent.isLeft()) {
+            return DemoResult.without(call, DemoResult.Outcome.UNKNOWN, clockMillis.getAsLong() - startMillis);
+        }
+        try (ClientExchange exchange = sent.get()) {
+            if (exchange.status() != OK) {
+                return refused(call, exchange, startMillis);
+            }
+            return call.isModelCall() ? answered(call, exchange, startMillis) : plain(call, exchange, startMillis);
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.ERROR, "answer lost: " + e);
+            return DemoResult.without(call, DemoResult.Outcome.WRONG, clockMillis.getAsLong() - startMillis);
+        }
+    }
+
+    private DemoResult refused(DemoCall call, ClientExchange exchange, long startMillis) throws IOException {
+        JsonNode answer = Json.mapper().readTree(exchange.readAll(MAXIMUM_ANSWER_BYTES));
+        boolean notRun = exchange.header("x-cactusshift-outcome").orElse("").equals("not-run");
+        return DemoResult.refused(
+                call,
+                notRun ? DemoResult.Outcome.NOT_RUN : DemoResult.Outcome.UNKNOWN,
+                clockMillis.getAsLong() - startMillis,
+                answer.at("/error/code").asText(""));
+    }
+
+    private DemoResult plain(DemoCall call, ClientExchange exchange, long startMillis) throws IOException {
+        JsonNode answer = Json.mapper().readTree(exchange.readAll(MAXIMUM_ANSWER_BYTES));
+        boolean right = call.paymentId()
+                .map(payment -> answer.path("payment_id").asText().equals(payment))
+                .orElse(answer.has("balance_cents"));
+        return result(call, right, startMillis, 0, 0, 0);
+    }
+
+    private DemoResult answered(DemoCall call, ClientExchange exchange, long startMillis) throws IOException {
+        Answer answer = call.streamed() ? readStream(exchange) : readWhole(exchange);
+        if (!answer.errorCode.isEmpty()) {
+            return given(call, answer, startMillis);
+        }
+        String expected = ExpectedAnswer.forUserMessage(call.prompt()).text(call.maximumTokens());
+        boolean right = answer.complete && answer.text.toString().equals(expected);
+        if (!right) {
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "wrong answer: streamed {0}, complete {1}, {2} of {3} characters, request {4}",
+                    call.streamed(),
+                    answer.complete,
+                    answer.text.length(),
+                    expected.length(),
+                    exchange.header("x-request-id").orElse(""));
+        }
+        long firstTokenMillis = answer.firstTokenAtMillis - startMillis;
+        return result(call, right, startMillis, firstTokenMillis, answer.promptTokens, answer.completionTokens);
+    }
+
+    /** Returns the result of a stream that the node ended with an error; what was delivered is billed. */
+    private DemoResult given(DemoCall call, Answer answer, long startMillis) {
+        return new DemoResult(
+                call,
+                DemoResult.Outcome.UNKNOWN,
+                clockMillis.getAsLong() - startMillis,
+                0,
+                tokensOf("user\n" + call.prompt() + "\n"),
+                tokensOf(answer.text),
+                answer.errorCode);
+    }
+
+    private static long tokensOf(CharSequence text) {
+        return (text.length() + ExpectedAnswer.TOKEN_CHARS - 1) / ExpectedAnswer.TOKEN_CHARS;
+    }
+
+    private DemoResult result(
+            DemoCall call,
+            boolean right,
+            long startMillis,
+            long firstTokenMillis,
+            long promptTokens,
+            long completionTokens) {
+        long latencyMillis = clockMillis.getAsLong() - startMillis;
+        DemoResult.Outcome outcome = DemoResult.Outcome.WRONG;
+        if (right) {
+            outcome = latencyMillis <= call.timeoutMillis() ? DemoResult.Outcome.IN_TIME : DemoResult.Outcome.LATE;
+        }
+        return new DemoResult(call, outcome, latencyMillis, firstTokenMillis, promptTokens, completionTokens, "");
+    }
+
+    private Answer readStream(ClientExchange exchange) throws IOException {
+        Answer answer = new Answer();
+        SseParser parser = new SseParser();
+        byte[] buffer = new byte[BUFFER_BYTES];
+        for (int length = exchange.read(buffer); length >= 0; length = exchange.read(buffer)) {
+            parser.feed(buffer, length);
+            for (String event = parser.poll(); event != null; event = parser.poll()) {
+                takeEvent(answer, event);
+            }
+        }
+        return answer;
+    }
+
+    private void takeEvent(Answer answer, String event) throws IOException {
+        if (event.equals(DONE)) {
+            answer.complete = true;
+            return;
+        }
+        JsonNode chunk = Json.mapper().readTree(event);
+        if (chunk.has("error")) {
+            answer.errorCode = chunk.at("/error/code").asText("unnamed");
+        }
+        String content = chunk.at("/choices/0/delta/content").asText("");
+        if (!content.isEmpty() && answer.text.length() == 0) {
+            answer.firstTokenAtMillis = clockMillis.getAsLong();
+        }
+        answer.text.append(content);
+        answer.takeUsage(chunk);
+    }
+
+    private Answer readWhole(ClientExchange exchange) throws IOException {
+        Answer answer = new Answer();
+        JsonNode whole = Json.mapper().readTree(exchange.readAll(MAXIMUM_ANSWER_BYTES));
+        answer.firstTokenAtMillis = clockMillis.getAsLong();
+        answer.text.append(whole.at("/choices/0/message/content").asText(""));
+        answer.takeUsage(whole);
+        answer.complete = true;
+        return answer;
+    }
+
+    private ClassicHttpRequest request(DemoCall call) {
+        ClassicRequestBuilder builder = call.isModelCall() ? completion(call) : plainRequest(call);
+        return builder.addHeader("Authorization", "Bearer " + bearer.apply(call.account()))
+                .addHeader("x-cactusshift-timeout-ms", Long.toString(call.timeoutMillis()))
+                .build();
+    }
+
+    private static ClassicRequestBuilder completion(DemoCall call) {
+        ObjectNode body = Json.mapper()
+                .createObjectNode()
+                .put("model", call.service().value())
+                .put("max_tokens", call.maximumTokens())
+                .put("stream", call.streamed());
+        body.putArray("messages").addObject().put("role", "user").put("content", call.prompt());
+        if (call.streamed()) {
+            body.putObject("stream_options").put("include_usage", true);
+        }
+        return ClassicRequestBuilder.post("/v1/chat/completions").setEntity(write(body), ContentType.APPLICATION_JSON);
+    }
+
+    private static ClassicRequestBuilder plainRequest(DemoCall call) {
+        String base = "/services/" + call.service();
+        if (call.paymentId().isEmpty()) {
+            return ClassicRequestBuilder.get(base + "/balance/" + call.account());
+        }
+        ObjectNode body = Json.mapper()
+                .createObjectNode()
+                .put("payment_id", call.paymentId().get());
+        return ClassicRequestBuilder.post(base + "/payouts")
+                .addHeader("Idempotency-Key", call.paymentId().get())
+                .setEntity(write(body), ContentType.APPLICATION_JSON);
+    }
+
+    private static byte[] write(ObjectNode body) {
+        try {
+            return Json.mapper().writeValueAsString(body).getBytes(StandardCharsets.UTF_8);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a body could not be written as JSON", e);
+        }
+    }
+
+    /** What was received so far. */
+    private static final class Answer {
+        private final StringBuilder text = new StringBuilder();
+        private String errorCode = "";
+        private boolean complete;
+        private long firstTokenAtMillis;
+        private long promptTokens;
+        private long completionTokens;
+
+        void takeUsage(JsonNode node) {
+            JsonNode usage = node.path("usage");
+            if (usage.isObject()) {
+                promptTokens = usage.path("prompt_tokens").asLong();
+                completionTokens = usage.path("completion_tokens").asLong();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/DemoKeys.java
@@ -0,0 +1,71 @@
+package org.cactusshift.pgm.demo;
+
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.KeyConfig;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.internal.coordination.key.ClientKey;
+import org.cactusshift.internal.coordination.key.KeyHasher;
+
+/** New keys for the accounts of a configuration, known in clear to the callers of the demo only. */
+final class DemoKeys {
+    private static final int SECRET_BYTES = 32;
+
+    private final String secretHex;
+    private final Map<AccountId, ClientKey> keys = new HashMap<>();
+
+    private DemoKeys(String secretHex) {
+        this.secretHex = secretHex;
+    }
+
+    static DemoKeys create() {
+        byte[] secret = new byte[SECRET_BYTES];
+        new SecureRandom().nextBytes(secret);
+        return new DemoKeys(HexFormat.of().formatHex(secret));
+    }
+
+    /** Returns the secret under which the nodes hash keys. */
+    String secretHex() {
+        return secretHex;
+    }
+
+    String bearer(AccountId account) {
+        return keys.get(account).toBearer();
+    }
+
+    /** Returns the configuration with one new key for each account in place of its keys. */
+    SiteConfig issueAll(SiteConfig site) {
+        KeyHasher hasher = KeyHasher.fromHex(secretHex);
+        SecureRandom random = new SecureRandom();
+        List<AccountConfig> accounts = new ArrayList<>();
+        for (AccountConfig account : site.accounts()) {
+            KeyId id = KeyId.fromString(account.id() + "-demo");
+            ClientKey key = KeyHasher.issue(id, random);
+            keys.put(account.id(), key);
+            accounts.add(new AccountConfig(
+                    account.id(),
+                    account.weight(),
+                    account.tokensPerSecond(),
+                    account.maximumConcurrentRequests(),
+                    account.services(),
+                    List.of(new KeyConfig(id, hasher.hash(key), false))));
+        }
+        return new SiteConfig(
+                site.schemaVersion(),
+                site.site(),
+                site.shutdownDate(),
+                site.failureDomains(),
+                accounts,
+                site.services(),
+                site.upstreams(),
+                site.limits(),
+                site.timing());
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/DemoSite.java
@@ -0,0 +1,173 @@
+package org.cactusshift.pgm.demo;
+
+import io.opentelemetry.sdk.trace.export.SpanExporter;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cactusshift.config.ConfigLoader;
+import org.cactusshift.config.FailureDomainConfig;
+import org.cactusshift.config.NodeSettings;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.configsync.ApplyResult;
+import org.cactusshift.internal.coordination.configsync.ConfigRepository;
+import org.cactusshift.internal.transport.store.EtcdKeyValueStore;
+import org.cactusshift.internal.transport.store.EtcdStoreSettings;
+import org.cactusshift.node.Node;
+import org.cactusshift.standin.InstanceEntry;
+import org.cactusshift.standin.engine.EngineTiming;
+import org.cactusshift.standin.platform.PlatformSettings;
+import org.cactusshift.standin.platform.StandInPlatform;
+
+/** A site on loopback: stand-ins for the platform and the upstreams, an accepted configuration, and nodes. */
+final class DemoSite implements AutoCloseable {
+    private static final String ANY_PORT = "127.0.0.1:0";
+    private static final long READY_LIMIT_MILLIS = 15_000;
+    private static final long READY_POLL_MILLIS = 20;
+
+    private final DemoKeys keys = DemoKeys.create();
+    private final StandInPlatform platform;
+    private final SiteConfig config;
+    private final List<Node> nodes = new ArrayList<>();
+
+    private DemoSite(StandInPlatform platform, SiteConfig declared) {
+        this.platform = platform;
+        this.config = keys.issueAll(platform.withAddresses(declared));
+    }
+
+    /**
+     * Starts a site.
+     *
+     * @param examples the directory with the base file and the overlays
+     * @param site the name of the overlay
+     * @param nodeCount how many nodes to run
+     * @param spans receives the spans of all nodes
+     * @return the site, ready for requests
+     * @throws CactusshiftException if the configuration is invalid or a node can't start
+     * @throws IOException if a stand-in can't listen
+     */
+    static DemoSite start(Path examples, String site, int nodeCount, SpanExporter spans)
+            throws CactusshiftException, IOException {
+        SiteConfig declared = ConfigLoader.create()
+                .load(
+                        examples.resolve("base.json"),
+                        examples.resolve("overlays").resolve(site + ".json"));
+        StandInPlatform platform = StandInPlatform.create(PlatformSettings.forSite(declared, EngineTiming.standard()));
+        platform.start();
+        DemoSite demo = new DemoSite(platform, declared);
+        try {
+            demo.publish();
+            for (int i = 0; i < nodeCount; i++) {
+                demo.startNode(i, spans);
+            }
+            demo.awaitReady();
+            return demo;
+        } catch (CactusshiftException e) {
+            demo.close();
+            throw e;
+        }
+    }
+
+    private void publish() throws CactusshiftException {
+        try (EtcdKeyValueStore store = EtcdKeyValueStore.create(EtcdStoreSettings.forAddresses(
+                List.of(platform.keyValueService().address())))) {
+            Either<Failure, ApplyResult> result = ConfigRepository.open(store, config.site())
+                    .apply()
+                    .setConfig(config)
+                    .setAgainst(0)
+                    .setAuthor("demo")
+                    .setComment("first configuration")
+                    .setNowEpochMillis(System.currentTimeMillis())
+                    .call();
+            if (result.isLeft()) {
+                throw new CactusshiftException(result.getLeft());
+            }
+        }
+    }
+
+    private void startNode(int index, SpanExporter spans) throws CactusshiftException {
+        List<FailureDomainConfig> domains = config.failureDomains();
+        NodeSettings settings = new NodeSettings(
+                InstanceId.fromString("entry-" + (index + 1)),
+                config.site(),
+                domains.get(index % domains.size()).id(),
+                ANY_PORT,
+                ANY_PORT,
+                ANY_PORT,
+                nodes.stream().map(Node::peerAddress).toList(),
+                List.of(platform.keyValueService().address()),
+                Optional.of(platform.instanceList().address()),
+                Optional.of(platform.orderingService().address()),
+                Optional.of(platform.usageService().address()),
+                Optional.empty(),
+                Optional.empty(),
+                keys.secretHex(),
+                Optional.empty());
+        Node node = Node.start(settings, Optional.of(spans));
+        nodes.add(node);
+        platform.instanceList()
+                .put(new InstanceEntry(
+                        settings.instanceId().value(),
+                        InstanceEntry.Kind.ENTRY,
+                        node.callerAddress(),
+                        node.peerAddress(),
+                        settings.failureDomain().value(),
+                        InstanceEntry.State.LIVE));
+    }
+
+    private void awaitReady() throws CactusshiftException {
+        long limitMillis = System.currentTimeMillis() + READY_LIMIT_MILLIS;
+        while (!nodes.stream().allMatch(Node::isReady)) {
+            if (System.currentTimeMillis() > limitMillis) {
+                throw new CactusshiftException(Failure.noEffect("start demo", "local", "a node did not become ready"));
+            }
+            sleep(READY_POLL_MILLIS);
+        }
+    }
+
+    static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    SiteConfig config() {
+        return config;
+    }
+
+    StandInPlatform platform() {
+        return platform;
+    }
+
+    List<Node> nodes() {
+        return nodes;
+    }
+
+    String bearer(AccountId account) {
+        return keys.bearer(account);
+    }
+
+    /** Stops the nodes gracefully; open requests are finished and usage is handed over. */
+    boolean stopNodes() {
+        boolean complete = true;
+        for (Node node : nodes) {
+            complete &= node.stop();
+        }
+        nodes.clear();
+        return complete;
+    }
+
+    @Override
+    public void close() {
+        stopNodes();
+        platform.close();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/DemoTable.java
@@ -0,0 +1,19 @@
+package org.cactusshift.pgm.demo;
+
+import java.io.PrintStream;
+import java.util.List;
+
+/** Prints the measures as one table of at most 80 columns. */
+final class DemoTable {
+    private static final String ROW = "%-34s %12s %12s  %s%n";
+
+    private DemoTable() {}
+
+    static void print(List<DemoMeasure> rows, PrintStream out) {
+        out.printf(ROW, "measure", "measured", "stated", "holds");
+        for (DemoMeasure row : rows) {
+            String holds = row.holds() ? "yes" : "NO";
+            out.printf(ROW, row.name(), row.value(), row.stated(), row.stated().isEmpty() ? "" : holds);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/DemoTrace.java
@@ -0,0 +1,94 @@
+package org.cactusshift.pgm.demo;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.replay.Trace;
+import org.cactusshift.replay.TraceEvent;
+import org.cactusshift.replay.TraceReader;
+
+/** Turns a window of a recorded trace into calls. */
+final class DemoTrace {
+    private static final int TOKEN_CHARS = 4;
+    private static final int PIECE_TOKENS = 2_048;
+    private static final String FILLER = "0123456789abcdef";
+    private static final int STREAMED_OF = 4;
+
+    private DemoTrace() {}
+
+    /**
+     * Reads the calls of a window.
+     *
+     * @param file the trace
+     * @param site the configuration, whose accounts take the places of those of the trace
+     * @param fromMillis the start of the window
+     * @param untilMillis its end
+     * @return the calls in the order of their times, from 0
+     * @throws CactusshiftException if the trace can't be read
+     */
+    static List<DemoCall> read(Path file, SiteConfig site, long fromMillis, long untilMillis)
+            throws CactusshiftException {
+        var read = TraceReader.read(file);
+        if (read.isLeft()) {
+            throw new CactusshiftException(read.getLeft());
+        }
+        Trace trace = read.get();
+        List<String> names =
+                trace.header().accounts().stream().map(account -> account.id()).toList();
+        List<DemoCall> calls = new ArrayList<>();
+        for (TraceEvent event : trace.events()) {
+            boolean inWindow = event.atMillis() >= fromMillis && event.atMillis() < untilMillis;
+            if (inWindow && event instanceof TraceEvent.Request request) {
+                AccountConfig account = accountFor(names.indexOf(request.account()), request, site);
+                calls.add(toCall(request, account, fromMillis, calls.size()));
+            }
+        }
+        return calls;
+    }
+
+    /** Returns the account in the same place among those that may call the service. */
+    private static AccountConfig accountFor(int place, TraceEvent.Request request, SiteConfig site) {
+        ServiceId service = ServiceId.fromString(request.service());
+        List<AccountConfig> allowed = site.accounts().stream()
+                .filter(account -> account.services().contains(service))
+                .toList();
+        return allowed.get(place % allowed.size());
+    }
+
+    private static DemoCall toCall(TraceEvent.Request request, AccountConfig account, long fromMillis, int place) {
+        boolean pays = request.promptTokens() == 0 && !request.repeatable();
+        return new DemoCall(
+                request.atMillis() - fromMillis,
+                account.id(),
+                ServiceId.fromString(request.service()),
+                promptOf(request),
+                (int) request.outputTokens(),
+                place % STREAMED_OF != 0,
+                pays ? Optional.of(request.id()) : Optional.empty(),
+                request.timeoutMillis());
+    }
+
+    /** Returns a text of the prompt's length that shares its beginning with the prompts that name the same prefix. */
+    private static String promptOf(TraceEvent.Request request) {
+        int lengthChars = (int) request.promptTokens() * TOKEN_CHARS;
+        StringBuilder text = new StringBuilder(lengthChars + FILLER.length());
+        if (request.prefix() != null && !request.prefix().isEmpty()) {
+            fill(text, request.prefix() + " ", request.sharedPieces() * PIECE_TOKENS * TOKEN_CHARS);
+        }
+        fill(text, request.id() + " ", lengthChars);
+        text.setLength(lengthChars);
+        return text.toString();
+    }
+
+    private static void fill(StringBuilder text, String start, int lengthChars) {
+        text.append(start);
+        while (text.length() < lengthChars) {
+            text.append(FILLER);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/DemoTraffic.java
@@ -0,0 +1,69 @@
+package org.cactusshift.pgm.demo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+import java.util.function.LongSupplier;
+import org.cactusshift.internal.transport.http.ClientSettings;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.node.Node;
+
+/** Makes the calls of a trace at their times, spread over the nodes in turn. */
+final class DemoTraffic {
+    private static final ClientSettings CLIENT = new ClientSettings(2_000, 60_000, 4_096, 10_000);
+    private static final long FINISH_LIMIT_MILLIS = 60_000;
+
+    private final DemoSite site;
+    private final LongSupplier clockMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+
+    DemoTraffic(DemoSite site) {
+        this.site = site;
+    }
+
+    /**
+     * Makes the calls and waits for their answers.
+     *
+     * @param calls the calls
+     * @param onFinished receives the number of finished calls, one call at a time
+     * @return the results; a call that has none within a minute after the last start is left out
+     * @throws InterruptedException if the thread is interrupted
+     */
+    List<DemoResult> run(List<DemoCall> calls, IntConsumer onFinished) throws InterruptedException {
+        ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(2);
+        ExecutorService callers = Executors.newCachedThreadPool();
+        List<DemoResult> results = new ArrayList<>();
+        CountDownLatch open = new CountDownLatch(calls.size());
+        try (HttpClientPool pool = HttpClientPool.create(() -> CLIENT, clockMillis, scheduler)) {
+            DemoCaller caller = new DemoCaller(pool, site::bearer, clockMillis);
+            for (int i = 0; i < calls.size(); i++) {
+                DemoCall call = calls.get(i);
+                Node node = site.nodes().get(i % site.nodes().size());
+                Runnable task = () -> {
+                    try {
+                        DemoResult result = caller.call(node.callerAddress(), call);
+                        synchronized (results) {
+                            results.add(result);
+                            onFinished.accept(results.size());
+                        }
+                    } finally {
+                        open.countDown();
+                    }
+                };
+                scheduler.schedule(() -> callers.execute(task), call.atMillis(), TimeUnit.MILLISECONDS);
+            }
+            long lastMillis = calls.isEmpty() ? 0 : calls.get(calls.size() - 1).atMillis();
+            open.await(lastMillis + FINISH_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        } finally {
+            scheduler.shutdownNow();
+            callers.shutdownNow();
+        }
+        synchronized (results) {
+            return List.copyOf(results);
+        }
+    }
+}
