--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageService.java
@@ -98,13 +98,15 @@
         timer.shutdownNow();
         workers.shutdown();
         try {
-            workers.awaitTermination(setup.handOverMillis(), TimeUnit.MILLISECONDS);
+            shards.forEach(UsageShard::cycle);
+            for (int cycle = 1; cycle < CLOSING_CYCLES && !isHandedOver(); cycle++) {
+                // Another holder makes a batch durable in its next cycle, and says so when it is sent again.
+                Thread.sleep(setup.handOverMillis());
+                shards.forEach(UsageShard::cycle);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        for (int cycle = 0; cycle < CLOSING_CYCLES && !isHandedOver(); cycle++) {
-            shards.forEach(UsageShard::cycle);
-        }
         if (!isHandedOver()) {
             LOG.log(System.Logger.Level.ERROR, "usage is left that no holder has made durable");
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageShard.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageShard.java
@@ -17,8 +17,9 @@
 /**
  * One usage shard at one node: its own counts, and the windows while it is the holder.
  *
- * <p>Two locks: {@code lock} guards the counts and windows and is held for moments; {@code cycleLock} keeps the calls
- * to the store, the holder and the usage interface one at a time.
+ * <p>Three locks: the ledger's own, held for moments, because requests add to it; {@code lock} for the windows, held
+ * while they are written as bytes; {@code cycleLock}, which keeps the calls to the store, the holder and the usage
+ * interface one at a time.
  */
 final class UsageShard {
     private static final System.Logger LOG = System.getLogger(UsageShard.class.getName());
@@ -47,13 +48,13 @@
     }
 
     void add(UsageKey key, UsageTotals totals, long epochMillis) {
-        synchronized (lock) {
+        synchronized (ledger) {
             ledger.add(key, totals, epochMillis);
         }
     }
 
     boolean isEmpty() {
-        synchronized (lock) {
+        synchronized (ledger) {
             return ledger.isEmpty();
         }
     }
@@ -156,7 +157,7 @@
         }
         boolean local = holder.get().incarnation().equals(setup.self().incarnation());
         List<UsageBatch> batches;
-        synchronized (lock) {
+        synchronized (ledger) {
             batches = ledger.handOver(setup.wallClockMillis().getAsLong());
         }
         for (UsageBatch batch : batches) {
@@ -184,7 +185,7 @@
                     shard);
         }
         UsageStream.fromString(batch.getSender().getIncarnationId()).ifPresent(stream -> {
-            synchronized (lock) {
+            synchronized (ledger) {
                 ledger.onDurable(stream, ack.getSequence());
             }
         });
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutyCostTest.java
@@ -0,0 +1,92 @@
+package org.cactusshift.internal.coordination.lease;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.cactusshift.internal.coordination.store.StoreCallKind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Measures in virtual time what duties cost the store, and how long one stays without holder. */
+class DutyCostTest {
+    private static final int SETTLING_STEPS = 200;
+    private static final int MEASURED_STEPS = 3_000;
+    private static final int KILLS = 300;
+    private static final LeaseTiming TIMING = LeaseTiming.ofTtl(DutySimulation.TTL_MILLIS);
+
+    @ParameterizedTest
+    @CsvSource({"8,28", "16,28", "32,28", "8,112"})
+    void renewalsAndReadsGrowWithNodesAndNotWithDuties(int nodes, int dutyCount) {
+        DutySimulation simulation = new DutySimulation(1, nodes, duties(dutyCount));
+        simulation.heal(SETTLING_STEPS);
+        simulation.takeCalls();
+        long startMillis = simulation.nowMillis();
+        simulation.heal(MEASURED_STEPS);
+        Map<StoreCallKind, Long> calls = simulation.takeCalls();
+        double seconds = (simulation.nowMillis() - startMillis) / 1_000.0;
+        long renewals = calls.getOrDefault(StoreCallKind.LEASE_RENEWAL, 0L);
+        long reads = calls.getOrDefault(StoreCallKind.LIST, 0L);
+        System.out.printf(
+                "%d nodes, %d duties: %.2f renewals/s, %.2f reads/s, other calls %d%n",
+                nodes, dutyCount, renewals / seconds, reads / seconds, otherCalls(calls));
+        double mostPerNode = seconds * 1_000 / TIMING.renewMillis() + 1;
+        assertTrue(renewals <= nodes * mostPerNode, renewals + " renewals");
+        assertTrue(reads <= nodes * mostPerNode, reads + " reads");
+        assertTrue(otherCalls(calls) == 0, calls.toString());
+    }
+
+    @Test
+    void aDutyOfAKilledHolderFindsAnotherWithinTheBound() {
+        long sumMillis = 0;
+        long longestMillis = 0;
+        DutyId duty = DutyId.claim(0);
+        for (int seed = 0; seed < KILLS; seed++) {
+            DutySimulation simulation = new DutySimulation(seed, 8, Set.of(duty));
+            simulation.heal(SETTLING_STEPS + seed % 40);
+            holder(simulation, duty).kill();
+            long killedAtMillis = simulation.nowMillis();
+            while (!hasHolder(simulation, duty)) {
+                simulation.runWithoutFaults(1);
+            }
+            long withoutMillis = simulation.nowMillis() - killedAtMillis;
+            sumMillis += withoutMillis;
+            longestMillis = Math.max(longestMillis, withoutMillis);
+        }
+        System.out.printf(
+                "time to live %d ms: without holder after a kill for %d ms on average, %d ms at most, of %d%n",
+                DutySimulation.TTL_MILLIS, sumMillis / KILLS, longestMillis, KILLS);
+        // The last two terms are steps of the simulation, of up to 400 ms each: take, grant, answer, and the read.
+        long boundMillis = TIMING.ttlMillis() + TIMING.pollMillis() + TIMING.rankStepMillis() + 6 * 400;
+        assertTrue(longestMillis <= boundMillis, longestMillis + " ms");
+    }
+
+    private static boolean hasHolder(DutySimulation simulation, DutyId duty) {
+        return simulation.nodes().stream()
+                .anyMatch(node -> node.authority(duty, node.clockMillis()).isPresent());
+    }
+
+    private static SimulatedNode holder(DutySimulation simulation, DutyId duty) {
+        return simulation.nodes().stream()
+                .filter(node -> node.authority(duty, node.clockMillis()).isPresent())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static long otherCalls(Map<StoreCallKind, Long> calls) {
+        return calls.entrySet().stream()
+                .filter(call -> call.getKey() != StoreCallKind.LEASE_RENEWAL && call.getKey() != StoreCallKind.LIST)
+                .mapToLong(Map.Entry::getValue)
+                .sum();
+    }
+
+    private static Set<DutyId> duties(int count) {
+        Set<DutyId> duties = new HashSet<>();
+        for (int shard = 0; shard < count; shard++) {
+            duties.add(DutyId.claim(shard));
+        }
+        return duties;
+    }
+}
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutySimulation.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutySimulation.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.coordination.lease;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -45,6 +46,7 @@
     private final Set<DutyId> duties;
     private final InMemoryKeyValueStore store = InMemoryKeyValueStore.create(this::nowMillis);
     private final Map<DutyId, Long> highestFencing = new HashMap<>();
+    private final Map<StoreCallKind, Long> calls = new EnumMap<>(StoreCallKind.class);
     private final List<String> violations = new ArrayList<>();
     private boolean expiryFromAnswer;
     private boolean healed;
@@ -98,6 +100,14 @@
         return List.copyOf(nodes);
     }
 
+    /** Returns the calls to the store since the last call of this method. */
+    public Map<StoreCallKind, Long> takeCalls() {
+        Map<StoreCallKind, Long> taken = new EnumMap<>(StoreCallKind.class);
+        taken.putAll(calls);
+        calls.clear();
+        return taken;
+    }
+
     public List<String> violations() {
         return violations;
     }
@@ -135,12 +145,17 @@
         }
     }
 
-    /** Ends all faults and runs on. */
+    /** Ends all faults, starts killed nodes again and runs on. */
     public void heal(int steps) {
+        nodes.forEach(SimulatedNode::heal);
+        runWithoutFaults(steps);
+    }
+
+    /** Runs on without faults; killed nodes stay so. */
+    public void runWithoutFaults(int steps) {
         healed = true;
         outageEndsAtMillis = 0;
         store.applyDelayed();
-        nodes.forEach(SimulatedNode::heal);
         for (int i = 0; i < steps; i++) {
             step();
         }
@@ -211,6 +226,9 @@
     }
 
     private StoreFault fault(StoreCallKind kind, String key) {
+        if (!faultless) {
+            calls.merge(kind, 1L, Long::sum);
+        }
         if (healed || faultless) {
             return StoreFault.NONE;
         }
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/usage/UsageWindowsTest.java
@@ -0,0 +1,100 @@
+package org.cactusshift.internal.coordination.usage;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.usage.UsageWindows.Acceptance;
+import org.cactusshift.messages.UsageBatch;
+import org.cactusshift.messages.UsageCount;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class UsageWindowsTest {
+    private static final long WINDOW_MILLIS = 5_000;
+    private static final long GRACE_MILLIS = 3_000;
+    private static final long NOW_MILLIS = 1_000_000_000;
+    private static final UsageStream STREAM = new UsageStream(IncarnationId.fromString("start-1"), NOW_MILLIS);
+
+    private final UsageWindows windows =
+            UsageWindows.load(SiteId.fromString("be-coast"), 3, WINDOW_MILLIS, GRACE_MILLIS, new byte[0]);
+
+    @Test
+    void aCountForASealedWindowIsLateInTheNext() {
+        windows.accept(STREAM, batch(1, 10, NOW_MILLIS), NOW_MILLIS);
+        long afterMillis = NOW_MILLIS + WINDOW_MILLIS + GRACE_MILLIS;
+        windows.advance(afterMillis);
+        windows.accept(STREAM, batch(2, 7, NOW_MILLIS), afterMillis);
+        windows.advance(afterMillis + WINDOW_MILLIS);
+        assertEquals(List.of(), windows.reportable());
+        windows.onDurable(windows.snapshot());
+        List<SealedWindow> sealed = windows.reportable();
+        assertEquals(
+                "{\"window\":\"be-coast.3.1000000000\",\"shard\":3,\"from_epoch_millis\":1000000000,"
+                        + "\"to_epoch_millis\":1000005000,\"counts\":[{\"account\":\"acme\",\"service\":\"share-lm\","
+                        + "\"prompt_tokens\":10,\"completion_tokens\":0,\"requests\":1,\"late_prompt_tokens\":0,"
+                        + "\"late_completion_tokens\":0}]}",
+                sealed.get(0).report());
+        assertTrue(sealed.get(1).report().contains("\"prompt_tokens\":0"), sealed.toString());
+        assertTrue(sealed.get(1).report().contains("\"late_prompt_tokens\":7"), sealed.toString());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1,0,INCLUDED", "2,0,NOT_NOW", "1,86400001,REFUSED"})
+    void aBatchOfAnUnknownStreamIsTakenWhenItIsFirstAndYoung(long sequence, long ageMillis, Acceptance expected) {
+        UsageStream stream = new UsageStream(STREAM.incarnation(), NOW_MILLIS - ageMillis);
+        assertEquals(expected, windows.accept(stream, batch(sequence, 1, NOW_MILLIS), NOW_MILLIS));
+    }
+
+    @Test
+    void aRepeatedBatchIsCountedOnceAlsoByASuccessor() {
+        windows.accept(STREAM, batch(1, 10, NOW_MILLIS), NOW_MILLIS);
+        UsageWindows successor = UsageWindows.load(
+                SiteId.fromString("be-coast"),
+                3,
+                WINDOW_MILLIS,
+                GRACE_MILLIS,
+                windows.snapshot().body());
+        assertEquals(1, successor.durableSequence(STREAM));
+        assertEquals(Acceptance.INCLUDED, successor.accept(STREAM, batch(1, 10, NOW_MILLIS), NOW_MILLIS));
+        successor.advance(NOW_MILLIS + WINDOW_MILLIS + GRACE_MILLIS);
+        successor.onDurable(successor.snapshot());
+        assertTrue(successor.reportable().get(0).report().contains("\"prompt_tokens\":10,"));
+    }
+
+    @Test
+    void theRecordTakesNoMoreThanItsBound() {
+        long sequence = 0;
+        Acceptance acceptance = Acceptance.INCLUDED;
+        while (acceptance == Acceptance.INCLUDED && sequence < 10_000) {
+            sequence++;
+            UsageBatch.Builder batch = UsageBatch.newBuilder().setSequence(sequence);
+            for (int i = 0; i < 100; i++) {
+                batch.addCounts(count("account-" + sequence + "-" + i, 1, NOW_MILLIS));
+            }
+            acceptance = windows.accept(STREAM, batch.build(), NOW_MILLIS);
+        }
+        assertEquals(Acceptance.NOT_NOW, acceptance);
+        assertTrue(windows.snapshot().body().length <= UsageWindows.MAXIMUM_RECORD_BYTES);
+    }
+
+    private static UsageBatch batch(long sequence, long promptTokens, long finishedAtMillis) {
+        return UsageBatch.newBuilder()
+                .setSequence(sequence)
+                .addCounts(count("acme", promptTokens, finishedAtMillis))
+                .build();
+    }
+
+    private static UsageCount count(String account, long promptTokens, long finishedAtMillis) {
+        return UsageCount.newBuilder()
+                .setAccountId(account)
+                .setServiceId("share-lm")
+                .setPromptTokens(promptTokens)
+                .setRequests(1)
+                .setFinishedAtEpochMillis(finishedAtMillis)
+                .build();
+    }
+}
