Hand KV caches over and read cache events

Dispatch decisions name an engine that processes the prompt first, and dispatchers take cache events, but the gateway used neither. It now asks the first engine for its KV cache and gives it to the second; if the first fails, the second does all. Trusting callers' own transfer parameters was ruled out: they could name another caller's cache.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchShard.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchShard.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.cactusshift.config.AccountConfig;
@@ -19,7 +20,11 @@
 final class DispatchShard {
     private static final AttemptEnd ABANDONED = new AttemptEnd(AttemptEnd.Outcome.CANCELLED, 0, 0);
 
-    private record OpenAttempt(RequestId request, UpstreamId upstream) {}
+    private record OpenAttempt(RequestId request, UpstreamId upstream, Optional<UpstreamId> prefill) {
+        boolean uses(UpstreamId id) {
+            return upstream.equals(id) || prefill.filter(id::equals).isPresent();
+        }
+    }
 
     private final Dispatcher dispatcher;
     private final LongSupplier clockMillis;
@@ -115,7 +120,7 @@
 
     synchronized int openAttempts(UpstreamId upstream) {
         return (int) attempts.values().stream()
-                .filter(attempt -> attempt.upstream().equals(upstream))
+                .filter(attempt -> attempt.uses(upstream))
                 .count();
     }
 
@@ -152,7 +157,7 @@
     }
 
     private void deliverDispatch(DispatchTicket ticket, DispatchDecision.Dispatch dispatch) {
-        attempts.put(dispatch.attempt(), new OpenAttempt(dispatch.request(), dispatch.upstream()));
+        attempts.put(dispatch.attempt(), new OpenAttempt(dispatch.request(), dispatch.upstream(), dispatch.prefill()));
         if (ticket == null) {
             // The caller left while the decision was made.
             onAttemptEnd(dispatch.attempt(), ABANDONED);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/AnswerAssembler.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/AnswerAssembler.java
@@ -50,6 +50,8 @@
     public boolean add(CompletionChunk chunk) {
         ObjectNode root = chunk.root();
         root.put("id", id);
+        // Names the engines' own addresses, which are nobody's business outside.
+        root.remove("kv_transfer_params");
         created = unify(root, "created", created);
         model = unify(root, "model", model);
         fingerprint = unify(root, "system_fingerprint", fingerprint);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/CompletionRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/CompletionRequest.java
@@ -95,6 +95,21 @@
         return TokenUsage.estimateTokens(canonicalPrompt.length());
     }
 
+    /**
+     * Estimates by how much the prompt of a resumed attempt is longer than the caller's.
+     *
+     * @param delivered the text that the resumed attempt goes on after
+     * @return the difference, in tokens; 0 when nothing was delivered
+     */
+    public long resumeTokens(String delivered) {
+        if (delivered.isEmpty()) {
+            return 0;
+        }
+        int framing = kind == Kind.CHAT ? "assistant\n\n".length() : 0;
+        return TokenUsage.estimateTokens((long) canonicalPrompt.length() + delivered.length() + framing)
+                - promptTokens();
+    }
+
     /**
      * Returns the most tokens that may be generated.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/EngineRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/EngineRequest.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.Optional;
 
 /** Builds the body that an engine receives for a request. The engine is always asked to stream and to report usage. */
 public final class EngineRequest {
@@ -12,30 +13,36 @@
     /** The priority of a request whose caller has already waited at another engine; lower is sooner. */
     private static final int RESUMED_PRIORITY = -1;
 
+    private static final String KV_TRANSFER = "kv_transfer_params";
+
     /** Fields that callers must not set: the first would overtake others, the second names other callers' caches. */
-    private static final List<String> RESERVED_FIELDS = List.of("priority", "kv_transfer_params");
+    private static final List<String> RESERVED_FIELDS = List.of("priority", KV_TRANSFER);
+
+    private final ObjectNode root;
 
-    private EngineRequest() {}
+    private EngineRequest(ObjectNode root) {
+        this.root = root;
+    }
 
     /**
-     * Returns the body of a first attempt.
+     * Returns the request of a first attempt.
      *
-     * @param request the request
-     * @return the JSON bytes
+     * @param request the caller's request
+     * @return the engine's request
      */
-    public static byte[] fresh(CompletionRequest request) {
-        return Json.writeBytes(base(request, FRESH_PRIORITY));
+    public static EngineRequest fresh(CompletionRequest request) {
+        return new EngineRequest(base(request, FRESH_PRIORITY));
     }
 
     /**
-     * Returns the body of an attempt that goes on after text that was already delivered.
+     * Returns the request of an attempt that goes on after text that was already delivered.
      *
-     * @param request the request
+     * @param request the caller's request
      * @param delivered the text delivered so far, not empty
      * @param deliveredTokens the tokens delivered so far
-     * @return the JSON bytes
+     * @return the engine's request
      */
-    public static byte[] resumed(CompletionRequest request, String delivered, long deliveredTokens) {
+    public static EngineRequest resumed(CompletionRequest request, String delivered, long deliveredTokens) {
         ObjectNode root = base(request, RESUMED_PRIORITY);
         if (request.kind() == CompletionRequest.Kind.CHAT) {
             appendToMessages(root, delivered);
@@ -46,9 +53,50 @@
         }
         reduceLimit(root, "max_tokens", deliveredTokens);
         reduceLimit(root, "max_completion_tokens", deliveredTokens);
+        return new EngineRequest(root);
+    }
+
+    /**
+     * Returns the body for an engine that generates the answer.
+     *
+     * @return the JSON bytes
+     */
+    public byte[] toBytes() {
         return Json.writeBytes(root);
     }
 
+    /**
+     * Returns the body for an engine that only processes the prompt and exports its KV cache.
+     *
+     * @return the JSON bytes
+     */
+    public byte[] toPrefillBytes() {
+        ObjectNode prefill = root.deepCopy();
+        prefill.put("stream", false);
+        prefill.remove("stream_options");
+        prefill.remove("max_completion_tokens");
+        prefill.put("max_tokens", 1);
+        prefill.putObject(KV_TRANSFER).put("do_remote_decode", true);
+        return Json.writeBytes(prefill);
+    }
+
+    /**
+     * Returns the body for an engine that imports the KV cache of another and generates the answer.
+     *
+     * @param prefillAnswer the answer of the engine that processed the prompt
+     * @return the JSON bytes, or empty when the answer names no KV cache
+     */
+    public Optional<byte[]> toDecodeBytes(byte[] prefillAnswer) {
+        return Json.readObject(prefillAnswer)
+                .map(answer -> answer.get(KV_TRANSFER))
+                .filter(JsonNode::isObject)
+                .map(transfer -> {
+                    ObjectNode decode = root.deepCopy();
+                    decode.set(KV_TRANSFER, transfer);
+                    return Json.writeBytes(decode);
+                });
+    }
+
     private static ObjectNode base(CompletionRequest request, int priority) {
         ObjectNode root = request.copyOfRoot();
         root.remove(RESERVED_FIELDS);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/CompletionSource.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/CompletionSource.java
@@ -34,6 +34,7 @@
     private EngineAttempt attempt;
     private CompletionChunk undelivered;
     private Optional<AttemptId> closingAttempt = Optional.empty();
+    private long resumeTokens;
     private boolean mayHaveRun;
     private boolean ended;
 
@@ -116,8 +117,14 @@
             report(dispatch, Outcome.NOT_SENT);
             return Optional.empty();
         }
+        EngineRequest engineRequest = engineRequest();
+        byte[] body = prefill(dispatch, engineRequest).orElseGet(engineRequest::toBytes);
+        if (!watch.isStillWanted()) {
+            return afterFailedOpen(dispatch, EngineAttempt.Ended.of(Outcome.CANCELLED));
+        }
+        resumeTokens = completion.resumeTokens(assembler.text());
         Either<EngineAttempt.Ended, EngineAttempt> opened =
-                EngineAttempt.open(request, completion.kind(), dispatch, address.get(), body(), watch);
+                EngineAttempt.open(request, completion.kind(), dispatch, address.get(), body, watch);
         if (opened.isRight()) {
             attempt = opened.get();
             return Optional.empty();
@@ -154,7 +161,19 @@
         return completion.hasOutputLimit() && billing.totalOutputTokens() >= completion.maximumOutputTokens();
     }
 
-    private byte[] body() {
+    /** Lets another engine process the prompt first; empty when none is to, or when it fails. */
+    private Optional<byte[]> prefill(Dispatch dispatch, EngineRequest engineRequest) {
+        Optional<String> address = dispatch.prefill().flatMap(waiter::addressOf);
+        if (address.isEmpty()) {
+            return Optional.empty();
+        }
+        PrefillStep step = new PrefillStep(request, completion.kind(), dispatch, watch);
+        Optional<byte[]> body = step.run(address.get(), engineRequest);
+        mayHaveRun |= step.mayHaveRun();
+        return body;
+    }
+
+    private EngineRequest engineRequest() {
         return assembler.text().isEmpty()
                 ? EngineRequest.fresh(completion)
                 : EngineRequest.resumed(completion, assembler.text(), billing.totalOutputTokens());
@@ -204,7 +223,8 @@
 
     private Optional<CompletionItem> take(CompletionChunk chunk) {
         if (chunk.errorCode().isPresent()) {
-            boolean refused = chunk.errorCode().get().equals("not_admitted") && attempt.deliveredTokens() == 0;
+            boolean refused =
+                    chunk.errorCode().get().equals(EngineAttempt.NOT_ADMITTED) && attempt.deliveredTokens() == 0;
             return loseAttempt(refused ? Outcome.NOT_RUN : Outcome.CRASHED);
         }
         chunk.usage().ifPresent(attempt::noteUsage);
@@ -224,9 +244,8 @@
 
     private CompletionItem complete(EngineAttempt last, Outcome outcome) {
         // What earlier engines delivered came back to this one as a part of its prompt.
-        long earlierTokens = billing.totalOutputTokens();
         long promptTokens = last.usage()
-                .map(usage -> Math.max(0, usage.promptTokens() - earlierTokens))
+                .map(usage -> Math.max(0, usage.promptTokens() - resumeTokens))
                 .orElse(completion.promptTokens());
         long cachedTokens = Math.min(
                 promptTokens, last.usage().map(TokenUsage::cachedTokens).orElse(0L));
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/EngineAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/EngineAttempt.java
@@ -2,6 +2,7 @@
 
 import io.opentelemetry.api.trace.Span;
 import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ContentType;
@@ -23,7 +24,7 @@
 final class EngineAttempt {
     private static final int READ_BYTES = 8192;
     private static final int MAXIMUM_ERROR_BYTES = 64 * 1024;
-    private static final String NOT_ADMITTED = "not_admitted";
+    static final String NOT_ADMITTED = "not_admitted";
 
     private final AttemptId id;
     private final CompletionRequest.Kind kind;
@@ -108,7 +109,7 @@
         try {
             byte[] body = exchange.readAll(MAXIMUM_ERROR_BYTES);
             int status = exchange.status();
-            if (status == 503 && NOT_ADMITTED.equals(errorCode(body))) {
+            if (isNotAdmitted(status, body)) {
                 return Ended.of(Outcome.NOT_RUN);
             }
             if (status >= 400 && status < 500) {
@@ -120,11 +121,13 @@
         }
     }
 
-    private static String errorCode(byte[] body) {
-        return CompletionChunk.parse(
-                        CompletionRequest.Kind.CHAT, new String(body, java.nio.charset.StandardCharsets.UTF_8))
-                .flatMap(CompletionChunk::errorCode)
-                .orElse("");
+    /** Tells whether an answer says that the engine refused before running. */
+    static boolean isNotAdmitted(int status, byte[] body) {
+        return status == 503
+                && CompletionChunk.parse(CompletionRequest.Kind.CHAT, new String(body, StandardCharsets.UTF_8))
+                        .flatMap(CompletionChunk::errorCode)
+                        .filter(NOT_ADMITTED::equals)
+                        .isPresent();
     }
 
     static Outcome outcomeOf(UpstreamException lost) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/UpstreamLoadPoller.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/UpstreamLoadPoller.java
@@ -19,22 +19,27 @@
 import org.cactusshift.internal.coordination.configsync.InstalledConfig;
 import org.cactusshift.internal.coordination.dispatch.DispatchService;
 import org.cactusshift.internal.coordination.dispatch.LeavingCause;
+import org.cactusshift.internal.protocol.engine.CacheEvents;
 import org.cactusshift.internal.protocol.engine.LoadReport;
 import org.cactusshift.internal.transport.http.ClientExchange;
 import org.cactusshift.internal.transport.http.HttpClientPool;
 import org.cactusshift.internal.transport.http.UpstreamException;
 import org.cactusshift.internal.transport.http.WaitObserver;
 
-/** Asks each upstream for its load, hands the reports to the dispatchers, and marks upstreams that fall silent. */
+/**
+ * Asks each upstream for its load, and engines for their cache events; hands both to the dispatchers, and marks
+ * upstreams that fall silent.
+ */
 public final class UpstreamLoadPoller implements AutoCloseable {
     private static final System.Logger LOG = System.getLogger(UpstreamLoadPoller.class.getName());
     private static final long PERIOD_MILLIS = 250;
     private static final long TICK_MILLIS = 25;
     private static final long TIMEOUT_MILLIS = 1000;
+    private static final long EVENTS_PERIOD_MILLIS = 500;
     /** The silence after which an upstream takes no new work; short, since its requests would wait as long. */
     private static final long SILENCE_MILLIS = 2000;
 
-    private static final int MAXIMUM_REPORT_BYTES = 16 * 1024;
+    private static final int MAXIMUM_REPORT_BYTES = 256 * 1024;
     private static final int THREADS = 8;
 
     private final ConfigSource config;
@@ -51,6 +56,11 @@
         private long nextMillis;
         private long lastAnswerMillis;
         private boolean busy;
+        /** Used by the one poll that is under way. */
+        private long epoch;
+
+        private long nextEvent;
+        private long nextEventsMillis;
 
         Polled(String address, long nowMillis) {
             this.address = address;
@@ -136,7 +146,10 @@
         long sentMillis = clockMillis.getAsLong();
         Optional<LoadReport> report = Optional.empty();
         try {
-            report = ask(upstream.address(), sentMillis);
+            report = ask(upstream.address(), "/load").flatMap(body -> LoadReport.parse(body, sentMillis));
+            if (report.isPresent() && upstream.memoryPieces() > 0) {
+                pollCacheEvents(upstream, state, report.get().load().epoch(), sentMillis);
+            }
         } catch (RuntimeException e) {
             LOG.log(System.Logger.Level.WARNING, "asking " + upstream.id() + " for its load failed", e);
         } finally {
@@ -158,15 +171,34 @@
         dispatch.onLeaving(upstream.service(), upstream.id(), LeavingCause.SILENT, false);
     }
 
-    private Optional<LoadReport> ask(String address, long nowMillis) {
+    /** Asks an engine with a KV cache what it has stored and evicted since the last time. */
+    private void pollCacheEvents(UpstreamConfig upstream, Polled state, long epoch, long nowMillis) {
+        if (epoch != state.epoch) {
+            // A restarted engine counts its events anew.
+            state.epoch = epoch;
+            state.nextEvent = 0;
+        }
+        if (nowMillis < state.nextEventsMillis) {
+            return;
+        }
+        state.nextEventsMillis = nowMillis + EVENTS_PERIOD_MILLIS;
+        ask(upstream.address(), "/cache-events?after=" + state.nextEvent)
+                .flatMap(CacheEvents::parse)
+                .ifPresent(events -> {
+                    state.nextEvent = events.next();
+                    dispatch.onCacheEvents(upstream.service(), upstream.id(), events.events());
+                });
+    }
+
+    private Optional<byte[]> ask(String address, String path) {
         Either<UpstreamException, ClientExchange> sent =
-                pool.send(address, new BasicClassicHttpRequest("GET", "/load"), WaitObserver.PATIENT, TIMEOUT_MILLIS);
+                pool.send(address, new BasicClassicHttpRequest("GET", path), WaitObserver.PATIENT, TIMEOUT_MILLIS);
         if (sent.isLeft()) {
             return Optional.empty();
         }
         try (ClientExchange exchange = sent.get()) {
             byte[] body = exchange.readAll(MAXIMUM_REPORT_BYTES);
-            return exchange.status() == 200 ? LoadReport.parse(body, nowMillis) : Optional.empty();
+            return exchange.status() == 200 ? Optional.of(body) : Optional.empty();
         } catch (UpstreamException e) {
             return Optional.empty();
         }
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/UpstreamLoadPollerTest.java
@@ -0,0 +1,76 @@
+package org.cactusshift.internal.transport.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.cactusshift.internal.coordination.configsync.ConfigSource;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.transport.http.ScriptedServer;
+import org.junit.jupiter.api.Test;
+
+class UpstreamLoadPollerTest {
+    private static ConfigSource source(GatewayFixture gateway) {
+        return new ConfigSource() {
+            @Override
+            public Optional<InstalledConfig> current() {
+                return Optional.of(gateway.config);
+            }
+
+            @Override
+            public void subscribe(Consumer<InstalledConfig> listener) {
+                listener.accept(gateway.config);
+            }
+        };
+    }
+
+    private static boolean isRefused(GatewayFixture gateway) {
+        try {
+            return gateway.chat(false).statusCode() == 503;
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void handsReportsOnAndSetsASilentUpstreamAside() throws Exception {
+        AtomicBoolean silent = new AtomicBoolean();
+        AtomicBoolean draining = new AtomicBoolean();
+        try (ScriptedServer engine = ScriptedServer.start((request, socket, out) -> {
+                    if (request.line().startsWith("GET /load") && !silent.get()) {
+                        String report = "{\"age_millis\":1,\"running\":3,\"epoch\":1,\"draining\":" + draining + "}";
+                        ScriptedServer.answer(out, 200, "", report);
+                    } else if (request.line().startsWith("GET /cache-events?after=0 ")) {
+                        ScriptedServer.answer(
+                                out,
+                                200,
+                                "",
+                                "{\"next\":2,\"events\":[{\"sequence\":1,\"kind\":\"stored\",\"prefix\":"
+                                        + "\"ffffffffffffffff\"},{\"sequence\":2,\"kind\":\"new\"}]}");
+                    } else if (request.line().startsWith("GET /cache-events")) {
+                        ScriptedServer.answer(out, 200, "", "{\"next\":2,\"events\":[]}");
+                    }
+                });
+                GatewayFixture gateway = GatewayFixture.withEngines(engine.address());
+                UpstreamLoadPoller poller = UpstreamLoadPoller.start(
+                        source(gateway), gateway.dispatch, gateway.pool, gateway.clockMillis, gateway.scheduler)) {
+            GatewayFixture.await(() -> gateway.models().loads.size() >= 3);
+            assertEquals(3, gateway.models().loads.get(0).running());
+            GatewayFixture.await(() -> engine.received().stream()
+                    .anyMatch(request -> request.line().startsWith("GET /cache-events?after=2 ")));
+            assertEquals(1, gateway.models().cacheEvents.size());
+            assertEquals(-1, gateway.models().cacheEvents.get(0).prefixHash());
+            draining.set(true);
+            GatewayFixture.await(() -> gateway.models().isLeaving());
+            draining.set(false);
+            GatewayFixture.await(() -> !gateway.models().isLeaving());
+            silent.set(true);
+            GatewayFixture.await(() -> gateway.models().isLeaving());
+            assertTrue(isRefused(gateway));
+            silent.set(false);
+            GatewayFixture.await(() -> !gateway.models().isLeaving());
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpListenerFuzzTest.java
@@ -0,0 +1,81 @@
+package org.cactusshift.internal.transport.http;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.apache.hc.core5.http.ContentType;
+
+class HttpListenerFuzzTest {
+    private static final String VALID = "POST /x?y=1 HTTP/1.1\r\nHost: h\r\nA: b\r\nTransfer-Encoding: chunked\r\n"
+            + "Connection: close\r\n\r\n3\r\nabc\r\n2;e=f\r\nde\r\n0\r\nT: u\r\n\r\n";
+
+    private static HttpListener listener;
+
+    @BeforeContainer
+    static void open() throws IOException {
+        ListenerSettings settings = new ListenerSettings(2048, 1000, 64, 100, 500, 5000);
+        listener = HttpListener.open(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> settings,
+                exchange -> exchange.submit(HttpAnswers.of(200, ContentType.TEXT_PLAIN, exchange.body())));
+    }
+
+    @AfterContainer
+    static void close() {
+        listener.close();
+    }
+
+    /** Sends bytes and the end of the stream, and returns whatever comes back until the listener closes. */
+    private static String answerTo(byte[] request) throws IOException {
+        try (RawClient client = RawClient.connect(listener.address())) {
+            try {
+                client.send(request);
+                client.socket().shutdownOutput();
+                return client.readToEnd();
+            } catch (IOException e) {
+                return "";
+            }
+        }
+    }
+
+    private static void assertServes() throws IOException {
+        String answer = answerTo(VALID.getBytes(StandardCharsets.US_ASCII));
+        assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("abcde"), answer);
+    }
+
+    private static void assertNoServerFault(String answer) {
+        assertFalse(answer.startsWith("HTTP/1.1 500"), answer);
+        assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1."), answer);
+    }
+
+    @Property(tries = 200, seed = "20261203")
+    void noiseIsAnsweredOrClosed(@ForAll @Size(max = 3000) byte[] noise) throws IOException {
+        assertNoServerFault(answerTo(noise));
+        assertServes();
+    }
+
+    @Property(tries = 300, seed = "20261203")
+    void aDamagedRequestIsAnsweredOrClosed(
+            @ForAll @IntRange(max = 150) int at, @ForAll byte replacement, @ForAll @IntRange(max = 4) int removed)
+            throws IOException {
+        byte[] valid = VALID.getBytes(StandardCharsets.US_ASCII);
+        int start = Math.min(at, valid.length);
+        int end = Math.min(start + removed, valid.length);
+        byte[] damaged = new byte[start + 1 + valid.length - end];
+        System.arraycopy(valid, 0, damaged, 0, start);
+        damaged[start] = replacement;
+        System.arraycopy(valid, end, damaged, start + 1, valid.length - end);
+        assertNoServerFault(answerTo(damaged));
+        assertServes();
+    }
+}
