--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -52,8 +52,8 @@
     private final FleetView fleet = FleetView.create();
     private final RequestQueue<PendingRequest> queue;
     private final ArrayDeque<PendingRequest> retries = new ArrayDeque<>();
-    private final SuspectLane suspects = new SuspectLane();
     private final Quarantine quarantine = Quarantine.create(QUARANTINE_MILLIS);
+    private final SuspectLane suspects = new SuspectLane(quarantine);
     private final AccountLimiter limiter = AccountLimiter.create();
     private final RetryBudget retryBudget;
     private final WorkEstimator estimator = new WorkEstimator();
@@ -245,7 +245,8 @@
             case CRASHED:
                 health.onFailure(nowMillis, random);
                 fleet.prefixes().forget(attempt.upstream.id());
-                quarantine.onCrash(pending.request.fingerprint(), attempt.upstream.id(), nowMillis);
+                quarantine.onCrash(
+                        pending.request.fingerprint(), attempt.upstream.id(), attempt.sentAtMillis, nowMillis);
                 return sendAgainAfterLoss(pending, nowMillis);
             case SILENT:
                 health.onFailure(nowMillis, random);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/SuspectLane.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/SuspectLane.java
@@ -8,8 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.quarantine.Quarantine;
 import org.cactusshift.internal.coordination.routing.FleetView;
-import org.cactusshift.internal.coordination.routing.PrefixHashRouting;
 import org.cactusshift.internal.coordination.routing.UpstreamHealth;
 import org.cactusshift.internal.coordination.routing.UpstreamState;
 
@@ -17,16 +17,22 @@
  * Gives each suspect an upstream to itself: sets one aside, waits until this node has nothing else there, then hands it
  * over.
  *
- * <p>Never the last upstream that works, and one attempt for each fingerprint at a time. Nodes choose by a hash of the
- * fingerprint, so that suspects of different nodes seldom meet.
+ * <p>Never the last upstream that works, and one attempt for each fingerprint at a time. Nodes tell each other their
+ * suspects; after a pause in which that settles, the rank of a fingerprint among all suspects names its upstream, so
+ * that suspects of different nodes don't meet.
  */
 final class SuspectLane {
-    private static final int UPSTREAMS_PER_RESERVATION = 4;
+    private static final long SETTLING_MILLIS = 1_500;
 
+    private final Quarantine quarantine;
     private final ArrayDeque<PendingRequest> waiting = new ArrayDeque<>();
     private final Map<UpstreamId, PendingRequest> reserved = new HashMap<>();
     private Set<UpstreamId> reservedIds = Set.of();
 
+    SuspectLane(Quarantine quarantine) {
+        this.quarantine = quarantine;
+    }
+
     void add(PendingRequest pending) {
         waiting.addLast(pending);
     }
@@ -75,7 +81,7 @@
                 .map(Map.Entry::getKey)
                 .findFirst();
         if (held.isEmpty()) {
-            return reserve(pending, safe);
+            return reserve(pending, safe, nowMillis);
         }
         Optional<UpstreamState> upstream =
                 safe.stream().filter(state -> state.id().equals(held.get())).findFirst();
@@ -90,9 +96,8 @@
         List<UpstreamState> open = fleet.upstreams().stream()
                 .filter(state -> state.takes(true, nowMillis))
                 .toList();
-        List<UpstreamState> up = open.stream()
-                .filter(state -> state.health().state(nowMillis) == UpstreamHealth.State.UP)
-                .toList();
+        List<UpstreamState> up =
+                open.stream().filter(state -> isUp(state, nowMillis)).toList();
         if (up.size() >= 2) {
             return open;
         }
@@ -101,16 +106,20 @@
                 : open.stream().filter(state -> state != up.get(0)).toList();
     }
 
-    private Optional<UpstreamState> reserve(PendingRequest pending, List<UpstreamState> safe) {
-        int most = Math.max(1, safe.size() / UPSTREAMS_PER_RESERVATION);
-        if (reserved.size() >= most || isRunning(pending)) {
+    private Optional<UpstreamState> reserve(PendingRequest pending, List<UpstreamState> safe, long nowMillis) {
+        long fingerprint = pending.request.fingerprint();
+        int rank = quarantine.activeSuspects(nowMillis).indexOf(fingerprint);
+        boolean settled = quarantine.ownAgeMillis(fingerprint, nowMillis) >= SETTLING_MILLIS;
+        if (!settled || rank < 0 || rank >= safe.size() || isRunning(pending)) {
             return Optional.empty();
         }
         Optional<UpstreamState> chosen = safe.stream()
-                .filter(state -> !reserved.containsKey(state.id()))
                 .filter(state -> pending.request.repeatable() || !state.config().reclaimable())
-                .max(Comparator.<UpstreamState>comparingInt(state -> state.requests() == 0 ? 1 : 0)
-                        .thenComparingLong(state -> PrefixHashRouting.score(state, pending.request.fingerprint())));
+                .sorted(Comparator.<UpstreamState>comparingInt(state -> isUp(state, nowMillis) ? 0 : 1)
+                        .thenComparing(UpstreamState::id))
+                .skip(rank)
+                .findFirst()
+                .filter(state -> !reserved.containsKey(state.id()));
         chosen.ifPresent(state -> {
             reserved.put(state.id(), pending);
             reservedIds = Set.copyOf(reserved.keySet());
@@ -122,4 +131,8 @@
         return reserved.values().stream()
                 .anyMatch(holder -> holder.request.fingerprint() == pending.request.fingerprint());
     }
+
+    private static boolean isUp(UpstreamState state, long nowMillis) {
+        return state.health().state(nowMillis) == UpstreamHealth.State.UP;
+    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/Quarantine.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/Quarantine.java
@@ -18,7 +18,7 @@
  */
 public final class Quarantine {
     private static final int REFUSED_CRASHES = 2;
-    private static final long SAME_CRASH_MILLIS = 2_000;
+    private static final long REMOTE_ACTIVE_MILLIS = 5_000;
 
     private final long refusalMillis;
     private final Map<Long, Suspicion> suspicions = new HashMap<>();
@@ -43,6 +43,7 @@
         int remoteCrashes;
         long lastMillis;
         long ownLastMillis;
+        long remoteHeardMillis = Long.MIN_VALUE / 2;
 
         int total() {
             return ownCrashes + remoteCrashes;
@@ -92,14 +93,15 @@
      *
      * @param fingerprint the fingerprint
      * @param upstream the upstream that crashed
+     * @param sentAtMillis when the attempt was sent; one sent before the last crash was lost with it
      * @param nowMillis the present time
      */
-    public void onCrash(long fingerprint, UpstreamId upstream, long nowMillis) {
+    public void onCrash(long fingerprint, UpstreamId upstream, long sentAtMillis, long nowMillis) {
         Suspicion suspicion = live(fingerprint, nowMillis);
         Long seenMillis = suspicion.crashes.put(upstream, nowMillis);
         suspicion.lastMillis = nowMillis;
         suspicion.ownLastMillis = nowMillis;
-        if (seenMillis == null || nowMillis - seenMillis > SAME_CRASH_MILLIS) {
+        if (seenMillis == null || sentAtMillis > seenMillis) {
             suspicion.ownCrashes++;
         }
     }
@@ -125,6 +127,7 @@
             return;
         }
         Suspicion suspicion = live(fingerprint, nowMillis);
+        suspicion.remoteHeardMillis = nowMillis;
         if (crashes > suspicion.remoteCrashes) {
             suspicion.remoteCrashes = crashes;
             suspicion.lastMillis = nowMillis;
@@ -148,6 +151,35 @@
         return reports;
     }
 
+    /**
+     * Returns the suspects that are to be tried somewhere, own and others', the same at all nodes once they have
+     * exchanged what they saw.
+     *
+     * @param nowMillis the present time
+     * @return their fingerprints in ascending order
+     */
+    public List<Long> activeSuspects(long nowMillis) {
+        return suspicions.entrySet().stream()
+                .filter(entry -> entry.getValue().total() < REFUSED_CRASHES && !isOver(entry.getValue(), nowMillis))
+                .filter(entry -> entry.getValue().ownCrashes > 0
+                        || nowMillis - entry.getValue().remoteHeardMillis <= REMOTE_ACTIVE_MILLIS)
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+
+    /**
+     * Returns the time since this node saw a crash of a fingerprint.
+     *
+     * @param fingerprint the fingerprint
+     * @param nowMillis the present time
+     * @return milliseconds, or {@link Long#MAX_VALUE} when it saw none
+     */
+    public long ownAgeMillis(long fingerprint, long nowMillis) {
+        Suspicion suspicion = suspicions.get(fingerprint);
+        return suspicion == null || suspicion.ownCrashes == 0 ? Long.MAX_VALUE : nowMillis - suspicion.ownLastMillis;
+    }
+
     /**
      * Forgets what is over.
      *
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/capacity/SpreadCapacityPlannerTest.java
@@ -0,0 +1,97 @@
+package org.cactusshift.internal.coordination.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.config.FailureDomainConfig;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SpreadCapacityPlannerTest {
+    private static final long HOUR_MILLIS = 3_600_000;
+    private static final List<FailureDomainConfig> DOMAINS = List.of(
+            new FailureDomainConfig(FailureDomainId.fromString("ostend-a"), 4),
+            new FailureDomainConfig(FailureDomainId.fromString("zeebrugge-b"), 4),
+            new FailureDomainConfig(FailureDomainId.fromString("bruges-d"), 4));
+    private static final CapacityTerms TERMS = new CapacityTerms(4, 1.2, 60_000, 1_000 * HOUR_MILLIS);
+    private static final SpreadCapacityPlanner PLANNER = SpreadCapacityPlanner.create();
+
+    private static CapacitySnapshot snapshot(
+            List<CapacityUpstream> upstreams, Set<FailureDomainId> noReclaimable, double needed, double kept) {
+        return new CapacitySnapshot(upstreams, DOMAINS, noReclaimable, Set.of(), needed, kept, TERMS);
+    }
+
+    private static List<CapacityUpstream> upstreams(int ordered, int reclaimable) {
+        List<CapacityUpstream> upstreams = new ArrayList<>();
+        for (int i = 0; i < ordered + reclaimable; i++) {
+            upstreams.add(new CapacityUpstream(
+                    Optional.of(UpstreamId.fromString("u" + i)),
+                    DOMAINS.get(i % 3).id(),
+                    i >= ordered));
+        }
+        return upstreams;
+    }
+
+    private static List<CapacityUpstream> after(CapacityPlan plan, List<CapacityUpstream> before) {
+        List<CapacityUpstream> after = new ArrayList<>(before);
+        plan.orders()
+                .forEach(order ->
+                        after.add(new CapacityUpstream(Optional.empty(), order.failureDomain(), order.reclaimable())));
+        return after;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 2", "0, 3", "1, 4", "6, 2"})
+    void whatMustNotBeLostSurvivesAnyFailureDomain(int ordered, int kept) {
+        List<CapacityUpstream> before = upstreams(ordered, 0);
+        List<CapacityUpstream> planned = after(PLANNER.plan(snapshot(before, Set.of(), 6, kept), 0), before);
+        for (FailureDomainConfig lost : DOMAINS) {
+            long left = planned.stream()
+                    .filter(upstream -> !upstream.reclaimable())
+                    .filter(upstream -> !upstream.failureDomain().equals(lost.id()))
+                    .count();
+            assertTrue(left >= kept, left + " left without " + lost.id());
+        }
+    }
+
+    @Test
+    void buysTheRestReclaimableAndFarBelowTheOrderedPrice() {
+        CapacityPlan plan = PLANNER.plan(snapshot(List.of(), Set.of(), 8, 2), 0);
+        double cost = plan.orders().stream()
+                .mapToDouble(order -> order.reclaimable() ? 1.2 : 4)
+                .sum();
+        assertEquals(10, plan.orders().size());
+        assertTrue(cost <= 0.7 * 40, "cost " + cost);
+    }
+
+    @Test
+    void ordersOthersWhereReclaimableOnesCannotBeHad() {
+        Set<FailureDomainId> all =
+                Set.of(DOMAINS.get(0).id(), DOMAINS.get(1).id(), DOMAINS.get(2).id());
+        CapacityPlan plan = PLANNER.plan(snapshot(upstreams(3, 0), all, 5, 2), 0);
+        assertEquals(3, plan.orders().size());
+        assertTrue(plan.orders().stream().noneMatch(CapacityPlan.Order::reclaimable));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, true", "998, true", "1000, false"})
+    void stopsOrderingNearTheShutdownDate(long hour, boolean orders) {
+        CapacityPlan plan = PLANNER.plan(snapshot(List.of(), Set.of(), 4, 1), hour * HOUR_MILLIS);
+        assertEquals(orders, !plan.orders().isEmpty());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"8, 4, 0", "3, 4, 1"})
+    void releasesOnlyAClearSurplus(double needed, int reclaimable, int released) {
+        CapacityPlan plan = PLANNER.plan(snapshot(upstreams(6, reclaimable), Set.of(), needed, 2), 0);
+        assertEquals(List.of(), plan.orders());
+        assertEquals(released, plan.releases().size());
+    }
+}
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/DispatchFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/DispatchFixture.java
@@ -49,6 +49,23 @@
         return upstreams;
     }
 
+    /** Returns upstreams of which every second one is reclaimable. */
+    public static List<UpstreamConfig> halfReclaimable(int count) {
+        return upstreams(count).stream()
+                .map(u -> new UpstreamConfig(
+                        u.id(),
+                        u.service(),
+                        u.failureDomain(),
+                        u.address(),
+                        u.role(),
+                        Integer.parseInt(u.id().value().substring("engine-".length())) % 2 == 1,
+                        u.checksFencing(),
+                        u.draining(),
+                        u.pricePerHour(),
+                        u.memoryPieces()))
+                .toList();
+    }
+
     public static DispatchRequest request(String id, String account, long deadlineMillis, boolean repeatable) {
         return new DispatchRequest(
                 RequestId.fromString(id),
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcherTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcherTest.java
@@ -9,14 +9,20 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.SuspectReport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 class ServiceDispatcherTest {
+    /** When nodes have told each other of the suspects of a crash at the start. */
+    private static final long SETTLED_MILLIS = 2_000;
+
     @ParameterizedTest
     @CsvSource({
         "PLAIN, false, NOT_RUN, true",
@@ -33,7 +39,9 @@
         ServiceDispatcher dispatcher = dispatcher(kind, 3);
         DispatchDecision.Dispatch first = dispatched(dispatcher.submit(request("r1", "fonds", 60_000, repeatable), 0));
 
-        List<DispatchDecision> after = dispatcher.onAttemptEnd(first.attempt(), new AttemptEnd(outcome, 0, 0), 10);
+        List<DispatchDecision> after =
+                new ArrayList<>(dispatcher.onAttemptEnd(first.attempt(), new AttemptEnd(outcome, 0, 0), 10));
+        after.addAll(dispatcher.onTime(SETTLED_MILLIS));
 
         if (sentAgain) {
             assertNotEquals(first.attempt(), dispatched(after).attempt());
@@ -50,8 +58,8 @@
         assertFalse(first.resume());
         dispatcher.onProgress(first.attempt(), 7, 5);
 
-        DispatchDecision.Dispatch second = dispatched(
-                dispatcher.onAttemptEnd(first.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 400, 7), 10));
+        dispatcher.onAttemptEnd(first.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 400, 7), 10);
+        DispatchDecision.Dispatch second = dispatched(dispatcher.onTime(SETTLED_MILLIS));
 
         assertTrue(second.resume());
         assertNotEquals(first.upstream(), second.upstream());
@@ -108,15 +116,15 @@
     void refusesAFingerprintAfterItsSecondCrash() {
         ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 4);
         DispatchDecision.Dispatch first = dispatched(dispatcher.submit(request("r1", "fonds", 60_000, true), 0));
-        DispatchDecision.Dispatch second = dispatched(
-                dispatcher.onAttemptEnd(first.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 10));
+        dispatcher.onAttemptEnd(first.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 10);
+        DispatchDecision.Dispatch second = dispatched(dispatcher.onTime(SETTLED_MILLIS));
 
         DispatchDecision.Refuse refuse = refused(
-                dispatcher.onAttemptEnd(second.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 20));
+                dispatcher.onAttemptEnd(second.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 2_010));
 
         assertEquals(DispatchDecision.Reason.QUARANTINED, refuse.reason());
         assertTrue(refuse.mayHaveRun());
-        DispatchDecision.Refuse again = refused(dispatcher.submit(request("r1", "fonds", 60_000, true), 30));
+        DispatchDecision.Refuse again = refused(dispatcher.submit(request("r1", "fonds", 60_000, true), 2_020));
         assertEquals(DispatchDecision.Reason.QUARANTINED, again.reason());
         assertFalse(again.mayHaveRun());
     }
@@ -124,29 +132,70 @@
     @Test
     void clearsInnocentRequestsThatSharedACrash() {
         ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 4);
-        dispatcher.onLeaving(DispatchFixture.upstreams(4).get(1).id(), true, 0);
-        dispatcher.onLeaving(DispatchFixture.upstreams(4).get(2).id(), true, 0);
-        dispatcher.onLeaving(DispatchFixture.upstreams(4).get(3).id(), true, 0);
+        for (int i = 1; i < 4; i++) {
+            dispatcher.onLeaving(DispatchFixture.upstreams(4).get(i).id(), true, 0);
+        }
         DispatchDecision.Dispatch guilty = dispatched(dispatcher.submit(request("g", "fonds", 60_000, true), 0));
         DispatchDecision.Dispatch innocent = dispatched(dispatcher.submit(request("i", "crew", 60_000, true), 0));
         for (int i = 1; i < 4; i++) {
             dispatcher.onLeaving(DispatchFixture.upstreams(4).get(i).id(), false, 1);
         }
-
-        DispatchDecision.Dispatch guiltyAgain = dispatched(
-                dispatcher.onAttemptEnd(guilty.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 10));
-        assertEquals(
-                List.of(),
-                dispatcher.onAttemptEnd(innocent.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 10));
-        DispatchDecision.Dispatch innocentAgain = dispatched(
-                dispatcher.onAttemptEnd(guiltyAgain.attempt(), new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0), 20));
-        assertEquals("i", innocentAgain.request().value());
-        dispatcher.onAttemptEnd(innocentAgain.attempt(), new AttemptEnd(AttemptEnd.Outcome.COMPLETED, 400, 9), 30);
+        AttemptEnd crash = new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0);
+        dispatcher.onAttemptEnd(guilty.attempt(), crash, 10);
+        dispatcher.onAttemptEnd(innocent.attempt(), crash, 10);
+
+        List<DispatchDecision.Dispatch> again = dispatcher.onTime(SETTLED_MILLIS).stream()
+                .map(DispatchDecision.Dispatch.class::cast)
+                .toList();
+        assertEquals(2, again.size());
+        assertNotEquals(again.get(0).upstream(), again.get(1).upstream());
+        for (DispatchDecision.Dispatch attempt : again) {
+            boolean isGuilty = attempt.request().value().equals("g");
+            AttemptEnd end = isGuilty ? crash : new AttemptEnd(AttemptEnd.Outcome.COMPLETED, 400, 9);
+            dispatcher.onAttemptEnd(attempt.attempt(), end, 2_010);
+        }
 
         assertEquals(
                 List.of((long) "g".hashCode()),
-                dispatcher.suspects(40).stream()
-                        .map(suspect -> suspect.fingerprint())
+                dispatcher.suspects(2_020).stream()
+                        .map(SuspectReport::fingerprint)
                         .toList());
     }
+
+    @Test
+    void lendsASuspectsUpstreamToNobodyElse() {
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 3);
+        dispatcher.onRemoteSuspect("s".hashCode(), 1, 0);
+        DispatchDecision.Dispatch suspect = dispatched(dispatcher.submit(request("s", "fonds", 60_000, true), 0));
+        for (int i = 0; i < 20; i++) {
+            DispatchDecision.Dispatch other = dispatched(dispatcher.submit(request("o" + i, "crew", 60_000, true), 10));
+            assertNotEquals(suspect.upstream(), other.upstream());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, SUSPECT", "2, REFUSED"})
+    void heedsSuspectsOfOtherNodes(int crashes, Quarantine.Verdict verdict) {
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 3);
+        dispatcher.onRemoteSuspect("r1".hashCode(), crashes, 0);
+        List<DispatchDecision> decisions = dispatcher.submit(request("r1", "fonds", 60_000, true), 1);
+        if (verdict == Quarantine.Verdict.REFUSED) {
+            assertEquals(DispatchDecision.Reason.QUARANTINED, refused(decisions).reason());
+            assertFalse(refused(decisions).mayHaveRun());
+        } else {
+            assertEquals("r1", dispatched(decisions).request().value());
+        }
+    }
+
+    @Test
+    void keepsNonRepeatableRequestsOffReclaimableUpstreams() {
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.PLAIN, 0);
+        dispatcher.onConfig(List.of(), DispatchFixture.halfReclaimable(4), 0);
+        for (int i = 0; i < 20; i++) {
+            String upstream = dispatched(dispatcher.submit(request("r" + i, "fonds", 60_000, false), 1))
+                    .upstream()
+                    .value();
+            assertTrue(List.of("engine-0", "engine-2").contains(upstream), upstream);
+        }
+    }
 }
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/limits/AccountLimiterTest.java
@@ -0,0 +1,76 @@
+package org.cactusshift.internal.coordination.limits;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.id.AccountId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class AccountLimiterTest {
+    private static final AccountId ACCOUNT = AccountId.fromString("fonds");
+
+    private static AccountLimiter limiter(long tokensPerSecond, int requests) {
+        AccountLimiter limiter = AccountLimiter.create();
+        limiter.install(List.of(new AccountConfig(ACCOUNT, 1, tokensPerSecond, requests, List.of(), List.of())), 0);
+        return limiter;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 100, 500", "4, 100, 500", "8, 50, 1000"})
+    void keepsTheSiteNearItsRateWithoutACallPerRequest(int nodes, int requestTokens, int summaryMillis) {
+        long tokensPerSecond = 2_000;
+        AccountLimiter[] limiters = new AccountLimiter[nodes];
+        long[] sinceSummary = new long[nodes];
+        for (int i = 0; i < nodes; i++) {
+            limiters[i] = limiter(tokensPerSecond, 0);
+        }
+        long admitted = 0;
+        for (long nowMillis = 1; nowMillis <= 60_000; nowMillis++) {
+            int node = (int) (nowMillis % nodes);
+            if (limiters[node].tryAdmit(ACCOUNT, requestTokens, nowMillis) == 0) {
+                limiters[node].onEnd(ACCOUNT, requestTokens, requestTokens);
+                admitted += requestTokens;
+                sinceSummary[node] += requestTokens;
+            }
+            if (nowMillis % summaryMillis == 0) {
+                for (int to = 0; to < nodes; to++) {
+                    for (int from = 0; from < nodes; from++) {
+                        if (from != to) {
+                            limiters[to].onRemote(ACCOUNT, sinceSummary[from], 0, nowMillis);
+                        }
+                    }
+                }
+                sinceSummary = new long[nodes];
+            }
+        }
+        long sustained = tokensPerSecond * 60;
+        long burst = tokensPerSecond * 10;
+        long unseen = (long) (nodes - 1) * requestTokens * (summaryMillis / nodes + 1);
+        assertTrue(admitted >= 0.9 * sustained, "admitted " + admitted);
+        assertTrue(admitted <= sustained + burst + unseen + (long) nodes * requestTokens, "admitted " + admitted);
+    }
+
+    @Test
+    void countsOpenRequestsOfOtherNodes() {
+        AccountLimiter limiter = limiter(0, 3);
+        limiter.onRemote(ACCOUNT, 0, 2, 0);
+        assertEquals(0, limiter.tryAdmit(ACCOUNT, 1, 0));
+        assertTrue(limiter.tryAdmit(ACCOUNT, 1, 0) > 0);
+        limiter.onEnd(ACCOUNT, 1, 1);
+        assertEquals(0, limiter.tryAdmit(ACCOUNT, 1, 0));
+    }
+
+    @Test
+    void saysWhenToComeBack() {
+        AccountLimiter limiter = limiter(100, 0);
+        assertEquals(0, limiter.tryAdmit(ACCOUNT, 2_000, 0));
+        long retryAfterMillis = limiter.tryAdmit(ACCOUNT, 1, 0);
+        assertEquals(10_001, retryAfterMillis);
+        assertTrue(limiter.tryAdmit(ACCOUNT, 1, 9_000) > 0);
+        assertEquals(0, limiter.tryAdmit(ACCOUNT, 1, retryAfterMillis));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/quarantine/QuarantineTest.java
@@ -0,0 +1,69 @@
+package org.cactusshift.internal.coordination.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.cactusshift.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class QuarantineTest {
+    private static final long FINGERPRINT = 42;
+    private static final UpstreamId FIRST = UpstreamId.fromString("engine-1");
+    private static final UpstreamId SECOND = UpstreamId.fromString("engine-2");
+
+    @ParameterizedTest
+    @CsvSource({"0, 0, CLEAR", "1, 0, SUSPECT", "0, 1, SUSPECT", "1, 1, REFUSED", "2, 0, REFUSED", "0, 2, REFUSED"})
+    void addsUpOwnAndRemoteCrashes(int own, int remote, Quarantine.Verdict verdict) {
+        Quarantine quarantine = Quarantine.create(60_000);
+        for (int i = 0; i < own; i++) {
+            quarantine.onCrash(FINGERPRINT, i == 0 ? FIRST : SECOND, 5, 10);
+        }
+        quarantine.onRemote(FINGERPRINT, remote, 20);
+        assertEquals(verdict, quarantine.verdict(FINGERPRINT, 30));
+    }
+
+    @Test
+    void countsOneCrashOnceForSeveralAttempts() {
+        Quarantine quarantine = Quarantine.create(60_000);
+        quarantine.onCrash(FINGERPRINT, FIRST, 5, 10);
+        quarantine.onCrash(FINGERPRINT, FIRST, 6, 11);
+        assertEquals(Quarantine.Verdict.SUSPECT, quarantine.verdict(FINGERPRINT, 12));
+    }
+
+    @Test
+    void countsASecondCrashOfTheSameUpstreamHoweverSoon() {
+        Quarantine quarantine = Quarantine.create(60_000);
+        quarantine.onCrash(FINGERPRINT, FIRST, 5, 10);
+        quarantine.onCrash(FINGERPRINT, FIRST, 11, 12);
+        assertEquals(Quarantine.Verdict.REFUSED, quarantine.verdict(FINGERPRINT, 13));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"60009, REFUSED", "60010, CLEAR"})
+    void forgetsAfterTheStatedTime(long nowMillis, Quarantine.Verdict verdict) {
+        Quarantine quarantine = Quarantine.create(60_000);
+        quarantine.onCrash(FINGERPRINT, FIRST, 5, 10);
+        quarantine.onCrash(FINGERPRINT, SECOND, 5, 10);
+        assertEquals(verdict, quarantine.verdict(FINGERPRINT, nowMillis));
+    }
+
+    @Test
+    void tellsOthersOnlyWhatItSawItself() {
+        Quarantine quarantine = Quarantine.create(60_000);
+        quarantine.onRemote(FINGERPRINT, 2, 10);
+        assertEquals(List.of(), quarantine.suspects(20));
+        quarantine.onCrash(FINGERPRINT, FIRST, 25, 30);
+        assertEquals(List.of(new SuspectReport(FINGERPRINT, 1, 10)), quarantine.suspects(40));
+    }
+
+    @Test
+    void stopsTryingWhatOtherNodesNoLongerReport() {
+        Quarantine quarantine = Quarantine.create(60_000);
+        quarantine.onRemote(FINGERPRINT, 1, 0);
+        assertEquals(List.of(FINGERPRINT), quarantine.activeSuspects(5_000));
+        assertEquals(List.of(), quarantine.activeSuspects(5_001));
+        assertEquals(Quarantine.Verdict.SUSPECT, quarantine.verdict(FINGERPRINT, 5_001));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/roles/RolePlannerTest.java
@@ -0,0 +1,101 @@
+package org.cactusshift.internal.coordination.roles;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RolePlannerTest {
+    private static final EngineRates RATES = new EngineRates(8_000, 800, 8_000);
+    private static final TokenDemand PROMPTS = new TokenDemand(40_000, 500);
+    private static final TokenDemand OUTPUTS = new TokenDemand(2_000, 4_000);
+
+    private static List<EngineInRole> engines(int prefill, int decode, int mixed) {
+        List<EngineInRole> engines = new ArrayList<>();
+        add(engines, prefill, UpstreamConfig.Role.PREFILL);
+        add(engines, decode, UpstreamConfig.Role.DECODE);
+        add(engines, mixed, UpstreamConfig.Role.MIXED);
+        return engines;
+    }
+
+    private static void add(List<EngineInRole> engines, int count, UpstreamConfig.Role role) {
+        for (int i = 0; i < count; i++) {
+            engines.add(new EngineInRole(
+                    UpstreamId.fromString("engine-" + engines.size()),
+                    FailureDomainId.fromString("ostend-a"),
+                    role,
+                    false,
+                    0));
+        }
+    }
+
+    private static RoleSnapshot snapshot(List<EngineInRole> engines, TokenDemand fast, TokenDemand slow) {
+        return new RoleSnapshot(engines, fast, slow, RATES);
+    }
+
+    @Test
+    void mendsASplitThatBothTimeScalesContradict() {
+        List<RoleChange> changes =
+                RepayingRolePlanner.create(10).plan(snapshot(engines(1, 7, 0), PROMPTS, PROMPTS), 600_000);
+        assertEquals(1, changes.size());
+        assertTrue(changes.get(0).expectedGainEngineSeconds() > 0);
+        assertTrue(changes.get(0).role() != UpstreamConfig.Role.DECODE);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, false", "false, true"})
+    void staysWhenOnlyOneTimeScaleAsksForAChange(boolean fastPrompts, boolean slowPrompts) {
+        List<EngineInRole> engines = engines(1, 7, 0);
+        TokenDemand fast = fastPrompts ? PROMPTS : OUTPUTS;
+        TokenDemand slow = slowPrompts ? PROMPTS : OUTPUTS;
+        assertEquals(List.of(), RepayingRolePlanner.create(10).plan(snapshot(engines, fast, slow), 600_000));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 3})
+    void keepsWithinItsChangesPerHour(int limit) {
+        RepayingRolePlanner planner = RepayingRolePlanner.create(limit);
+        int changes = 0;
+        for (long nowMillis = 600_000; nowMillis < 4_000_000; nowMillis += 5_000) {
+            changes += planner.plan(snapshot(engines(1, 7, 0), PROMPTS, PROMPTS), nowMillis)
+                    .size();
+        }
+        assertEquals(limit, changes);
+    }
+
+    @Test
+    void changesLessThanThresholdsWhenTheMixSwings() {
+        RepayingRolePlanner repaying = RepayingRolePlanner.create(100);
+        ThresholdRolePlanner threshold = ThresholdRolePlanner.create();
+        int repayingChanges = 0;
+        int thresholdChanges = 0;
+        for (int step = 0; step < 40; step++) {
+            TokenDemand fast = step / 4 % 2 == 0 ? PROMPTS : OUTPUTS;
+            TokenDemand slow = new TokenDemand(21_000, 2_250);
+            RoleSnapshot snapshot = snapshot(engines(0, 0, 8), fast, slow);
+            repayingChanges += repaying.plan(snapshot, step * 30_000L).size();
+            thresholdChanges += threshold.plan(snapshot, step * 30_000L).size();
+        }
+        assertTrue(repayingChanges < thresholdChanges, repayingChanges + " and " + thresholdChanges);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"20000, 1000", "120000, 100"})
+    void meterFollowsASteadyRate(long memoryMillis, long arrivals) {
+        DemandMeter meter = DemandMeter.create(memoryMillis, 0);
+        for (long i = 1; i <= arrivals; i++) {
+            meter.onArrival(1_000, 50, i * 500);
+        }
+        TokenDemand demand = meter.demand(arrivals * 500);
+        assertEquals(2_000, demand.promptTokensPerSecond(), 100);
+        assertEquals(100, demand.outputTokensPerSecond(), 5);
+    }
+}
