Say that an effect is unknown when the answer can't be looked up

Cause: after a lost answer the swap is repeated; when it then found another revision and the read of head or history failed, the operator was told that nothing was changed although the change was accepted. Such a failure now has unknown effect. Found by schedules of operators who overtake each other over a store that loses, delays and refuses calls, checked against the history.

A planted operator who takes unknown for no effect is caught.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ApplyConfigCommand.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ApplyConfigCommand.java
@@ -246,21 +246,23 @@
                 });
     }
 
+    /** Looks for this command's token in the head and, when another change came on top, in the history. */
     private Either<Failure, Boolean> wasApplied(SwapResult result) {
         if (result.isApplied()) {
             return Either.right(true);
         }
-        return repository.head().flatMap(head -> {
-            if (head.isPresent() && head.get().writerToken().equals(token)) {
-                return Either.right(true);
-            }
-            return repository
-                    .values()
-                    .read(repository.keys().history(newVersion()), ConfigHead.class)
-                    .map(past -> past.map(ConfigHead::writerToken)
-                            .filter(token::equals)
-                            .isPresent());
-        });
+        return hasToken(repository.headKey())
+                .flatMap(isHead ->
+                        isHead ? Either.right(true) : hasToken(repository.keys().history(newVersion())))
+                .mapLeft(failure -> Failure.unknownEffect(failure.step(), failure.peer(), failure.message()));
+    }
+
+    private Either<Failure, Boolean> hasToken(String key) {
+        return repository
+                .values()
+                .read(key, ConfigHead.class)
+                .map(head ->
+                        head.map(ConfigHead::writerToken).filter(token::equals).isPresent());
     }
 
     private void deleteOwn(ConfigIndex index) {
