Make a cut and a crash complete when they return

A thread that waits in accept() keeps the listening socket open until it leaves, for a moment after close() returned. The relay's cut now waits for that thread. A stand-in refuses a connection that its closed socket still took, so that nothing executes after a crash, and a restart waits for the port. Waiting inside the test was ruled out, as the fault lay in the tools that other tests rely on.

--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInServer.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInServer.java
@@ -1,6 +1,7 @@
 package org.cactusshift.standin;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -35,6 +37,10 @@
 public final class StandInServer implements StandIn {
     private static final int BACKLOG = 1024;
 
+    private static final long BIND_LIMIT_MILLIS = 1000;
+
+    private static final long BIND_RETRY_MILLIS = 10;
+
     private final StandInHandler handler;
 
     private final ReceivedLog log = new ReceivedLog();
@@ -49,6 +55,8 @@
 
     private HttpServer server;
 
+    private long starts;
+
     private StandInServer(int port, StandInHandler handler) {
         this.port = port;
         this.handler = handler;
@@ -70,18 +78,8 @@
         if (server != null) {
             throw new IllegalStateException("already started");
         }
-        HttpServer created = ServerBootstrap.bootstrap()
-                .setLocalAddress(InetAddress.getLoopbackAddress())
-                .setListenerPort(port)
-                .setSocketConfig(SocketConfig.custom()
-                        .setSoReuseAddress(true)
-                        .setTcpNoDelay(true)
-                        .setBacklogSize(BACKLOG)
-                        .build())
-                .setConnectionFactory(new TrackingFactory())
-                .setRequestRouter((request, context) -> this::handle)
-                .create();
-        created.start();
+        starts++;
+        HttpServer created = listen();
         port = created.getLocalPort();
         server = created;
     }
@@ -131,6 +129,37 @@
         return faults.isPaused() || silent.contains(connection);
     }
 
+    /** Listens; waits for the port if the accepting thread of an earlier start has not left it yet. */
+    private HttpServer listen() throws IOException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BIND_LIMIT_MILLIS);
+        while (true) {
+            HttpServer created = serverOf(starts);
+            try {
+                created.start();
+                return created;
+            } catch (BindException e) {
+                if (port == 0 || System.nanoTime() > endNanos) {
+                    throw e;
+                }
+                StandInExchange.sleep(BIND_RETRY_MILLIS);
+            }
+        }
+    }
+
+    private HttpServer serverOf(long start) {
+        return ServerBootstrap.bootstrap()
+                .setLocalAddress(InetAddress.getLoopbackAddress())
+                .setListenerPort(port)
+                .setSocketConfig(SocketConfig.custom()
+                        .setSoReuseAddress(true)
+                        .setTcpNoDelay(true)
+                        .setBacklogSize(BACKLOG)
+                        .build())
+                .setConnectionFactory(new TrackingFactory(start))
+                .setRequestRouter((request, context) -> this::handle)
+                .create();
+    }
+
     private synchronized void silenceOpenConnections() {
         silent.addAll(connections.values());
     }
@@ -226,11 +255,17 @@
         return new StandInRequest(message.getMethod(), message.getPath(), headers, body, exchange);
     }
 
-    /** Remembers each connection until it closes. */
+    /** Remembers each connection of one start until it closes. */
     private final class TrackingFactory implements HttpConnectionFactory<DefaultBHttpServerConnection> {
+        private final long start;
+
         private final DefaultBHttpServerConnectionFactory delegate =
                 DefaultBHttpServerConnectionFactory.builder().build();
 
+        TrackingFactory(long start) {
+            this.start = start;
+        }
+
         @Override
         public DefaultBHttpServerConnection createConnection(Socket socket) throws IOException {
             return track(delegate.createConnection(socket));
@@ -242,8 +277,13 @@
             return track(delegate.createConnection(secured, socket));
         }
 
-        private DefaultBHttpServerConnection track(DefaultBHttpServerConnection connection) {
+        private DefaultBHttpServerConnection track(DefaultBHttpServerConnection connection) throws IOException {
             synchronized (StandInServer.this) {
+                if (server == null || start != starts) {
+                    // The accepting thread may take a last connection while the crash closes its socket.
+                    connection.close(CloseMode.IMMEDIATE);
+                    throw new IOException("the stand-in crashed");
+                }
                 connections.values().removeIf(known -> !known.isOpen());
                 silent.removeIf(known -> !known.isOpen());
                 connections.put(connection.getEndpointDetails(), connection);
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/TcpRelay.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/TcpRelay.java
@@ -1,6 +1,7 @@
 package org.cactusshift.systemtest;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -10,8 +11,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 
 /**
  * Forwards loopback TCP connections to a target, with switches for the faults of a network.
@@ -50,6 +53,8 @@
 
     private ServerSocket listener;
 
+    private Future<?> acceptor;
+
     private long delayMillis;
 
     private TcpRelay(String target, ServerSocket listener) {
@@ -67,7 +72,7 @@
      */
     static TcpRelay start(String target) throws IOException {
         TcpRelay relay = new TcpRelay(target, listen(0));
-        relay.acceptFrom(relay.listener);
+        relay.acceptor = relay.acceptFrom(relay.listener);
         return relay;
     }
 
@@ -98,12 +103,15 @@
      */
     void cut() throws IOException {
         List<RelayLink> broken;
+        Future<?> ending;
         synchronized (lock) {
             listener.close();
+            ending = acceptor;
             broken = List.copyOf(links);
             lock.notifyAll();
         }
         broken.forEach(RelayLink::reset);
+        awaitEnd(ending);
     }
 
     /**
@@ -148,18 +156,14 @@
      * @throws IOException if the port can't be opened again
      */
     void restore() throws IOException {
-        ServerSocket reopened = null;
         synchronized (lock) {
             held.clear();
             if (listener.isClosed()) {
-                reopened = listen(port);
-                listener = reopened;
+                listener = listen(port);
+                acceptor = acceptFrom(listener);
             }
             lock.notifyAll();
         }
-        if (reopened != null) {
-            acceptFrom(reopened);
-        }
     }
 
     @Override
@@ -191,8 +195,20 @@
         }
     }
 
-    private void acceptFrom(ServerSocket from) {
-        threads.execute(() -> {
+    /** Waits until the accepting thread has left the socket, which takes connections until then. */
+    private static void awaitEnd(Future<?> acceptor) throws IOException {
+        try {
+            acceptor.get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted");
+        } catch (ExecutionException e) {
+            throw new IOException("the accepting thread failed", e);
+        }
+    }
+
+    private Future<?> acceptFrom(ServerSocket from) {
+        return threads.submit(() -> {
             try {
                 while (true) {
                     Socket caller = from.accept();
