--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/CapacityDriver.java
@@ -0,0 +1,114 @@
+package org.cactusshift.replay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.config.FailureDomainConfig;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.capacity.CapacityPlan;
+import org.cactusshift.internal.coordination.capacity.CapacityPlanner;
+import org.cactusshift.internal.coordination.capacity.CapacitySnapshot;
+import org.cactusshift.internal.coordination.capacity.CapacityTerms;
+import org.cactusshift.internal.coordination.capacity.CapacityUpstream;
+import org.cactusshift.internal.coordination.capacity.SpreadCapacityPlanner;
+import org.cactusshift.internal.coordination.roles.TokenDemand;
+
+/** Carries out the plans of the capacity planner: orders that arrive later, and releases after a drain. */
+final class CapacityDriver {
+    private static final int MAXIMUM_PER_FAILURE_DOMAIN = 6;
+    private static final double USABLE_SHARE = 0.75;
+    private static final double FULL_BATCH_TOKENS_PER_SECOND = 800;
+
+    private final TraceHeader header;
+    private final EventQueue events;
+    private final SimulatedFleet fleet;
+    private final FleetDriver driver;
+    private final CapacityPlanner planner = SpreadCapacityPlanner.create();
+    private final Map<String, List<CapacityUpstream>> pending = new HashMap<>();
+    private final Set<String> releasing = new HashSet<>();
+    private int nextId;
+
+    CapacityDriver(TraceHeader header, EventQueue events, SimulatedFleet fleet, FleetDriver driver) {
+        this.header = header;
+        this.events = events;
+        this.fleet = fleet;
+        this.driver = driver;
+        header.services().forEach(service -> pending.put(service.id(), new ArrayList<>()));
+    }
+
+    void plan() {
+        for (TraceService service : header.services()) {
+            CapacityPlan plan = planner.plan(snapshot(service), events.nowMillis());
+            plan.orders().forEach(order -> order(service, order));
+            plan.releases().forEach(id -> release(id.value()));
+        }
+    }
+
+    private CapacitySnapshot snapshot(TraceService service) {
+        List<CapacityUpstream> upstreams = new ArrayList<>(pending.get(service.id()));
+        Set<FailureDomainId> reclaimed = new HashSet<>();
+        List<FailureDomainConfig> domains = new ArrayList<>();
+        for (SimulatedUpstream upstream : fleet.all()) {
+            TraceUpstream declaration = upstream.declaration();
+            FailureDomainId domain = FailureDomainId.fromString(declaration.failureDomain());
+            FailureDomainConfig config = new FailureDomainConfig(domain, MAXIMUM_PER_FAILURE_DOMAIN);
+            if (!domains.contains(config)) {
+                domains.add(config);
+            }
+            if (fleet.isPaid(declaration.id()) && declaration.service().equals(service.id())) {
+                Optional<UpstreamId> id = Optional.of(UpstreamId.fromString(declaration.id()))
+                        .filter(known -> !releasing.contains(known.value()));
+                upstreams.add(new CapacityUpstream(id, domain, declaration.reclaimable()));
+            } else if (declaration.reclaimable() && !releasing.contains(declaration.id())) {
+                reclaimed.add(domain);
+            }
+        }
+        CapacityTerms terms = new CapacityTerms(
+                service.orderedPricePerHour(),
+                service.reclaimablePricePerHour(),
+                header.orderArrivalMillis(),
+                Long.MAX_VALUE / 2);
+        return new CapacitySnapshot(
+                upstreams, domains, reclaimed, Set.of(), neededUpstreams(service), service.protectedUpstreams(), terms);
+    }
+
+    private double neededUpstreams(TraceService service) {
+        if (service.kind() == ServiceConfig.Kind.PLAIN) {
+            return service.protectedUpstreams();
+        }
+        TokenDemand demand = driver.fastDemand(service.id()).demand(events.nowMillis());
+        double work = demand.promptTokensPerSecond() / EngineSimulator.PREFILL_TOKENS_PER_SECOND
+                + demand.outputTokensPerSecond() / FULL_BATCH_TOKENS_PER_SECOND;
+        return work / USABLE_SHARE;
+    }
+
+    private void order(TraceService service, CapacityPlan.Order order) {
+        CapacityUpstream ordered = new CapacityUpstream(Optional.empty(), order.failureDomain(), order.reclaimable());
+        pending.get(service.id()).add(ordered);
+        boolean model = service.kind() == ServiceConfig.Kind.MODEL;
+        TraceUpstream declaration = new TraceUpstream(
+                service.id() + "-ordered-" + nextId++,
+                service.id(),
+                order.failureDomain().value(),
+                order.reclaimable(),
+                order.reclaimable() ? service.reclaimablePricePerHour() : service.orderedPricePerHour(),
+                model ? header.upstreams().get(0).memoryPieces() : 0);
+        events.afterMillis(header.orderArrivalMillis(), () -> {
+            pending.get(service.id()).remove(ordered);
+            fleet.add(declaration, UpstreamConfig.Role.MIXED);
+            driver.install();
+        });
+    }
+
+    private void release(String id) {
+        releasing.add(id);
+        driver.withdraw(id);
+    }
+}
--- a/org.cactusshift.replay/src/main/java/org/cactusshift/replay/ReplayRun.java
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/ReplayRun.java
@@ -20,6 +20,7 @@
 final class ReplayRun {
     private static final long TICK_MILLIS = 50;
     private static final long PLAN_PERIOD_MILLIS = 5_000;
+    private static final long CAPACITY_PERIOD_MILLIS = 10_000;
     private static final long SUMMARY_LAG_MILLIS = 100;
     private static final long ORACLE_REPORT_MILLIS = 25;
     private static final long TAIL_MILLIS = 60_000;
@@ -83,6 +84,10 @@
         every(trace.header().summaryPeriodMillis(), this::exchange);
         every(TICK_MILLIS, this::tick);
         every(PLAN_PERIOD_MILLIS, driver::planRoles);
+        if (policy.fleet() == ReplayPolicy.Fleet.PLANNED) {
+            CapacityDriver capacity = new CapacityDriver(trace.header(), events, fleet, driver);
+            every(CAPACITY_PERIOD_MILLIS, capacity::plan);
+        }
         every(RunMeasures.SPAN_MILLIS, () -> measures.noteRoles(events.nowMillis()));
         events.runUntilMillis(endMillis + TAIL_MILLIS);
         return measures.result(policy.name(), driver.roleChanges());
--- a/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceJson.java
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceJson.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.nio.file.Path;
 
 /** The JSON form of traces and reports: names with underscores, in a fixed order. */
 final class TraceJson {
@@ -17,4 +18,8 @@
             .build();
 
     private TraceJson() {}
+
+    static boolean isCompressed(Path path) {
+        return path.toString().endsWith(".gz");
+    }
 }
--- a/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceReader.java
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceReader.java
@@ -4,14 +4,17 @@
 import io.vavr.control.Either;
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.zip.GZIPInputStream;
 import org.cactusshift.errors.Failure;
 
-/** Reads traces: JSON lines, a header first, then events in the order of their times. */
+/** Reads traces: JSON lines, compressed when the name ends with {@code .gz}; a header first, then events in order. */
 public final class TraceReader {
     private static final String STEP = "read trace";
 
@@ -25,7 +28,7 @@
      */
     public static Either<Failure, Trace> read(Path path) {
         int line = 1;
-        try (BufferedReader reader = Files.newBufferedReader(path, StandardCharsets.UTF_8)) {
+        try (BufferedReader reader = open(path)) {
             String first = reader.readLine();
             if (first == null) {
                 return failure(path, line, "the file is empty");
@@ -53,6 +56,17 @@
         }
     }
 
+    private static BufferedReader open(Path path) throws IOException {
+        InputStream bytes = Files.newInputStream(path);
+        try {
+            InputStream text = TraceJson.isCompressed(path) ? new GZIPInputStream(bytes) : bytes;
+            return new BufferedReader(new InputStreamReader(text, StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            bytes.close();
+            throw e;
+        }
+    }
+
     private static Either<Failure, Trace> failure(Path path, int line, String message) {
         return Either.left(Failure.rejected(STEP, "local", path + ":" + line + ": " + message));
     }
--- a/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceWriter.java
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/TraceWriter.java
@@ -3,9 +3,13 @@
 import io.vavr.control.Either;
 import java.io.BufferedWriter;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.OutputStreamWriter;
+import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.zip.GZIPOutputStream;
 import org.cactusshift.errors.Failure;
 
 /** Writes traces; the same trace gives the same bytes. */
@@ -16,11 +20,13 @@
      * Writes a trace.
      *
      * @param trace the trace
-     * @param path the file, replaced when it exists
+     * @param path the file, replaced when it exists; compressed when its name ends with {@code .gz}
      * @return the path, or the failure
      */
     public static Either<Failure, Path> write(Trace trace, Path path) {
-        try (BufferedWriter writer = Files.newBufferedWriter(path, StandardCharsets.UTF_8)) {
+        try (OutputStream bytes = Files.newOutputStream(path);
+                OutputStream text = TraceJson.isCompressed(path) ? new GZIPOutputStream(bytes) : bytes;
+                Writer writer = new BufferedWriter(new OutputStreamWriter(text, StandardCharsets.UTF_8))) {
             writer.write(TraceJson.MAPPER.writeValueAsString(trace.header()));
             writer.write('\n');
             for (TraceEvent event : trace.events()) {
--- /dev/null
+++ b/org.cactusshift.replay/src/main/java/org/cactusshift/replay/benchmark/FairQueueBenchmark.java
@@ -0,0 +1,69 @@
+package org.cactusshift.replay.benchmark;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.internal.coordination.fairness.FairQueue;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Measures one request through the fair queue while other accounts wait. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class FairQueueBenchmark {
+    @Param({"8", "7700"})
+    private int waitingAccounts;
+
+    private final Random random = new Random(1);
+    private final List<AccountId> accounts = new ArrayList<>();
+    private FairQueue<AccountId> queue;
+
+    /** Puts a request of each account into the queue. */
+    @Setup
+    public void setUp() {
+        queue = FairQueue.create();
+        for (int i = 0; i < waitingAccounts; i++) {
+            AccountId account = AccountId.fromString("account-" + i);
+            accounts.add(account);
+            queue.add(account, account, 1 + random.nextInt(8_000), random.nextInt(10_000));
+        }
+    }
+
+    /**
+     * Serves the next request and adds one of the same account.
+     *
+     * @return the account served
+     */
+    @Benchmark
+    public AccountId serveAndAdd() {
+        AccountId account = queue.heads(1).get(0);
+        queue.serve(account, account);
+        queue.add(account, account, 1 + random.nextInt(8_000), random.nextInt(10_000));
+        return account;
+    }
+
+    /**
+     * Estimates the work before a new request.
+     *
+     * @return the work, in weighted tokens
+     */
+    @Benchmark
+    public double costAhead() {
+        return queue.costAhead(accounts.get(random.nextInt(waitingAccounts)), 5_000);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.replay/src/test/java/org/cactusshift/replay/ReplayInvariantsTest.java
@@ -0,0 +1,31 @@
+package org.cactusshift.replay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What must hold on every trace, whatever the figures. */
+class ReplayInvariantsTest {
+    @ParameterizedTest
+    @CsvSource({"BE_COAST, DOMAIN_LOSS, 21", "GH_SOUTH, DOMAIN_LOSS, 22", "GH_SOUTH, CRASHING_REQUEST, 23"})
+    void nothingRunsTwiceAndNoMoreThanTwoEnginesCrash(SiteProfile profile, Scenario scenario, long seed) {
+        PolicyResult result = ReplayCommand.create()
+                .setTrace(TraceGenerator.generate(profile, scenario, seed))
+                .setPolicies(List.of(ReplayPolicy.STANDARD))
+                .setSeed(seed)
+                .call()
+                .get()
+                .results()
+                .get(0);
+        assertEquals(0, result.measure(PolicyResult.DUPLICATE_RUNS).orElseThrow());
+        assertEquals(0, result.measure(PolicyResult.HARMED_NON_REPEATABLE).orElseThrow());
+        double crashed =
+                result.measure(PolicyResult.ENGINES_CRASHED_BY_ONE_REQUEST).orElseThrow();
+        assertTrue(crashed <= 2, crashed + " engines crashed");
+        PolicyResult.KindResult transfers = result.kinds().get("transfer");
+        assertEquals(transfers.requests(), transfers.goodput(), "transfers answered in time");
+    }
+}
--- a/org.cactusshift.replay/src/test/java/org/cactusshift/replay/TraceReaderTest.java
+++ b/org.cactusshift.replay/src/test/java/org/cactusshift/replay/TraceReaderTest.java
@@ -21,8 +21,10 @@
     @EnumSource(Scenario.class)
     void readsWhatTheWriterWrote(Scenario scenario) {
         Trace trace = TraceGenerator.generate(SiteProfile.GH_SOUTH, scenario, 7);
-        Path file = TraceWriter.write(trace, directory.resolve("trace.jsonl")).get();
-        assertEquals(trace, TraceReader.read(file).get());
+        for (String name : List.of("trace.jsonl", "trace.jsonl.gz")) {
+            Path file = TraceWriter.write(trace, directory.resolve(name)).get();
+            assertEquals(trace, TraceReader.read(file).get());
+        }
     }
 
     @ParameterizedTest
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -42,6 +42,7 @@
 public final class ServiceDispatcher implements Dispatcher {
     private static final int RETRY_RESERVE = 50;
     private static final int LOOK_AHEAD = 8;
+    private static final long BLOCKED_PAUSE_MILLIS = 5;
     private static final long QUARANTINE_MILLIS = 600_000;
     private static final long SHORTEST_RETRY_AFTER_MILLIS = 1_000;
     private static final long LONGEST_RETRY_AFTER_MILLIS = 60_000;
@@ -64,6 +65,7 @@
     private final Map<AttemptId, Attempt> attempts = new HashMap<>();
     private final Map<AccountId, AccountTotals> totals = new LinkedHashMap<>();
     private double nodePlace;
+    private long blockedUntilMillis = Long.MIN_VALUE;
     private long nextAttempt;
 
     private ServiceDispatcher(DispatcherOptions options, DispatchPolicy policy, RandomGenerator random) {
@@ -107,6 +109,7 @@
     public List<DispatchDecision> onConfig(
             List<AccountConfig> accounts, List<UpstreamConfig> newUpstreams, long nowMillis) {
         fleet.install(newUpstreams);
+        blockedUntilMillis = Long.MIN_VALUE;
         limiter.install(accounts, nowMillis);
         accounts.forEach(account -> queue.setWeight(account.id(), account.weight()));
         return pump(nowMillis);
@@ -214,6 +217,7 @@
         }
         known.upstream.onEnd(known.pieces, nowMillis);
         known.upstream.remove(known.promise);
+        blockedUntilMillis = Long.MIN_VALUE;
         known.prefill.ifPresent(engine -> engine.onEnd(0, nowMillis));
         deliver(known.pending, Math.max(0, end.outputTokens() - known.progressTokens));
         if (known.alone) {
@@ -337,6 +341,7 @@
     @Override
     public List<DispatchDecision> onLeaving(UpstreamId upstream, boolean leaving, long nowMillis) {
         fleet.find(upstream).ifPresent(state -> state.setLeaving(leaving));
+        blockedUntilMillis = Long.MIN_VALUE;
         return pump(nowMillis);
     }
 
@@ -454,9 +459,15 @@
     }
 
     private void startQueued(List<DispatchDecision> decisions, long nowMillis) {
+        if (nowMillis < blockedUntilMillis) {
+            return;
+        }
         while (startOne(decisions, nowMillis)) {
             // The next request may fit where the last one did not.
         }
+        if (queue.size() > 0) {
+            blockedUntilMillis = nowMillis + BLOCKED_PAUSE_MILLIS;
+        }
     }
 
     /** Starts or refuses the first waiting request that can be; a long prompt does not hold up a brief one. */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/fairness/FairQueue.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/fairness/FairQueue.java
@@ -22,10 +22,12 @@
  */
 public final class FairQueue<T> implements RequestQueue<T> {
     private static final double MAXIMUM_LEAD_TOKENS = 200_000;
+    private static final int MAXIMUM_ACCOUNTS_SEEN = 64;
 
     private final Map<AccountId, Flow<T>> flows = new HashMap<>();
     private final TreeSet<Flow<T>> waiting = new TreeSet<>(
             Comparator.<Flow<T>>comparingDouble(flow -> flow.virtualTime).thenComparing(flow -> flow.account));
+    private final TreeSet<Entry<T>> allBySlack = new TreeSet<>(bySlack());
     private double virtualTime;
     private long nextSequence;
     private double queuedTokens;
@@ -33,7 +35,7 @@
 
     private FairQueue() {}
 
-    private record Entry<T>(T item, double costTokens, long latestStartMillis, long sequence) {}
+    private record Entry<T>(AccountId account, T item, double costTokens, long latestStartMillis, long sequence) {}
 
     private static final class Flow<T> {
         final AccountId account;
@@ -52,6 +54,10 @@
         }
     }
 
+    private static <T> Comparator<Entry<T>> bySlack() {
+        return Comparator.<Entry<T>>comparingLong(Entry::latestStartMillis).thenComparingLong(Entry::sequence);
+    }
+
     /**
      * Returns an empty queue.
      *
@@ -69,7 +75,9 @@
             flow.virtualTime = Math.max(flow.virtualTime, virtualTime);
             waiting.add(flow);
         }
-        flow.entries.add(new Entry<>(item, costTokens, latestStartMillis, nextSequence++));
+        Entry<T> entry = new Entry<>(account, item, costTokens, latestStartMillis, nextSequence++);
+        flow.entries.add(entry);
+        allBySlack.add(entry);
         flow.queuedTokens += costTokens;
         queuedTokens += costTokens;
         size++;
@@ -114,18 +122,17 @@
     @Override
     public List<T> removeLate(long nowMillis) {
         List<T> late = new ArrayList<>();
-        for (Flow<T> flow : List.copyOf(waiting)) {
-            while (!flow.entries.isEmpty() && flow.entries.first().latestStartMillis() < nowMillis) {
-                Entry<T> entry = flow.entries.first();
-                take(flow, entry);
-                late.add(entry.item());
-            }
+        while (!allBySlack.isEmpty() && allBySlack.first().latestStartMillis() < nowMillis) {
+            Entry<T> entry = allBySlack.first();
+            take(flow(entry.account()), entry);
+            late.add(entry.item());
         }
         return late;
     }
 
     private void take(Flow<T> flow, Entry<T> entry) {
         flow.entries.remove(entry);
+        allBySlack.remove(entry);
         flow.queuedTokens -= entry.costTokens();
         queuedTokens -= entry.costTokens();
         size--;
@@ -164,17 +171,24 @@
             return 0;
         }
         Flow<T> flow = flow(account);
-        double own = flow.entries.headSet(new Entry<>(null, 0, latestStartMillis, nextSequence)).stream()
+        double own = flow.entries.headSet(new Entry<T>(account, null, 0, latestStartMillis, nextSequence)).stream()
                 .mapToDouble(Entry::costTokens)
                 .sum();
         double lead = Math.max(0, flow.virtualTime - virtualTime) * flow.weight;
         double target = (own + lead) / flow.weight;
         double others = 0;
+        int seen = 0;
         for (Flow<T> other : waiting) {
-            if (other != flow) {
-                double behind = Math.max(0, target - (other.virtualTime - virtualTime));
-                others += Math.min(other.queuedTokens, behind * other.weight);
+            double behind = target - (other.virtualTime - virtualTime);
+            if (behind <= 0) {
+                break;
+            }
+            if (seen == MAXIMUM_ACCOUNTS_SEEN) {
+                others *= (double) waiting.size() / seen;
+                break;
             }
+            seen++;
+            others += other == flow ? 0 : Math.min(other.queuedTokens, behind * other.weight);
         }
         return own + others;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/CostRouting.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/routing/CostRouting.java
@@ -56,7 +56,7 @@
         List<Candidate> candidates = weigh(sample, query, cached, nowMillis);
         if (candidates.stream().noneMatch(Candidate::hasRoom)
                 && sample.size() < fleet.upstreams().size()) {
-            sample = fleet.upstreams();
+            sample = sample(fleet, cached, random);
             candidates = weigh(sample, query, cached, nowMillis);
         }
         List<Candidate> open = candidates.stream().filter(Candidate::hasRoom).toList();
