Leave connections open for requests on their way at a stop

A stopping listener closed a connection that had just been accepted, or just been answered, if no byte of a request had come yet. Each now stays open for 500 ms without a request first. Waiting for the caller to close was ruled out: an idle pool would hold the stop to its limit. TLS and a stop under open streams are tested.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/CallerConnection.java
@@ -33,6 +33,7 @@
     private Phase phase = Phase.IDLE;
     private volatile long readDeadlineMillis;
     private volatile long writeDeadlineMillis = DeadlineSweeper.NO_DEADLINE_MILLIS;
+    private long idleSinceMillis;
     private long headerBytesLeft;
 
     CallerConnection(Socket rawSocket, ListenerSettings settings, LongSupplier clockMillis, BooleanSupplier stopping) {
@@ -41,7 +42,8 @@
         this.settings = settings;
         this.clockMillis = clockMillis;
         this.stopping = stopping;
-        this.readDeadlineMillis = clockMillis.getAsLong() + settings.headerTimeoutMillis();
+        this.idleSinceMillis = clockMillis.getAsLong();
+        this.readDeadlineMillis = idleSinceMillis + settings.headerTimeoutMillis();
         this.headerBytesLeft = headerBudgetBytes();
     }
 
@@ -78,6 +80,7 @@
             if (phase != Phase.CLOSED) {
                 phase = Phase.IDLE;
             }
+            idleSinceMillis = clockMillis.getAsLong();
         }
         headerBytesLeft = headerBudgetBytes();
         readDeadlineMillis = clockMillis.getAsLong() + settings.keepAliveMillis();
@@ -96,12 +99,13 @@
         readDeadlineMillis = DeadlineSweeper.NO_DEADLINE_MILLIS;
     }
 
-    /** Closes the connection if no request is open on it. */
-    void closeIfIdle() {
+    /** Closes the connection if no byte of a request has come for a while; one may be on its way. */
+    void closeIfIdleFor(long idleMillis) {
         synchronized (this) {
-            if (phase != Phase.IDLE) {
+            if (phase != Phase.IDLE || clockMillis.getAsLong() - idleSinceMillis < idleMillis) {
                 return;
             }
+            phase = Phase.CLOSED;
         }
         closeAtDeadline();
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpListener.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpListener.java
@@ -37,7 +37,7 @@
     private static final String SERVER_NAME = "cactusshift";
     private static final int ACCEPT_SLICE_MILLIS = 50;
     private static final int BACKLOG_CONNECTIONS = 1024;
-    /** After a stop began, how long idle connections stay open for a request that is already on its way. */
+    /** While stopping, how long a connection without a request stays open for one that is already on its way. */
     private static final long LINGER_MILLIS = 500;
 
     private static final byte[] FULL_ANSWER = ("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -140,6 +140,15 @@
         return connections.size();
     }
 
+    /**
+     * Tells whether a stop has begun, from which on answers end their connections.
+     *
+     * @return true once {@link #stop} or {@link #close} was called
+     */
+    public boolean isStopping() {
+        return stopping;
+    }
+
     /**
      * Stops gracefully: accepts no more, finishes open requests, then closes. Connections that the system had already
      * accepted are still served.
@@ -153,7 +162,7 @@
         stopping = true;
         acceptEnded.await(limitMillis, TimeUnit.MILLISECONDS);
         while (!connections.isEmpty() && clockMillis.getAsLong() < endMillis) {
-            connections.forEach(CallerConnection::closeIfIdle);
+            connections.forEach(connection -> connection.closeIfIdleFor(LINGER_MILLIS));
             Thread.sleep(ACCEPT_SLICE_MILLIS);
         }
         boolean finished = connections.isEmpty();
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/EngineFaultsTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/EngineFaultsTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.internal.coordination.dispatch.AttemptEnd.Outcome;
@@ -250,4 +251,42 @@
             assertTrue(cancelled.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aGracefulStopCutsNoAnswer(boolean stream) throws Exception {
+        CountDownLatch started = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (ScriptedServer engine = ScriptedServer.start((request, socket, out) -> {
+                    FakeEngine.begin(out, request.header("X-Request-Id"));
+                    FakeEngine.event(out, FakeEngine.chunk(FIRST_DELTA, "null"));
+                    started.countDown();
+                    // Comments keep the connection in use while the test holds the answer back.
+                    while (!release.await(50, TimeUnit.MILLISECONDS)) {
+                        ScriptedServer.chunk(out, ": keep-alive\n\n");
+                    }
+                    FakeEngine.event(out, FakeEngine.chunk("{\"content\":\"end\"}", "\"stop\""));
+                    FakeEngine.event(out, "[DONE]");
+                    FakeEngine.end(out);
+                });
+                GatewayFixture gateway = GatewayFixture.withEngines(engine.address());
+                RawClient caller = RawClient.connect(gateway.listener.address())) {
+            String body = GatewayFixture.chatBody(stream);
+            caller.send("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + GatewayFixture.KEY
+                    + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            assertTrue(started.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+            CompletableFuture<Boolean> stopped = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return gateway.listener.stop(PATIENCE_MILLIS);
+                } catch (InterruptedException e) {
+                    return false;
+                }
+            });
+            release.countDown();
+            String answer = caller.readToEnd();
+            assertTrue(answer.contains("aaa ") && answer.contains("end"), answer);
+            assertTrue(!stream || answer.contains("[DONE]"), answer);
+            assertTrue(stopped.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        }
+    }
 }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpListenerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpListenerTest.java
@@ -239,6 +239,7 @@
             AtomicReference<Boolean> finished = new AtomicReference<>();
             Thread stopper = new Thread(() -> finished.set(stop(listener)));
             stopper.start();
+            awaitStopping(listener);
             // A connection that comes while the listener is stopping is still served.
             RawClient late = RawClient.connect(listener.address()).send(GET);
             release.countDown();
@@ -253,6 +254,14 @@
         }
     }
 
+    private static void awaitStopping(HttpListener listener) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+        while (!listener.isStopping() && System.nanoTime() < endNanos) {
+            Thread.onSpinWait();
+        }
+        assertTrue(listener.isStopping());
+    }
+
     private static boolean stop(HttpListener listener) {
         try {
             return listener.stop(PATIENCE_MILLIS);
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/TlsListenerTest.java
@@ -0,0 +1,65 @@
+package org.cactusshift.internal.transport.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLSocket;
+import org.apache.hc.core5.http.ContentType;
+import org.cactusshift.internal.transport.tls.TlsContext;
+import org.cactusshift.internal.transport.tls.TlsFiles;
+import org.junit.jupiter.api.Test;
+
+class TlsListenerTest {
+    private static final ListenerSettings SETTINGS = new ListenerSettings(2048, 1000, 8, 300, 300, 5000);
+
+    @Test
+    void asksForItsCertificatesAtEachConnection() throws Exception {
+        ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+        AtomicInteger asked = new AtomicInteger();
+        try (TlsContext server =
+                        TlsContext.load(TlsFiles.settings("node-a"), scheduler).get();
+                TlsContext client =
+                        TlsContext.load(TlsFiles.settings("node-b"), scheduler).get();
+                HttpListener listener = HttpListener.open(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        () -> SETTINGS,
+                        exchange -> exchange.submit(HttpAnswers.of(200, ContentType.TEXT_PLAIN, exchange.body())),
+                        () -> {
+                            asked.incrementAndGet();
+                            return server.sslContext().get();
+                        })) {
+            SSLContext trusting = client.sslContext().get();
+            for (int i = 1; i <= 2; i++) {
+                assertTrue(answer(trusting, listener).endsWith("secured"));
+                assertEquals(i, asked.get());
+            }
+            // A caller that doesn't speak TLS, or stops in the middle of it, holds no thread.
+            try (RawClient plain = RawClient.connect(listener.address());
+                    RawClient silent = RawClient.connect(listener.address())) {
+                plain.send("GET / HTTP/1.1\r\n\r\n").readToEnd();
+                assertEquals("", silent.readToEnd());
+            }
+            assertTrue(answer(trusting, listener).endsWith("secured"));
+        } finally {
+            scheduler.shutdownNow();
+        }
+    }
+
+    private static String answer(SSLContext trusting, HttpListener listener) throws Exception {
+        InetSocketAddress address = listener.address();
+        try (SSLSocket socket =
+                (SSLSocket) trusting.getSocketFactory().createSocket(address.getAddress(), address.getPort())) {
+            socket.getOutputStream()
+                    .write(("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 7\r\n\r\nsecured")
+                            .getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
