Test the gateway with the real dispatcher and engines

The gateway's own tests use a fake dispatcher, so nothing showed that the two agree on crashes, suspects and resumes. The test crashes up to two of three engines under twelve requests and compares texts, usage and bills.

--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/GatewayWithEnginesTest.java
@@ -0,0 +1,273 @@
+package org.cactusshift.systemtest;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.opentelemetry.api.OpenTelemetry;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Clock;
+import java.time.LocalDate;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.LimitsConfig;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.config.TimingConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.claim.CallClaim;
+import org.cactusshift.internal.coordination.claim.CallClaims;
+import org.cactusshift.internal.coordination.claim.CallOutcome;
+import org.cactusshift.internal.coordination.claim.ClaimResult;
+import org.cactusshift.internal.coordination.configsync.ConfigSource;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.dispatch.DispatchService;
+import org.cactusshift.internal.coordination.dispatch.DispatcherOptions;
+import org.cactusshift.internal.coordination.dispatch.ServiceDispatcher;
+import org.cactusshift.internal.coordination.key.KeyVerdict;
+import org.cactusshift.internal.coordination.key.KeyVerifier;
+import org.cactusshift.internal.coordination.usage.UsageRecord;
+import org.cactusshift.internal.transport.gateway.Gateway;
+import org.cactusshift.internal.transport.gateway.GatewayComponents;
+import org.cactusshift.internal.transport.gateway.GatewayMetrics;
+import org.cactusshift.internal.transport.gateway.UpstreamLoadPoller;
+import org.cactusshift.internal.transport.http.ClientSettings;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.internal.transport.http.HttpListener;
+import org.cactusshift.internal.transport.http.ListenerSettings;
+import org.cactusshift.standin.engine.EngineSettings;
+import org.cactusshift.standin.engine.EngineTiming;
+import org.cactusshift.standin.engine.ExpectedAnswer;
+import org.cactusshift.standin.engine.StandInEngine;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The gateway with the real dispatcher before stand-in engines. */
+class GatewayWithEnginesTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ServiceId MODEL = ServiceId.fromString("share-lm");
+    private static final AccountId ACCOUNT = AccountId.fromString("crew");
+    private static final EngineTiming TIMING =
+            EngineTiming.fast().withRates(1_000_000, 5).withChanges(50, 300);
+    private static final int ENGINES = 3;
+    private static final int REQUESTS = 12;
+    private static final int TOKENS = 60;
+    private static final long PATIENCE_MILLIS = 30_000;
+
+    private final LongSupplier clockMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    private final List<UsageRecord> usage = Collections.synchronizedList(new ArrayList<>());
+    private final List<StandInEngine> engines = new ArrayList<>();
+    private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(2);
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private DispatchService dispatch;
+    private HttpClientPool pool;
+    private UpstreamLoadPoller poller;
+    private HttpListener listener;
+
+    @BeforeEach
+    void start() throws IOException {
+        List<UpstreamConfig> upstreams = new ArrayList<>();
+        for (int i = 0; i < ENGINES; i++) {
+            StandInEngine engine = StandInEngine.create(EngineSettings.mixed("engine-" + i, "share-lm", TIMING));
+            engine.start();
+            engines.add(engine);
+            upstreams.add(new UpstreamConfig(
+                    UpstreamId.fromString("engine-" + i),
+                    MODEL,
+                    FailureDomainId.fromString("ostend-a"),
+                    engine.address(),
+                    UpstreamConfig.Role.MIXED,
+                    false,
+                    false,
+                    false,
+                    1,
+                    64));
+        }
+        InstalledConfig config = new InstalledConfig(1, site(upstreams));
+        ConfigSource source = new FixedConfig(config);
+        dispatch = DispatchService.create(
+                (service, site) -> ServiceDispatcher.create(
+                        DispatcherOptions.create(IncarnationId.fromString("i1"), service.kind(), site.limits()),
+                        new Random(1)),
+                clockMillis,
+                scheduler);
+        dispatch.install(config);
+        pool = HttpClientPool.create(() -> ClientSettings.of(config.config().timing()), clockMillis, scheduler);
+        poller = UpstreamLoadPoller.start(source, dispatch, pool, clockMillis, scheduler);
+        Gateway gateway = Gateway.create(new GatewayComponents(
+                source,
+                new AnyKey(),
+                dispatch,
+                new NoClaims(),
+                (record, epochMillis) -> usage.add(record),
+                pool,
+                OpenTelemetry.noop().getTracer("test"),
+                GatewayMetrics.create(new PrometheusRegistry()),
+                clockMillis,
+                Clock.systemUTC(),
+                () -> true));
+        listener = HttpListener.open(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                () -> ListenerSettings.of(
+                        config.config().limits(), config.config().timing()),
+                gateway);
+    }
+
+    @AfterEach
+    void stop() {
+        listener.close();
+        poller.close();
+        pool.close();
+        dispatch.close();
+        engines.forEach(StandInEngine::close);
+        scheduler.shutdownNow();
+    }
+
+    private static SiteConfig site(List<UpstreamConfig> upstreams) {
+        return new SiteConfig(
+                1,
+                SiteId.fromString("be-coast"),
+                LocalDate.of(2027, 1, 1),
+                List.of(),
+                List.of(new AccountConfig(ACCOUNT, 1, 10_000_000, 1000, List.of(MODEL), List.of())),
+                List.of(new ServiceConfig(MODEL, ServiceConfig.Kind.MODEL, "1", false, false, List.of())),
+                upstreams,
+                new LimitsConfig(1_000_000, 16_384, 100, 100, 1, 100),
+                new TimingConfig(20_000, 2000, 2000, 500, 1000, 3000, 10_000, 5000, 10_000, 1000, 10_000, 10_000));
+    }
+
+    private record FixedConfig(InstalledConfig config) implements ConfigSource {
+        @Override
+        public Optional<InstalledConfig> current() {
+            return Optional.of(config);
+        }
+
+        @Override
+        public void subscribe(Consumer<InstalledConfig> subscriber) {
+            subscriber.accept(config);
+        }
+    }
+
+    private static final class AnyKey implements KeyVerifier {
+        @Override
+        public KeyVerdict verify(Optional<String> bearer, long nowMillis) {
+            return KeyVerdict.accepted(ACCOUNT, KeyId.fromString("k1"));
+        }
+
+        @Override
+        public boolean isStillValid(KeyId key, long nowMillis) {
+            return true;
+        }
+    }
+
+    private static final class NoClaims implements CallClaims {
+        @Override
+        public ClaimResult claim(CallClaim claim, long nowMillis, long deadlineMillis) {
+            return ClaimResult.of(ClaimResult.Verdict.UNAVAILABLE);
+        }
+
+        @Override
+        public void recordOutcome(CallClaim claim, CallOutcome outcome, long nowMillis) {}
+
+        @Override
+        public void release(CallClaim claim, long nowMillis) {}
+    }
+
+    private CompletableFuture<HttpResponse<String>> chat(String content, boolean stream) {
+        String body =
+                "{\"model\":\"share-lm\",\"max_tokens\":" + TOKENS + ",\"messages\":[{\"role\":\"user\",\"content\":\""
+                        + content + "\"}],\"stream\":" + stream
+                        + (stream ? ",\"stream_options\":{\"include_usage\":true}}" : "}");
+        URI uri = URI.create("http://127.0.0.1:" + listener.address().getPort() + "/v1/chat/completions");
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .header("Authorization", "Bearer k1.s")
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static void assertWhole(String content, HttpResponse<String> response) throws Exception {
+        assertEquals(200, response.statusCode(), response.body());
+        StringBuilder text = new StringBuilder();
+        JsonNode usage = null;
+        if (response.body().startsWith("data:")) {
+            for (String event : response.body().split("\n\n")) {
+                JsonNode chunk =
+                        MAPPER.readTree(event.substring("data:".length()).replace("[DONE]", "{}"));
+                text.append(chunk.at("/choices/0/delta/content").asText(""));
+                usage = chunk.path("usage").isObject() ? chunk.path("usage") : usage;
+            }
+        } else {
+            JsonNode answer = MAPPER.readTree(response.body());
+            text.append(answer.at("/choices/0/message/content").asText());
+            usage = answer.path("usage");
+        }
+        assertEquals(ExpectedAnswer.forUserMessage(content).text(TOKENS), text.toString());
+        assertEquals(TOKENS, usage.path("completion_tokens").asInt());
+        assertEquals((content.length() + 6 + 3) / 4, usage.path("prompt_tokens").asInt());
+    }
+
+    /** Crashes an engine that has a request and has not crashed before. */
+    private void crashABusyEngine(List<StandInEngine> alive) {
+        Await.until(() -> alive.stream().anyMatch(GatewayWithEnginesTest::isUsed));
+        StandInEngine busy = alive.stream()
+                .filter(GatewayWithEnginesTest::isUsed)
+                .findFirst()
+                .orElseThrow();
+        alive.remove(busy);
+        busy.crash();
+    }
+
+    private static boolean isUsed(StandInEngine engine) {
+        return !engine.log()
+                .matching(received -> !received.attemptId().isEmpty())
+                .isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"false,0", "true,0", "false,1", "true,1", "false,2", "true,2"})
+    void answersEachRequestWholeWhenEnginesCrash(boolean stream, int crashes) throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < REQUESTS; i++) {
+            answers.add(chat("logbook " + i, stream));
+        }
+        List<StandInEngine> alive = new ArrayList<>(engines);
+        for (int i = 0; i < crashes; i++) {
+            crashABusyEngine(alive);
+        }
+        for (int i = 0; i < REQUESTS; i++) {
+            assertWhole("logbook " + i, answers.get(i).get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        }
+        assertEquals(
+                REQUESTS * TOKENS,
+                usage.stream().mapToLong(UsageRecord::completionTokens).sum());
+        assertEquals(REQUESTS, usage.stream().mapToLong(UsageRecord::requests).sum());
+    }
+}
