Keep a node process running until it is signalled

All threads of a node are daemon threads, so the process ended as soon as its start returned: with eight processes on loopback the first ended by itself about 1.5 s after its start, with exit status 0, and a thread dump at that moment shows DestroyJavaVM and the shutdown hook and no other thread that keeps a process alive. A signal from outside was ruled out by that dump.

The main thread now waits for the signal.

--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/NodeMain.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/NodeMain.java
@@ -48,10 +48,10 @@
     }
 
     /**
-     * Starts a node that runs until the process is signalled.
+     * Runs a node until the process is signalled.
      *
      * @param settingsFile the settings
-     * @return 0 when the node runs, else 1 after a message to standard error
+     * @return 1 after a message to standard error when the node can't start; does not return otherwise
      */
     public static int run(Path settingsFile) {
         try {
@@ -59,7 +59,12 @@
             Node node = Node.start(settings);
             // The exit status of a signalled JVM tells of the signal; a graceful stop is a success.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "shutdown"));
+            // All threads of a node are daemons, so the process lives as long as this one waits.
+            Thread.currentThread().join();
             return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return EXIT_FAILED;
         } catch (CactusshiftException e) {
             System.err.println("node: " + e.getMessage());
             return EXIT_FAILED;
