Terminate a node process under load and check that nothing is cut

A site of eight node processes and the stand-ins, with short periods, takes chats, payouts and balance reads from a fixed seed while one node gets SIGTERM. The checks compare what callers received with the stand-ins' logs: outcomes, answers, payouts, refusals, usage per account and configuration.

The keys of the demo are made public to issue the keys of the site here too.

--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/DemoKeys.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/DemoKeys.java
@@ -15,7 +15,7 @@
 import org.cactusshift.internal.coordination.key.KeyHasher;
 
 /** New keys for the accounts of a configuration, known in clear to the callers of the demo only. */
-final class DemoKeys {
+public final class DemoKeys {
     private static final int SECRET_BYTES = 32;
 
     private final String secretHex;
@@ -25,23 +25,43 @@
         this.secretHex = secretHex;
     }
 
-    static DemoKeys create() {
+    /**
+     * Returns no keys yet, with a new secret.
+     *
+     * @return the keys
+     */
+    public static DemoKeys create() {
         byte[] secret = new byte[SECRET_BYTES];
         new SecureRandom().nextBytes(secret);
         return new DemoKeys(HexFormat.of().formatHex(secret));
     }
 
-    /** Returns the secret under which the nodes hash keys. */
-    String secretHex() {
+    /**
+     * Returns the secret under which the nodes hash keys.
+     *
+     * @return the secret, as hex
+     */
+    public String secretHex() {
         return secretHex;
     }
 
-    String bearer(AccountId account) {
+    /**
+     * Returns the key of an account in the form that callers send.
+     *
+     * @param account the account, which has a key
+     * @return the bearer token
+     */
+    public String bearer(AccountId account) {
         return keys.get(account).toBearer();
     }
 
-    /** Returns the configuration with one new key for each account in place of its keys. */
-    SiteConfig issueAll(SiteConfig site) {
+    /**
+     * Returns a configuration with one new key for each account in place of its keys.
+     *
+     * @param site the configuration
+     * @return the changed configuration
+     */
+    public SiteConfig issueAll(SiteConfig site) {
         KeyHasher hasher = KeyHasher.fromHex(secretHex);
         SecureRandom random = new SecureRandom();
         List<AccountConfig> accounts = new ArrayList<>();
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SiteNode.java
@@ -0,0 +1,38 @@
+package org.cactusshift.systemtest;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.config.Json;
+import org.cactusshift.config.NodeSettings;
+import org.cactusshift.standin.StandInClient;
+
+/**
+ * A node process of a site.
+ *
+ * @param settings its settings
+ * @param process the process
+ */
+record SiteNode(NodeSettings settings, NodeProcess process) {
+    String callerAddress() {
+        return settings.callerAddress();
+    }
+
+    String name() {
+        return settings.instanceId().value();
+    }
+
+    /** Reads the status page. */
+    JsonNode status(StandInClient client) throws IOException {
+        return Json.mapper()
+                .readTree(client.get(settings.operatorAddress(), "/status").text());
+    }
+
+    /** Returns the duties that the node says it holds. */
+    List<String> duties(StandInClient client) throws IOException {
+        List<String> duties = new ArrayList<>();
+        status(client).path("duties").forEach(duty -> duties.add(duty.asText()));
+        return duties;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SystemCaller.java
@@ -0,0 +1,197 @@
+package org.cactusshift.systemtest;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.cactusshift.config.Json;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.internal.protocol.openai.SseParser;
+import org.cactusshift.internal.transport.http.ClientExchange;
+import org.cactusshift.internal.transport.http.ClientSettings;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.internal.transport.http.UpstreamException;
+import org.cactusshift.internal.transport.http.WaitObserver;
+import org.cactusshift.standin.engine.ExpectedAnswer;
+import org.cactusshift.systemtest.SystemResult.Outcome;
+
+/** Makes calls as callers do and classifies what comes back. */
+final class SystemCaller implements AutoCloseable {
+    static final String MODEL = "share-lm";
+
+    static final String PLAIN = "settle-app";
+
+    private static final ClientSettings CLIENT = new ClientSettings(2_000, 60_000, 4_096, 10_000);
+
+    private static final long CALL_TIMEOUT_MILLIS = 20_000;
+
+    private static final long ANSWER_LIMIT_MILLIS = 60_000;
+
+    private static final int MAXIMUM_ANSWER_BYTES = 1 << 20;
+
+    private static final int BUFFER_BYTES = 8 * 1024;
+
+    private static final int OK = 200;
+
+    private static final int BALANCE_MODULUS = 1_000_000;
+
+    private final Function<AccountId, String> bearer;
+
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+    private final HttpClientPool pool =
+            HttpClientPool.create(() -> CLIENT, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), timer);
+
+    SystemCaller(Function<AccountId, String> bearer) {
+        this.bearer = bearer;
+    }
+
+    /** Makes a call at a node and waits for its end. */
+    SystemResult call(String node, SystemCall call) {
+        Either<UpstreamException, ClientExchange> sent =
+                pool.send(node, request(call), WaitObserver.PATIENT, ANSWER_LIMIT_MILLIS);
+        if (sent.isLeft()) {
+            UpstreamException loss = sent.getLeft();
+            boolean unsent = loss.loss() == UpstreamException.Loss.NOT_SENT;
+            return SystemResult.of(call, node, unsent ? Outcome.NOT_SENT : Outcome.LOST, loss.toString());
+        }
+        try (ClientExchange exchange = sent.get()) {
+            if (exchange.status() != OK) {
+                return refused(call, node, exchange);
+            }
+            return switch (call.kind()) {
+                case STREAMED_CHAT -> streamed(call, node, exchange);
+                case WHOLE_CHAT -> whole(call, node, exchange);
+                case PAYOUT, BALANCE -> plain(call, node, exchange);
+            };
+        } catch (IOException e) {
+            return SystemResult.of(call, node, Outcome.LOST, e.toString());
+        }
+    }
+
+    @Override
+    public void close() {
+        pool.close();
+        timer.shutdownNow();
+    }
+
+    private SystemResult refused(SystemCall call, String node, ClientExchange exchange) throws IOException {
+        JsonNode answer = Json.mapper().readTree(exchange.readAll(MAXIMUM_ANSWER_BYTES));
+        String detail = exchange.status() + " " + answer.at("/error/code").asText("");
+        return switch (exchange.header("x-cactusshift-outcome").orElse("")) {
+            case "not-run" -> SystemResult.of(call, node, Outcome.NOT_RUN, detail);
+            case "unknown" -> SystemResult.of(call, node, Outcome.UNKNOWN, detail);
+            default -> SystemResult.of(call, node, Outcome.WRONG, detail + " without an outcome");
+        };
+    }
+
+    private static SystemResult plain(SystemCall call, String node, ClientExchange exchange) throws IOException {
+        JsonNode answer = Json.mapper().readTree(exchange.readAll(MAXIMUM_ANSWER_BYTES));
+        String path = "/balance/" + call.account();
+        boolean right = call.kind() == SystemCall.Kind.PAYOUT
+                ? answer.path("payment_id").asText().equals(call.subject())
+                : answer.path("balance_cents").asInt(-1) == Math.floorMod(path.hashCode(), BALANCE_MODULUS);
+        return SystemResult.of(call, node, right ? Outcome.ANSWERED : Outcome.WRONG, answer.toString());
+    }
+
+    private static SystemResult whole(SystemCall call, String node, ClientExchange exchange) throws IOException {
+        JsonNode answer = Json.mapper().readTree(exchange.readAll(MAXIMUM_ANSWER_BYTES));
+        return complete(call, node, answer.at("/choices/0/message/content").asText(""), answer.path("usage"));
+    }
+
+    private static SystemResult streamed(SystemCall call, String node, ClientExchange exchange) throws IOException {
+        StringBuilder text = new StringBuilder();
+        JsonNode usage = Json.mapper().missingNode();
+        String error = "";
+        boolean done = false;
+        SseParser parser = new SseParser();
+        byte[] buffer = new byte[BUFFER_BYTES];
+        for (int length = exchange.read(buffer); length >= 0; length = exchange.read(buffer)) {
+            parser.feed(buffer, length);
+            for (String event = parser.poll(); event != null; event = parser.poll()) {
+                if (event.equals("[DONE]")) {
+                    done = true;
+                    continue;
+                }
+                JsonNode chunk = Json.mapper().readTree(event);
+                error = chunk.has("error") ? chunk.at("/error/code").asText("unnamed") : error;
+                usage = chunk.path("usage").isObject() ? chunk.path("usage") : usage;
+                text.append(chunk.at("/choices/0/delta/content").asText(""));
+            }
+        }
+        if (!error.isEmpty()) {
+            return endedEarly(call, node, text, error);
+        }
+        return done
+                ? complete(call, node, text.toString(), usage)
+                : SystemResult.of(call, node, Outcome.LOST, "the stream has no end");
+    }
+
+    private static SystemResult endedEarly(SystemCall call, String node, StringBuilder text, String error) {
+        boolean right = ExpectedAnswer.forUserMessage(call.subject()).startsWith(text.toString());
+        return new SystemResult(
+                call,
+                node,
+                right ? Outcome.ENDED_EARLY : Outcome.WRONG,
+                tokensOf("user\n" + call.subject() + "\n"),
+                tokensOf(text),
+                error);
+    }
+
+    private static SystemResult complete(SystemCall call, String node, String text, JsonNode usage) {
+        boolean right =
+                text.equals(ExpectedAnswer.forUserMessage(call.subject()).text(call.maximumTokens()));
+        return new SystemResult(
+                call,
+                node,
+                right ? Outcome.ANSWERED : Outcome.WRONG,
+                usage.path("prompt_tokens").asLong(),
+                usage.path("completion_tokens").asLong(),
+                text.length() + " characters");
+    }
+
+    private static long tokensOf(CharSequence text) {
+        return (text.length() + ExpectedAnswer.TOKEN_CHARS - 1) / ExpectedAnswer.TOKEN_CHARS;
+    }
+
+    private ClassicHttpRequest request(SystemCall call) {
+        ClassicRequestBuilder builder =
+                switch (call.kind()) {
+                    case STREAMED_CHAT, WHOLE_CHAT -> chat(call);
+                    case PAYOUT -> payout(call);
+                    case BALANCE -> ClassicRequestBuilder.get("/services/" + PLAIN + "/balance/" + call.account());
+                };
+        return builder.addHeader("Authorization", "Bearer " + bearer.apply(call.account()))
+                .addHeader("x-cactusshift-timeout-ms", Long.toString(CALL_TIMEOUT_MILLIS))
+                .build();
+    }
+
+    private static ClassicRequestBuilder chat(SystemCall call) {
+        boolean streamed = call.kind() == SystemCall.Kind.STREAMED_CHAT;
+        ObjectNode body = Json.mapper()
+                .createObjectNode()
+                .put("model", MODEL)
+                .put("max_tokens", call.maximumTokens())
+                .put("stream", streamed);
+        body.putArray("messages").addObject().put("role", "user").put("content", call.subject());
+        if (streamed) {
+            body.putObject("stream_options").put("include_usage", true);
+        }
+        return ClassicRequestBuilder.post("/v1/chat/completions")
+                .setEntity(body.toString(), ContentType.APPLICATION_JSON);
+    }
+
+    private static ClassicRequestBuilder payout(SystemCall call) {
+        ObjectNode body = Json.mapper().createObjectNode().put("payment_id", call.subject());
+        return ClassicRequestBuilder.post("/services/" + PLAIN + "/payouts")
+                .addHeader("Idempotency-Key", call.subject())
+                .setEntity(body.toString(), ContentType.APPLICATION_JSON);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SystemChecks.java
@@ -0,0 +1,139 @@
+package org.cactusshift.systemtest;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.cactusshift.standin.ReceivedRequest;
+import org.cactusshift.standin.StandInPlainService;
+import org.cactusshift.standin.UsageTotals;
+import org.cactusshift.standin.engine.StandInEngine;
+import org.cactusshift.systemtest.SystemCall.Kind;
+import org.cactusshift.systemtest.SystemResult.Outcome;
+
+/** Compares what callers received with what the stand-ins saw. */
+final class SystemChecks {
+    private final SystemSite site;
+
+    private final List<SystemResult> results;
+
+    SystemChecks(SystemSite site, List<SystemResult> results) {
+        this.site = site;
+        this.results = results;
+    }
+
+    /** Checks what must hold whatever fails. */
+    void alwaysHolds() {
+        assertEquals(List.of(), withOutcomes(Set.of(Outcome.WRONG)), "answers of other calls, or no outcome");
+        Map<String, Integer> executions =
+                StandInPlainService.executionsByPayment(site.platform().plainServices());
+        assertEquals(
+                Map.of(),
+                executions.entrySet().stream()
+                        .filter(entry -> entry.getValue() > 1)
+                        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)),
+                "payouts run twice");
+        assertEquals(List.of(), answeredButNotRun(executions), "payouts answered that never ran");
+        assertEquals(List.of(), refusedButRun(executions), "refusals not-run of calls that ran");
+        assertEquals(List.of(), site.platform().usageService().contradictions(), "contradicting usage windows");
+        assertEquals(List.of(), configVersionsBelow(1), "nodes whose configuration went back");
+    }
+
+    /** Checks that no call was lost, cut or left without a word whether it ran. */
+    void nothingCut() {
+        assertEquals(List.of(), withOutcomes(Set.of(Outcome.LOST, Outcome.ENDED_EARLY, Outcome.UNKNOWN)), "cut calls");
+    }
+
+    /** Waits until the usage reported for each account equals what its callers were told. */
+    void usageEqualsServed() throws InterruptedException {
+        Map<String, List<Long>> served = new TreeMap<>();
+        for (SystemResult result : results) {
+            if (result.call().isChat() && result.promptTokens() > 0) {
+                served.merge(
+                        result.call().account().value(),
+                        List.of(result.promptTokens(), result.completionTokens()),
+                        (a, b) -> List.of(a.get(0) + b.get(0), a.get(1) + b.get(1)));
+            }
+        }
+        try {
+            Bounded.until("usage of " + served, () -> reported().equals(served));
+        } catch (AssertionError e) {
+            assertEquals(served, reported(), "usage by account: prompt and completion tokens");
+        }
+    }
+
+    private Map<String, List<Long>> reported() {
+        Map<String, List<Long>> reported = new TreeMap<>();
+        Map<String, UsageTotals> totals = site.platform().usageService().totalsByAccount();
+        totals.forEach((account, sum) -> {
+            if (sum.promptTokens() + sum.completionTokens() > 0) {
+                reported.put(account, List.of(sum.promptTokens(), sum.completionTokens()));
+            }
+        });
+        return reported;
+    }
+
+    /** Returns a summary of what callers received. */
+    Map<Outcome, Long> summary() {
+        return results.stream().collect(Collectors.groupingBy(SystemResult::outcome, Collectors.counting()));
+    }
+
+    private List<SystemResult> withOutcomes(Set<Outcome> outcomes) {
+        return results.stream()
+                .filter(result -> outcomes.contains(result.outcome()))
+                .toList();
+    }
+
+    private List<SystemResult> answeredButNotRun(Map<String, Integer> executions) {
+        return results.stream()
+                .filter(result -> result.call().kind() == Kind.PAYOUT && result.outcome() == Outcome.ANSWERED)
+                .filter(result -> !executions.containsKey(result.call().subject()))
+                .toList();
+    }
+
+    /** Returns the calls with no other end than not-run that a stand-in has run. */
+    private List<SystemCall> refusedButRun(Map<String, Integer> executions) {
+        Map<SystemCall, Set<Outcome>> ends = new HashMap<>();
+        results.stream()
+                .filter(result -> result.call().kind() != Kind.BALANCE)
+                .forEach(result -> ends.merge(result.call(), Set.of(result.outcome()), SystemChecks::union));
+        return ends.entrySet().stream()
+                .filter(entry -> entry.getValue().equals(Set.of(Outcome.NOT_RUN)))
+                .map(Map.Entry::getKey)
+                .filter(call -> call.isChat() ? ranOnEngine(call) : executions.containsKey(call.subject()))
+                .toList();
+    }
+
+    private static Set<Outcome> union(Set<Outcome> a, Set<Outcome> b) {
+        return java.util.stream.Stream.concat(a.stream(), b.stream()).collect(Collectors.toSet());
+    }
+
+    private boolean ranOnEngine(SystemCall call) {
+        String content = "\"" + call.subject() + "\"";
+        return site.platform().engines().stream()
+                .map(StandInEngine::log)
+                .flatMap(log -> log.all().stream())
+                .anyMatch(request ->
+                        request.body().contains(content) && request.outcome() != ReceivedRequest.Outcome.REFUSED);
+    }
+
+    private List<String> configVersionsBelow(long version) {
+        return site.nodes().stream()
+                .filter(node -> node.process().isAlive())
+                .filter(node -> versionOf(node) < version)
+                .map(SiteNode::name)
+                .toList();
+    }
+
+    private long versionOf(SiteNode node) {
+        try {
+            return node.status(site.client()).path("configVersion").asLong();
+        } catch (java.io.IOException e) {
+            return -1;
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SystemSite.java
@@ -0,0 +1,223 @@
+package org.cactusshift.systemtest;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cactusshift.config.ConfigLoader;
+import org.cactusshift.config.FailureDomainConfig;
+import org.cactusshift.config.NodeSettings;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.config.TimingConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.configsync.ApplyResult;
+import org.cactusshift.internal.coordination.configsync.ConfigRepository;
+import org.cactusshift.internal.transport.store.EtcdKeyValueStore;
+import org.cactusshift.internal.transport.store.EtcdStoreSettings;
+import org.cactusshift.pgm.demo.DemoKeys;
+import org.cactusshift.standin.InstanceEntry;
+import org.cactusshift.standin.StandInClient;
+import org.cactusshift.standin.engine.EngineTiming;
+import org.cactusshift.standin.platform.PlatformSettings;
+import org.cactusshift.standin.platform.StandInPlatform;
+
+/** Eight node processes and the stand-ins of a site, with short periods. */
+final class SystemSite implements AutoCloseable {
+    static final int NODES = 8;
+
+    /** The longest wait for something that must happen, in milliseconds. */
+    static final long BOUND_MILLIS = 90_000;
+
+    static final TimingConfig TIMING =
+            new TimingConfig(20_000, 10_000, 3_000, 1_000, 300, 1_500, 3_000, 3_000, 3_000, 300, 10_000, 30_000);
+
+    private static final Path EXAMPLES = Path.of("..", "examples");
+
+    private static final int ADDRESSES_OF_NODE = 3;
+
+    private static final long LIST_LAG_MILLIS = 200;
+
+    private static final long PROVISION_MILLIS = 1_000;
+
+    private final Path directory;
+
+    private final DemoKeys keys = DemoKeys.create();
+
+    private final StandInPlatform platform;
+
+    private final SiteConfig config;
+
+    private final StandInClient client = StandInClient.create();
+
+    private final List<SiteNode> nodes = new CopyOnWriteArrayList<>();
+
+    private final List<SiteNode> started = new ArrayList<>();
+
+    private SystemSite(Path directory, StandInPlatform platform, SiteConfig declared) {
+        this.directory = directory;
+        this.platform = platform;
+        this.config = keys.issueAll(platform.withAddresses(declared));
+    }
+
+    /** Starts a site whose nodes are all ready. */
+    static SystemSite start(Path directory) throws Exception {
+        SiteConfig declared = withTiming(ConfigLoader.create()
+                .load(
+                        EXAMPLES.resolve("base.json"),
+                        EXAMPLES.resolve("overlays").resolve("be-coast.json")));
+        StandInPlatform platform = StandInPlatform.create(PlatformSettings.forSite(declared, EngineTiming.standard())
+                .withDelays(PROVISION_MILLIS, LIST_LAG_MILLIS));
+        platform.start();
+        SystemSite site = new SystemSite(directory, platform, declared);
+        try {
+            site.publish();
+            for (int i = 0; i < NODES; i++) {
+                site.startNode();
+            }
+            site.awaitReady();
+            return site;
+        } catch (Exception | AssertionError e) {
+            site.close();
+            throw e;
+        }
+    }
+
+    private static SiteConfig withTiming(SiteConfig site) {
+        return new SiteConfig(
+                site.schemaVersion(),
+                site.site(),
+                site.shutdownDate(),
+                site.failureDomains(),
+                site.accounts(),
+                site.services(),
+                site.upstreams(),
+                site.limits(),
+                TIMING);
+    }
+
+    private void publish() throws CactusshiftException {
+        try (EtcdKeyValueStore store = EtcdKeyValueStore.create(EtcdStoreSettings.forAddresses(
+                List.of(platform.keyValueService().address())))) {
+            Either<Failure, ApplyResult> result = ConfigRepository.open(store, config.site())
+                    .apply()
+                    .setConfig(config)
+                    .setAgainst(0)
+                    .setAuthor("test")
+                    .setComment("first configuration")
+                    .setNowEpochMillis(System.currentTimeMillis())
+                    .call();
+            if (result.isLeft()) {
+                throw new CactusshiftException(result.getLeft());
+            }
+        }
+    }
+
+    /** Starts one more node, with a new id and new addresses. */
+    SiteNode startNode() throws IOException {
+        return startNode(platform.keyValueService().address());
+    }
+
+    /** Starts one more node that reaches the key-value service by another address, such as that of a relay. */
+    SiteNode startNode(String storeAddress) throws IOException {
+        List<FailureDomainConfig> domains = config.failureDomains();
+        List<String> addresses = FreePorts.addresses(ADDRESSES_OF_NODE);
+        NodeSettings settings = new NodeSettings(
+                InstanceId.fromString("entry-" + (started.size() + 1)),
+                config.site(),
+                domains.get(started.size() % domains.size()).id(),
+                addresses.get(0),
+                addresses.get(1),
+                addresses.get(2),
+                nodes.stream().map(node -> node.settings().peerAddress()).toList(),
+                List.of(storeAddress),
+                Optional.of(platform.instanceList().address()),
+                Optional.of(platform.orderingService().address()),
+                Optional.of(platform.usageService().address()),
+                Optional.empty(),
+                Optional.empty(),
+                keys.secretHex(),
+                Optional.empty());
+        SiteNode node = new SiteNode(settings, NodeProcess.startNode(settings, directory));
+        started.add(node);
+        nodes.add(node);
+        platform.instanceList()
+                .put(new InstanceEntry(
+                        node.name(),
+                        InstanceEntry.Kind.ENTRY,
+                        settings.callerAddress(),
+                        settings.peerAddress(),
+                        settings.failureDomain().value(),
+                        InstanceEntry.State.LIVE));
+        return node;
+    }
+
+    /** Waits until every node takes requests. */
+    void awaitReady() throws Exception {
+        for (SiteNode node : nodes) {
+            assertTrue(
+                    node.process().awaitPage(client, node.settings().operatorAddress(), "/readyz", BOUND_MILLIS),
+                    node.process().output());
+        }
+    }
+
+    /** Takes a node out of the callers' and the platform's lists; its process is left as it is. */
+    void forget(SiteNode node) {
+        nodes.remove(node);
+        platform.instanceList().remove(node.name());
+    }
+
+    /** Returns the nodes that callers use. */
+    List<SiteNode> nodes() {
+        return nodes;
+    }
+
+    /** Returns the node that says it holds a duty of a kind; waits for one. */
+    SiteNode holderOf(String kind) throws InterruptedException {
+        List<SiteNode> found = new ArrayList<>();
+        Bounded.until("a holder of " + kind, () -> {
+            for (SiteNode node : nodes) {
+                if (found.isEmpty() && node.duties(client).stream().anyMatch(duty -> duty.startsWith(kind + "/"))) {
+                    found.add(node);
+                }
+            }
+            return !found.isEmpty();
+        });
+        return found.get(0);
+    }
+
+    SiteConfig config() {
+        return config;
+    }
+
+    StandInPlatform platform() {
+        return platform;
+    }
+
+    StandInClient client() {
+        return client;
+    }
+
+    String bearer(AccountId account) {
+        return keys.bearer(account);
+    }
+
+    /** Returns the output of all nodes, for the message of a failed check. */
+    String directory() {
+        return directory.toString();
+    }
+
+    @Override
+    public void close() {
+        started.forEach(node -> node.process().close());
+        client.close();
+        platform.close();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SystemTraffic.java
@@ -0,0 +1,143 @@
+package org.cactusshift.systemtest;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.systemtest.SystemCall.Kind;
+import org.cactusshift.systemtest.SystemResult.Outcome;
+
+/** Light traffic of all kinds at the nodes of a site, the same calls for the same seed. */
+final class SystemTraffic implements AutoCloseable {
+    private static final long PERIOD_MILLIS = 50;
+
+    private static final long RETRY_MILLIS = 1_000;
+
+    private static final int RETRIES = 3;
+
+    private static final int KINDS = 10;
+
+    private static final int STREAMED_OF_KINDS = 3;
+
+    private static final int CHATS_OF_KINDS = 5;
+
+    private static final int PAYOUTS_OF_KINDS = 8;
+
+    private final SystemSite site;
+
+    private final SystemCaller caller;
+
+    private final Random random;
+
+    private final List<AccountId> accounts;
+
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+    private final ExecutorService callers = Executors.newCachedThreadPool();
+
+    private final List<SystemResult> results = new ArrayList<>();
+
+    private int place;
+
+    private SystemTraffic(SystemSite site, long seed) {
+        this.site = site;
+        this.caller = new SystemCaller(site::bearer);
+        this.random = new Random(seed);
+        this.accounts = site.config().accounts().stream()
+                .filter(account -> account.services().contains(ServiceId.fromString(SystemCaller.PLAIN)))
+                .map(AccountConfig::id)
+                .toList();
+    }
+
+    /** Starts traffic that goes on until {@link #finish}. */
+    static SystemTraffic start(SystemSite site, long seed) {
+        SystemTraffic traffic = new SystemTraffic(site, seed);
+        traffic.timer.scheduleAtFixedRate(traffic::next, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        return traffic;
+    }
+
+    private void next() {
+        AccountId account = accounts.get(random.nextInt(accounts.size()));
+        int choice = random.nextInt(KINDS);
+        Kind kind = Kind.BALANCE;
+        if (choice < STREAMED_OF_KINDS) {
+            kind = Kind.STREAMED_CHAT;
+        } else if (choice < CHATS_OF_KINDS) {
+            kind = Kind.WHOLE_CHAT;
+        } else if (choice < PAYOUTS_OF_KINDS) {
+            kind = Kind.PAYOUT;
+        }
+        String subject = kind == Kind.BALANCE ? "" : kind + "-" + place;
+        SystemCall call = SystemCall.of(kind, account, subject, random);
+        int first = place;
+        place++;
+        callers.execute(() -> make(call, first));
+    }
+
+    /** Makes a call; a payout that may have run is sent again with the same key, at the next node. */
+    private void make(SystemCall call, int first) {
+        for (int attempt = 0; attempt <= RETRIES; attempt++) {
+            List<SiteNode> nodes = List.copyOf(site.nodes());
+            SystemResult result =
+                    caller.call(nodes.get((first + attempt) % nodes.size()).callerAddress(), call);
+            synchronized (results) {
+                results.add(result);
+            }
+            boolean again = result.outcome() == Outcome.UNKNOWN || result.outcome() == Outcome.LOST;
+            if (call.kind() != Kind.PAYOUT || !again || !pause()) {
+                return;
+            }
+        }
+    }
+
+    private static boolean pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Waits until this many more calls of a kind have been answered, so that a fault meets running traffic. */
+    void awaitAnswered(Kind kind, int more) throws InterruptedException {
+        long before = answered(kind);
+        Bounded.until(more + " more of " + kind, () -> answered(kind) >= before + more);
+    }
+
+    private long answered(Kind kind) {
+        synchronized (results) {
+            return results.stream()
+                    .filter(result -> result.outcome() == Outcome.ANSWERED)
+                    .filter(result -> result.call().kind() == kind)
+                    .count();
+        }
+    }
+
+    /** Starts no more calls and waits for the open ones. */
+    List<SystemResult> finish() throws InterruptedException {
+        timer.shutdown();
+        assertTrue(timer.awaitTermination(SystemSite.BOUND_MILLIS, TimeUnit.MILLISECONDS));
+        callers.shutdown();
+        assertTrue(callers.awaitTermination(SystemSite.BOUND_MILLIS, TimeUnit.MILLISECONDS), "a call never ended");
+        synchronized (results) {
+            return List.copyOf(results);
+        }
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        callers.shutdownNow();
+        caller.close();
+    }
+}
