--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/Caller.java
@@ -0,0 +1,79 @@
+package org.cactusshift.systemtest;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.charset.StandardCharsets;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
+import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
+
+/** A caller of the product with one client key. */
+final class Caller implements AutoCloseable {
+    private static final Timeout TIMEOUT = Timeout.ofSeconds(60);
+
+    private final String bearer;
+
+    private final HttpRequester requester = RequesterBootstrap.bootstrap()
+            .setSocketConfig(SocketConfig.custom().setSoTimeout(TIMEOUT).build())
+            .create();
+
+    Caller(String bearer) {
+        this.bearer = bearer;
+    }
+
+    /**
+     * Sends a JSON body.
+     *
+     * @param address a node's address for callers
+     * @param path the path
+     * @param body the body
+     * @param idempotencyKey the idempotency key; empty for none
+     * @return the whole answer
+     * @throws IOException if the connection broke before its end
+     */
+    Answer post(String address, String path, String body, String idempotencyKey) throws IOException {
+        ClassicRequestBuilder builder = ClassicRequestBuilder.post(path)
+                .setEntity(body, ContentType.APPLICATION_JSON)
+                .addHeader("Authorization", "Bearer " + bearer);
+        if (!idempotencyKey.isEmpty()) {
+            builder.addHeader("Idempotency-Key", idempotencyKey);
+        }
+        try {
+            HttpHost host = HttpHost.create("http://" + address);
+            return requester.execute(
+                    host, builder.setHttpHost(host).build(), TIMEOUT, HttpCoreContext.create(), Caller::answerOf);
+        } catch (HttpException | URISyntaxException e) {
+            throw new IOException("malformed exchange with " + address, e);
+        }
+    }
+
+    @Override
+    public void close() {
+        requester.close(CloseMode.IMMEDIATE);
+    }
+
+    private static Answer answerOf(ClassicHttpResponse response) throws HttpException, IOException {
+        Header outcome = response.getFirstHeader("x-cactusshift-outcome");
+        String text = EntityUtils.toString(response.getEntity(), StandardCharsets.UTF_8);
+        return new Answer(response.getCode(), outcome == null ? "" : outcome.getValue(), text);
+    }
+
+    /**
+     * A whole answer.
+     *
+     * @param status the HTTP status
+     * @param outcome the value of {@code x-cactusshift-outcome}; empty when absent
+     * @param text the body
+     */
+    record Answer(int status, String outcome, String text) {}
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/NodeSite.java
@@ -0,0 +1,182 @@
+package org.cactusshift.systemtest;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cactusshift.config.ConfigLoader;
+import org.cactusshift.config.NodeSettings;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.configsync.ConfigRepository;
+import org.cactusshift.internal.transport.store.EtcdKeyValueStore;
+import org.cactusshift.internal.transport.store.EtcdStoreSettings;
+import org.cactusshift.standin.InstanceEntry;
+import org.cactusshift.standin.StandInClient;
+import org.cactusshift.standin.engine.EngineTiming;
+import org.cactusshift.standin.platform.PlatformSettings;
+import org.cactusshift.standin.platform.StandInPlatform;
+
+/** The example site be-coast on loopback: stand-ins in this process, each node in its own with a relay to the store. */
+final class NodeSite implements AutoCloseable {
+    private static final Path EXAMPLES = Path.of("..", "examples");
+
+    private static final long READY_LIMIT_MILLIS = 60_000;
+
+    private static final int PORTS_PER_NODE = 3;
+
+    private final Path directory;
+
+    private final TestKeys keys = new TestKeys();
+
+    private final StandInPlatform platform;
+
+    private final SiteConfig config;
+
+    private final List<NodeSettings> settings = new ArrayList<>();
+
+    private final List<TcpRelay> storeRelays = new ArrayList<>();
+
+    private final List<NodeProcess> processes = new ArrayList<>();
+
+    private NodeSite(Path directory, StandInPlatform platform, SiteConfig declared) {
+        this.directory = directory;
+        this.platform = platform;
+        this.config = keys.issueAll(platform.withAddresses(declared));
+    }
+
+    /**
+     * Starts the stand-ins, accepts the configuration and starts nodes until all are ready.
+     *
+     * @param directory for settings and output
+     * @param nodes how many nodes
+     * @param timing the timing of the engines
+     * @return the site
+     * @throws Exception if any part does not start
+     */
+    static NodeSite start(Path directory, int nodes, EngineTiming timing) throws Exception {
+        SiteConfig declared =
+                ConfigLoader.create().load(EXAMPLES.resolve("base.json"), EXAMPLES.resolve("overlays/be-coast.json"));
+        StandInPlatform platform = StandInPlatform.create(PlatformSettings.forSite(declared, timing));
+        platform.start();
+        NodeSite site = new NodeSite(directory, platform, declared);
+        try {
+            site.publish();
+            site.prepare(nodes);
+            for (int i = 0; i < nodes; i++) {
+                site.processes.add(NodeProcess.startNode(site.settings.get(i), directory));
+            }
+            for (int i = 0; i < nodes; i++) {
+                site.awaitReady(i);
+            }
+            return site;
+        } catch (Exception e) {
+            site.close();
+            throw e;
+        }
+    }
+
+    StandInPlatform platform() {
+        return platform;
+    }
+
+    SiteConfig config() {
+        return config;
+    }
+
+    NodeProcess node(int index) {
+        return processes.get(index);
+    }
+
+    String callerAddress(int index) {
+        return settings.get(index).callerAddress();
+    }
+
+    /** Returns the relay between one node and the key-value service. */
+    TcpRelay storeRelay(int index) {
+        return storeRelays.get(index);
+    }
+
+    Caller caller(AccountId account) {
+        return new Caller(keys.bearer(account));
+    }
+
+    /** Starts a node again, with its settings, after the end of its process. */
+    void restart(int index) throws IOException, InterruptedException {
+        processes.set(index, NodeProcess.startNode(settings.get(index), directory));
+        awaitReady(index);
+    }
+
+    @Override
+    public void close() throws IOException {
+        processes.forEach(NodeProcess::close);
+        for (TcpRelay relay : storeRelays) {
+            relay.close();
+        }
+        platform.close();
+    }
+
+    private void publish() throws CactusshiftException {
+        EtcdStoreSettings storeSettings = EtcdStoreSettings.forAddresses(
+                List.of(platform.keyValueService().address()));
+        try (EtcdKeyValueStore store = EtcdKeyValueStore.create(storeSettings)) {
+            ConfigRepository.open(store, config.site())
+                    .apply()
+                    .setConfig(config)
+                    .setAgainst(0)
+                    .setAuthor("test")
+                    .setComment("first configuration")
+                    .setNowEpochMillis(System.currentTimeMillis())
+                    .call()
+                    .getOrElseThrow(CactusshiftException::new);
+        }
+    }
+
+    private void prepare(int nodes) throws IOException {
+        List<String> addresses = FreePorts.addresses(nodes * PORTS_PER_NODE);
+        List<String> peers = addresses.subList(2 * nodes, PORTS_PER_NODE * nodes);
+        for (int i = 0; i < nodes; i++) {
+            TcpRelay relay = TcpRelay.start(platform.keyValueService().address());
+            storeRelays.add(relay);
+            NodeSettings node = new NodeSettings(
+                    InstanceId.fromString("entry-" + (i + 1)),
+                    config.site(),
+                    config.failureDomains()
+                            .get(i % config.failureDomains().size())
+                            .id(),
+                    addresses.get(i),
+                    addresses.get(nodes + i),
+                    peers.get(i),
+                    peers,
+                    List.of(relay.address()),
+                    Optional.of(platform.instanceList().address()),
+                    Optional.of(platform.orderingService().address()),
+                    Optional.of(platform.usageService().address()),
+                    Optional.empty(),
+                    Optional.empty(),
+                    TestKeys.HASH_SECRET_HEX,
+                    Optional.empty());
+            settings.add(node);
+            platform.instanceList()
+                    .put(new InstanceEntry(
+                            node.instanceId().value(),
+                            InstanceEntry.Kind.ENTRY,
+                            node.callerAddress(),
+                            node.peerAddress(),
+                            node.failureDomain().value(),
+                            InstanceEntry.State.LIVE));
+        }
+    }
+
+    private void awaitReady(int index) throws IOException, InterruptedException {
+        try (StandInClient client = StandInClient.create()) {
+            NodeProcess process = processes.get(index);
+            if (!process.awaitPage(client, callerAddress(index), "/readyz", READY_LIMIT_MILLIS)) {
+                throw new IOException("node " + index + " did not become ready: " + process.output());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/NodeSiteTest.java
@@ -0,0 +1,144 @@
+package org.cactusshift.systemtest;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.standin.StandInPlainService;
+import org.cactusshift.standin.engine.EngineTiming;
+import org.cactusshift.standin.engine.ExpectedAnswer;
+import org.cactusshift.standin.engine.StandInEngine;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class NodeSiteTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final AccountId ACCOUNT = AccountId.fromString("ostend-auction");
+
+    private static final EngineTiming TIMING = EngineTiming.fast().withRates(100_000, 10);
+
+    private static final int NODES = 3;
+
+    private static final int LONG_TOKENS = 300;
+
+    private static final long BOUND_MILLIS = 60_000;
+
+    private final ExecutorService callers = Executors.newCachedThreadPool();
+
+    private NodeSite site;
+
+    private Caller caller;
+
+    @BeforeEach
+    void start(@TempDir Path directory) throws Exception {
+        site = NodeSite.start(directory, NODES, TIMING);
+        caller = site.caller(ACCOUNT);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        caller.close();
+        site.close();
+        callers.shutdownNow();
+    }
+
+    @Test
+    void eachNodeGivesEachCallerItsOwnWholeAnswer() throws IOException {
+        for (int node = 0; node < NODES; node++) {
+            String content = "statement " + node;
+            assertEquals(ExpectedAnswer.forUserMessage(content).text(20), chat(node, content, 20));
+        }
+    }
+
+    @Test
+    void terminatedNodeFinishesItsOpenRequestAndExitsWithSuccess() throws Exception {
+        Future<String> open = callers.submit(() -> chat(0, "long statement", LONG_TOKENS));
+        awaitRunning();
+        site.node(0).terminate();
+        assertEquals(
+                ExpectedAnswer.forUserMessage("long statement").text(LONG_TOKENS),
+                open.get(BOUND_MILLIS, TimeUnit.MILLISECONDS));
+        assertEquals(OptionalInt.of(0), site.node(0).awaitExit(BOUND_MILLIS));
+        assertEquals(ExpectedAnswer.forUserMessage("next").text(4), chat(1, "next", 4));
+    }
+
+    @Test
+    void crashOfAnEngineLeavesTheAnswerWhole() throws Exception {
+        Future<String> open = callers.submit(() -> chat(0, "long statement", LONG_TOKENS));
+        awaitRunning().crash();
+        assertEquals(
+                ExpectedAnswer.forUserMessage("long statement").text(LONG_TOKENS),
+                open.get(BOUND_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    @Test
+    void requestsGoOnThroughAnOutageOfTheStore() throws Exception {
+        for (int node = 0; node < NODES; node++) {
+            site.storeRelay(node).cut();
+        }
+        long outageNanos =
+                TimeUnit.MILLISECONDS.toNanos(2 * site.config().timing().keyFreshnessMillis());
+        long endNanos = System.nanoTime() + outageNanos;
+        while (System.nanoTime() < endNanos) {
+            for (int node = 0; node < NODES; node++) {
+                assertEquals(ExpectedAnswer.forUserMessage("outage").text(4), chat(node, "outage", 4));
+            }
+        }
+    }
+
+    @Test
+    void payoutWithALostAnswerRunsOnceAndIsNotCalledNotRun() throws IOException {
+        // The nodes poll the load of these services as well, and those answers must not use the fault up.
+        site.platform()
+                .plainServices()
+                .forEach(service -> service.faults()
+                        .dropAnswers(1, request -> request.path().equals("/payouts")));
+        String body = "{\"payment_id\": \"p1\"}";
+        Caller.Answer answer = caller.post(site.callerAddress(0), "/services/settle-app/payouts", body, "");
+        assertTrue(answer.status() >= 500, answer.toString());
+        assertEquals("unknown", answer.outcome());
+        assertEquals(
+                Map.of("p1", 1),
+                StandInPlainService.executionsByPayment(site.platform().plainServices()));
+    }
+
+    private StandInEngine awaitRunning() {
+        Await.until(() -> site.platform().engines().stream().anyMatch(NodeSiteTest::isRunning));
+        return site.platform().engines().stream()
+                .filter(NodeSiteTest::isRunning)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static boolean isRunning(StandInEngine engine) {
+        return !engine.log()
+                .matching(request -> request.path().startsWith("/v1/"))
+                .isEmpty();
+    }
+
+    private String chat(int node, String content, int tokens) throws IOException {
+        ObjectNode body = MAPPER.createObjectNode().put("model", "share-lm").put("max_tokens", tokens);
+        body.putArray("messages").addObject().put("role", "user").put("content", content);
+        Caller.Answer answer = caller.post(site.callerAddress(node), "/v1/chat/completions", body.toString(), "");
+        assertEquals(200, answer.status(), answer.toString());
+        return MAPPER.readTree(answer.text())
+                .path("choices")
+                .path(0)
+                .path("message")
+                .path("content")
+                .asText();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/TestKeys.java
@@ -0,0 +1,54 @@
+package org.cactusshift.systemtest;
+
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.KeyConfig;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.internal.coordination.key.ClientKey;
+import org.cactusshift.internal.coordination.key.KeyHasher;
+
+/** A key in clear for each client account of a test site. */
+final class TestKeys {
+    /** The secret under which the nodes of a test site hash keys. */
+    static final String HASH_SECRET_HEX = "00112233445566778899aabbccddeeff".repeat(2);
+
+    private final Map<AccountId, ClientKey> keys = new HashMap<>();
+
+    /** Returns a configuration with one new key for each account in place of its keys. */
+    SiteConfig issueAll(SiteConfig site) {
+        KeyHasher hasher = KeyHasher.fromHex(HASH_SECRET_HEX);
+        List<AccountConfig> accounts = new ArrayList<>();
+        for (AccountConfig account : site.accounts()) {
+            KeyId id = KeyId.fromString(account.id() + "-test");
+            ClientKey key = KeyHasher.issue(id, new SecureRandom());
+            keys.put(account.id(), key);
+            accounts.add(new AccountConfig(
+                    account.id(),
+                    account.weight(),
+                    account.tokensPerSecond(),
+                    account.maximumConcurrentRequests(),
+                    account.services(),
+                    List.of(new KeyConfig(id, hasher.hash(key), false))));
+        }
+        return new SiteConfig(
+                site.schemaVersion(),
+                site.site(),
+                site.shutdownDate(),
+                site.failureDomains(),
+                accounts,
+                site.services(),
+                site.upstreams(),
+                site.limits(),
+                site.timing());
+    }
+
+    String bearer(AccountId account) {
+        return keys.get(account).toBearer();
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyService.java
@@ -32,7 +32,6 @@
 public final class DutyService implements AuthoritySource, DutyDirectory, AutoCloseable {
     private static final System.Logger LOG = System.getLogger(DutyService.class.getName());
     private static final long TICK_MILLIS = 100;
-    private static final long STOP_POLL_MILLIS = 10;
 
     private final KeyValueStore store;
     private final SiteId site;
@@ -136,28 +135,18 @@
     public void close() {
         apply(new DutyEvent.Stop());
         timer.shutdownNow();
-        revokeLease();
-        leaseCalls.shutdownNow();
-        keyCalls.shutdownNow();
-    }
-
-    /** Revokes the lease, after a renewal that may be under way; one that can't be revoked in time ends by itself. */
-    private void revokeLease() {
-        long endMillis = clockMillis.getAsLong() + timing.renewMillis();
+        tick();
+        for (ExecutorService calls : List.of(leaseCalls, keyCalls)) {
+            calls.shutdown();
+        }
         try {
-            while (hasLease() && clockMillis.getAsLong() < endMillis) {
-                tick();
-                Thread.sleep(STOP_POLL_MILLIS);
-            }
+            // A lease that could not be revoked in this time ends by itself.
+            leaseCalls.awaitTermination(timing.renewMillis(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-    }
-
-    private boolean hasLease() {
-        synchronized (lock) {
-            return !state.grant().equals(LeaseGrant.NONE);
-        }
+        leaseCalls.shutdownNow();
+        keyCalls.shutdownNow();
     }
 
     private void tick() {
