--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/HeartbeatResponse.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/HeartbeatResponse.java
@@ -31,6 +31,7 @@
     loads_ = java.util.Collections.emptyList();
     accounts_ = java.util.Collections.emptyList();
     suspects_ = java.util.Collections.emptyList();
+    absences_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -245,6 +246,67 @@
     return leaving_;
   }
 
+  public static final int ABSENCES_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cactusshift.messages.StoreAbsence> absences_;
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cactusshift.messages.StoreAbsence> getAbsencesList() {
+    return absences_;
+  }
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cactusshift.messages.StoreAbsenceOrBuilder> 
+      getAbsencesOrBuilderList() {
+    return absences_;
+  }
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  @java.lang.Override
+  public int getAbsencesCount() {
+    return absences_.size();
+  }
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  @java.lang.Override
+  public org.cactusshift.messages.StoreAbsence getAbsences(int index) {
+    return absences_.get(index);
+  }
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  @java.lang.Override
+  public org.cactusshift.messages.StoreAbsenceOrBuilder getAbsencesOrBuilder(
+      int index) {
+    return absences_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -283,6 +345,9 @@
     if (leaving_ != false) {
       output.writeBool(8, leaving_);
     }
+    for (int i = 0; i < absences_.size(); i++) {
+      output.writeMessage(9, absences_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -339,6 +404,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(8, leaving_);
     }
+
+        {
+          final int count = absences_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(absences_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -373,6 +447,8 @@
         .equals(other.getSuspectsList())) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (!getAbsencesList()
+        .equals(other.getAbsencesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -412,6 +488,10 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    if (getAbsencesCount() > 0) {
+      hash = (37 * hash) + ABSENCES_FIELD_NUMBER;
+      hash = (53 * hash) + getAbsencesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -546,6 +626,7 @@
         internalGetLoadsFieldBuilder();
         internalGetAccountsFieldBuilder();
         internalGetSuspectsFieldBuilder();
+        internalGetAbsencesFieldBuilder();
       }
     }
     @java.lang.Override
@@ -582,6 +663,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000040);
       leaving_ = false;
+      if (absencesBuilder_ == null) {
+        absences_ = java.util.Collections.emptyList();
+      } else {
+        absences_ = null;
+        absencesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       return this;
     }
 
@@ -642,6 +730,15 @@
       } else {
         result.suspects_ = suspectsBuilder_.build();
       }
+      if (absencesBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          absences_ = java.util.Collections.unmodifiableList(absences_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.absences_ = absences_;
+      } else {
+        result.absences_ = absencesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cactusshift.messages.HeartbeatResponse result) {
@@ -773,6 +870,32 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (absencesBuilder_ == null) {
+        if (!other.absences_.isEmpty()) {
+          if (absences_.isEmpty()) {
+            absences_ = other.absences_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureAbsencesIsMutable();
+            absences_.addAll(other.absences_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.absences_.isEmpty()) {
+          if (absencesBuilder_.isEmpty()) {
+            absencesBuilder_.dispose();
+            absencesBuilder_ = null;
+            absences_ = other.absences_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            absencesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetAbsencesFieldBuilder() : null;
+          } else {
+            absencesBuilder_.addAllMessages(other.absences_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -865,6 +988,19 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 74: {
+              org.cactusshift.messages.StoreAbsence m =
+                  input.readMessage(
+                      org.cactusshift.messages.StoreAbsence.parser(),
+                      extensionRegistry);
+              if (absencesBuilder_ == null) {
+                ensureAbsencesIsMutable();
+                absences_.add(m);
+              } else {
+                absencesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1851,6 +1987,318 @@
       return this;
     }
 
+    private java.util.List<org.cactusshift.messages.StoreAbsence> absences_ =
+      java.util.Collections.emptyList();
+    private void ensureAbsencesIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        absences_ = new java.util.ArrayList<org.cactusshift.messages.StoreAbsence>(absences_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cactusshift.messages.StoreAbsence, org.cactusshift.messages.StoreAbsence.Builder, org.cactusshift.messages.StoreAbsenceOrBuilder> absencesBuilder_;
+
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public java.util.List<org.cactusshift.messages.StoreAbsence> getAbsencesList() {
+      if (absencesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(absences_);
+      } else {
+        return absencesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public int getAbsencesCount() {
+      if (absencesBuilder_ == null) {
+        return absences_.size();
+      } else {
+        return absencesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public org.cactusshift.messages.StoreAbsence getAbsences(int index) {
+      if (absencesBuilder_ == null) {
+        return absences_.get(index);
+      } else {
+        return absencesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public Builder setAbsences(
+        int index, org.cactusshift.messages.StoreAbsence value) {
+      if (absencesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAbsencesIsMutable();
+        absences_.set(index, value);
+        onChanged();
+      } else {
+        absencesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public Builder setAbsences(
+        int index, org.cactusshift.messages.StoreAbsence.Builder builderForValue) {
+      if (absencesBuilder_ == null) {
+        ensureAbsencesIsMutable();
+        absences_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        absencesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public Builder addAbsences(org.cactusshift.messages.StoreAbsence value) {
+      if (absencesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAbsencesIsMutable();
+        absences_.add(value);
+        onChanged();
+      } else {
+        absencesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public Builder addAbsences(
+        int index, org.cactusshift.messages.StoreAbsence value) {
+      if (absencesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAbsencesIsMutable();
+        absences_.add(index, value);
+        onChanged();
+      } else {
+        absencesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public Builder addAbsences(
+        org.cactusshift.messages.StoreAbsence.Builder builderForValue) {
+      if (absencesBuilder_ == null) {
+        ensureAbsencesIsMutable();
+        absences_.add(builderForValue.build());
+        onChanged();
+      } else {
+        absencesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public Builder addAbsences(
+        int index, org.cactusshift.messages.StoreAbsence.Builder builderForValue) {
+      if (absencesBuilder_ == null) {
+        ensureAbsencesIsMutable();
+        absences_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        absencesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public Builder addAllAbsences(
+        java.lang.Iterable<? extends org.cactusshift.messages.StoreAbsence> values) {
+      if (absencesBuilder_ == null) {
+        ensureAbsencesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, absences_);
+        onChanged();
+      } else {
+        absencesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public Builder clearAbsences() {
+      if (absencesBuilder_ == null) {
+        absences_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        absencesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public Builder removeAbsences(int index) {
+      if (absencesBuilder_ == null) {
+        ensureAbsencesIsMutable();
+        absences_.remove(index);
+        onChanged();
+      } else {
+        absencesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public org.cactusshift.messages.StoreAbsence.Builder getAbsencesBuilder(
+        int index) {
+      return internalGetAbsencesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public org.cactusshift.messages.StoreAbsenceOrBuilder getAbsencesOrBuilder(
+        int index) {
+      if (absencesBuilder_ == null) {
+        return absences_.get(index);  } else {
+        return absencesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public java.util.List<? extends org.cactusshift.messages.StoreAbsenceOrBuilder> 
+         getAbsencesOrBuilderList() {
+      if (absencesBuilder_ != null) {
+        return absencesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(absences_);
+      }
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public org.cactusshift.messages.StoreAbsence.Builder addAbsencesBuilder() {
+      return internalGetAbsencesFieldBuilder().addBuilder(
+          org.cactusshift.messages.StoreAbsence.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public org.cactusshift.messages.StoreAbsence.Builder addAbsencesBuilder(
+        int index) {
+      return internalGetAbsencesFieldBuilder().addBuilder(
+          index, org.cactusshift.messages.StoreAbsence.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Failure domains whose nodes have said that they have no contact with the store.
+     * </pre>
+     *
+     * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+     */
+    public java.util.List<org.cactusshift.messages.StoreAbsence.Builder> 
+         getAbsencesBuilderList() {
+      return internalGetAbsencesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cactusshift.messages.StoreAbsence, org.cactusshift.messages.StoreAbsence.Builder, org.cactusshift.messages.StoreAbsenceOrBuilder> 
+        internalGetAbsencesFieldBuilder() {
+      if (absencesBuilder_ == null) {
+        absencesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cactusshift.messages.StoreAbsence, org.cactusshift.messages.StoreAbsence.Builder, org.cactusshift.messages.StoreAbsenceOrBuilder>(
+                absences_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        absences_ = null;
+      }
+      return absencesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cactusshift.peer.v1.HeartbeatResponse)
   }
 
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/HeartbeatResponseOrBuilder.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/HeartbeatResponseOrBuilder.java
@@ -120,4 +120,48 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  java.util.List<org.cactusshift.messages.StoreAbsence> 
+      getAbsencesList();
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  org.cactusshift.messages.StoreAbsence getAbsences(int index);
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  int getAbsencesCount();
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  java.util.List<? extends org.cactusshift.messages.StoreAbsenceOrBuilder> 
+      getAbsencesOrBuilderList();
+  /**
+   * <pre>
+   * Failure domains whose nodes have said that they have no contact with the store.
+   * </pre>
+   *
+   * <code>repeated .cactusshift.peer.v1.StoreAbsence absences = 9;</code>
+   */
+  org.cactusshift.messages.StoreAbsenceOrBuilder getAbsencesOrBuilder(
+      int index);
 }
--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
@@ -34,6 +34,7 @@
 import org.cactusshift.internal.coordination.key.KeyRing;
 import org.cactusshift.internal.coordination.membership.Member;
 import org.cactusshift.internal.coordination.membership.MembershipTable;
+import org.cactusshift.internal.coordination.store.BudgetedKeyValueStore;
 import org.cactusshift.internal.transport.gateway.Gateway;
 import org.cactusshift.internal.transport.gateway.GatewayComponents;
 import org.cactusshift.internal.transport.gateway.GatewayMetrics;
@@ -65,7 +66,8 @@
     private final Telemetry telemetry;
     private final Optional<TlsContext> tls;
     private final PeerConnections connections;
-    private final EtcdKeyValueStore store;
+    private final EtcdKeyValueStore storeConnections;
+    private final BudgetedKeyValueStore store;
     private final PlatformCalls platform = PlatformCalls.create(PLATFORM_TIMEOUT_MILLIS);
     private final MembershipTable membership;
     private final KeyFreshness freshness;
@@ -92,7 +94,9 @@
                 ? Optional.of(orThrow(TlsContext.load(settings.tls().get(), executors.scheduler())))
                 : Optional.empty();
         this.connections = PeerConnections.create(tls, executors.workers());
-        this.store = EtcdKeyValueStore.create(EtcdStoreSettings.forAddresses(settings.storeAddresses()));
+        this.storeConnections = EtcdKeyValueStore.create(EtcdStoreSettings.forAddresses(settings.storeAddresses()));
+        this.store = BudgetedKeyValueStore.create(storeConnections, NodeDefaults.STORE_BUDGET, System::nanoTime);
+        NodeMetrics.register(registry, store, this::openRequests);
         this.membership = MembershipTable.create(settings.instanceId(), NodeDefaults.TIMING.suspicionMillis());
         this.freshness = KeyFreshness.create(
                 settings.instanceId(),
@@ -241,6 +245,10 @@
         return !stopping && config.current().isPresent();
     }
 
+    private int openRequests() {
+        return dispatch.openRequests();
+    }
+
     private Object status() {
         long nowMillis = clockMillis.getAsLong();
         return new NodeStatus(
@@ -252,7 +260,7 @@
                 config.version(),
                 freshness.status(nowMillis).name(),
                 freshness.contactAgeMillis(nowMillis),
-                dispatch.openRequests(),
+                openRequests(),
                 coordination.heldDuties(),
                 membership.members(nowMillis).stream()
                         .map(member -> new NodeStatus.MemberStatus(
@@ -290,7 +298,7 @@
         connections.close();
         dispatch.close();
         upstreams.close();
-        store.close();
+        storeConnections.close();
         platform.close();
         telemetry.close();
         tls.ifPresent(TlsContext::close);
--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/PeerExchange.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/PeerExchange.java
@@ -28,6 +28,7 @@
 import org.cactusshift.messages.HeartbeatRequest;
 import org.cactusshift.messages.HeartbeatResponse;
 import org.cactusshift.messages.Sender;
+import org.cactusshift.messages.StoreAbsence;
 import org.cactusshift.messages.SuspectFingerprint;
 
 /** Composes heartbeats and applies what those of other nodes say. Safe for use by several threads. */
@@ -68,11 +69,12 @@
 
     synchronized HeartbeatRequest nextRequest() {
         sequence++;
+        KeyFreshness.Report report = freshness.report(clockMillis.getAsLong());
         HeartbeatRequest.Builder request = HeartbeatRequest.newBuilder()
                 .setSender(self.sender())
                 .setSequence(sequence)
-                .setConfigVersion(config.version())
-                .setStoreContactAgeMillis(freshness.contactAgeMillis(clockMillis.getAsLong()))
+                .setConfigVersion(report.configVersion())
+                .setStoreContactAgeMillis(report.contactAgeMillis())
                 .setLeaving(leaving);
         outgoing.next(dispatch.serviceSinceStart())
                 .forEach((key, totals) -> request.addAccounts(toMessage(key, totals)));
@@ -94,11 +96,13 @@
             applyTotals(incarnation, request.getAccountsList());
             remoteSuspects.accept(incarnation, request.getSuspectsList()).forEach(dispatch::onRemoteSuspect);
         }
+        KeyFreshness.Report report = freshness.report(nowMillis);
         return HeartbeatResponse.newBuilder()
                 .setSender(self.sender())
                 .setSequence(request.getSequence())
-                .setConfigVersion(config.version())
-                .setStoreContactAgeMillis(freshness.contactAgeMillis(nowMillis))
+                .setConfigVersion(report.configVersion())
+                .setStoreContactAgeMillis(report.contactAgeMillis())
+                .addAllAbsences(absences(nowMillis))
                 .setLeaving(leaving)
                 .build();
     }
@@ -115,6 +119,21 @@
                 askedMillis,
                 response.getStoreContactAgeMillis(),
                 response.getConfigVersion()));
+        for (StoreAbsence absence : response.getAbsencesList()) {
+            freshness.onRelayedEvidence(
+                    FailureDomainId.fromString(absence.getFailureDomain()), askedMillis - absence.getAgeMillis());
+        }
+    }
+
+    private List<StoreAbsence> absences(long nowMillis) {
+        List<StoreAbsence> absences = new ArrayList<>();
+        freshness
+                .evidence(nowMillis)
+                .forEach((domain, millis) -> absences.add(StoreAbsence.newBuilder()
+                        .setFailureDomain(domain.value())
+                        .setAgeMillis(nowMillis - millis)
+                        .build()));
+        return absences;
     }
 
     /** Applies what the membership says now and returns the members. */
--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/Demo.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/Demo.java
@@ -81,7 +81,7 @@
     public boolean run() throws CactusshiftException, IOException, InterruptedException {
         SpanLog spans = new SpanLog();
         try (DemoSite running = DemoSite.start(examples, site, NODES, spans)) {
-            Path trace = examples.resolve("traces").resolve(site + "-mix-shift.jsonl");
+            Path trace = examples.resolve("traces").resolve(site + "-mix-shift.jsonl.gz");
             List<DemoCall> calls = DemoTrace.read(trace, running.config(), WINDOW_START_MILLIS, WINDOW_END_MILLIS);
             DemoProgress progress = new DemoProgress(err, calls.size());
             List<DemoResult> results = new DemoTraffic(running).run(calls, progress::show);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimService.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.stream.IntStream;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
@@ -40,6 +41,10 @@
     private static final long PATIENCE_MILLIS = 2_000;
     private static final long RETRY_MILLIS = 50;
     private static final long TICK_MILLIS = 100;
+    /** The least time between two writes of one shard; claims that come meanwhile go into the next write together. */
+    private static final long COMMIT_SPACING_MILLIS = 50;
+
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
     private static final long SETTLE_TIMEOUT_MILLIS = 1_000;
     private static final long STOP_MILLIS = 2_000;
 
@@ -50,6 +55,7 @@
     private final ExecutorService commits;
     private final ExecutorService settlers = Executors.newSingleThreadExecutor(daemon("claim-settler"));
     private final Set<Integer> committing = ConcurrentHashMap.newKeySet();
+    private final AtomicLongArray lastCommitMillis;
 
     private ClaimService(ClaimServiceSetup setup, int maximumBatchLines) {
         this.setup = setup;
@@ -59,6 +65,8 @@
         this.settlements = IntStream.range(0, setup.shardCount())
                 .mapToObj(shard -> new ClaimSettlements())
                 .toList();
+        this.lastCommitMillis = new AtomicLongArray(setup.shardCount());
+        IntStream.range(0, setup.shardCount()).forEach(shard -> lastCommitMillis.set(shard, NEVER_MILLIS));
         this.commits = Executors.newFixedThreadPool(setup.shardCount(), daemon("claim-commit"));
     }
 
@@ -254,16 +262,30 @@
         if (!committing.add(shard)) {
             return;
         }
+        long waitMillis = lastCommitMillis.get(shard)
+                + COMMIT_SPACING_MILLIS
+                - setup.clockMillis().getAsLong();
         try {
-            commits.execute(() -> commit(shard));
+            if (waitMillis > 0) {
+                timer.schedule(() -> startCommit(shard), waitMillis, TimeUnit.MILLISECONDS);
+            } else {
+                startCommit(shard);
+            }
         } catch (RejectedExecutionException e) {
             LOG.log(System.Logger.Level.DEBUG, "claim commit after shutdown", e);
         }
     }
 
+    private void startCommit(int shard) {
+        commits.execute(() -> commit(shard));
+    }
+
     private void commit(int shard) {
         // Removed first: a line that comes during the commit schedules the next one.
         committing.remove(shard);
+        if (shards.get(shard).hasWork()) {
+            lastCommitMillis.set(shard, setup.clockMillis().getAsLong());
+        }
         try {
             shards.get(shard).commit();
         } catch (RuntimeException e) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimShard.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimShard.java
@@ -23,6 +23,7 @@
 final class ClaimShard {
     private static final System.Logger LOG = System.getLogger(ClaimShard.class.getName());
     private static final int REMEMBERED_WITHDRAWALS = 10_000;
+    private static final long EXPIRY_PERIOD_MILLIS = 600_000;
 
     private final ClaimServiceSetup setup;
     private final DutyId duty;
@@ -35,6 +36,7 @@
             return size() > REMEMBERED_WITHDRAWALS;
         }
     };
+    private long expiredAtEpochMillis;
     private Optional<ClaimStore> store = Optional.empty();
     private Optional<ClaimTable> table = Optional.empty();
 
@@ -146,11 +148,21 @@
             if (store.isPresent() && hasWork()) {
                 write();
             }
+            expire();
         } finally {
             commitLock.unlock();
         }
     }
 
+    private void expire() {
+        long nowEpochMillis = setup.wallClockMillis().getAsLong();
+        if (nowEpochMillis - expiredAtEpochMillis < EXPIRY_PERIOD_MILLIS) {
+            return;
+        }
+        expiredAtEpochMillis = nowEpochMillis;
+        table.ifPresent(present -> present.expire(nowEpochMillis - ClaimStore.RETENTION_MILLIS));
+    }
+
     private Optional<Authority> authority() {
         return setup.authorities().authority(duty, setup.clockMillis().getAsLong());
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/key/KeyFreshness.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/key/KeyFreshness.java
@@ -158,10 +158,14 @@
      * Returns the evidence to pass on.
      *
      * @param nowMillis the present time
-     * @return for each failure domain with evidence that still counts, the time as of which it holds
+     * @return for each failure domain with evidence that still counts, the time as of which it holds; nothing while the
+     *     view is fresh
      */
     public Map<FailureDomainId, Long> evidence(long nowMillis) {
         synchronized (lock) {
+            if (status(nowMillis) == Status.FRESH) {
+                return Map.of();
+            }
             Map<FailureDomainId, Long> evidence = evidenceByDomain(nowMillis);
             evidence.values().removeIf(millis -> !isRecent(millis, nowMillis));
             return evidence;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyService.java
@@ -32,6 +32,7 @@
 public final class DutyService implements AuthoritySource, DutyDirectory, AutoCloseable {
     private static final System.Logger LOG = System.getLogger(DutyService.class.getName());
     private static final long TICK_MILLIS = 100;
+    private static final long STOP_POLL_MILLIS = 10;
 
     private final KeyValueStore store;
     private final SiteId site;
@@ -135,18 +136,28 @@
     public void close() {
         apply(new DutyEvent.Stop());
         timer.shutdownNow();
-        tick();
-        for (ExecutorService calls : List.of(leaseCalls, keyCalls)) {
-            calls.shutdown();
-        }
+        revokeLease();
+        leaseCalls.shutdownNow();
+        keyCalls.shutdownNow();
+    }
+
+    /** Revokes the lease, after a renewal that may be under way; one that can't be revoked in time ends by itself. */
+    private void revokeLease() {
+        long endMillis = clockMillis.getAsLong() + timing.renewMillis();
         try {
-            // A lease that could not be revoked in this time ends by itself.
-            leaseCalls.awaitTermination(timing.renewMillis(), TimeUnit.MILLISECONDS);
+            while (hasLease() && clockMillis.getAsLong() < endMillis) {
+                tick();
+                Thread.sleep(STOP_POLL_MILLIS);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        leaseCalls.shutdownNow();
-        keyCalls.shutdownNow();
+    }
+
+    private boolean hasLease() {
+        synchronized (lock) {
+            return !state.grant().equals(LeaseGrant.NONE);
+        }
     }
 
     private void tick() {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/claim/ClaimServiceTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/claim/ClaimServiceTest.java
@@ -116,7 +116,7 @@
 
     @Test
     void aSuccessorKnowsEveryClaimOverManySegments() throws Exception {
-        int claims = 1_500;
+        int claims = 2_500;
         try (ClaimService owner = owner("a", 10)) {
             assertEquals(claims, claimAll(owner, "a", claims, 64));
         }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/key/FreshnessSimulation.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/key/FreshnessSimulation.java
@@ -155,6 +155,7 @@
         KeyFreshness.Report report = peer.freshness.report(nowMillis);
         node.freshness.onPeer(StoreContact.of(
                 peer.id, peer.failureDomain(), nowMillis, report.contactAgeMillis(), report.configVersion()));
+        peer.freshness.evidence(nowMillis).forEach(node.freshness::onRelayedEvidence);
         install(node, peer.version);
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/key/KeyFreshnessTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/key/KeyFreshnessTest.java
@@ -128,6 +128,15 @@
         assertEquals(Status.FRESH, freshness.status(NOW_MILLIS));
     }
 
+    @Test
+    void nodeWithFreshViewGivesNoEvidence() {
+        KeyFreshness freshness = site(Map.of("a", 2));
+        say(freshness, "a1", NOW_MILLIS, -1, 3);
+        assertEquals(1, freshness.evidence(NOW_MILLIS).size());
+        freshness.onStoreContact(NOW_MILLIS, 3);
+        assertEquals(Map.of(), freshness.evidence(NOW_MILLIS));
+    }
+
     @Test
     void evidenceIsPassedOnWithItsAge() {
         KeyFreshness representative = site(Map.of("a", 9, "b", 9));
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutyMachineTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutyMachineTest.java
@@ -117,4 +117,25 @@
         DutyMachine.Step step = machine.apply(state, new DutyEvent.Tick(DUTIES, Set.of()), 5);
         assertEquals(List.of(new DutyAction.RevokeLease(grant)), step.actions());
     }
+
+    @Example
+    void stoppingNodeRevokesAfterARenewalThatIsUnderWay() {
+        DutyMachine machine = DutyMachine.create(SELF, TIMING);
+        LeaseGrant grant = new LeaseGrant(7, 6_000);
+        DutyState state = machine.apply(DutyState.START, new DutyEvent.LeaseAnswered(grant, 0), 1)
+                .state();
+        state = machine.apply(state, new DutyEvent.Taken(DutyId.usage(0), 7, 42), 2)
+                .state();
+        DutyEvent.Tick tick = new DutyEvent.Tick(DUTIES, Set.of());
+        DutyMachine.Step renewing = machine.apply(state, tick, TIMING.renewMillis());
+        assertTrue(renewing.actions().contains(new DutyAction.RenewLease(grant)));
+        state = machine.apply(renewing.state(), new DutyEvent.Stop(), TIMING.renewMillis())
+                .state();
+        assertEquals(List.of(), machine.apply(state, tick, TIMING.renewMillis()).actions());
+        state = machine.apply(state, new DutyEvent.LeaseAnswered(grant, TIMING.renewMillis()), TIMING.renewMillis())
+                .state();
+        assertEquals(
+                List.of(new DutyAction.RevokeLease(grant)),
+                machine.apply(state, tick, TIMING.renewMillis()).actions());
+    }
 }
