--- /dev/null
+++ b/org.cactusshift.node/src/test/java/org/cactusshift/node/LocalSite.java
@@ -0,0 +1,175 @@
+package org.cactusshift.node;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.ConfigLoader;
+import org.cactusshift.config.KeyConfig;
+import org.cactusshift.config.NodeSettings;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.configsync.ApplyResult;
+import org.cactusshift.internal.coordination.configsync.ConfigRepository;
+import org.cactusshift.internal.coordination.key.ClientKey;
+import org.cactusshift.internal.coordination.key.KeyHasher;
+import org.cactusshift.internal.transport.store.EtcdKeyValueStore;
+import org.cactusshift.internal.transport.store.EtcdStoreSettings;
+import org.cactusshift.standin.engine.EngineTiming;
+import org.cactusshift.standin.platform.PlatformSettings;
+import org.cactusshift.standin.platform.StandInPlatform;
+
+/** The example site be-coast with stand-ins and nodes in the test's process. */
+final class LocalSite implements AutoCloseable {
+    private static final String SECRET_HEX = "00112233445566778899aabbccddeeff";
+    private static final String ANY_PORT = "127.0.0.1:0";
+    private static final int MAXIMUM_POLLS = 1_000;
+    private static final long POLL_MILLIS = 20;
+
+    private final KeyHasher hasher = KeyHasher.fromHex(SECRET_HEX);
+    private final StandInPlatform platform;
+    private final ClientKey key = KeyHasher.issue(KeyId.fromString("test-key"), new SecureRandom());
+    private final List<Node> nodes = new ArrayList<>();
+    private SiteConfig config;
+    private long version;
+
+    private LocalSite(StandInPlatform platform, SiteConfig declared) {
+        this.platform = platform;
+        this.config = withKey(platform.withAddresses(declared), false);
+    }
+
+    static LocalSite start(int nodeCount) throws CactusshiftException, IOException {
+        Path examples = Path.of("..", "examples");
+        SiteConfig declared = ConfigLoader.create()
+                .load(
+                        examples.resolve("base.json"),
+                        examples.resolve("overlays").resolve("be-coast.json"));
+        StandInPlatform platform = StandInPlatform.create(PlatformSettings.forSite(declared, EngineTiming.fast()));
+        platform.start();
+        LocalSite site = new LocalSite(platform, declared);
+        site.apply();
+        for (int i = 0; i < nodeCount; i++) {
+            site.nodes.add(Node.start(site.settings(i)));
+        }
+        for (Node node : site.nodes) {
+            await(node::isReady);
+        }
+        return site;
+    }
+
+    static void await(BooleanSupplier condition) {
+        for (int i = 0; i < MAXIMUM_POLLS && !condition.getAsBoolean(); i++) {
+            try {
+                Thread.sleep(POLL_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        if (!condition.getAsBoolean()) {
+            throw new AssertionError("the condition did not come true");
+        }
+    }
+
+    /** Replaces the accepted configuration. */
+    void change(UnaryOperator<SiteConfig> change) {
+        config = change.apply(config);
+        apply();
+    }
+
+    void withdrawKey() {
+        change(current -> withKey(current, true));
+    }
+
+    private void apply() {
+        try (EtcdKeyValueStore store = EtcdKeyValueStore.create(EtcdStoreSettings.forAddresses(
+                List.of(platform.keyValueService().address())))) {
+            ApplyResult result = ConfigRepository.open(store, config.site())
+                    .apply()
+                    .setConfig(config)
+                    .setAgainst(version)
+                    .call()
+                    .get();
+            version = result.version();
+        }
+    }
+
+    private SiteConfig withKey(SiteConfig site, boolean withdrawn) {
+        List<AccountConfig> accounts = new ArrayList<>(site.accounts());
+        ServiceId payouts = ServiceId.fromString("settle-app");
+        int place = 0;
+        while (!accounts.get(place).services().contains(payouts)) {
+            place++;
+        }
+        AccountConfig first = accounts.get(place);
+        accounts.set(
+                place,
+                new AccountConfig(
+                        first.id(),
+                        first.weight(),
+                        first.tokensPerSecond(),
+                        first.maximumConcurrentRequests(),
+                        first.services(),
+                        List.of(new KeyConfig(key.id(), hasher.hash(key), withdrawn))));
+        return new SiteConfig(
+                site.schemaVersion(),
+                site.site(),
+                site.shutdownDate(),
+                site.failureDomains(),
+                accounts,
+                site.services(),
+                site.upstreams(),
+                site.limits(),
+                site.timing());
+    }
+
+    private NodeSettings settings(int index) {
+        return new NodeSettings(
+                InstanceId.fromString("entry-" + index),
+                config.site(),
+                config.failureDomains()
+                        .get(index % config.failureDomains().size())
+                        .id(),
+                ANY_PORT,
+                ANY_PORT,
+                ANY_PORT,
+                nodes.stream().map(Node::peerAddress).toList(),
+                List.of(platform.keyValueService().address()),
+                Optional.of(platform.instanceList().address()),
+                Optional.of(platform.orderingService().address()),
+                Optional.of(platform.usageService().address()),
+                Optional.empty(),
+                Optional.empty(),
+                SECRET_HEX,
+                Optional.empty());
+    }
+
+    List<Node> nodes() {
+        return nodes;
+    }
+
+    StandInPlatform platform() {
+        return platform;
+    }
+
+    SiteConfig config() {
+        return config;
+    }
+
+    String bearer() {
+        return key.toBearer();
+    }
+
+    @Override
+    public void close() {
+        nodes.forEach(Node::stop);
+        platform.close();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/test/java/org/cactusshift/node/NodeTest.java
@@ -0,0 +1,149 @@
+package org.cactusshift.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.cactusshift.internal.transport.http.ClientExchange;
+import org.cactusshift.internal.transport.http.ClientSettings;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.internal.transport.http.WaitObserver;
+import org.cactusshift.standin.StandInPlainService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class NodeTest {
+    private static final int MAXIMUM_ANSWER_BYTES = 1_000_000;
+
+    private final LongSupplier clockMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
+    private final HttpClientPool pool =
+            HttpClientPool.create(() -> new ClientSettings(1_000, 30_000, 64, 1_000), clockMillis, scheduler);
+    private LocalSite site;
+
+    @BeforeEach
+    void startSite() throws Exception {
+        site = LocalSite.start(3);
+    }
+
+    @AfterEach
+    void stopSite() {
+        pool.close();
+        scheduler.shutdownNow();
+        site.close();
+    }
+
+    private record Answer(int status, String body, String outcome) {}
+
+    private Answer pay(Node node, String payment, String body) throws Exception {
+        var request = ClassicRequestBuilder.post("/services/settle-app/payouts")
+                .addHeader("Authorization", "Bearer " + site.bearer())
+                .addHeader("Idempotency-Key", payment)
+                .setEntity(body, ContentType.APPLICATION_JSON)
+                .build();
+        return send(node.callerAddress(), request);
+    }
+
+    private Answer send(String address, ClassicHttpRequest request) throws Exception {
+        try (ClientExchange exchange =
+                pool.send(address, request, WaitObserver.PATIENT).get()) {
+            String body = new String(exchange.readAll(MAXIMUM_ANSWER_BYTES), StandardCharsets.UTF_8);
+            return new Answer(
+                    exchange.status(),
+                    body,
+                    exchange.header("x-cactusshift-outcome").orElse(""));
+        }
+    }
+
+    private Map<String, Integer> executions() {
+        return StandInPlainService.executionsByPayment(site.platform().plainServices());
+    }
+
+    @Test
+    void runsAPayoutOnceWhicheverNodesReceiveIt() throws Exception {
+        Answer first = pay(site.nodes().get(0), "p-1", "{\"payment_id\":\"p-1\"}");
+        LocalSite.await(() -> repeatsKnownOutcome("p-1"));
+        Answer repeated = pay(site.nodes().get(1), "p-1", "{\"payment_id\":\"p-1\"}");
+
+        assertEquals(200, first.status());
+        assertEquals(first.body(), repeated.body());
+        assertEquals(Map.of("p-1", 1), executions());
+    }
+
+    private boolean repeatsKnownOutcome(String payment) {
+        try {
+            return pay(site.nodes().get(2), payment, "{\"payment_id\":\"" + payment + "\"}")
+                            .status()
+                    == 200;
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void refusesAKeyThatWasUsedWithAnotherBody() throws Exception {
+        pay(site.nodes().get(0), "p-2", "{\"payment_id\":\"p-2\"}");
+        Answer other = pay(site.nodes().get(1), "p-2", "{\"payment_id\":\"p-3\"}");
+
+        assertEquals(422, other.status(), other.body());
+        assertEquals("not-run", other.outcome());
+        assertEquals(Map.of("p-2", 1), executions());
+    }
+
+    @Test
+    void refusesAWithdrawnKeyOnEveryNode() throws Exception {
+        assertEquals(
+                200, pay(site.nodes().get(0), "p-4", "{\"payment_id\":\"p-4\"}").status());
+
+        site.withdrawKey();
+
+        for (Node node : site.nodes()) {
+            LocalSite.await(() -> isRefused(node));
+        }
+        assertEquals(Map.of("p-4", 1), executions());
+    }
+
+    private boolean isRefused(Node node) {
+        try {
+            return send(
+                                    node.callerAddress(),
+                                    ClassicRequestBuilder.get("/services/settle-app/balance/x")
+                                            .addHeader("Authorization", "Bearer " + site.bearer())
+                                            .build())
+                            .status()
+                    == 401;
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void showsStatusAndMetricsToOperators() throws Exception {
+        Node node = site.nodes().get(0);
+        LocalSite.await(() -> page(node, "/status").contains("\"entry-2\""));
+
+        assertTrue(page(node, "/status").contains("\"configVersion\" : 1"), page(node, "/status"));
+        assertTrue(page(node, "/metrics").contains("cactusshift_store_calls_total{kind=\"get\"}"));
+        assertEquals(
+                List.of("{\"status\":\"ok\"}"), List.of(page(node, "/healthz").replaceAll("\\s", "")));
+    }
+
+    private String page(Node node, String path) {
+        try {
+            return send(node.operatorAddress(), ClassicRequestBuilder.get(path).build())
+                    .body();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/Demo.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/demo/Demo.java
@@ -117,15 +117,17 @@
         DemoSite running = DemoSite.start(examples, site, NODES, new SpanLog());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running), "demo-shutdown"));
         Node first = running.nodes().get(0);
-        AccountConfig account = running.config().accounts().get(0);
-        String plain = running.config().services().stream()
+        ServiceConfig plain = running.config().services().stream()
                 .filter(service -> service.kind() == ServiceConfig.Kind.PLAIN && !service.openRoute())
-                .map(service -> service.id().value())
                 .findFirst()
-                .orElse("");
+                .orElseThrow();
+        AccountConfig account = running.config().accounts().stream()
+                .filter(candidate -> candidate.services().contains(plain.id()))
+                .findFirst()
+                .orElseThrow();
         out.println("OPENAI_BASE_URL=http://" + first.callerAddress() + "/v1");
         out.println("OPENAI_API_KEY=" + running.bearer(account.id()));
-        out.println("SERVICE_URL=http://" + first.callerAddress() + "/services/" + plain);
+        out.println("SERVICE_URL=http://" + first.callerAddress() + "/services/" + plain.id());
         out.println("METRICS_URL=http://" + first.operatorAddress() + "/metrics");
         out.println("STATUS_URL=http://" + first.operatorAddress() + "/status");
         out.println("ENGINES_URL=http://" + running.platform().page().address() + "/");
