Share the check of a held record and the daemon threads

Whether a duty is held under the fencing number of its record was asked in four places in as many forms, and five classes made their own daemon threads.

The record answers for itself now, and one factory makes the threads; no behaviour changes. Ruled out: a common base class of the three drivers, whose locks and ways of loading differ.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimService.java
@@ -13,12 +13,12 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.stream.IntStream;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.DaemonThreads;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.messages.ClaimRequest;
@@ -51,9 +51,10 @@
     private final ClaimServiceSetup setup;
     private final List<ClaimShard> shards;
     private final List<ClaimSettlements> settlements;
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(daemon("claim-timer"));
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("claim-timer"));
     private final ExecutorService commits;
-    private final ExecutorService settlers = Executors.newSingleThreadExecutor(daemon("claim-settler"));
+    private final ExecutorService settlers = Executors.newSingleThreadExecutor(DaemonThreads.named("claim-settler"));
     private final Set<Integer> committing = ConcurrentHashMap.newKeySet();
     private final AtomicLongArray lastCommitMillis;
 
@@ -67,7 +68,7 @@
                 .toList();
         this.lastCommitMillis = new AtomicLongArray(setup.shardCount());
         IntStream.range(0, setup.shardCount()).forEach(shard -> lastCommitMillis.set(shard, NEVER_MILLIS));
-        this.commits = Executors.newFixedThreadPool(setup.shardCount(), daemon("claim-commit"));
+        this.commits = Executors.newFixedThreadPool(setup.shardCount(), DaemonThreads.named("claim-commit"));
     }
 
     /**
@@ -360,12 +361,4 @@
             return false;
         }
     }
-
-    private static ThreadFactory daemon(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimShard.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimShard.java
@@ -168,11 +168,7 @@
     }
 
     private boolean isOwner() {
-        return table.isPresent()
-                && authority()
-                        .filter(present ->
-                                present.fencingNumber() == store.get().fencingNumber())
-                        .isPresent();
+        return store.filter(ClaimStore::isHeld).isPresent();
     }
 
     private void openOrClose() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimStore.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/claim/ClaimStore.java
@@ -50,6 +50,10 @@
         return record.fencingNumber();
     }
 
+    boolean isHeld() {
+        return record.isHeld();
+    }
+
     boolean hasRoom() {
         return log.hasRoom();
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyService.java
@@ -12,12 +12,12 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.DaemonThreads;
 import org.cactusshift.internal.coordination.store.KeyValueStore;
 import org.cactusshift.internal.coordination.store.LeaseGrant;
 import org.cactusshift.internal.coordination.store.RangeResult;
@@ -40,9 +40,10 @@
     private final LeaseTiming timing;
     private final LongSupplier clockMillis;
     private final DutyMachine machine;
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(daemon("duty-timer"));
-    private final ExecutorService leaseCalls = Executors.newSingleThreadExecutor(daemon("duty-lease"));
-    private final ExecutorService keyCalls = Executors.newSingleThreadExecutor(daemon("duty-keys"));
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("duty-timer"));
+    private final ExecutorService leaseCalls = Executors.newSingleThreadExecutor(DaemonThreads.named("duty-lease"));
+    private final ExecutorService keyCalls = Executors.newSingleThreadExecutor(DaemonThreads.named("duty-keys"));
 
     private final Object lock = new Object();
     private DutyState state = DutyState.START;
@@ -255,12 +256,4 @@
             apply(new DutyEvent.TakeFailed(duty));
         }
     }
-
-    private static ThreadFactory daemon(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/FencedRecord.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/FencedRecord.java
@@ -144,7 +144,12 @@
                         : Failure.noEffect(WRITE_STEP, key, "no conclusive answer"));
     }
 
-    private boolean isHeld() {
+    /**
+     * Tells whether the duty is held still, under the fencing number with which the record was opened.
+     *
+     * @return false when the lease may have ended, or the duty was lost and taken again
+     */
+    public boolean isHeld() {
         long nowMillis = clockMillis.getAsLong();
         return authorities
                 .authority(authority.duty(), nowMillis)
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/order/OrderDuty.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/order/OrderDuty.java
@@ -82,9 +82,7 @@
     }
 
     private boolean isHeld() {
-        return authority()
-                .filter(present -> record.isPresent() && record.get().fencingNumber() == present.fencingNumber())
-                .isPresent();
+        return record.filter(FencedRecord::isHeld).isPresent();
     }
 
     private void openOrClose() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/order/OrderService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/order/OrderService.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.DaemonThreads;
 import org.cactusshift.internal.coordination.lease.DutyId;
 
 /** Sends the orders of the ordering duties that this node holds. */
@@ -24,8 +24,9 @@
     private final OrderServiceSetup setup;
     private final Map<DutyId, OrderDuty> duties = new ConcurrentHashMap<>();
     private final Set<DutyId> waiting = ConcurrentHashMap.newKeySet();
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(daemon("order-timer"));
-    private final ExecutorService workers = Executors.newFixedThreadPool(MAXIMUM_THREADS, daemon("order"));
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("order-timer"));
+    private final ExecutorService workers = Executors.newFixedThreadPool(MAXIMUM_THREADS, DaemonThreads.named("order"));
 
     private OrderService(OrderServiceSetup setup) {
         this.setup = setup;
@@ -108,12 +109,4 @@
             LOG.log(System.Logger.Level.ERROR, "order cycle", e);
         }
     }
-
-    private static ThreadFactory daemon(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageService.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.cactusshift.internal.coordination.DaemonThreads;
 import org.cactusshift.messages.UsageAck;
 import org.cactusshift.messages.UsageBatch;
 
@@ -22,7 +22,8 @@
     private final UsageServiceSetup setup;
     private final UsageMeter meter = new UsageMeter();
     private final List<UsageShard> shards;
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(daemon("usage-timer"));
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("usage-timer"));
     private final Set<UsageShard> waiting = ConcurrentHashMap.newKeySet();
     private final ExecutorService workers;
 
@@ -31,7 +32,8 @@
         this.shards = IntStream.range(0, setup.shards().count())
                 .mapToObj(shard -> new UsageShard(setup, shard, meter))
                 .toList();
-        this.workers = Executors.newFixedThreadPool(Math.min(MAXIMUM_THREADS, shards.size()), daemon("usage"));
+        this.workers =
+                Executors.newFixedThreadPool(Math.min(MAXIMUM_THREADS, shards.size()), DaemonThreads.named("usage"));
     }
 
     /**
@@ -134,12 +136,4 @@
             LOG.log(System.Logger.Level.ERROR, "usage cycle", e);
         }
     }
-
-    private static ThreadFactory daemon(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageShard.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/usage/UsageShard.java
@@ -108,9 +108,7 @@
     }
 
     private boolean isHeld() {
-        return authority()
-                .filter(present -> record.isPresent() && record.get().fencingNumber() == present.fencingNumber())
-                .isPresent();
+        return record.filter(FencedRecord::isHeld).isPresent();
     }
 
     private void openOrClose() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/platform/PlatformCalls.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/platform/PlatformCalls.java
@@ -26,6 +26,7 @@
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.util.Timeout;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.DaemonThreads;
 
 /**
  * Makes calls over a fresh connection each, bounded in time as a whole.
@@ -43,11 +44,8 @@
 
     private PlatformCalls(long timeoutMillis) {
         this.timeoutMillis = timeoutMillis;
-        ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "platform-call-watchdog");
-            thread.setDaemon(true);
-            return thread;
-        });
+        ScheduledThreadPoolExecutor executor =
+                new ScheduledThreadPoolExecutor(1, DaemonThreads.named("platform-call-watchdog"));
         executor.setRemoveOnCancelPolicy(true);
         this.watchdog = executor;
     }
