Let the suspicion of members follow the configuration

Cause: the membership table was built before the first configuration and kept the default of 2,000 ms for good, whatever the site's suspicionMillis said. It now asks for the period in force. Building the table anew at each configuration was ruled out, as it would forget who was heard.

No figure changes at the example sites, whose value is the default; MembershipTableTest passes.

--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
@@ -97,7 +97,7 @@
         this.storeConnections = EtcdKeyValueStore.create(EtcdStoreSettings.forAddresses(settings.storeAddresses()));
         this.store = BudgetedKeyValueStore.create(storeConnections, NodeDefaults.STORE_BUDGET, System::nanoTime);
         NodeMetrics.register(registry, store, this::openRequests);
-        this.membership = MembershipTable.create(settings.instanceId(), NodeDefaults.TIMING.suspicionMillis());
+        this.membership = MembershipTable.create(settings.instanceId(), () -> timing().suspicionMillis());
         this.freshness = KeyFreshness.create(
                 settings.instanceId(),
                 settings.failureDomain(),
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/membership/MembershipTable.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/membership/MembershipTable.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
 
@@ -23,13 +24,13 @@
     private static final int FORGOTTEN_AFTER_SUSPICIONS = 60;
 
     private final InstanceId self;
-    private final long suspicionMillis;
+    private final LongSupplier suspicionMillis;
     private final Object lock = new Object();
     private final Map<InstanceId, MemberEntry> entries = new TreeMap<>();
     private final Set<UpstreamId> listedUpstreams = new HashSet<>();
     private Set<UpstreamId> leavingUpstreams = Set.of();
 
-    private MembershipTable(InstanceId self, long suspicionMillis) {
+    private MembershipTable(InstanceId self, LongSupplier suspicionMillis) {
         this.self = self;
         this.suspicionMillis = suspicionMillis;
     }
@@ -42,6 +43,17 @@
      * @return the table
      */
     public static MembershipTable create(InstanceId self, long suspicionMillis) {
+        return create(self, () -> suspicionMillis);
+    }
+
+    /**
+     * Returns an empty table whose suspicion follows the configuration.
+     *
+     * @param self this instance, which the table leaves out
+     * @param suspicionMillis gives the silence after which a member is suspected
+     * @return the table
+     */
+    public static MembershipTable create(InstanceId self, LongSupplier suspicionMillis) {
         return new MembershipTable(self, suspicionMillis);
     }
 
@@ -145,11 +157,12 @@
     }
 
     private Member.State stateOf(MemberEntry entry, long nowMillis) {
-        return entry.state(nowMillis, suspicionMillis, GONE_AFTER_SUSPICIONS * suspicionMillis);
+        long suspicion = suspicionMillis.getAsLong();
+        return entry.state(nowMillis, suspicion, GONE_AFTER_SUSPICIONS * suspicion);
     }
 
     private boolean isForgotten(MemberEntry entry, long nowMillis) {
         return stateOf(entry, nowMillis) == Member.State.GONE
-                && entry.silenceMillis(nowMillis) > FORGOTTEN_AFTER_SUSPICIONS * suspicionMillis;
+                && entry.silenceMillis(nowMillis) > FORGOTTEN_AFTER_SUSPICIONS * suspicionMillis.getAsLong();
     }
 }
