Tell each dispatcher its node's place among the live nodes

Routing prefers upstreams near the node's own place, so that each upstream hears mostly from few nodes. The node now passes its rank among the live members at each refresh, and a dispatcher that was not told yet takes a place from a hash of its incarnation.

A live measurement of the effect was not made.

--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/PeerExchange.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/PeerExchange.java
@@ -146,10 +146,19 @@
             live.add(self.settings().instanceId());
         }
         duties.setMembers(live);
+        tellPlace(live);
         forgetGone(members);
         return members;
     }
 
+    private void tellPlace(Set<InstanceId> live) {
+        InstanceId own = self.settings().instanceId();
+        if (live.contains(own)) {
+            int index = (int) live.stream().filter(id -> id.compareTo(own) < 0).count();
+            dispatch.onPeers(index, live.size());
+        }
+    }
+
     private static boolean takesDuties(Member member) {
         return member.state() == Member.State.LIVE;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
@@ -176,6 +176,16 @@
         return shards.values().stream().mapToInt(DispatchShard::openRequests).sum();
     }
 
+    /**
+     * Takes the place of this node among the live nodes in the order of their ids.
+     *
+     * @param index the place, from 0
+     * @param nodes the number of live nodes, this one included
+     */
+    public void onPeers(int index, int nodes) {
+        shards.values().forEach(shard -> shard.onPeers(index, nodes));
+    }
+
     /**
      * Takes cache events of an engine.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchShard.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchShard.java
@@ -128,6 +128,10 @@
         return tickets.size();
     }
 
+    synchronized void onPeers(int index, int nodes) {
+        dispatcher.onPeers(index, nodes);
+    }
+
     synchronized void onCacheEvents(UpstreamId upstream, List<PrefixIndex.Event> events) {
         dispatcher.onCacheEvents(upstream, events);
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -15,6 +15,7 @@
 import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.AttemptId;
+import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.fairness.RequestQueue;
@@ -73,6 +74,13 @@
         this.random = Objects.requireNonNull(random, "random");
         this.queue = policy.queueing().create();
         this.retryBudget = RetryBudget.create(options.retryBudgetRatio(), RETRY_RESERVE);
+        this.nodePlace = somePlace(options.incarnation());
+    }
+
+    /** Returns a place for a node that does not know its peers yet, so that such nodes differ. */
+    private static double somePlace(IncarnationId incarnation) {
+        long mixed = incarnation.value().hashCode() * 0x9E3779B97F4A7C15L;
+        return (mixed >>> 11) * 0x1.0p-53;
     }
 
     private static final class AccountTotals {
