Meet a running site with lost nodes, stores, upstreams and keys

Each test starts eight node processes and the stand-ins, sends traffic from a fixed seed, applies one fault and compares what callers received with what the stand-ins saw. Times are bounds for polling; no test proves a thing by a sleep.

The node without store still hears its peers; a node cut off from both is not tested yet.

--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/StoreLossTest.java
@@ -0,0 +1,46 @@
+package org.cactusshift.systemtest;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import org.cactusshift.systemtest.SystemCall.Kind;
+import org.cactusshift.systemtest.SystemResult.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** A key-value service that is away or whose answers are lost while callers use the site. */
+class StoreLossTest extends FaultTest {
+    private static final int LOST_ANSWERS = 30;
+
+    @Test
+    void chatsGoOnWhileTheStoreIsAway() throws Exception {
+        site.platform().keyValueService().faults().setUnavailable(true);
+        site.awaitStoreAwayMillis(3 * SystemSite.TIMING.leaseTtlMillis());
+        traffic.awaitAnswered(Kind.STREAMED_CHAT, CALLS);
+        traffic.awaitAnswered(Kind.BALANCE, CALLS);
+        site.platform().keyValueService().faults().setUnavailable(false);
+        traffic.awaitAnswered(Kind.PAYOUT, CALLS);
+        SystemChecks checks = finish();
+        assertEquals(
+                List.of(),
+                checks.ofKinds(
+                        Set.of(Kind.STREAMED_CHAT, Kind.WHOLE_CHAT, Kind.BALANCE),
+                        Set.of(Outcome.LOST, Outcome.UNKNOWN, Outcome.ENDED_EARLY, Outcome.NOT_RUN)),
+                "calls that need no store");
+        checks.usageEqualsServed();
+    }
+
+    @Test
+    void lostAnswersOfWritesDoubleNothing() throws Exception {
+        for (int round = 0; round < 3; round++) {
+            site.platform()
+                    .keyValueService()
+                    .faults()
+                    .dropAnswers(LOST_ANSWERS, request -> request.path().equals("/v3/kv/txn"));
+            traffic.awaitAnswered(Kind.PAYOUT, CALLS);
+        }
+        site.platform().keyValueService().faults().clear();
+        traffic.awaitAnswered(Kind.PAYOUT, CALLS);
+        finish().usageEqualsServed();
+    }
+}
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SystemChecks.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SystemChecks.java
@@ -1,13 +1,16 @@
 package org.cactusshift.systemtest;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cactusshift.standin.ReceivedRequest;
 import org.cactusshift.standin.StandInPlainService;
 import org.cactusshift.standin.UsageTotals;
@@ -17,6 +20,8 @@
 
 /** Compares what callers received with what the stand-ins saw. */
 final class SystemChecks {
+    private static final int SETTLED_WINDOWS = 3;
+
     private final SystemSite site;
 
     private final List<SystemResult> results;
@@ -66,6 +71,61 @@
         }
     }
 
+    /** Waits until the usage reported lies within what killed nodes may have lost and what lost calls may add. */
+    void usageWithinLossOf(Set<SiteNode> killed) throws InterruptedException {
+        Set<String> addresses = killed.stream().map(SiteNode::callerAddress).collect(Collectors.toSet());
+        long served = results.stream().mapToLong(SystemChecks::tokensOf).sum();
+        long lossBound = results.stream()
+                .filter(result -> addresses.contains(result.node()))
+                .mapToLong(SystemChecks::tokensOf)
+                .sum();
+        long lostCalls = results.stream()
+                .filter(result ->
+                        result.outcome() == Outcome.LOST && result.call().isChat())
+                .mapToLong(SystemChecks::mostTokensOf)
+                .sum();
+        Bounded.until("usage of " + (served - lossBound), () -> reportedTokens() >= served - lossBound);
+        long reported = settledTokens();
+        System.out.println("tokens served " + served + ", reported " + reported + ", bound of the loss " + lossBound);
+        assertTrue(reported <= served + lostCalls, reported + " tokens reported, served " + served);
+    }
+
+    private static long tokensOf(SystemResult result) {
+        return result.promptTokens() + result.completionTokens();
+    }
+
+    private static long mostTokensOf(SystemResult result) {
+        return result.call().subject().length() + result.call().maximumTokens();
+    }
+
+    /** Returns the tokens reported once no window has brought more for a while. */
+    private long settledTokens() throws InterruptedException {
+        long settleMillis = SETTLED_WINDOWS * SystemSite.TIMING.usageWindowMillis();
+        long[] lastChange = {reportedTokens(), System.currentTimeMillis()};
+        Bounded.until("the last usage window", () -> {
+            long reported = reportedTokens();
+            if (reported != lastChange[0]) {
+                lastChange[0] = reported;
+                lastChange[1] = System.currentTimeMillis();
+            }
+            return System.currentTimeMillis() - lastChange[1] >= settleMillis;
+        });
+        return lastChange[0];
+    }
+
+    private long reportedTokens() {
+        return reported().values().stream()
+                .mapToLong(tokens -> tokens.get(0) + tokens.get(1))
+                .sum();
+    }
+
+    /** Returns the results of some kinds of call with some outcomes. */
+    List<SystemResult> ofKinds(Set<Kind> kinds, Set<Outcome> outcomes) {
+        return withOutcomes(outcomes).stream()
+                .filter(result -> kinds.contains(result.call().kind()))
+                .toList();
+    }
+
     private Map<String, List<Long>> reported() {
         Map<String, List<Long>> reported = new TreeMap<>();
         Map<String, UsageTotals> totals = site.platform().usageService().totalsByAccount();
@@ -109,7 +169,7 @@
     }
 
     private static Set<Outcome> union(Set<Outcome> a, Set<Outcome> b) {
-        return java.util.stream.Stream.concat(a.stream(), b.stream()).collect(Collectors.toSet());
+        return Stream.concat(a.stream(), b.stream()).collect(Collectors.toSet());
     }
 
     private boolean ranOnEngine(SystemCall call) {
@@ -132,7 +192,7 @@
     private long versionOf(SiteNode node) {
         try {
             return node.status(site.client()).path("configVersion").asLong();
-        } catch (java.io.IOException e) {
+        } catch (IOException e) {
             return -1;
         }
     }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SystemSite.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SystemSite.java
@@ -1,5 +1,6 @@
 package org.cactusshift.systemtest;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
@@ -18,8 +19,11 @@
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.internal.coordination.configsync.AcceptedKeys;
 import org.cactusshift.internal.coordination.configsync.ApplyResult;
 import org.cactusshift.internal.coordination.configsync.ConfigRepository;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
 import org.cactusshift.internal.transport.store.EtcdKeyValueStore;
 import org.cactusshift.internal.transport.store.EtcdStoreSettings;
 import org.cactusshift.pgm.demo.DemoKeys;
@@ -193,6 +197,42 @@
         return found.get(0);
     }
 
+    /** Withdraws the key of an account as an operator does. */
+    void withdrawKey(AccountId account) throws CactusshiftException {
+        try (EtcdKeyValueStore store = EtcdKeyValueStore.create(EtcdStoreSettings.forAddresses(
+                List.of(platform.keyValueService().address())))) {
+            ConfigRepository repository = ConfigRepository.open(store, config.site());
+            InstalledConfig accepted = repository.current().get().get();
+            KeyId key = accepted.config().accounts().stream()
+                    .filter(candidate -> candidate.id().equals(account))
+                    .map(candidate -> candidate.keys().get(0).id())
+                    .findFirst()
+                    .orElseThrow();
+            ApplyResult result = repository
+                    .apply()
+                    .setConfig(AcceptedKeys.withdraw(accepted.config(), key))
+                    .setAgainst(accepted.version())
+                    .setAuthor("test")
+                    .setComment("withdraw a key")
+                    .setNowEpochMillis(System.currentTimeMillis())
+                    .call()
+                    .get();
+            assertEquals(ApplyResult.Outcome.APPLIED, result.outcome());
+        }
+    }
+
+    /** Waits until every node has had no contact with the key-value service for a time. */
+    void awaitStoreAwayMillis(long millis) throws InterruptedException {
+        Bounded.until("no store for " + millis + " ms", () -> {
+            for (SiteNode node : nodes) {
+                if (node.status(client).path("storeContactAgeMillis").asLong() < millis) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
     SiteConfig config() {
         return config;
     }
@@ -209,11 +249,6 @@
         return keys.bearer(account);
     }
 
-    /** Returns the output of all nodes, for the message of a failed check. */
-    String directory() {
-        return directory.toString();
-    }
-
     @Override
     public void close() {
         started.forEach(node -> node.process().close());
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/UpstreamLossTest.java
@@ -0,0 +1,102 @@
+package org.cactusshift.systemtest;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import org.cactusshift.standin.ReceivedRequest;
+import org.cactusshift.standin.StandInPlainService;
+import org.cactusshift.standin.engine.StandInEngine;
+import org.cactusshift.systemtest.SystemCall.Kind;
+import org.cactusshift.systemtest.SystemResult.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** Upstreams that crash, leave or fall silent while callers use the site. */
+class UpstreamLossTest extends FaultTest {
+    private static final long LEAVING_BOUND_MILLIS = 5_000;
+
+    private static final long ANSWER_DELAY_MILLIS = 1_000;
+
+    private static final Set<Kind> CHATS = Set.of(Kind.STREAMED_CHAT, Kind.WHOLE_CHAT);
+
+    private static final Set<Outcome> FAILED =
+            Set.of(Outcome.LOST, Outcome.UNKNOWN, Outcome.ENDED_EARLY, Outcome.NOT_RUN);
+
+    @Test
+    void streamsOfCrashedEngineAreResumed() throws Exception {
+        StandInEngine engine = awaitBusyEngine();
+        engine.crash();
+        traffic.awaitAnswered(Kind.STREAMED_CHAT, CALLS);
+        engine.start();
+        traffic.awaitAnswered(Kind.STREAMED_CHAT, CALLS);
+        SystemChecks checks = finish();
+        assertEquals(List.of(), checks.ofKinds(CHATS, FAILED), "chats that met the crash");
+        checks.usageEqualsServed();
+    }
+
+    @Test
+    void streamsOfSilentConnectionsAreResumed() throws Exception {
+        awaitBusyEngine().faults().silenceOpenConnections();
+        traffic.awaitAnswered(Kind.STREAMED_CHAT, 2 * CALLS);
+        traffic.awaitAnswered(Kind.WHOLE_CHAT, CALLS);
+        SystemChecks checks = finish();
+        assertEquals(List.of(), checks.ofKinds(CHATS, FAILED), "chats that met the silence");
+        checks.usageEqualsServed();
+    }
+
+    @Test
+    void payoutOnSilentConnectionIsUnknownAndRunsOnce() throws Exception {
+        List<StandInPlainService> services = site.platform().plainServices();
+        services.forEach(service -> service.faults().setDelayMillis(ANSWER_DELAY_MILLIS));
+        Bounded.until(
+                "a payout that waits for its answer", () -> services.stream().anyMatch(this::hasOpenPayout));
+        services.forEach(service -> service.faults().silenceOpenConnections());
+        services.forEach(service -> service.faults().clear());
+        traffic.awaitAnswered(Kind.PAYOUT, 2 * CALLS);
+        SystemChecks checks = finish();
+        assertEquals(
+                false,
+                checks.ofKinds(Set.of(Kind.PAYOUT), Set.of(Outcome.UNKNOWN)).isEmpty(),
+                "unknown payouts");
+        assertEquals(List.of(), checks.ofKinds(Set.of(Kind.PAYOUT), Set.of(Outcome.LOST)), "lost payouts");
+    }
+
+    @Test
+    void leavingUpstreamGetsNoNewWork() throws Exception {
+        StandInEngine engine = awaitBusyEngine();
+        site.platform().instanceList().markLeaving(engine.settings().engineId());
+        long limitMillis = System.currentTimeMillis() + LEAVING_BOUND_MILLIS;
+        Bounded.until("the end of the bound", () -> System.currentTimeMillis() > limitMillis);
+        traffic.awaitAnswered(Kind.STREAMED_CHAT, 2 * CALLS);
+        SystemChecks checks = finish();
+        assertEquals(
+                List.of(),
+                engine.log().matching(request -> isChat(request) && request.receivedAtMillis() > limitMillis),
+                "work after the bound");
+        checks.nothingCut();
+        checks.usageEqualsServed();
+    }
+
+    private StandInEngine awaitBusyEngine() throws InterruptedException {
+        Bounded.until("a busy engine", () -> site.platform().engines().stream().anyMatch(UpstreamLossTest::isBusy));
+        return site.platform().engines().stream()
+                .filter(UpstreamLossTest::isBusy)
+                .findFirst()
+                .orElse(site.platform().engines().get(0));
+    }
+
+    private static boolean isBusy(StandInEngine engine) {
+        return !engine.log()
+                .matching(request -> isChat(request) && request.outcome() == ReceivedRequest.Outcome.RUNNING)
+                .isEmpty();
+    }
+
+    private static boolean isChat(ReceivedRequest request) {
+        return request.path().startsWith("/v1/chat");
+    }
+
+    private boolean hasOpenPayout(StandInPlainService service) {
+        return service.executions().stream()
+                .anyMatch(execution -> System.currentTimeMillis() - execution.atMillis() < ANSWER_DELAY_MILLIS / 2);
+    }
+}
