Give a suspect up within seconds when one upstream is left

Cause: a request that was on a crashed upstream may not run on the last one that works. While the crashed ones stayed away it was held until its deadline, 60 s in the test, and then refused. A request that is given up must be answered at once.

It now waits 3 s for a second upstream that works, and is then refused with the time to come back. Waiting requests of every kind are refused when they can't meet their deadline any more, and no longer only when it has passed.

Before: held past 5 s in the new test.

--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/AccountTotals.java
@@ -0,0 +1,47 @@
+package org.cactusshift.internal.coordination.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cactusshift.id.AccountId;
+
+/** What each client account received from a dispatcher since it was created. */
+final class AccountTotals {
+    private final Map<AccountId, Total> totals = new LinkedHashMap<>();
+
+    private static final class Total {
+        private long prefillTokens;
+        private long decodeTokens;
+        private int requestsInFlight;
+    }
+
+    void onOpened(AccountId account) {
+        of(account).requestsInFlight++;
+    }
+
+    void onClosed(AccountId account) {
+        of(account).requestsInFlight--;
+    }
+
+    void onPrefill(AccountId account, long tokens) {
+        of(account).prefillTokens += tokens;
+    }
+
+    void onDecoded(AccountId account, long tokens) {
+        of(account).decodeTokens += tokens;
+    }
+
+    List<AccountServiceTotals> list() {
+        return totals.entrySet().stream()
+                .map(entry -> new AccountServiceTotals(
+                        entry.getKey(),
+                        entry.getValue().prefillTokens,
+                        entry.getValue().decodeTokens,
+                        entry.getValue().requestsInFlight))
+                .toList();
+    }
+
+    private Total of(AccountId account) {
+        return totals.computeIfAbsent(account, id -> new Total());
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/PendingRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/PendingRequest.java
@@ -15,6 +15,8 @@
     boolean mayHaveRun;
     /** When it may be tried as a suspect; put off when the upstream set aside for it was lost meanwhile. */
     long suspectNotBeforeMillis = Long.MIN_VALUE;
+    /** When it first became a suspect. */
+    long suspectSinceMillis = Long.MAX_VALUE;
     /** Whether the account limiter counts it. */
     boolean admitted;
 
@@ -24,6 +26,11 @@
         this.latestStartMillis = latestStartMillis;
     }
 
+    /** Tells whether it can't meet its deadline any more; what was delivered already leaves less to do. */
+    boolean isTooLate(long nowMillis) {
+        return nowMillis >= (deliveredTokens == 0 ? latestStartMillis : request.deadlineMillis());
+    }
+
     long expectedTokens() {
         return request.promptTokens() + expectedOutputTokens;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -63,7 +62,7 @@
     private final DecisionLog log = new DecisionLog();
     private final Map<RequestId, PendingRequest> queued = new HashMap<>();
     private final Map<AttemptId, Attempt> attempts = new HashMap<>();
-    private final Map<AccountId, AccountTotals> totals = new LinkedHashMap<>();
+    private final AccountTotals totals = new AccountTotals();
     private double nodePlace;
     private long blockedUntilMillis = Long.MIN_VALUE;
     private long nextAttempt;
@@ -83,12 +82,6 @@
         return (mixed >>> 11) * 0x1.0p-53;
     }
 
-    private static final class AccountTotals {
-        long prefillTokens;
-        long decodeTokens;
-        int requestsInFlight;
-    }
-
     /**
      * Returns a dispatcher without accounts and upstreams, with the standard policy.
      *
@@ -125,7 +118,7 @@
     @Override
     public List<DispatchDecision> submit(DispatchRequest request, long nowMillis) {
         retryBudget.onRequest();
-        totalsOf(request.account()).requestsInFlight++;
+        totals.onOpened(request.account());
         PendingRequest pending = pending(request, nowMillis);
         Optional<DispatchDecision> refusal = check(pending, nowMillis);
         if (refusal.isPresent()) {
@@ -190,7 +183,7 @@
     private void enqueue(PendingRequest pending, long nowMillis) {
         queued.put(pending.request.id(), pending);
         if (verdict(pending.request, nowMillis) == Quarantine.Verdict.SUSPECT) {
-            suspects.add(pending);
+            suspects.add(pending, nowMillis);
             return;
         }
         double cost = estimator.cost(pending.request.promptTokens(), pending.expectedOutputTokens);
@@ -213,7 +206,7 @@
 
     private void deliver(PendingRequest pending, long outputTokens) {
         pending.deliveredTokens += outputTokens;
-        totalsOf(pending.request.account()).decodeTokens += outputTokens;
+        totals.onDecoded(pending.request.account(), outputTokens);
     }
 
     @Override
@@ -308,7 +301,7 @@
         }
         queued.put(pending.request.id(), pending);
         if (verdict == Quarantine.Verdict.SUSPECT) {
-            suspects.add(pending);
+            suspects.add(pending, nowMillis);
         } else {
             retries.addLast(pending);
         }
@@ -381,13 +374,7 @@
 
     @Override
     public List<AccountServiceTotals> serviceSinceStart() {
-        return totals.entrySet().stream()
-                .map(entry -> new AccountServiceTotals(
-                        entry.getKey(),
-                        entry.getValue().prefillTokens,
-                        entry.getValue().decodeTokens,
-                        entry.getValue().requestsInFlight))
-                .toList();
+        return totals.list();
     }
 
     @Override
@@ -436,7 +423,7 @@
         }
         for (Iterator<PendingRequest> waiting = retries.iterator(); waiting.hasNext(); ) {
             PendingRequest pending = waiting.next();
-            if (pending.request.deadlineMillis() <= nowMillis) {
+            if (pending.isTooLate(nowMillis)) {
                 waiting.remove();
                 decisions.add(refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis));
             }
@@ -449,20 +436,30 @@
             if (verdict == Quarantine.Verdict.REFUSED || fleet.upstreams().size() < 2) {
                 suspects.remove(pending);
                 decisions.add(refuse(pending, DispatchDecision.Reason.QUARANTINED, nowMillis));
-            } else if (pending.request.deadlineMillis() <= nowMillis) {
+            } else if (pending.isTooLate(nowMillis)) {
                 suspects.remove(pending);
                 decisions.add(refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis));
             } else if (verdict == Quarantine.Verdict.CLEAR) {
                 suspects.remove(pending);
                 retries.addLast(pending);
             } else {
-                suspects.tryStart(pending, fleet, nowMillis)
-                        .ifPresent(upstream ->
-                                decisions.add(send(pending, Route.withoutCosts(upstream), true, nowMillis)));
+                tryAlone(pending, nowMillis).ifPresent(decisions::add);
             }
         }
     }
 
+    private Optional<DispatchDecision> tryAlone(PendingRequest pending, long nowMillis) {
+        Optional<UpstreamState> upstream = suspects.tryStart(pending, fleet, nowMillis);
+        if (upstream.isPresent()) {
+            return Optional.of(send(pending, Route.withoutCosts(upstream.get()), true, nowMillis));
+        }
+        if (!suspects.isHopeless(pending, fleet, nowMillis)) {
+            return Optional.empty();
+        }
+        suspects.remove(pending);
+        return Optional.of(refuse(pending, DispatchDecision.Reason.NO_UPSTREAM, nowMillis));
+    }
+
     private void startRetries(List<DispatchDecision> decisions, long nowMillis) {
         while (!retries.isEmpty()) {
             Optional<Route> route = route(retries.peekFirst(), nowMillis);
@@ -543,7 +540,7 @@
         fleet.prefixes().onSend(prefill.id(), pending.request.prefixHashes());
         queued.remove(pending.request.id());
         pending.sentPromptTokens += freshTokens;
-        totalsOf(pending.request.account()).prefillTokens += freshTokens;
+        totals.onPrefill(pending.request.account(), freshTokens);
         Promise promise = Promise.create(pending.request.deadlineMillis(), pending.remainingOutputTokens());
         upstream.add(promise);
         AttemptId id = AttemptId.fromString(options.incarnation().value() + "-" + Long.toString(nextAttempt++, 36));
@@ -587,14 +584,10 @@
 
     private void close(PendingRequest pending) {
         queued.remove(pending.request.id());
-        totalsOf(pending.request.account()).requestsInFlight--;
+        totals.onClosed(pending.request.account());
         if (pending.admitted) {
             long usedTokens = pending.sentPromptTokens + pending.deliveredTokens;
             limiter.onEnd(pending.request.account(), pending.expectedTokens(), usedTokens);
         }
     }
-
-    private AccountTotals totalsOf(AccountId account) {
-        return totals.computeIfAbsent(account, id -> new AccountTotals());
-    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/SuspectLane.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/SuspectLane.java
@@ -23,6 +23,7 @@
  */
 final class SuspectLane {
     private static final long SETTLING_MILLIS = 1_500;
+    private static final long LONGEST_WAIT_MILLIS = 3_000;
 
     private final Quarantine quarantine;
     private final ArrayDeque<PendingRequest> waiting = new ArrayDeque<>();
@@ -33,10 +34,22 @@
         this.quarantine = quarantine;
     }
 
-    void add(PendingRequest pending) {
+    void add(PendingRequest pending, long nowMillis) {
+        pending.suspectSinceMillis = Math.min(pending.suspectSinceMillis, nowMillis);
         waiting.addLast(pending);
     }
 
+    /**
+     * Tells whether a suspect has waited long enough for a second upstream that works. One that crashed is back within
+     * seconds or not soon, and the caller is better told when to come again than held.
+     */
+    boolean isHopeless(PendingRequest pending, FleetView fleet, long nowMillis) {
+        long working = fleet.upstreams().stream()
+                .filter(state -> isUp(state, nowMillis))
+                .count();
+        return nowMillis - pending.suspectSinceMillis >= LONGEST_WAIT_MILLIS && working < 2;
+    }
+
     /** Returns the suspects that wait, reserved or not. */
     List<PendingRequest> waiting() {
         return List.copyOf(waiting);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcherTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcherTest.java
@@ -173,6 +173,35 @@
         }
     }
 
+    @Test
+    void givesASuspectUpSoonWhenOneUpstreamIsLeft() {
+        long deadlineMillis = 60_000;
+        long giveUpMillis = 5_000;
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 2);
+        DispatchDecision.Dispatch first =
+                dispatched(dispatcher.submit(request("r1", "fonds", deadlineMillis, true), 0));
+        AttemptEnd crash = new AttemptEnd(AttemptEnd.Outcome.CRASHED, 0, 0);
+        dispatcher.onAttemptEnd(first.attempt(), crash, 10);
+
+        List<DispatchDecision> decisions = List.of();
+        for (long nowMillis = 20; !isRefusal(decisions); nowMillis += 20) {
+            assertTrue(nowMillis < giveUpMillis, "still held at " + nowMillis);
+            decisions = new ArrayList<>(dispatcher.onTime(nowMillis));
+            if (!decisions.isEmpty() && decisions.get(0) instanceof DispatchDecision.Dispatch probe) {
+                AttemptEnd gone = new AttemptEnd(AttemptEnd.Outcome.NOT_SENT, 0, 0);
+                decisions = dispatcher.onAttemptEnd(probe.attempt(), gone, nowMillis);
+            }
+        }
+
+        assertEquals(DispatchDecision.Reason.NO_UPSTREAM, refused(decisions).reason());
+        assertTrue(refused(decisions).mayHaveRun());
+        assertTrue(refused(decisions).retryAfterMillis() > 0);
+    }
+
+    private static boolean isRefusal(List<DispatchDecision> decisions) {
+        return !decisions.isEmpty() && decisions.get(0) instanceof DispatchDecision.Refuse;
+    }
+
     @ParameterizedTest
     @CsvSource({"1, SUSPECT", "2, REFUSED"})
     void heedsSuspectsOfOtherNodes(int crashes, Quarantine.Verdict verdict) {
