--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/DrainRequest.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/DrainRequest.java
@@ -126,6 +126,21 @@
     return configVersion_;
   }
 
+  public static final int ENDED_FIELD_NUMBER = 4;
+  private boolean ended_ = false;
+  /**
+   * <pre>
+   * The change is over: work may resume on the upstream.
+   * </pre>
+   *
+   * <code>bool ended = 4;</code>
+   * @return The ended.
+   */
+  @java.lang.Override
+  public boolean getEnded() {
+    return ended_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -149,6 +164,9 @@
     if (configVersion_ != 0L) {
       output.writeInt64(3, configVersion_);
     }
+    if (ended_ != false) {
+      output.writeBool(4, ended_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -169,6 +187,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, configVersion_);
     }
+    if (ended_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, ended_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -193,6 +215,8 @@
         .equals(other.getUpstreamId())) return false;
     if (getConfigVersion()
         != other.getConfigVersion()) return false;
+    if (getEnded()
+        != other.getEnded()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -213,6 +237,9 @@
     hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigVersion());
+    hash = (37 * hash) + ENDED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getEnded());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -357,6 +384,7 @@
       }
       upstreamId_ = "";
       configVersion_ = 0L;
+      ended_ = false;
       return this;
     }
 
@@ -403,6 +431,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.configVersion_ = configVersion_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.ended_ = ended_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -429,6 +460,9 @@
       if (other.getConfigVersion() != 0L) {
         setConfigVersion(other.getConfigVersion());
       }
+      if (other.getEnded() != false) {
+        setEnded(other.getEnded());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -472,6 +506,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              ended_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -714,6 +753,50 @@
       return this;
     }
 
+    private boolean ended_ ;
+    /**
+     * <pre>
+     * The change is over: work may resume on the upstream.
+     * </pre>
+     *
+     * <code>bool ended = 4;</code>
+     * @return The ended.
+     */
+    @java.lang.Override
+    public boolean getEnded() {
+      return ended_;
+    }
+    /**
+     * <pre>
+     * The change is over: work may resume on the upstream.
+     * </pre>
+     *
+     * <code>bool ended = 4;</code>
+     * @param value The ended to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEnded(boolean value) {
+
+      ended_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The change is over: work may resume on the upstream.
+     * </pre>
+     *
+     * <code>bool ended = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEnded() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      ended_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cactusshift.peer.v1.DrainRequest)
   }
 
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/DrainRequestOrBuilder.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/DrainRequestOrBuilder.java
@@ -42,4 +42,14 @@
    * @return The configVersion.
    */
   long getConfigVersion();
+
+  /**
+   * <pre>
+   * The change is over: work may resume on the upstream.
+   * </pre>
+   *
+   * <code>bool ended = 4;</code>
+   * @return The ended.
+   */
+  boolean getEnded();
 }
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/DrainStatus.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/DrainStatus.java
@@ -28,6 +28,7 @@
     super(builder);
   }
   private DrainStatus() {
+    heldFor_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -70,6 +71,53 @@
     return inFlight_;
   }
 
+  public static final int HELD_FOR_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object heldFor_ = "";
+  /**
+   * <pre>
+   * The other upstream of the service for whose drain the node declines; empty for none.
+   * </pre>
+   *
+   * <code>string held_for = 3;</code>
+   * @return The heldFor.
+   */
+  @java.lang.Override
+  public java.lang.String getHeldFor() {
+    java.lang.Object ref = heldFor_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      heldFor_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The other upstream of the service for whose drain the node declines; empty for none.
+   * </pre>
+   *
+   * <code>string held_for = 3;</code>
+   * @return The bytes for heldFor.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHeldForBytes() {
+    java.lang.Object ref = heldFor_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      heldFor_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -90,6 +138,9 @@
     if (inFlight_ != 0) {
       output.writeUInt32(2, inFlight_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(heldFor_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, heldFor_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -107,6 +158,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(2, inFlight_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(heldFor_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, heldFor_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -126,6 +180,8 @@
         != other.getAcknowledged()) return false;
     if (getInFlight()
         != other.getInFlight()) return false;
+    if (!getHeldFor()
+        .equals(other.getHeldFor())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -142,6 +198,8 @@
         getAcknowledged());
     hash = (37 * hash) + IN_FLIGHT_FIELD_NUMBER;
     hash = (53 * hash) + getInFlight();
+    hash = (37 * hash) + HELD_FOR_FIELD_NUMBER;
+    hash = (53 * hash) + getHeldFor().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -275,6 +333,7 @@
       bitField0_ = 0;
       acknowledged_ = false;
       inFlight_ = 0;
+      heldFor_ = "";
       return this;
     }
 
@@ -314,6 +373,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.inFlight_ = inFlight_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.heldFor_ = heldFor_;
+      }
     }
 
     @java.lang.Override
@@ -334,6 +396,11 @@
       if (other.getInFlight() != 0) {
         setInFlight(other.getInFlight());
       }
+      if (!other.getHeldFor().isEmpty()) {
+        heldFor_ = other.heldFor_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -370,6 +437,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              heldFor_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -451,6 +523,98 @@
       return this;
     }
 
+    private java.lang.Object heldFor_ = "";
+    /**
+     * <pre>
+     * The other upstream of the service for whose drain the node declines; empty for none.
+     * </pre>
+     *
+     * <code>string held_for = 3;</code>
+     * @return The heldFor.
+     */
+    public java.lang.String getHeldFor() {
+      java.lang.Object ref = heldFor_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        heldFor_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The other upstream of the service for whose drain the node declines; empty for none.
+     * </pre>
+     *
+     * <code>string held_for = 3;</code>
+     * @return The bytes for heldFor.
+     */
+    public com.google.protobuf.ByteString
+        getHeldForBytes() {
+      java.lang.Object ref = heldFor_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        heldFor_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The other upstream of the service for whose drain the node declines; empty for none.
+     * </pre>
+     *
+     * <code>string held_for = 3;</code>
+     * @param value The heldFor to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldFor(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      heldFor_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The other upstream of the service for whose drain the node declines; empty for none.
+     * </pre>
+     *
+     * <code>string held_for = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldFor() {
+      heldFor_ = getDefaultInstance().getHeldFor();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The other upstream of the service for whose drain the node declines; empty for none.
+     * </pre>
+     *
+     * <code>string held_for = 3;</code>
+     * @param value The bytes for heldFor to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldForBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      heldFor_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cactusshift.peer.v1.DrainStatus)
   }
 
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/DrainStatusOrBuilder.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/DrainStatusOrBuilder.java
@@ -21,4 +21,24 @@
    * @return The inFlight.
    */
   int getInFlight();
+
+  /**
+   * <pre>
+   * The other upstream of the service for whose drain the node declines; empty for none.
+   * </pre>
+   *
+   * <code>string held_for = 3;</code>
+   * @return The heldFor.
+   */
+  java.lang.String getHeldFor();
+  /**
+   * <pre>
+   * The other upstream of the service for whose drain the node declines; empty for none.
+   * </pre>
+   *
+   * <code>string held_for = 3;</code>
+   * @return The bytes for heldFor.
+   */
+  com.google.protobuf.ByteString
+      getHeldForBytes();
 }
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/PeerOuterClass.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/PeerOuterClass.java
@@ -234,28 +234,29 @@
       "tion_tokens\030\004 \001(\004\022\020\n\010requests\030\005 \001(\004\022 \n\030f" +
       "inished_at_epoch_millis\030\006 \001(\003\"I\n\010UsageAc" +
       "k\022\020\n\010accepted\030\001 \001(\010\022\020\n\010sequence\030\002 \001(\004\022\031\n" +
-      "\021owner_instance_id\030\003 \001(\t\"h\n\014DrainRequest" +
+      "\021owner_instance_id\030\003 \001(\t\"w\n\014DrainRequest" +
       "\022+\n\006sender\030\001 \001(\0132\033.cactusshift.peer.v1.S" +
       "ender\022\023\n\013upstream_id\030\002 \001(\t\022\026\n\016config_ver" +
-      "sion\030\003 \001(\003\"6\n\013DrainStatus\022\024\n\014acknowledge" +
-      "d\030\001 \001(\010\022\021\n\tin_flight\030\002 \001(\r2\204\005\n\004Peer\022Z\n\tH" +
-      "eartbeat\022%.cactusshift.peer.v1.Heartbeat" +
-      "Request\032&.cactusshift.peer.v1.HeartbeatR" +
-      "esponse\022`\n\013FetchConfig\022\'.cactusshift.pee" +
-      "r.v1.FetchConfigRequest\032(.cactusshift.pe" +
-      "er.v1.FetchConfigResponse\022\\\n\013WatchConfig" +
-      "\022\'.cactusshift.peer.v1.WatchConfigReques" +
-      "t\032\".cactusshift.peer.v1.ConfigVersion0\001\022" +
-      "N\n\005Claim\022!.cactusshift.peer.v1.ClaimRequ" +
-      "est\032\".cactusshift.peer.v1.ClaimResponse\022" +
-      "f\n\rRecordOutcome\022).cactusshift.peer.v1.R" +
-      "ecordOutcomeRequest\032*.cactusshift.peer.v" +
-      "1.RecordOutcomeResponse\022O\n\rHandOverUsage" +
-      "\022\037.cactusshift.peer.v1.UsageBatch\032\035.cact" +
-      "usshift.peer.v1.UsageAck\022W\n\020AcknowledgeD" +
-      "rain\022!.cactusshift.peer.v1.DrainRequest\032" +
-      " .cactusshift.peer.v1.DrainStatusB\034\n\030org" +
-      ".cactusshift.messagesP\001b\006proto3"
+      "sion\030\003 \001(\003\022\r\n\005ended\030\004 \001(\010\"H\n\013DrainStatus" +
+      "\022\024\n\014acknowledged\030\001 \001(\010\022\021\n\tin_flight\030\002 \001(" +
+      "\r\022\020\n\010held_for\030\003 \001(\t2\204\005\n\004Peer\022Z\n\tHeartbea" +
+      "t\022%.cactusshift.peer.v1.HeartbeatRequest" +
+      "\032&.cactusshift.peer.v1.HeartbeatResponse" +
+      "\022`\n\013FetchConfig\022\'.cactusshift.peer.v1.Fe" +
+      "tchConfigRequest\032(.cactusshift.peer.v1.F" +
+      "etchConfigResponse\022\\\n\013WatchConfig\022\'.cact" +
+      "usshift.peer.v1.WatchConfigRequest\032\".cac" +
+      "tusshift.peer.v1.ConfigVersion0\001\022N\n\005Clai" +
+      "m\022!.cactusshift.peer.v1.ClaimRequest\032\".c" +
+      "actusshift.peer.v1.ClaimResponse\022f\n\rReco" +
+      "rdOutcome\022).cactusshift.peer.v1.RecordOu" +
+      "tcomeRequest\032*.cactusshift.peer.v1.Recor" +
+      "dOutcomeResponse\022O\n\rHandOverUsage\022\037.cact" +
+      "usshift.peer.v1.UsageBatch\032\035.cactusshift" +
+      ".peer.v1.UsageAck\022W\n\020AcknowledgeDrain\022!." +
+      "cactusshift.peer.v1.DrainRequest\032 .cactu" +
+      "sshift.peer.v1.DrainStatusB\034\n\030org.cactus" +
+      "shift.messagesP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -404,13 +405,13 @@
     internal_static_cactusshift_peer_v1_DrainRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_DrainRequest_descriptor,
-        new java.lang.String[] { "Sender", "UpstreamId", "ConfigVersion", });
+        new java.lang.String[] { "Sender", "UpstreamId", "ConfigVersion", "Ended", });
     internal_static_cactusshift_peer_v1_DrainStatus_descriptor =
       getDescriptor().getMessageType(24);
     internal_static_cactusshift_peer_v1_DrainStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_DrainStatus_descriptor,
-        new java.lang.String[] { "Acknowledged", "InFlight", });
+        new java.lang.String[] { "Acknowledged", "InFlight", "HeldFor", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/Coordination.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/Coordination.java
@@ -4,15 +4,24 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import org.cactusshift.config.NodeSettings;
 import org.cactusshift.config.TimingConfig;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.change.ChangeTiming;
+import org.cactusshift.internal.coordination.change.PlannedChangeMachine;
 import org.cactusshift.internal.coordination.claim.ClaimService;
 import org.cactusshift.internal.coordination.claim.ClaimServiceSetup;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.DutyService;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
+import org.cactusshift.internal.coordination.order.OrderListener;
+import org.cactusshift.internal.coordination.order.OrderService;
+import org.cactusshift.internal.coordination.order.OrderServiceSetup;
+import org.cactusshift.internal.coordination.order.OrderTiming;
 import org.cactusshift.internal.coordination.store.KeyValueStore;
 import org.cactusshift.internal.coordination.usage.SealedWindow;
 import org.cactusshift.internal.coordination.usage.UsageReporter;
@@ -20,17 +29,22 @@
 import org.cactusshift.internal.coordination.usage.UsageServiceSetup;
 import org.cactusshift.internal.coordination.usage.UsageShards;
 import org.cactusshift.internal.transport.peer.PeerConnections;
+import org.cactusshift.internal.transport.platform.HttpEngineOrders;
 import org.cactusshift.internal.transport.platform.HttpUsageReporter;
 import org.cactusshift.internal.transport.platform.PlatformCalls;
 
 /**
- * The duties of a node: usage windows and claims, each in shards held under leases.
+ * The duties of a node: usage windows, claims and orders to engines, each in shards held under leases.
  *
  * @param duties holds the leases
  * @param usage bills
  * @param claims claims calls that may run at most once
+ * @param orders sends the orders to engines
+ * @param changes brings engines to what is declared
  */
-record Coordination(DutyService duties, UsageService usage, ClaimService claims) implements AutoCloseable {
+record Coordination(
+        DutyService duties, UsageService usage, ClaimService claims, OrderService orders, PlannedChangeService changes)
+        implements AutoCloseable {
     private static final UsageShards USAGE_SHARDS = new UsageShards(4);
     private static final int CLAIM_SHARDS = 8;
 
@@ -39,6 +53,7 @@
             KeyValueStore store,
             PeerConnections connections,
             PlatformCalls platform,
+            PlannedChangeParts changeParts,
             TimingConfig timing,
             LongSupplier clockMillis) {
         NodeSettings settings = self.settings();
@@ -67,7 +82,45 @@
                 GrpcClaimPeers.over(connections),
                 clockMillis,
                 System::currentTimeMillis));
-        return new Coordination(duties, usage, claims);
+        HttpEngineOrders engines = HttpEngineOrders.create(platform);
+        AtomicReference<PlannedChangeService> changes = new AtomicReference<>();
+        OrderService orders = OrderService.create(new OrderServiceSetup(
+                settings.site(),
+                OrderTiming.of(LeaseTiming.ofTtl(timing.leaseTtlMillis()), platform.timeoutMillis()),
+                store,
+                duties,
+                new DrainedEngines(engines, order -> changes.get().isDrained(order)),
+                OrderListener.NONE,
+                clockMillis));
+        changes.set(new PlannedChangeService(
+                changeParts.config(),
+                new PlannedChangeSetup(
+                        self.incarnation(),
+                        new AtomicLong(),
+                        PlannedChangeMachine.create(ChangeTiming.of(timing.drainTimeoutMillis())),
+                        orders,
+                        engines,
+                        new DrainRounds(
+                                self.sender(),
+                                changeParts.membership(),
+                                connections,
+                                changeParts.drains(),
+                                changeParts.workers(),
+                                clockMillis),
+                        changeParts.workers(),
+                        changeParts.listener(),
+                        clockMillis),
+                added -> duties.setSoughtDuties(with(added))));
+        return new Coordination(duties, usage, claims, orders, changes.get());
+    }
+
+    private static List<DutyId> with(Set<DutyId> added) {
+        List<DutyId> sought = new ArrayList<>(USAGE_SHARDS.duties());
+        for (int shard = 0; shard < CLAIM_SHARDS; shard++) {
+            sought.add(DutyId.claim(shard));
+        }
+        sought.addAll(added);
+        return sought;
     }
 
     private static UsageReporter reporter(Optional<String> address, PlatformCalls platform) {
@@ -76,19 +129,19 @@
     }
 
     void start() {
-        List<DutyId> sought = new ArrayList<>(USAGE_SHARDS.duties());
-        for (int shard = 0; shard < CLAIM_SHARDS; shard++) {
-            sought.add(DutyId.claim(shard));
-        }
-        duties.setSoughtDuties(sought);
+        duties.setSoughtDuties(with(Set.of()));
         duties.start();
         usage.start();
         claims.start();
+        orders.start();
+        changes.start();
     }
 
     /** Hands over what this node holds, then gives up the duties. */
     @Override
     public void close() {
+        changes.close();
+        orders.close();
         usage.close();
         claims.close();
         duties.close();
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/DrainedEngines.java
@@ -0,0 +1,27 @@
+package org.cactusshift.node.internal;
+
+import io.vavr.control.Either;
+import java.util.function.Predicate;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.order.Order;
+import org.cactusshift.internal.coordination.order.OrderTarget;
+
+/**
+ * Sends an order only while nothing runs on its engine, also when an earlier holder of the duty recorded it.
+ *
+ * @param engines sends the orders
+ * @param drained tells whether nothing runs on the engine of an order
+ */
+record DrainedEngines(OrderTarget engines, Predicate<Order> drained) implements OrderTarget {
+    @Override
+    public Either<Failure, Receipt> send(Order order, long fencingNumber) {
+        return drained.test(order)
+                ? engines.send(order, fencingNumber)
+                : Either.left(Failure.noEffect("send engine order", order.target(), "the engine is not drained"));
+    }
+
+    @Override
+    public Either<Failure, Progress> progress(Order order) {
+        return engines.progress(order);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/EngineChanges.java
@@ -0,0 +1,196 @@
+package org.cactusshift.node.internal;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.OrderId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.change.ChangeSelection;
+import org.cactusshift.internal.coordination.change.DrainAnswer;
+import org.cactusshift.internal.coordination.change.EngineReport;
+import org.cactusshift.internal.coordination.change.PlannedChange;
+import org.cactusshift.internal.coordination.change.PutOff;
+import org.cactusshift.internal.coordination.change.WantedChange;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.order.Order;
+import org.cactusshift.internal.coordination.order.OrderState;
+
+/** The planned changes of the engines of one service in one failure domain, one after the other. */
+final class EngineChanges {
+    private static final System.Logger LOG = System.getLogger(EngineChanges.class.getName());
+    private static final long REPORT_PERIOD_MILLIS = 1_000;
+
+    private final PlannedChangeSetup setup;
+    private final FailureDomainId failureDomain;
+    private final ServiceConfig service;
+    private final DutyId duty;
+    private final Map<UpstreamId, PutOff> putOff = new HashMap<>();
+    private long nextReportMillis = Long.MIN_VALUE;
+    private volatile Optional<PlannedChange> current = Optional.empty();
+
+    EngineChanges(PlannedChangeSetup setup, FailureDomainId failureDomain, ServiceConfig service) {
+        this.setup = setup;
+        this.failureDomain = failureDomain;
+        this.service = service;
+        this.duty = DutyId.engineOrders(failureDomain, service.id());
+    }
+
+    /** Tells whether nothing runs on the engine of an order, so that it may be sent. */
+    boolean isDrained(Order order) {
+        return current.filter(change -> change.engine().value().equals(order.target()))
+                .filter(change -> setup.machine().mayOrder(change, nowMillis()))
+                .isPresent();
+    }
+
+    /** Moves the present change on, or takes up the next one; one call at a time. */
+    synchronized void cycle(InstalledConfig installed) {
+        if (!setup.orders().isOpen(duty)) {
+            // The next holder goes on; its requests, or the end of the drain at each node, settle the rest.
+            current = Optional.empty();
+            return;
+        }
+        List<Order> outstanding =
+                setup.orders().outstanding(duty).stream().map(OrderState::order).toList();
+        outstanding.stream()
+                .findFirst()
+                .filter(order -> current.filter(change -> isOf(change, order)).isEmpty())
+                .ifPresent(this::adopt);
+        if (current.isEmpty()) {
+            takeUp(installed);
+        }
+        current.ifPresent(change -> advance(change, outstanding, installed));
+    }
+
+    private void adopt(Order order) {
+        current.ifPresent(change -> setup.rounds().end(change.engine()));
+        current = Optional.of(setup.machine().adopt(order, nowMillis()));
+    }
+
+    private void takeUp(InstalledConfig installed) {
+        if (nowMillis() < nextReportMillis) {
+            return;
+        }
+        nextReportMillis = nowMillis() + REPORT_PERIOD_MILLIS;
+        boolean wanted = reports(engines(installed).stream()
+                        .filter(engine -> engine.failureDomain().equals(failureDomain))
+                        .toList())
+                .stream()
+                .anyMatch(report ->
+                        ChangeSelection.wanted(report, activeVersion(installed)).isPresent());
+        if (wanted) {
+            // Only now the engines of other failure domains are asked too.
+            current = ChangeSelection.next(
+                            failureDomain, activeVersion(installed), reports(engines(installed)), putOff, nowMillis())
+                    .map(next -> setup.machine().want(next, nowMillis()));
+        }
+    }
+
+    private void advance(PlannedChange change, List<Order> outstanding, InstalledConfig installed) {
+        Optional<UpstreamConfig> engine = engines(installed).stream()
+                .filter(declared -> declared.id().equals(change.engine()))
+                .findFirst();
+        if (engine.isEmpty()) {
+            // The order of an engine that is no longer declared runs to its end without a drain.
+            current = Optional.empty();
+            return;
+        }
+        boolean ended = change.phase() == PlannedChange.Phase.ORDERED
+                && outstanding.stream().noneMatch(order -> isOf(change, order));
+        PlannedChange next;
+        if (ended) {
+            next = setup.machine()
+                    .onOrderEnded(change, reports(List.of(engine.get())).get(0).status());
+        } else {
+            long askedAtMillis = nowMillis();
+            List<DrainAnswer> answers = setup.rounds().ask(change.engine(), installed.version());
+            next = setup.machine().onRound(change, answers, askedAtMillis, nowMillis());
+            next = orderIfDrained(next, engine.get(), installed);
+        }
+        settle(next);
+    }
+
+    private PlannedChange orderIfDrained(PlannedChange change, UpstreamConfig engine, InstalledConfig installed) {
+        if (change.phase() != PlannedChange.Phase.DRAINING || !setup.machine().mayOrder(change, nowMillis())) {
+            return change;
+        }
+        List<EngineReport> fleet = reports(engines(installed));
+        boolean stillWanted = fleet.stream()
+                .filter(report -> report.engine().id().equals(engine.id()))
+                .flatMap(report -> ChangeSelection.wanted(report, activeVersion(installed)).stream())
+                .map(WantedChange::content)
+                .anyMatch(change.content()::equals);
+        if (!stillWanted || !ChangeSelection.mayLeave(engine.id(), fleet)) {
+            return setup.machine().onNeeded(change);
+        }
+        Order order = Order.toEngine(nextOrderId(), engine, change.content());
+        Either<Failure, Order> submitted = setup.orders().submit(duty, order);
+        submitted.peekLeft(failure -> LOG.log(System.Logger.Level.WARNING, failure::toString));
+        return submitted.isRight() ? setup.machine().onSubmitted(change) : change;
+    }
+
+    private OrderId nextOrderId() {
+        return OrderId.fromString(
+                setup.incarnation() + "-" + setup.orderNumbers().incrementAndGet());
+    }
+
+    private void settle(PlannedChange change) {
+        if (!change.isOver()) {
+            current = Optional.of(change);
+            return;
+        }
+        current = Optional.empty();
+        nextReportMillis = Long.MIN_VALUE;
+        setup.rounds().end(change.engine());
+        if (change.phase() == PlannedChange.Phase.DONE) {
+            putOff.remove(change.engine());
+        } else {
+            putOff.compute(
+                    change.engine(),
+                    (engine, before) -> setup.machine().putOff(change, Optional.ofNullable(before), nowMillis()));
+        }
+        if (change.phase() != PlannedChange.Phase.GAVE_WAY) {
+            setup.listener().accept(change);
+            LOG.log(System.Logger.Level.INFO, "{0} of {1}: {2}", change.content(), change.engine(), change.phase());
+        }
+    }
+
+    private List<EngineReport> reports(List<UpstreamConfig> engines) {
+        List<CompletableFuture<EngineReport>> calls = engines.stream()
+                .map(engine -> CompletableFuture.supplyAsync(
+                        () -> new EngineReport(
+                                engine, setup.engines().status(engine).toJavaOptional()),
+                        setup.workers()))
+                .toList();
+        return calls.stream().map(CompletableFuture::join).toList();
+    }
+
+    private List<UpstreamConfig> engines(InstalledConfig installed) {
+        return installed.config().upstreams().stream()
+                .filter(upstream -> upstream.service().equals(service.id()))
+                .toList();
+    }
+
+    private String activeVersion(InstalledConfig installed) {
+        return installed.config().services().stream()
+                .filter(declared -> declared.id().equals(service.id()))
+                .map(ServiceConfig::activeVersion)
+                .findFirst()
+                .orElse(service.activeVersion());
+    }
+
+    private static boolean isOf(PlannedChange change, Order order) {
+        return change.engine().value().equals(order.target());
+    }
+
+    private long nowMillis() {
+        return setup.clockMillis().getAsLong();
+    }
+}
--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeMetrics.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeMetrics.java
@@ -1,10 +1,14 @@
 package org.cactusshift.node.internal;
 
+import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Locale;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import org.cactusshift.internal.coordination.change.PlannedChange;
+import org.cactusshift.internal.coordination.order.OrderContent;
 import org.cactusshift.internal.coordination.store.BudgetedKeyValueStore;
 import org.cactusshift.internal.coordination.store.StoreCallKind;
 
@@ -45,6 +49,19 @@
                 .register(registry);
     }
 
+    /** Registers a counter of planned changes and returns what feeds it. */
+    static Consumer<PlannedChange> plannedChanges(PrometheusRegistry registry) {
+        Counter counter = Counter.builder()
+                .name("cactusshift_planned_changes_total")
+                .help("Planned changes of engines that were carried out or put off.")
+                .labelNames("kind", "result")
+                .register(registry);
+        return change -> counter.labelValues(
+                        change.content() instanceof OrderContent.SetRole ? "set_role" : "load_version",
+                        change.phase().name().toLowerCase(Locale.ROOT))
+                .inc();
+    }
+
     private static String label(StoreCallKind kind) {
         return kind.name().toLowerCase(Locale.ROOT);
     }
--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
@@ -146,10 +146,12 @@
                 .setContactAgeMillis(() -> freshness.contactAgeMillis(clockMillis.getAsLong()))
                 .setNowMillis(clockMillis)
                 .build();
+        UpstreamDrains drains = new UpstreamDrains(config, dispatch, clockMillis);
+        PlannedChangeParts changes = new PlannedChangeParts(
+                config, membership, drains, executors.workers(), NodeMetrics.plannedChanges(registry));
         coordination = new CoordinationSlot(
-                timing -> Coordination.create(identity, store, connections, platform, timing, clockMillis));
+                timing -> Coordination.create(identity, store, connections, platform, changes, timing, clockMillis));
         PeerExchange exchange = new PeerExchange(identity, membership, freshness, config, dispatch, clockMillis);
-        UpstreamDrains drains = new UpstreamDrains(config, dispatch, clockMillis);
         executors
                 .scheduler()
                 .scheduleWithFixedDelay(
--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodePeerCalls.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodePeerCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.change.DrainAnswer;
 import org.cactusshift.internal.coordination.configsync.ConfigDistributor;
 import org.cactusshift.internal.transport.peer.PeerCalls;
 import org.cactusshift.messages.ClaimRequest;
@@ -67,6 +68,16 @@
 
     @Override
     public DrainStatus acknowledgeDrain(DrainRequest request) {
-        return drains.acknowledge(UpstreamId.fromString(request.getUpstreamId()), request.getConfigVersion());
+        UpstreamId upstream = UpstreamId.fromString(request.getUpstreamId());
+        if (request.getEnded()) {
+            drains.end(upstream);
+            return DrainStatus.getDefaultInstance();
+        }
+        DrainAnswer answer = drains.acknowledge(upstream, request.getConfigVersion());
+        return DrainStatus.newBuilder()
+                .setAcknowledged(answer.acknowledged())
+                .setInFlight(answer.inFlight())
+                .setHeldFor(answer.heldFor().map(UpstreamId::value).orElse(""))
+                .build();
     }
 }
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/PlannedChangeService.java
@@ -0,0 +1,112 @@
+package org.cactusshift.node.internal;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.internal.coordination.configsync.ConfigSource;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.order.Order;
+
+/** Brings engines to the declared version and role, for the duties of ordering engines that this node holds. */
+final class PlannedChangeService implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(PlannedChangeService.class.getName());
+    private static final long TICK_MILLIS = 200;
+
+    private final ConfigSource config;
+    private final PlannedChangeSetup setup;
+    private final Consumer<Set<DutyId>> sought;
+    private final Map<DutyId, EngineChanges> duties = new ConcurrentHashMap<>();
+    private final Set<DutyId> running = ConcurrentHashMap.newKeySet();
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "change-timer");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private long seenVersion = Long.MIN_VALUE;
+
+    PlannedChangeService(ConfigSource config, PlannedChangeSetup setup, Consumer<Set<DutyId>> sought) {
+        this.config = Objects.requireNonNull(config, "config");
+        this.setup = Objects.requireNonNull(setup, "setup");
+        this.sought = Objects.requireNonNull(sought, "sought");
+    }
+
+    void start() {
+        timer.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Tells whether nothing runs on the engine of an order, so that it may be sent. */
+    boolean isDrained(Order order) {
+        return duties.values().stream().anyMatch(changes -> changes.isDrained(order));
+    }
+
+    private void tick() {
+        try {
+            config.current().ifPresent(installed -> {
+                seekDuties(installed);
+                duties.forEach((duty, changes) -> startCycle(duty, changes, installed));
+            });
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "planned changes", e);
+        }
+    }
+
+    private void seekDuties(InstalledConfig installed) {
+        if (installed.version() == seenVersion) {
+            return;
+        }
+        Map<DutyId, EngineChanges> declared = new TreeMap<>();
+        for (ServiceConfig service : installed.config().services()) {
+            if (service.kind() != ServiceConfig.Kind.MODEL) {
+                continue;
+            }
+            for (UpstreamConfig engine : installed.config().upstreams()) {
+                if (engine.service().equals(service.id())) {
+                    declared.computeIfAbsent(
+                            DutyId.engineOrders(engine.failureDomain(), service.id()),
+                            duty -> new EngineChanges(setup, engine.failureDomain(), service));
+                }
+            }
+        }
+        declared.forEach(duties::putIfAbsent);
+        setup.orders().addDuties(declared.keySet());
+        sought.accept(declared.keySet());
+        seenVersion = installed.version();
+    }
+
+    private void startCycle(DutyId duty, EngineChanges changes, InstalledConfig installed) {
+        if (!running.add(duty)) {
+            return;
+        }
+        try {
+            setup.workers().execute(() -> runCycle(duty, changes, installed));
+        } catch (RejectedExecutionException e) {
+            LOG.log(System.Logger.Level.DEBUG, "planned change after shutdown", e);
+        }
+    }
+
+    private void runCycle(DutyId duty, EngineChanges changes, InstalledConfig installed) {
+        try {
+            changes.cycle(installed);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "planned change", e);
+        } finally {
+            running.remove(duty);
+        }
+    }
+
+    /** Stops; a change whose order is recorded is finished by the next holder of the duty. */
+    @Override
+    public void close() {
+        timer.shutdownNow();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/PlannedChangeSetup.java
@@ -0,0 +1,35 @@
+package org.cactusshift.node.internal;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.internal.coordination.change.PlannedChange;
+import org.cactusshift.internal.coordination.change.PlannedChangeMachine;
+import org.cactusshift.internal.coordination.order.OrderService;
+import org.cactusshift.internal.transport.platform.HttpEngineOrders;
+
+/**
+ * What planned changes work with.
+ *
+ * @param incarnation this start of the node, for ids of orders
+ * @param orderNumbers numbers the orders of this start
+ * @param machine decides
+ * @param orders records and sends the orders
+ * @param engines asks the engines
+ * @param rounds asks the nodes
+ * @param workers runs calls to engines
+ * @param listener hears of changes that were carried out or put off; must not block
+ * @param clockMillis the monotonic clock
+ */
+record PlannedChangeSetup(
+        IncarnationId incarnation,
+        AtomicLong orderNumbers,
+        PlannedChangeMachine machine,
+        OrderService orders,
+        HttpEngineOrders engines,
+        DrainRounds rounds,
+        Executor workers,
+        Consumer<PlannedChange> listener,
+        LongSupplier clockMillis) {}
--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/UpstreamDrains.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/UpstreamDrains.java
@@ -6,11 +6,11 @@
 import java.util.function.LongSupplier;
 import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.change.DrainAnswer;
 import org.cactusshift.internal.coordination.configsync.ConfigSource;
 import org.cactusshift.internal.coordination.configsync.InstalledConfig;
 import org.cactusshift.internal.coordination.dispatch.DispatchService;
 import org.cactusshift.internal.coordination.dispatch.LeavingCause;
-import org.cactusshift.messages.DrainStatus;
 
 /**
  * Drains of upstreams that the holder of an order asked this node for.
@@ -32,32 +32,58 @@
         this.clockMillis = clockMillis;
     }
 
-    /** Stops new work on the upstream for a bounded time; a node with an older configuration does not acknowledge. */
-    DrainStatus acknowledge(UpstreamId upstream, long configVersion) {
+    /**
+     * Stops new work on the upstream for a bounded time.
+     *
+     * <p>A node with an older configuration does not acknowledge. Nor does one that drains another upstream of the
+     * service, so that no two of them get the acknowledgement of all nodes.
+     */
+    synchronized DrainAnswer acknowledge(UpstreamId upstream, long configVersion) {
         Optional<InstalledConfig> installed = config.current();
         Optional<UpstreamConfig> declared = installed.flatMap(current -> find(current, upstream));
         if (declared.isEmpty() || installed.get().version() < configVersion) {
-            return DrainStatus.getDefaultInstance();
+            return DrainAnswer.MISSING;
+        }
+        Optional<UpstreamId> other = heldOther(installed.get(), declared.get());
+        if (other.isPresent()) {
+            return DrainAnswer.declinedFor(other.get());
         }
         heldUntilMillis.put(upstream, clockMillis.getAsLong() + HOLD_MILLIS);
         dispatch.onLeaving(declared.get().service(), upstream, LeavingCause.PLANNED_CHANGE, true);
-        return DrainStatus.newBuilder()
-                .setAcknowledged(true)
-                .setInFlight(dispatch.openAttempts(declared.get().service(), upstream))
-                .build();
+        return DrainAnswer.acknowledged(dispatch.openAttempts(declared.get().service(), upstream));
+    }
+
+    private Optional<UpstreamId> heldOther(InstalledConfig installed, UpstreamConfig declared) {
+        return heldUntilMillis.keySet().stream()
+                .filter(held -> !held.equals(declared.id()))
+                .filter(held -> find(installed, held)
+                        .filter(one -> one.service().equals(declared.service()))
+                        .isPresent())
+                .findFirst();
+    }
+
+    /** Lets work resume on an upstream at once. */
+    synchronized void end(UpstreamId upstream) {
+        if (heldUntilMillis.remove(upstream) != null) {
+            resume(upstream);
+        }
     }
 
     /** Lets work resume on upstreams whose drain was not repeated. */
-    void expire() {
+    synchronized void expire() {
         long nowMillis = clockMillis.getAsLong();
+        heldUntilMillis.forEach((upstream, until) -> {
+            if (until <= nowMillis) {
+                end(upstream);
+            }
+        });
+    }
+
+    private void resume(UpstreamId upstream) {
         config.current()
-                .ifPresent(current -> heldUntilMillis.forEach((upstream, until) -> {
-                    if (until <= nowMillis && heldUntilMillis.remove(upstream, until)) {
-                        find(current, upstream)
-                                .ifPresent(declared -> dispatch.onLeaving(
-                                        declared.service(), upstream, LeavingCause.PLANNED_CHANGE, false));
-                    }
-                }));
+                .flatMap(current -> find(current, upstream))
+                .ifPresent(declared ->
+                        dispatch.onLeaving(declared.service(), upstream, LeavingCause.PLANNED_CHANGE, false));
     }
 
     private static Optional<UpstreamConfig> find(InstalledConfig installed, UpstreamId upstream) {
--- a/org.cactusshift.node/src/test/java/org/cactusshift/node/LocalSite.java
+++ b/org.cactusshift.node/src/test/java/org/cactusshift/node/LocalSite.java
@@ -47,12 +47,16 @@
     }
 
     static LocalSite start(int nodeCount) throws CactusshiftException, IOException {
+        return start(nodeCount, EngineTiming.fast());
+    }
+
+    static LocalSite start(int nodeCount, EngineTiming engineTiming) throws CactusshiftException, IOException {
         Path examples = Path.of("..", "examples");
         SiteConfig declared = ConfigLoader.create()
                 .load(
                         examples.resolve("base.json"),
                         examples.resolve("overlays").resolve("be-coast.json"));
-        StandInPlatform platform = StandInPlatform.create(PlatformSettings.forSite(declared, EngineTiming.fast()));
+        StandInPlatform platform = StandInPlatform.create(PlatformSettings.forSite(declared, engineTiming));
         platform.start();
         LocalSite site = new LocalSite(platform, declared);
         site.apply();
--- /dev/null
+++ b/org.cactusshift.node/src/test/java/org/cactusshift/node/OperatorPage.java
@@ -0,0 +1,27 @@
+package org.cactusshift.node;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+
+/** Reads what a node shows to operators. */
+final class OperatorPage {
+    private OperatorPage() {}
+
+    /** Returns the value of a metric, 0 when it is not shown yet. */
+    static long metric(Node node, String name) {
+        try (InputStream page = URI.create("http://" + node.operatorAddress() + "/metrics")
+                .toURL()
+                .openStream()) {
+            return new String(page.readAllBytes(), StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(line -> line.startsWith(name + " "))
+                    .map(line -> line.substring(name.length() + 1))
+                    .mapToLong(value -> (long) Double.parseDouble(value))
+                    .sum();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.node/src/test/java/org/cactusshift/node/PlannedChangeTest.java
@@ -0,0 +1,189 @@
+package org.cactusshift.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.openai.client.OpenAIClient;
+import com.openai.client.okhttp.OpenAIOkHttpClient;
+import com.openai.core.http.StreamResponse;
+import com.openai.models.chat.completions.ChatCompletionChunk;
+import com.openai.models.chat.completions.ChatCompletionCreateParams;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.standin.ReceivedRequest;
+import org.cactusshift.standin.engine.EngineTiming;
+import org.cactusshift.standin.engine.ExpectedAnswer;
+import org.cactusshift.standin.engine.ReceivedOrder;
+import org.cactusshift.standin.engine.StandInEngine;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class PlannedChangeTest {
+    private static final String VERSION = "2026-11";
+    private static final int TOKENS = 200;
+    private static final long ORDER_MILLIS = 300;
+    private static final int MAXIMUM_POLLS = 900;
+    private static final long POLL_MILLIS = 100;
+
+    private final ExecutorService callers = Executors.newCachedThreadPool();
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private LocalSite site;
+
+    @BeforeEach
+    void startSite() throws Exception {
+        site = LocalSite.start(3, EngineTiming.fast().withChanges(ORDER_MILLIS, 0));
+    }
+
+    @AfterEach
+    void stopSite() {
+        stopping.set(true);
+        callers.shutdownNow();
+        site.close();
+    }
+
+    @Test
+    void loadsAVersionIntoEachEngineUnderStreamsAndCutsNone() throws Exception {
+        List<Future<Integer>> streams = new ArrayList<>();
+        for (Node node : site.nodes()) {
+            streams.add(callers.submit(() -> stream(node)));
+        }
+        site.change(PlannedChangeTest::withVersion);
+        awaitOrders();
+        stopping.set(true);
+        int whole = 0;
+        for (Future<Integer> stream : streams) {
+            whole += stream.get(30, TimeUnit.SECONDS);
+        }
+
+        assertTrue(whole > 0);
+        for (StandInEngine engine : site.platform().engines()) {
+            assertEquals(
+                    List.of("load_version"), kindsOf(engine), engine.settings().engineId());
+            assertEquals(
+                    List.of(),
+                    cutOrReceivedDuringChange(engine),
+                    engine.settings().engineId());
+        }
+        assertEquals(List.of(), overlaps());
+    }
+
+    private void awaitOrders() throws InterruptedException {
+        for (int i = 0;
+                i < MAXIMUM_POLLS && changed() < site.platform().engines().size();
+                i++) {
+            Thread.sleep(POLL_MILLIS);
+        }
+        assertEquals(site.platform().engines().size(), changed());
+    }
+
+    private long changed() {
+        return site.nodes().stream().mapToLong(this::carriedOut).sum();
+    }
+
+    private long carriedOut(Node node) {
+        return OperatorPage.metric(node, "cactusshift_planned_changes_total{kind=\"load_version\",result=\"done\"}");
+    }
+
+    private static SiteConfig withVersion(SiteConfig site) {
+        List<ServiceConfig> services = site.services().stream()
+                .map(service -> service.kind() == ServiceConfig.Kind.MODEL
+                        ? new ServiceConfig(
+                                service.id(),
+                                service.kind(),
+                                VERSION,
+                                service.openRoute(),
+                                service.repeatable(),
+                                service.repeatablePaths())
+                        : service)
+                .toList();
+        return new SiteConfig(
+                site.schemaVersion(),
+                site.site(),
+                site.shutdownDate(),
+                site.failureDomains(),
+                site.accounts(),
+                services,
+                site.upstreams(),
+                site.limits(),
+                site.timing());
+    }
+
+    private int stream(Node node) {
+        OpenAIClient client = OpenAIOkHttpClient.builder()
+                .baseUrl("http://" + node.callerAddress() + "/v1")
+                .apiKey(site.bearer())
+                .maxRetries(0)
+                .build();
+        int whole = 0;
+        while (!stopping.get()) {
+            String prompt = "Stream " + whole + " of " + node.callerAddress();
+            StringBuilder text = new StringBuilder();
+            try (StreamResponse<ChatCompletionChunk> stream = client.chat()
+                    .completions()
+                    .createStreaming(ChatCompletionCreateParams.builder()
+                            .model("share-lm")
+                            .maxTokens(TOKENS)
+                            .addUserMessage(prompt)
+                            .build())) {
+                stream.stream()
+                        .forEach(chunk -> chunk.choices()
+                                .forEach(choice -> choice.delta().content().ifPresent(text::append)));
+            }
+            assertEquals(ExpectedAnswer.forUserMessage(prompt).text(TOKENS), text.toString());
+            whole++;
+        }
+        client.close();
+        return whole;
+    }
+
+    private static List<String> kindsOf(StandInEngine engine) {
+        return engine.receivedOrders().stream()
+                .filter(order -> order.decision() != ReceivedOrder.Decision.REPEATED)
+                .map(order -> order.isConflicting() ? "conflicting" : order.kind())
+                .toList();
+    }
+
+    private static List<ReceivedRequest> cutOrReceivedDuringChange(StandInEngine engine) {
+        return engine.log()
+                .matching(request -> request.path().startsWith("/v1/")
+                        && (request.outcome() == ReceivedRequest.Outcome.CUT_BY_ORDER
+                                || engine.receivedOrders().stream().anyMatch(order -> isDuring(request, order))));
+    }
+
+    private static boolean isDuring(ReceivedRequest request, ReceivedOrder order) {
+        long sinceMillis = request.receivedAtMillis() - order.receivedAtMillis();
+        return sinceMillis >= 0 && sinceMillis < ORDER_MILLIS;
+    }
+
+    /** Returns the engines that were ordered while another one changed. */
+    private List<String> overlaps() {
+        Map<Long, String> byTime = new TreeMap<>();
+        List<String> overlaps = new ArrayList<>();
+        for (StandInEngine engine : site.platform().engines()) {
+            for (ReceivedOrder order : engine.receivedOrders()) {
+                Optional.ofNullable(byTime.put(
+                                order.receivedAtMillis(), engine.settings().engineId()))
+                        .ifPresent(overlaps::add);
+            }
+        }
+        long previousMillis = Long.MIN_VALUE / 2;
+        for (Map.Entry<Long, String> ordered : byTime.entrySet()) {
+            if (ordered.getKey() - previousMillis < ORDER_MILLIS) {
+                overlaps.add(ordered.getValue());
+            }
+            previousMillis = ordered.getKey();
+        }
+        return overlaps;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/change/PutOff.java
@@ -0,0 +1,9 @@
+package org.cactusshift.internal.coordination.change;
+
+/**
+ * A change that was put off.
+ *
+ * @param failedTries how often in a row it was tried in vain
+ * @param notBeforeMillis when it may be tried again, monotonic
+ */
+public record PutOff(int failedTries, long notBeforeMillis) {}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/change/WantedChange.java
@@ -0,0 +1,19 @@
+package org.cactusshift.internal.coordination.change;
+
+import java.util.Objects;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.internal.coordination.order.OrderContent;
+
+/**
+ * A change that the configuration asks for.
+ *
+ * @param engine the engine as declared
+ * @param content what the engine is to be ordered
+ */
+public record WantedChange(UpstreamConfig engine, OrderContent content) {
+    /** Checks that no part is missing. */
+    public WantedChange {
+        Objects.requireNonNull(engine, "engine");
+        Objects.requireNonNull(content, "content");
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/order/OrderDuty.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/order/OrderDuty.java
@@ -81,8 +81,11 @@
         return setup.authorities().authority(duty, setup.clockMillis().getAsLong());
     }
 
-    private boolean isHeld() {
-        return record.filter(FencedRecord::isHeld).isPresent();
+    /** Tells whether the duty is held and its record was read. */
+    boolean isHeld() {
+        synchronized (lock) {
+            return record.filter(FencedRecord::isHeld).isPresent();
+        }
     }
 
     private void openOrClose() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/order/OrderService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/order/OrderService.java
@@ -81,6 +81,17 @@
         return known == null ? List.of() : known.outstanding();
     }
 
+    /**
+     * Tells whether orders of a duty can be submitted here.
+     *
+     * @param duty the duty
+     * @return true when the duty is held and its outstanding orders are known
+     */
+    public boolean isOpen(DutyId duty) {
+        OrderDuty known = duties.get(duty);
+        return known != null && known.isHeld();
+    }
+
     /** Stops; outstanding orders are in the record and are finished by the next holder. */
     @Override
     public void close() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/platform/HttpEngineOrders.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/platform/HttpEngineOrders.java
@@ -5,7 +5,9 @@
 import io.vavr.control.Either;
 import java.util.Locale;
 import java.util.Objects;
+import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.change.EngineStatus;
 import org.cactusshift.internal.coordination.order.Order;
 import org.cactusshift.internal.coordination.order.OrderContent;
 import org.cactusshift.internal.coordination.order.OrderTarget;
@@ -76,6 +78,34 @@
         });
     }
 
+    /**
+     * Asks an engine for its version, role and outstanding order.
+     *
+     * @param engine the engine
+     * @return what it says, or the failure
+     */
+    public Either<Failure, EngineStatus> status(UpstreamConfig engine) {
+        return calls.get(READ_STEP, engine.address(), PATH).flatMap(answer -> {
+            JsonNode state = PlatformJson.read(answer.body());
+            String version = state.path("version").asText("");
+            return answer.isSuccess() && !version.isEmpty()
+                    ? roleOf(engine, state)
+                            .map(role -> new EngineStatus(
+                                    version, role, state.path("outstanding").isObject()))
+                    : Either.left(Failure.noEffect(READ_STEP, engine.id().value(), "status " + answer.status()));
+        });
+    }
+
+    private static Either<Failure, UpstreamConfig.Role> roleOf(UpstreamConfig engine, JsonNode state) {
+        String name = state.path("role").asText("");
+        for (UpstreamConfig.Role role : UpstreamConfig.Role.values()) {
+            if (role.name().toLowerCase(Locale.ROOT).equals(name)) {
+                return Either.right(role);
+            }
+        }
+        return Either.left(Failure.noEffect(READ_STEP, engine.id().value(), "role " + name));
+    }
+
     private static Progress progressOf(Order order, JsonNode state) {
         String id = order.id().value();
         if (state.path("outstanding").path("order_id").asText("").equals(id)) {
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/change/ChangeSelectionTest.java
@@ -0,0 +1,90 @@
+package org.cactusshift.internal.coordination.change;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.order.OrderContent;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ChangeSelectionTest {
+    private static final FailureDomainId DOMAIN = FailureDomainId.fromString("ostend-a");
+
+    /** Reads engines from letters: m, p, d serve in a role; c changes; x can't be asked. */
+    private static List<EngineReport> fleet(String letters, String version) {
+        List<EngineReport> fleet = new ArrayList<>();
+        for (char letter : letters.toCharArray()) {
+            UpstreamConfig.Role role = letter == 'p'
+                    ? UpstreamConfig.Role.PREFILL
+                    : letter == 'd' ? UpstreamConfig.Role.DECODE : UpstreamConfig.Role.MIXED;
+            Optional<EngineStatus> status =
+                    letter == 'x' ? Optional.empty() : Optional.of(new EngineStatus(version, role, letter == 'c'));
+            fleet.add(new EngineReport(PlannedChangeMachineTest.engine("engine-" + fleet.size(), role), status));
+        }
+        return fleet;
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "m, none",
+        "mm, engine-0",
+        "mx, none",
+        "mc, none",
+        "xm, none",
+        "xmm, engine-1",
+        "pd, none",
+        "ppd, engine-0",
+        "pdd, engine-1",
+        "mpd, engine-0",
+        "mmc, none"
+    })
+    void choosesAnEngineThatTheServiceCanDoWithout(String letters, String expected) {
+        assertEquals(
+                expected,
+                ChangeSelection.next(DOMAIN, "v2", fleet(letters, "v1"), Map.of(), 0)
+                        .map(next -> next.engine().id().value())
+                        .orElse("none"));
+    }
+
+    @Test
+    void choosesNothingThatIsAsDeclaredOrPutOffOrElsewhere() {
+        List<EngineReport> fleet = fleet("mm", "v1");
+        Map<UpstreamId, PutOff> putOff = Map.of(fleet.get(0).engine().id(), new PutOff(1, 10));
+        FailureDomainId elsewhere = FailureDomainId.fromString("zeebrugge-b");
+
+        assertEquals(Optional.empty(), ChangeSelection.next(DOMAIN, "v1", fleet, Map.of(), 0));
+        assertEquals(Optional.empty(), ChangeSelection.next(elsewhere, "v2", fleet, Map.of(), 0));
+        assertEquals(
+                "engine-1",
+                ChangeSelection.next(DOMAIN, "v2", fleet, putOff, 9)
+                        .get()
+                        .engine()
+                        .id()
+                        .value());
+        assertEquals(
+                "engine-0",
+                ChangeSelection.next(DOMAIN, "v2", fleet, putOff, 10)
+                        .get()
+                        .engine()
+                        .id()
+                        .value());
+    }
+
+    @Test
+    void ordersTheDeclaredRole() {
+        EngineReport report = new EngineReport(
+                PlannedChangeMachineTest.engine("engine-0", UpstreamConfig.Role.PREFILL),
+                PlannedChangeMachineTest.status("v1"));
+
+        assertEquals(
+                Optional.of(new WantedChange(report.engine(), new OrderContent.SetRole(UpstreamConfig.Role.PREFILL))),
+                ChangeSelection.wanted(report, "v1"));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/change/PlannedChangeMachineTest.java
@@ -0,0 +1,139 @@
+package org.cactusshift.internal.coordination.change;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.OrderId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.order.Order;
+import org.cactusshift.internal.coordination.order.OrderContent;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PlannedChangeMachineTest {
+    private static final ChangeTiming TIMING = new ChangeTiming(15_000, 2_000, 1_000, 60_000);
+    private static final DrainAnswer QUIET = DrainAnswer.acknowledged(0);
+    private static final OrderContent LOAD = new OrderContent.LoadVersion("v2");
+    private static final long ROUND_MILLIS = 500;
+
+    private final PlannedChangeMachine machine = PlannedChangeMachine.create(TIMING);
+
+    static UpstreamConfig engine(String id, UpstreamConfig.Role role) {
+        return new UpstreamConfig(
+                UpstreamId.fromString(id),
+                ServiceId.fromString("share-lm"),
+                FailureDomainId.fromString("ostend-a"),
+                "127.0.0.1:1",
+                role,
+                false,
+                true,
+                false,
+                1,
+                64);
+    }
+
+    private PlannedChange wanted() {
+        return machine.want(new WantedChange(engine("engine-2", UpstreamConfig.Role.MIXED), LOAD), 0);
+    }
+
+    private PlannedChange round(PlannedChange change, long nowMillis, DrainAnswer... answers) {
+        return machine.onRound(change, List.of(answers), nowMillis, nowMillis);
+    }
+
+    @Test
+    void ordersAfterTwoQuietRoundsInARow() {
+        PlannedChange once = round(wanted(), 0, QUIET, QUIET);
+        assertFalse(machine.mayOrder(once, 0));
+        PlannedChange twice = round(once, ROUND_MILLIS, QUIET, QUIET);
+        assertTrue(machine.mayOrder(twice, ROUND_MILLIS));
+        assertFalse(machine.mayOrder(twice, ROUND_MILLIS + TIMING.roundValidMillis() + 1));
+    }
+
+    @Test
+    void countsNoRoundsThatLieTooFarApart() {
+        long laterMillis = TIMING.roundValidMillis() + 1;
+        assertFalse(machine.mayOrder(round(round(wanted(), 0, QUIET), laterMillis, QUIET), laterMillis));
+    }
+
+    static Stream<DrainAnswer> delays() {
+        return Stream.of(
+                DrainAnswer.MISSING,
+                DrainAnswer.acknowledged(1),
+                DrainAnswer.declinedFor(UpstreamId.fromString("engine-3")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("delays")
+    void isDelayedByOneNodeAndPutOffAtTheLimitButNeverForced(DrainAnswer delay) {
+        PlannedChange change = wanted();
+        for (long nowMillis = 0; nowMillis < TIMING.drainTimeoutMillis(); nowMillis += ROUND_MILLIS) {
+            change = round(change, nowMillis, QUIET, delay);
+            assertEquals(PlannedChange.Phase.DRAINING, change.phase());
+            assertFalse(machine.mayOrder(change, nowMillis));
+        }
+        change = round(change, TIMING.drainTimeoutMillis(), QUIET, delay);
+        assertEquals(PlannedChange.Phase.PUT_OFF, change.phase());
+        assertFalse(machine.mayOrder(change, TIMING.drainTimeoutMillis()));
+    }
+
+    @ParameterizedTest
+    @MethodSource("delays")
+    void goesOnOnceTheNodeIsGone(DrainAnswer delay) {
+        PlannedChange change = round(round(wanted(), 0, QUIET, delay), ROUND_MILLIS, QUIET);
+        assertFalse(machine.mayOrder(change, ROUND_MILLIS));
+        assertTrue(machine.mayOrder(round(change, 2 * ROUND_MILLIS, QUIET), 2 * ROUND_MILLIS));
+    }
+
+    @Test
+    void givesWayToAnEarlierEngineOfTheService() {
+        PlannedChange change = round(wanted(), 0, DrainAnswer.declinedFor(UpstreamId.fromString("engine-1")));
+        assertEquals(PlannedChange.Phase.GAVE_WAY, change.phase());
+        assertEquals(new PutOff(0, TIMING.yieldMillis()), machine.putOff(change, Optional.empty(), 0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 40})
+    void waitsLongerAfterEachTryUpToABound(int tries) {
+        PlannedChange late = round(wanted(), TIMING.drainTimeoutMillis(), DrainAnswer.MISSING);
+        long expected = Math.min(TIMING.drainTimeoutMillis() << Math.min(tries, 10), TIMING.maximumBackoffMillis());
+        PutOff next = machine.putOff(late, Optional.of(new PutOff(tries, 0)), TIMING.drainTimeoutMillis());
+        assertEquals(new PutOff(tries + 1, TIMING.drainTimeoutMillis() + expected), next);
+    }
+
+    @Test
+    void asksAgainForADrainBeforeAnAdoptedOrderIsSentAndNeverPutsItOff() {
+        Order order = Order.toEngine(OrderId.fromString("o-1"), engine("engine-2", UpstreamConfig.Role.MIXED), LOAD);
+        PlannedChange adopted = machine.adopt(order, 0);
+        assertFalse(machine.mayOrder(adopted, 0));
+        PlannedChange delayed = round(adopted, 2 * TIMING.drainTimeoutMillis(), DrainAnswer.MISSING);
+        assertEquals(PlannedChange.Phase.ORDERED, delayed.phase());
+        assertFalse(machine.mayOrder(delayed, 2 * TIMING.drainTimeoutMillis()));
+    }
+
+    @Test
+    void isDoneOnlyWhenTheEngineSaysSo() {
+        PlannedChange ordered = machine.onSubmitted(wanted());
+        assertEquals(
+                PlannedChange.Phase.DONE,
+                machine.onOrderEnded(ordered, status("v2")).phase());
+        assertEquals(
+                PlannedChange.Phase.PUT_OFF,
+                machine.onOrderEnded(ordered, status("v1")).phase());
+        assertEquals(
+                PlannedChange.Phase.PUT_OFF,
+                machine.onOrderEnded(ordered, Optional.empty()).phase());
+    }
+
+    static Optional<EngineStatus> status(String version) {
+        return Optional.of(new EngineStatus(version, UpstreamConfig.Role.MIXED, false));
+    }
+}
