Keep remote totals in the state layer and make daemon threads in one place

The state layer stood empty while the sharded table of other nodes' totals lay in the coordination layer; it moves there with its test. Five classes made daemon threads with a copy of the same code and now call the one factory. Behaviour is unchanged: the architecture rules and the tests of the classes concerned pass. The opening of a duty's record stands alike in three classes and is left for later, as each swaps different state under its own lock.

--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeExecutors.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeExecutors.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.ThreadFactory;
+import org.cactusshift.internal.coordination.DaemonThreads;
 
 /**
  * The threads that the parts of a node share.
@@ -22,17 +22,9 @@
      */
     public static NodeExecutors create() {
         ScheduledThreadPoolExecutor scheduler =
-                new ScheduledThreadPoolExecutor(SCHEDULER_THREADS, daemon("node-timer"));
+                new ScheduledThreadPoolExecutor(SCHEDULER_THREADS, DaemonThreads.named("node-timer"));
         scheduler.setRemoveOnCancelPolicy(true);
-        return new NodeExecutors(scheduler, Executors.newCachedThreadPool(daemon("node-worker")));
-    }
-
-    private static ThreadFactory daemon(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
+        return new NodeExecutors(scheduler, Executors.newCachedThreadPool(DaemonThreads.named("node-worker")));
     }
 
     @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ConfigDistributor.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/configsync/ConfigDistributor.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -17,6 +16,7 @@
 import java.util.function.Supplier;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.DaemonThreads;
 import org.cactusshift.internal.coordination.membership.Member;
 import org.cactusshift.internal.coordination.membership.RendezvousOrder;
 
@@ -40,9 +40,10 @@
     private final ConfigInstaller installer;
     private final StoreFollower store;
     private final PeerFollower peers;
-    private final ScheduledExecutorService decisions = Executors.newSingleThreadScheduledExecutor(named("config"));
-    private final ExecutorService storeLane = Executors.newSingleThreadExecutor(named("config-store"));
-    private final ExecutorService peerLane = Executors.newSingleThreadExecutor(named("config-peers"));
+    private final ScheduledExecutorService decisions =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("config"));
+    private final ExecutorService storeLane = Executors.newSingleThreadExecutor(DaemonThreads.named("config-store"));
+    private final ExecutorService peerLane = Executors.newSingleThreadExecutor(DaemonThreads.named("config-peers"));
     private final AtomicBoolean reading = new AtomicBoolean();
     private final AtomicBoolean fetching = new AtomicBoolean();
     private volatile DistributionTiming timing = DistributionTiming.beforeFirstConfig();
@@ -269,12 +270,4 @@
             // The node is shutting down.
         }
     }
-
-    private static ThreadFactory named(String name) {
-        return task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
@@ -21,8 +21,8 @@
 import org.cactusshift.internal.coordination.configsync.InstalledConfig;
 import org.cactusshift.internal.coordination.quarantine.SuspectReport;
 import org.cactusshift.internal.coordination.routing.PrefixIndex;
-import org.cactusshift.internal.coordination.summary.AccountKey;
-import org.cactusshift.internal.coordination.summary.ServiceTotals;
+import org.cactusshift.internal.state.summary.AccountKey;
+import org.cactusshift.internal.state.summary.ServiceTotals;
 
 /**
  * Runs one {@link Dispatcher} for each service of the configuration, each under its own lock, lets time pass for it,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/summary/AccountKey.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/state/summary/AccountKey.java
@@ -1,4 +1,4 @@
-package org.cactusshift.internal.coordination.summary;
+package org.cactusshift.internal.state.summary;
 
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.ServiceId;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/summary/OutgoingTotals.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/state/summary/OutgoingTotals.java
@@ -1,4 +1,4 @@
-package org.cactusshift.internal.coordination.summary;
+package org.cactusshift.internal.state.summary;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/summary/ServiceTotals.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/state/summary/ServiceTotals.java
@@ -1,4 +1,4 @@
-package org.cactusshift.internal.coordination.summary;
+package org.cactusshift.internal.state.summary;
 
 /**
  * What an account received at one node since the node's start.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/UpstreamLoadPoller.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/UpstreamLoadPoller.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.DaemonThreads;
 import org.cactusshift.internal.coordination.configsync.ConfigSource;
 import org.cactusshift.internal.coordination.configsync.InstalledConfig;
 import org.cactusshift.internal.coordination.dispatch.DispatchService;
@@ -46,7 +47,7 @@
     private final DispatchService dispatch;
     private final HttpClientPool pool;
     private final LongSupplier clockMillis;
-    private final ExecutorService threads = Executors.newFixedThreadPool(THREADS, UpstreamLoadPoller::daemon);
+    private final ExecutorService threads = Executors.newFixedThreadPool(THREADS, DaemonThreads.named("upstream-load"));
     private final ScheduledFuture<?> timer;
     private final Map<UpstreamId, Polled> polled = new HashMap<>();
 
@@ -82,12 +83,6 @@
         this.timer = scheduler.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private static Thread daemon(Runnable task) {
-        Thread thread = new Thread(task, "upstream-load");
-        thread.setDaemon(true);
-        return thread;
-    }
-
     /**
      * Starts polling the upstreams of the configuration in force.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpListener.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpListener.java
@@ -25,6 +25,7 @@
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.io.HttpServerRequestHandler.ResponseTrigger;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.cactusshift.internal.coordination.DaemonThreads;
 
 /**
  * An HTTP/1.1 server: one thread for each connection, a bound on connections, and a deadline on each wait for the
@@ -66,17 +67,11 @@
         this.settings = settings;
         this.handler = handler;
         this.tls = tls;
-        this.scheduler = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, "http-deadlines"));
-        this.threads = Executors.newCachedThreadPool(task -> daemon(task, "http-caller"));
+        this.scheduler = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("http-deadlines"));
+        this.threads = Executors.newCachedThreadPool(DaemonThreads.named("http-caller"));
         this.sweeper = new DeadlineSweeper(scheduler, clockMillis);
     }
 
-    private static Thread daemon(Runnable task, String name) {
-        Thread thread = new Thread(task, name);
-        thread.setDaemon(true);
-        return thread;
-    }
-
     /**
      * Opens a plain-text listener.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/EtcdKeyValueStore.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/EtcdKeyValueStore.java
@@ -10,10 +10,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.DaemonThreads;
 import org.cactusshift.internal.coordination.store.KeyValueStore;
 import org.cactusshift.internal.coordination.store.LeaseGrant;
 import org.cactusshift.internal.coordination.store.RangeResult;
@@ -57,8 +57,8 @@
         this.pools = settings.addresses().stream()
                 .map(address -> new StoreConnectionPool(address, settings))
                 .toList();
-        this.deadlines = Executors.newSingleThreadScheduledExecutor(threads("store-deadlines"));
-        this.watchReaders = Executors.newCachedThreadPool(threads("store-watch"));
+        this.deadlines = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("store-deadlines"));
+        this.watchReaders = Executors.newCachedThreadPool(DaemonThreads.named("store-watch"));
     }
 
     /**
@@ -237,15 +237,6 @@
         return pools.get(preferred.get()).address();
     }
 
-    private static ThreadFactory threads(String name) {
-        AtomicInteger number = new AtomicInteger();
-        return task -> {
-            Thread thread = new Thread(task, name + "-" + number.incrementAndGet());
-            thread.setDaemon(true);
-            return thread;
-        };
-    }
-
     /** Reads the body of a successful answer. */
     private interface Decoder<T> {
         T decode(byte[] body) throws IOException;
--- a/org.cactusshift/src/test/java/org/cactusshift/ArchitectureRules.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/ArchitectureRules.java
@@ -32,7 +32,7 @@
         "org.cactusshift.internal.coordination.usage..",
         "org.cactusshift.internal.coordination.key..",
         "org.cactusshift.internal.coordination.membership..",
-        "org.cactusshift.internal.coordination.summary..",
+        "org.cactusshift.internal.state.summary..",
         "org.cactusshift.internal.coordination.configsync..",
     };
 
