--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/FaultPairTest.java
@@ -0,0 +1,106 @@
+package org.cactusshift.systemtest;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.cactusshift.standin.engine.StandInEngine;
+import org.cactusshift.systemtest.SystemCall.Kind;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Two faults at once, chosen from a fixed seed. */
+class FaultPairTest extends FaultTest {
+    private static final long PAIR_SEED = 6_2;
+
+    private static final int PAIRS = 3;
+
+    private static final int LOST_ANSWERS = 20;
+
+    private enum Fault {
+        KILL_CLAIM_HOLDER,
+        PAUSE_USAGE_HOLDER,
+        STORE_AWAY,
+        STORE_ANSWERS_LOST,
+        ENGINE_CRASH,
+        SILENT_PLAIN_CONNECTIONS
+    }
+
+    private final Set<SiteNode> killed = new HashSet<>();
+
+    static Stream<Arguments> pairs() {
+        Random random = new Random(PAIR_SEED);
+        List<Fault> faults = new ArrayList<>(List.of(Fault.values()));
+        List<Arguments> pairs = new ArrayList<>();
+        for (int i = 0; i < PAIRS; i++) {
+            Collections.shuffle(faults, random);
+            pairs.add(Arguments.of(faults.get(0), faults.get(1)));
+        }
+        return pairs.stream();
+    }
+
+    @ParameterizedTest
+    @MethodSource("pairs")
+    void pairOfFaultsBreaksNoGuarantee(Fault first, Fault second) throws Exception {
+        Undo undoFirst = apply(first);
+        Undo undoSecond = apply(second);
+        traffic.awaitAnswered(Kind.STREAMED_CHAT, CALLS);
+        undoFirst.run();
+        undoSecond.run();
+        traffic.awaitAnswered(Kind.PAYOUT, CALLS);
+        traffic.awaitAnswered(Kind.STREAMED_CHAT, CALLS);
+        finish().usageWithinLossOf(killed);
+    }
+
+    private Undo apply(Fault fault) throws Exception {
+        switch (fault) {
+            case KILL_CLAIM_HOLDER -> {
+                SiteNode holder = site.holderOf("claim");
+                holder.process().kill();
+                holder.process().awaitExit(SystemSite.BOUND_MILLIS);
+                killed.add(holder);
+                site.forget(holder);
+                return Undo.NOTHING;
+            }
+            case PAUSE_USAGE_HOLDER -> {
+                SiteNode holder = site.holderOf("usage");
+                holder.process().pause();
+                return holder.process()::resume;
+            }
+            case STORE_AWAY -> {
+                site.platform().keyValueService().faults().setUnavailable(true);
+                return () -> site.platform().keyValueService().faults().setUnavailable(false);
+            }
+            case STORE_ANSWERS_LOST -> {
+                site.platform()
+                        .keyValueService()
+                        .faults()
+                        .dropAnswers(LOST_ANSWERS, request -> request.path().equals("/v3/kv/txn"));
+                return Undo.NOTHING;
+            }
+            case ENGINE_CRASH -> {
+                StandInEngine engine = site.platform().engines().get(0);
+                engine.crash();
+                return engine::start;
+            }
+            case SILENT_PLAIN_CONNECTIONS -> {
+                site.platform()
+                        .plainServices()
+                        .forEach(service -> service.faults().silenceOpenConnections());
+                return Undo.NOTHING;
+            }
+            default -> throw new IllegalArgumentException(fault.name());
+        }
+    }
+
+    /** Ends a fault. */
+    private interface Undo {
+        Undo NOTHING = () -> {};
+
+        void run() throws Exception;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/VersionWatch.java
@@ -0,0 +1,68 @@
+package org.cactusshift.systemtest;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Reads the configuration version of each node again and again and notes each step back. */
+final class VersionWatch implements AutoCloseable {
+    private static final long PERIOD_MILLIS = 200;
+
+    private final SystemSite site;
+
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+    private final Map<String, Long> versions = new HashMap<>();
+
+    private final List<String> stepsBack = new ArrayList<>();
+
+    private VersionWatch(SystemSite site) {
+        this.site = site;
+    }
+
+    static VersionWatch start(SystemSite site) {
+        VersionWatch watch = new VersionWatch(site);
+        watch.timer.scheduleWithFixedDelay(watch::read, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        return watch;
+    }
+
+    private void read() {
+        for (SiteNode node : site.nodes()) {
+            try {
+                note(
+                        node.name(),
+                        node.status(site.client()).path("configVersion").asLong());
+            } catch (IOException e) {
+                // A node that is starting, paused or gone shows no version.
+                continue;
+            }
+        }
+    }
+
+    private synchronized void note(String node, long version) {
+        Long before = versions.put(node, version);
+        if (before != null && version < before) {
+            stepsBack.add(node + " from " + before + " to " + version);
+        }
+    }
+
+    /** Returns the latest version read of a node; 0 when none was read. */
+    synchronized long of(SiteNode node) {
+        return versions.getOrDefault(node.name(), 0L);
+    }
+
+    /** Returns each step from a version to an older one. */
+    synchronized List<String> stepsBack() {
+        return List.copyOf(stepsBack);
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+    }
+}
