--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/PeerExchange.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/PeerExchange.java
@@ -32,7 +32,7 @@
 import org.cactusshift.messages.SuspectFingerprint;
 
 /** Composes heartbeats and applies what those of other nodes say. Safe for use by several threads. */
-final class PeerExchange {
+public final class PeerExchange {
     private static final int FULL_TOTALS_EVERY = 20;
 
     private final NodeIdentity self;
@@ -48,7 +48,17 @@
     private long sequence;
     private volatile boolean leaving;
 
-    PeerExchange(
+    /**
+     * Creates an exchange that has sent and heard nothing.
+     *
+     * @param self this node
+     * @param membership takes who was heard
+     * @param freshness takes what peers say about their contact with the key-value service
+     * @param config gives the installed version and takes those of peers
+     * @param dispatch gives the service of this node and takes that of others
+     * @param clockMillis the monotonic clock
+     */
+    public PeerExchange(
             NodeIdentity self,
             MembershipTable membership,
             KeyFreshness freshness,
@@ -67,7 +77,12 @@
         leaving = true;
     }
 
-    synchronized HeartbeatRequest nextRequest() {
+    /**
+     * Composes the next heartbeat.
+     *
+     * @return the message to all receivers of this beat
+     */
+    public synchronized HeartbeatRequest nextRequest() {
         sequence++;
         KeyFreshness.Report report = freshness.report(clockMillis.getAsLong());
         HeartbeatRequest.Builder request = HeartbeatRequest.newBuilder()
@@ -86,7 +101,13 @@
         return request.build();
     }
 
-    HeartbeatResponse answer(HeartbeatRequest request) {
+    /**
+     * Takes a heartbeat.
+     *
+     * @param request the message of another node
+     * @return the answer
+     */
+    public HeartbeatResponse answer(HeartbeatRequest request) {
         long nowMillis = clockMillis.getAsLong();
         Sender sender = request.getSender();
         if (membership.onHeartbeat(sighting(sender, request.getLeaving()), nowMillis)) {
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/BenchCapacityCommand.java
@@ -0,0 +1,48 @@
+package org.cactusshift.pgm;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.pgm.bench.CapacityBench;
+import org.cactusshift.pgm.bench.CapacityReport;
+import org.cactusshift.pgm.bench.Scale;
+
+/** Measures how the cost of each role grows and prints the slopes. */
+public final class BenchCapacityCommand implements Command {
+    private static final String TINY = "tiny";
+
+    @Override
+    public String name() {
+        return "bench capacity";
+    }
+
+    @Override
+    public String summary() {
+        return "measures how the cost of each role grows";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt(TINY)
+                        .desc("tries every part at a hundredth of the size; its figures are of no use")
+                        .get())
+                .addOption(CommonOptions.json());
+    }
+
+    @Override
+    public int run(CommandLine line, Console console) throws CactusshiftException {
+        CapacityReport report = CapacityBench.create()
+                .setScale(line.hasOption(TINY) ? Scale.TINY : Scale.FULL)
+                .call();
+        if (line.hasOption("json")) {
+            console.json(report);
+        } else {
+            console.out().printf("processors %d, load %.1f%n", report.processors(), report.loadAverage());
+            console.table(report.rows());
+        }
+        return ExitStatus.DONE;
+    }
+}
--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/CommandRegistry.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/CommandRegistry.java
@@ -33,6 +33,7 @@
                 new NodeCommand(),
                 new StatusCommand(),
                 new ReplayCommand(),
+                new BenchCapacityCommand(),
                 new ConfigValidateCommand(),
                 new ConfigShowCommand(),
                 new ConfigApplyCommand(),
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/BenchSite.java
@@ -0,0 +1,143 @@
+package org.cactusshift.pgm.bench;
+
+import java.time.LocalDate;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.stream.IntStream;
+import org.cactusshift.config.AccountConfig;
+import org.cactusshift.config.FailureDomainConfig;
+import org.cactusshift.config.KeyConfig;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.KeyId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.dispatch.EngineLoad;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.membership.Member;
+import org.cactusshift.node.internal.NodeDefaults;
+
+/** Makes accounts, engines and nodes in any number, with ids of usual length. */
+final class BenchSite {
+    static final SiteId SITE = SiteId.fromString("be-coast");
+    static final ServiceId MODEL = ServiceId.fromString("model-00");
+    static final LongSupplier CLOCK_MILLIS = () -> System.nanoTime() / 1_000_000;
+
+    private static final int MEMORY_PIECES = 64;
+    private static final int PREFILL_TOKENS_PER_SECOND = 8_000;
+    private static final int DECODE_TOKENS_PER_SECOND = 40;
+
+    private BenchSite() {}
+
+    static SiteConfig of(int accounts, int engines, String engineAddress) {
+        return new SiteConfig(
+                1,
+                SITE,
+                LocalDate.of(2028, 12, 31),
+                IntStream.range(0, Planned.FAILURE_DOMAINS)
+                        .mapToObj(i -> new FailureDomainConfig(domain(i), Planned.ENGINES))
+                        .toList(),
+                IntStream.range(0, accounts).mapToObj(i -> account(i, 1)).toList(),
+                List.of(new ServiceConfig(MODEL, ServiceConfig.Kind.MODEL, "2026-10", false, true, List.of())),
+                IntStream.range(0, engines)
+                        .mapToObj(i -> engine(i, engineAddress))
+                        .toList(),
+                NodeDefaults.LIMITS,
+                NodeDefaults.TIMING);
+    }
+
+    /** Returns the configuration with the weight of one account changed. */
+    static SiteConfig withWeight(SiteConfig site, int account, double weight) {
+        return new SiteConfig(
+                site.schemaVersion(),
+                site.site(),
+                site.shutdownDate(),
+                site.failureDomains(),
+                site.accounts().stream()
+                        .map(known -> known.id().equals(accountId(account)) ? account(account, weight) : known)
+                        .toList(),
+                site.services(),
+                site.upstreams(),
+                site.limits(),
+                site.timing());
+    }
+
+    private static AccountConfig account(int number, double weight) {
+        AccountId id = accountId(number);
+        KeyConfig key =
+                new KeyConfig(KeyId.fromString(id + "-1"), "hmac-sha256:" + String.format("%064x", number), false);
+        return new AccountConfig(id, weight, 40_000, 32, List.of(MODEL), List.of(key));
+    }
+
+    static AccountId accountId(int number) {
+        return AccountId.fromString(String.format("account-%05d", number));
+    }
+
+    static UpstreamConfig engine(int number, String address) {
+        return new UpstreamConfig(
+                UpstreamId.fromString(String.format("engine-%05d", number)),
+                MODEL,
+                domain(number % Planned.FAILURE_DOMAINS),
+                address,
+                UpstreamConfig.Role.MIXED,
+                false,
+                true,
+                false,
+                1,
+                MEMORY_PIECES);
+    }
+
+    static EngineLoad load(long nowMillis, long queuedTokens) {
+        return new EngineLoad(
+                nowMillis,
+                8,
+                0,
+                queuedTokens,
+                MEMORY_PIECES / 2,
+                MEMORY_PIECES,
+                PREFILL_TOKENS_PER_SECOND,
+                DECODE_TOKENS_PER_SECOND,
+                UpstreamConfig.Role.MIXED,
+                false,
+                1);
+    }
+
+    static FailureDomainId domain(int number) {
+        return FailureDomainId.fromString(String.format("domain-%02d", number));
+    }
+
+    static InstanceId instance(int number) {
+        return InstanceId.fromString(String.format("entry-%04d", number));
+    }
+
+    static IncarnationId incarnation(int number) {
+        return IncarnationId.fromString(String.format("%016x", number));
+    }
+
+    static String peerAddress(int number) {
+        return "10.1." + number / 250 + "." + number % 250 + ":7000";
+    }
+
+    static DutyHolder holder(int number) {
+        return new DutyHolder(instance(number), incarnation(number), peerAddress(number), 1_000_000_000L + number);
+    }
+
+    /** Returns live members, spread over the failure domains. */
+    static List<Member> members(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> new Member(
+                        instance(i),
+                        domain(i % Planned.FAILURE_DOMAINS),
+                        peerAddress(i),
+                        Optional.of(incarnation(i)),
+                        Member.State.LIVE))
+                .toList();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/CapacityBench.java
@@ -0,0 +1,60 @@
+package org.cactusshift.pgm.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.cactusshift.errors.CactusshiftException;
+
+/** Measures the slopes of all roles, one part after the other. */
+public final class CapacityBench {
+    private Scale scale = Scale.FULL;
+
+    private CapacityBench() {}
+
+    /**
+     * Returns a command that measures at full scale.
+     *
+     * @return the command
+     */
+    public static CapacityBench create() {
+        return new CapacityBench();
+    }
+
+    /**
+     * Sets the scale.
+     *
+     * @param newScale the scale
+     * @return this
+     */
+    public CapacityBench setScale(Scale newScale) {
+        scale = Objects.requireNonNull(newScale, "newScale");
+        return this;
+    }
+
+    /**
+     * Measures.
+     *
+     * @return the slopes, by role
+     * @throws CactusshiftException if a part could not be started
+     */
+    public CapacityReport call() throws CactusshiftException {
+        List<Probe> probes = List.of(
+                new DispatchProbe(),
+                new KeyProbe(),
+                new LoadPollProbe(),
+                new ConfigProbe(),
+                new UsageRecordProbe(),
+                new UsageWriteProbe(),
+                new ClaimProbe(),
+                new OrderProbe(),
+                new DutyProbe(),
+                new HeartbeatProbe(),
+                new PeerSelectionProbe(),
+                new MembershipProbe());
+        List<Slope> slopes = new ArrayList<>();
+        for (Probe probe : probes) {
+            slopes.addAll(probe.measure(scale));
+        }
+        return CapacityReport.of(slopes);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/ClaimProbe.java
@@ -0,0 +1,188 @@
+package org.cactusshift.pgm.bench;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.AttemptId;
+import org.cactusshift.internal.coordination.claim.CallClaim;
+import org.cactusshift.internal.coordination.claim.CallOutcome;
+import org.cactusshift.internal.coordination.claim.ClaimPeers;
+import org.cactusshift.internal.coordination.claim.ClaimResult;
+import org.cactusshift.internal.coordination.claim.ClaimService;
+import org.cactusshift.internal.coordination.claim.ClaimServiceSetup;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.store.InMemoryKeyValueStore;
+import org.cactusshift.internal.coordination.store.KeyValueStore;
+import org.cactusshift.internal.coordination.store.StoreFault;
+import org.cactusshift.internal.coordination.store.StoreFaults;
+import org.cactusshift.messages.ClaimRequest;
+import org.cactusshift.messages.ClaimResponse;
+import org.cactusshift.messages.RecordOutcomeRequest;
+import org.cactusshift.messages.RecordOutcomeResponse;
+
+/** Measures one claim shard: claims for each store write, the log, the table and the time of a take-over. */
+final class ClaimProbe implements Probe {
+    private static final long WRITE_LATENCY_MILLIS = 5;
+    private static final int CLAIMS_OF_CALLER = 50;
+    private static final int CALLERS = 64;
+    private static final long TIMEOUT_MILLIS = 30_000;
+    private static final byte[] ANSWER =
+            "{\"payout\":\"0123456789\",\"state\":\"done\"}".getBytes(StandardCharsets.UTF_8);
+    private static final int CALLERS_TODAY = 4;
+    private static final int CALLERS_PLANNED = 64;
+    private static final int CLAIMS_TODAY = 1_000;
+    private static final int CLAIMS_PLANNED = 40_000;
+
+    private final AtomicInteger nextClaim = new AtomicInteger();
+
+    /** No other node takes part. */
+    private static final class NoPeers implements ClaimPeers {
+        @Override
+        public Either<Failure, ClaimResponse> claim(DutyHolder owner, ClaimRequest request, long timeoutMillis) {
+            return Either.left(Failure.noEffect("claim", owner.peerAddress(), "unreachable"));
+        }
+
+        @Override
+        public Either<Failure, RecordOutcomeResponse> recordOutcome(
+                DutyHolder owner, RecordOutcomeRequest request, long timeoutMillis) {
+            return Either.left(Failure.noEffect("record outcome", owner.peerAddress(), "unreachable"));
+        }
+    }
+
+    @Override
+    public List<Slope> measure(Scale scale) {
+        List<Sample> claimsPerWrite = new ArrayList<>();
+        List<Sample> claimsPerSecond = new ArrayList<>();
+        for (int callers : scale.sizes(16, 48, 96)) {
+            measureWrites(callers, claimsPerWrite, claimsPerSecond);
+        }
+        List<Sample> log = new ArrayList<>();
+        List<Sample> table = new ArrayList<>();
+        for (int claims : scale.sizes(3_200, 6_400, 12_800)) {
+            measureState(claims, log, table);
+        }
+        return List.of(
+                slope("claims of a store write", "caller at once", CALLERS_TODAY, CALLERS_PLANNED, claimsPerWrite),
+                slope("claims/s of a shard", "caller at once", CALLERS_TODAY, CALLERS_PLANNED, claimsPerSecond),
+                slope("log in the store, bytes", "claim in a day", CLAIMS_TODAY, CLAIMS_PLANNED, log),
+                slope("table, bytes", "claim in a day", CLAIMS_TODAY, CLAIMS_PLANNED, table));
+    }
+
+    private static Slope slope(String measure, String per, int today, int planned, List<Sample> samples) {
+        return new Slope(Role.CLAIM_SHARD, measure, per, today, planned, samples);
+    }
+
+    private void measureWrites(int callers, List<Sample> claimsPerWrite, List<Sample> claimsPerSecond) {
+        LongAdder writes = new LongAdder();
+        StoreFaults slowWrites = (kind, key) -> {
+            if (kind.isWrite()) {
+                writes.increment();
+                Meter.pause(WRITE_LATENCY_MILLIS);
+            }
+            return StoreFault.NONE;
+        };
+        KeyValueStore store =
+                InMemoryKeyValueStore.create(BenchSite.CLOCK_MILLIS).setFaults(slowWrites);
+        try (ClaimService service = service(store, 1)) {
+            service.start();
+            claimAll(service, 1, 1);
+            long before = writes.sum();
+            long startNanos = System.nanoTime();
+            claimAll(service, callers, CLAIMS_OF_CALLER);
+            double seconds = (System.nanoTime() - startNanos) / 1e9;
+            double claims = (double) callers * CLAIMS_OF_CALLER;
+            claimsPerWrite.add(new Sample(callers, claims / (writes.sum() - before)));
+            claimsPerSecond.add(new Sample(callers, claims / seconds));
+        }
+    }
+
+    private void measureState(int claims, List<Sample> log, List<Sample> table) {
+        KeyValueStore store = InMemoryKeyValueStore.create(BenchSite.CLOCK_MILLIS);
+        int callers = Math.min(claims, CALLERS);
+        int made = callers * (claims / callers);
+        try (ClaimService first = service(store, 1)) {
+            first.start();
+            claimAll(first, callers, claims / callers);
+        }
+        log.add(new Sample(made, CountedStore.bytes(store, DutyId.claim(0).recordKey(BenchSite.SITE))));
+        ClaimService[] successor = new ClaimService[1];
+        table.add(new Sample(made, Meter.retainedBytes(() -> {
+            successor[0] = service(store, 2);
+            successor[0].start();
+            claimAll(successor[0], 1, 1);
+            return successor[0];
+        })));
+        successor[0].close();
+    }
+
+    private static ClaimService service(KeyValueStore store, long fencingNumber) {
+        FixedHolder holder = new FixedHolder(BenchSite.holder((int) fencingNumber), fencingNumber);
+        return ClaimService.create(new ClaimServiceSetup(
+                BenchSite.SITE,
+                holder.node(),
+                1,
+                store,
+                holder,
+                holder,
+                new NoPeers(),
+                BenchSite.CLOCK_MILLIS,
+                System::currentTimeMillis));
+    }
+
+    /** Claims, and records an outcome for each claim. */
+    private void claimAll(ClaimService service, int callers, int claimsOfCaller) {
+        ExecutorService threads = Executors.newFixedThreadPool(callers);
+        try {
+            List<Future<?>> done = new ArrayList<>();
+            for (int caller = 0; caller < callers; caller++) {
+                done.add(threads.submit(() -> {
+                    for (int i = 0; i < claimsOfCaller; i++) {
+                        claimOne(service);
+                    }
+                }));
+            }
+            Meter.await(() -> done.stream().allMatch(Future::isDone));
+            done.forEach(ClaimProbe::checkDone);
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+
+    private static void checkDone(Future<?> done) {
+        try {
+            done.get();
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException("a claim was not granted", e);
+        }
+    }
+
+    private void claimOne(ClaimService service) {
+        int number = nextClaim.incrementAndGet();
+        CallClaim claim = new CallClaim(
+                BenchSite.accountId(number % Planned.ACCOUNTS),
+                BenchSite.MODEL,
+                String.format("payout-%08d-%08d", number, number),
+                "ab".repeat(32),
+                AttemptId.fromString("attempt-" + number));
+        ClaimResult.Verdict verdict = ClaimResult.Verdict.UNAVAILABLE;
+        for (int tries = 0; tries < 3 && verdict != ClaimResult.Verdict.GRANTED; tries++) {
+            long nowMillis = BenchSite.CLOCK_MILLIS.getAsLong();
+            verdict =
+                    service.claim(claim, nowMillis, nowMillis + TIMEOUT_MILLIS).verdict();
+        }
+        if (verdict != ClaimResult.Verdict.GRANTED) {
+            throw new IllegalStateException("claim " + number + ": " + verdict);
+        }
+        service.recordOutcome(
+                claim, new CallOutcome(200, "application/json", ANSWER, true), BenchSite.CLOCK_MILLIS.getAsLong());
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/ConfigProbe.java
@@ -0,0 +1,214 @@
+package org.cactusshift.pgm.bench;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongConsumer;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.configsync.ConfigBundle;
+import org.cactusshift.internal.coordination.configsync.ConfigDistributor;
+import org.cactusshift.internal.coordination.configsync.ConfigPeers;
+import org.cactusshift.internal.coordination.configsync.ConfigRepository;
+import org.cactusshift.internal.coordination.configsync.KeyUpdates;
+import org.cactusshift.internal.coordination.key.KeyFreshness;
+import org.cactusshift.internal.coordination.key.KeyRing;
+import org.cactusshift.internal.coordination.membership.Member;
+import org.cactusshift.internal.coordination.membership.RendezvousOrder;
+import org.cactusshift.internal.coordination.store.InMemoryKeyValueStore;
+
+/** Measures a change of one account on its way through the store, a relay and a follower. */
+final class ConfigProbe implements Probe {
+    private static final int CHANGES = 8;
+    private static final int ENGINES = 1_200;
+    private static final int NODES_OF_DOMAIN = 3;
+
+    private final Series writes = new Series(Role.CONFIG_RELAY, "store writes of a change");
+    private final Series reads = new Series(Role.CONFIG_RELAY, "store reads of a change, by its writer");
+    private final Series relayReads = new Series(Role.CONFIG_RELAY, "store reads of a change, by a relay");
+    private final Series relayCpu = new Series(Role.CONFIG_RELAY, "CPU us of a change");
+    private final Series relayState = new Series(Role.CONFIG_RELAY, "installed configuration, bytes");
+    private final Series change = new Series(Role.CONFIG_FOLLOWER, "bytes of a change");
+    private final Series whole = new Series(Role.CONFIG_FOLLOWER, "bytes of the whole, at a start");
+    private final Series followerCpu = new Series(Role.CONFIG_FOLLOWER, "CPU us of a change");
+    private final Series followerState = new Series(Role.CONFIG_FOLLOWER, "installed configuration, bytes");
+
+    /** The samples of one measure by accounts. */
+    private record Series(Role role, String measure, List<Sample> samples) {
+        Series(Role role, String measure) {
+            this(role, measure, new ArrayList<>());
+        }
+
+        void add(int accounts, double value) {
+            samples.add(new Sample(accounts, value));
+        }
+
+        Slope toSlope() {
+            return new Slope(role, measure, "account", Planned.ACCOUNTS_TODAY, Planned.ACCOUNTS, samples);
+        }
+    }
+
+    /** Hands a follower what a relay has, without a network between. */
+    private record Relay(ConfigDistributor relay, String address) implements ConfigPeers {
+        @Override
+        public List<String> addresses() {
+            return List.of(address);
+        }
+
+        @Override
+        public Either<Failure, Optional<ConfigBundle>> fetch(String peerAddress, long haveVersion) {
+            return Either.right(relay.bundleFor(haveVersion));
+        }
+
+        @Override
+        public Runnable follow(String peerAddress, LongConsumer onVersion, Runnable onEnd) {
+            return relay.followVersions(onVersion);
+        }
+    }
+
+    /** A relay has no need of peers while it reaches the store. */
+    private static final class NoPeers implements ConfigPeers {
+        @Override
+        public List<String> addresses() {
+            return List.of();
+        }
+
+        @Override
+        public Either<Failure, Optional<ConfigBundle>> fetch(String peerAddress, long haveVersion) {
+            return Either.right(Optional.empty());
+        }
+
+        @Override
+        public Runnable follow(String peerAddress, LongConsumer onVersion, Runnable onEnd) {
+            return () -> {};
+        }
+    }
+
+    /** A distributor under measurement. */
+    private static final class Measured {
+        private ConfigDistributor distributor;
+        private Set<Long> threads;
+        private double stateBytes;
+
+        static Measured start(CountedStore counted, ConfigPeers peers, int rank) {
+            Measured measured = new Measured();
+            Set<Long> others = Meter.threads();
+            measured.stateBytes = Meter.retainedBytes(() -> {
+                measured.distributor = distributor(counted, peers, rank);
+                measured.distributor.start();
+                Meter.await(() -> measured.distributor.version() > 0);
+                return measured.distributor;
+            });
+            measured.threads = new HashSet<>(Meter.threads());
+            measured.threads.removeAll(others);
+            return measured;
+        }
+
+        double cpuMicros() {
+            return Meter.cpuMicrosOf(threads);
+        }
+
+        void awaitVersion(long version) {
+            Meter.await(() -> distributor.version() >= version);
+        }
+    }
+
+    @Override
+    public List<Slope> measure(Scale scale) {
+        for (int accounts : scale.sizes(770, 2_310, 4_620, 7_700)) {
+            measure(accounts);
+        }
+        return List.of(writes, reads, relayReads, relayCpu, relayState, change, whole, followerCpu, followerState)
+                .stream()
+                .map(Series::toSlope)
+                .toList();
+    }
+
+    private void measure(int accounts) {
+        SiteConfig site = BenchSite.of(accounts, ENGINES, "10.0.0.1:8000");
+        InMemoryKeyValueStore store = InMemoryKeyValueStore.create(BenchSite.CLOCK_MILLIS);
+        CountedStore writer = CountedStore.over(store);
+        CountedStore relayStore = CountedStore.over(store);
+        ConfigRepository repository = ConfigRepository.open(writer.store(), BenchSite.SITE);
+        apply(repository, site, 0);
+        Measured relay = Measured.start(relayStore, new NoPeers(), 0);
+        Measured follower = Measured.start(CountedStore.over(store), new Relay(relay.distributor, addressOfRank(0)), 2);
+        long writesBefore = writer.writes();
+        long readsBefore = writer.reads();
+        long relayReadsBefore = relayStore.reads();
+        double relayCpuBefore = relay.cpuMicros();
+        double followerCpuBefore = follower.cpuMicros();
+        for (int i = 1; i <= CHANGES; i++) {
+            apply(repository, BenchSite.withWeight(site, i % accounts, i + 1), i);
+            relay.awaitVersion(i + 1L);
+            follower.awaitVersion(i + 1L);
+        }
+        writes.add(accounts, (writer.writes() - writesBefore) / (double) CHANGES);
+        reads.add(accounts, (writer.reads() - readsBefore) / (double) CHANGES);
+        relayReads.add(accounts, (relayStore.reads() - relayReadsBefore) / (double) CHANGES);
+        relayCpu.add(accounts, (relay.cpuMicros() - relayCpuBefore) / CHANGES);
+        followerCpu.add(accounts, (follower.cpuMicros() - followerCpuBefore) / CHANGES);
+        relayState.add(accounts, relay.stateBytes);
+        followerState.add(accounts, follower.stateBytes);
+        change.add(accounts, bytes(relay.distributor.bundleFor(CHANGES)));
+        whole.add(accounts, bytes(relay.distributor.bundleFor(0)));
+        follower.distributor.close();
+        relay.distributor.close();
+    }
+
+    private static void apply(ConfigRepository repository, SiteConfig site, long against) {
+        repository.apply().setConfig(site).setAgainst(against).call().get();
+    }
+
+    private static double bytes(Optional<ConfigBundle> bundle) {
+        return bundle.orElseThrow().toValues().values().stream()
+                .mapToLong(value -> value.length)
+                .sum();
+    }
+
+    /** Returns a distributor that is not started and has no configuration. */
+    static ConfigDistributor idleDistributor() {
+        InMemoryKeyValueStore store = InMemoryKeyValueStore.create(BenchSite.CLOCK_MILLIS);
+        return distributor(CountedStore.over(store), new NoPeers(), 0);
+    }
+
+    private static ConfigDistributor distributor(CountedStore store, ConfigPeers peers, int rank) {
+        InstanceId self = order().get(rank);
+        KeyFreshness freshness = KeyProbe.freshness();
+        return ConfigDistributor.builder()
+                .setSelf(self, BenchSite.domain(0))
+                .setRepository(ConfigRepository.open(store.store(), BenchSite.SITE))
+                .setPeers(peers)
+                .setEvents(KeyUpdates.of(KeyRing.create(KeyProbe.hasher(), freshness), freshness))
+                .setMembers(() -> domainMembers().stream()
+                        .filter(member -> !member.id().equals(self))
+                        .toList())
+                .setContactAgeMillis(() -> 0)
+                .setNowMillis(BenchSite.CLOCK_MILLIS)
+                .build();
+    }
+
+    private static List<Member> domainMembers() {
+        return BenchSite.members(NODES_OF_DOMAIN * Planned.FAILURE_DOMAINS).stream()
+                .filter(member -> member.failureDomain().equals(BenchSite.domain(0)))
+                .toList();
+    }
+
+    private static List<InstanceId> order() {
+        return RendezvousOrder.of(
+                PeerSelectionProbe.RELAY,
+                domainMembers().stream().map(Member::id).toList());
+    }
+
+    private static String addressOfRank(int rank) {
+        return domainMembers().stream()
+                .filter(member -> member.id().equals(order().get(rank)))
+                .findFirst()
+                .orElseThrow()
+                .peerAddress();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/CountedStore.java
@@ -0,0 +1,39 @@
+package org.cactusshift.pgm.bench;
+
+import java.util.Arrays;
+import org.cactusshift.internal.coordination.store.BudgetedKeyValueStore;
+import org.cactusshift.internal.coordination.store.KeyValueStore;
+import org.cactusshift.internal.coordination.store.StoreBudget;
+import org.cactusshift.internal.coordination.store.StoreCallKind;
+
+/**
+ * Counts the calls to a key-value store.
+ *
+ * @param store the store to call
+ */
+record CountedStore(BudgetedKeyValueStore store) {
+    private static final double UNLIMITED = 1e9;
+
+    static CountedStore over(KeyValueStore counted) {
+        return new CountedStore(
+                BudgetedKeyValueStore.create(counted, StoreBudget.of(UNLIMITED, UNLIMITED), System::nanoTime));
+    }
+
+    long writes() {
+        return Arrays.stream(StoreCallKind.values())
+                .filter(StoreCallKind::isWrite)
+                .mapToLong(store::calls)
+                .sum();
+    }
+
+    long reads() {
+        return store.calls(StoreCallKind.GET) + store.calls(StoreCallKind.LIST);
+    }
+
+    /** Returns the bytes of keys and values under a prefix. */
+    static long bytes(KeyValueStore read, String prefix) {
+        return read.list(prefix).get().values().stream()
+                .mapToLong(value -> value.key().length() + value.value().length)
+                .sum();
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/DispatchProbe.java
@@ -0,0 +1,101 @@
+package org.cactusshift.pgm.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.RequestId;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd;
+import org.cactusshift.internal.coordination.dispatch.DispatchDecision;
+import org.cactusshift.internal.coordination.dispatch.DispatchRequest;
+import org.cactusshift.internal.coordination.dispatch.DispatcherOptions;
+import org.cactusshift.internal.coordination.dispatch.ServiceDispatcher;
+
+/** Measures the dispatcher of one model: a decision, its state for each engine and for each open request. */
+final class DispatchProbe implements Probe {
+    private static final int ACCOUNTS = 770;
+    private static final int MAXIMUM_QUEUED = 100_000;
+    private static final int REPEATS_FACTOR = 10;
+    private static final int MAXIMUM_QUEUED_PREFILL_TOKENS = 4_000;
+    private static final long GAP_MILLIS = 1_000;
+    private static final long DEADLINE_MILLIS = 60_000;
+    private static final int ENGINES_OF_MODEL_TODAY = 8;
+    /** 26 requests a second at each node, of 340 tokens at 76 ms each. */
+    private static final int OPEN_REQUESTS = 680;
+
+    private static final int OPEN_REQUESTS_TODAY = 30;
+    private static final AttemptEnd COMPLETED = new AttemptEnd(AttemptEnd.Outcome.COMPLETED, 400, 50);
+
+    @Override
+    public List<Slope> measure(Scale scale) {
+        List<Sample> decision = new ArrayList<>();
+        List<Sample> engineState = new ArrayList<>();
+        for (int engines : scale.sizes(100, 400, 700, 1_100)) {
+            engineState.add(new Sample(engines, Meter.retainedBytes(() -> dispatcher(engines))));
+            decision.add(new Sample(engines, decisionMicros(scale, engines)));
+        }
+        List<Sample> requestState = new ArrayList<>();
+        for (int open : scale.sizes(1_000, 2_000, 4_000)) {
+            ServiceDispatcher dispatcher = dispatcher(scale.sizes(632).get(0));
+            requestState.add(new Sample(open, Meter.retainedBytes(() -> withOpenRequests(dispatcher, open))));
+        }
+        int engines = Planned.ENGINES_OF_MODEL;
+        return List.of(
+                gateway("decision, CPU us", "engine in view", ENGINES_OF_MODEL_TODAY, engines, decision),
+                gateway("dispatcher, bytes", "engine in view", Planned.ENGINES_TODAY, Planned.ENGINES, engineState),
+                gateway("dispatcher, bytes", "open request", OPEN_REQUESTS_TODAY, OPEN_REQUESTS, requestState));
+    }
+
+    private static Slope gateway(String measure, String per, int today, int planned, List<Sample> samples) {
+        return new Slope(Role.GATEWAY, measure, per, today, planned, samples);
+    }
+
+    private static ServiceDispatcher dispatcher(int engines) {
+        SiteConfig site = BenchSite.of(ACCOUNTS, engines, "127.0.0.1:1");
+        RandomGenerator random = new Random(1);
+        ServiceDispatcher dispatcher = ServiceDispatcher.create(
+                new DispatcherOptions(BenchSite.incarnation(1), ServiceConfig.Kind.MODEL, MAXIMUM_QUEUED, 0.2), random);
+        dispatcher.onConfig(site.accounts(), site.upstreams(), 0);
+        for (UpstreamConfig upstream : site.upstreams()) {
+            dispatcher.onLoad(upstream.id(), BenchSite.load(0, random.nextInt(MAXIMUM_QUEUED_PREFILL_TOKENS)), 0);
+        }
+        return dispatcher;
+    }
+
+    private static double decisionMicros(Scale scale, int engines) {
+        ServiceDispatcher dispatcher = dispatcher(engines);
+        int[] next = {0};
+        return Meter.cpuMicros(scale.repeats() * REPEATS_FACTOR, () -> {
+            next[0]++;
+            long nowMillis = next[0] * GAP_MILLIS;
+            for (DispatchDecision decision : dispatcher.submit(request(next[0], nowMillis), nowMillis)) {
+                if (decision instanceof DispatchDecision.Dispatch) {
+                    dispatcher.onAttemptEnd(((DispatchDecision.Dispatch) decision).attempt(), COMPLETED, nowMillis);
+                }
+            }
+        });
+    }
+
+    private static ServiceDispatcher withOpenRequests(ServiceDispatcher dispatcher, int open) {
+        for (int i = 0; i < open; i++) {
+            dispatcher.submit(request(i, i), i);
+        }
+        return dispatcher;
+    }
+
+    static DispatchRequest request(int number, long nowMillis) {
+        return new DispatchRequest(
+                RequestId.fromString("request-" + number),
+                BenchSite.accountId(number % ACCOUNTS),
+                BenchSite.MODEL,
+                number % 4 == 0 ? 6_000 : 400,
+                100,
+                List.of((long) number, number + 1L),
+                nowMillis + DEADLINE_MILLIS,
+                true,
+                number);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/FixedHolder.java
@@ -0,0 +1,26 @@
+package org.cactusshift.pgm.bench;
+
+import java.util.Optional;
+import org.cactusshift.internal.coordination.lease.Authority;
+import org.cactusshift.internal.coordination.lease.AuthoritySource;
+import org.cactusshift.internal.coordination.lease.DutyDirectory;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.lease.DutyId;
+
+/**
+ * A view in which one node holds every duty for good.
+ *
+ * @param node the node
+ * @param fencingNumber its fencing number
+ */
+record FixedHolder(DutyHolder node, long fencingNumber) implements AuthoritySource, DutyDirectory {
+    @Override
+    public Optional<Authority> authority(DutyId duty, long nowMillis) {
+        return Optional.of(new Authority(duty, fencingNumber, Long.MAX_VALUE));
+    }
+
+    @Override
+    public Optional<DutyHolder> holder(DutyId duty) {
+        return Optional.of(node);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/HeartbeatProbe.java
@@ -0,0 +1,165 @@
+package org.cactusshift.pgm.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.cactusshift.config.NodeSettings;
+import org.cactusshift.config.UpstreamConfig;
+import org.cactusshift.id.RequestId;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.dispatch.AttemptEnd;
+import org.cactusshift.internal.coordination.dispatch.DispatchDecision;
+import org.cactusshift.internal.coordination.dispatch.DispatchRequest;
+import org.cactusshift.internal.coordination.dispatch.DispatchService;
+import org.cactusshift.internal.coordination.dispatch.DispatchTicket;
+import org.cactusshift.internal.coordination.membership.MembershipTable;
+import org.cactusshift.internal.state.summary.AccountKey;
+import org.cactusshift.internal.state.summary.RemoteTotals;
+import org.cactusshift.internal.state.summary.ServiceTotals;
+import org.cactusshift.messages.HeartbeatRequest;
+import org.cactusshift.messages.Sender;
+import org.cactusshift.node.internal.NodeDefaults;
+import org.cactusshift.node.internal.NodeIdentity;
+import org.cactusshift.node.internal.PeerExchange;
+
+/** Measures the composing and the taking of heartbeats, and what is kept of other nodes' totals. */
+final class HeartbeatProbe implements Probe {
+    /** The nodes at distances 1, 2, 4, ... on the ring of a failure domain, in both directions. */
+    private static final int SENDERS = 7;
+
+    private static final int BEATS_BETWEEN_FULL = 20;
+    private static final int TAKEN_BEATS = 8;
+    private static final int SELF = 0;
+    private static final int ENGINES = 256;
+    private static final String ADDRESS = "10.0.0.1:8000";
+    private static final long DEADLINE_MILLIS = 5_000;
+    private static final AttemptEnd COMPLETED = new AttemptEnd(AttemptEnd.Outcome.COMPLETED, 400, 50);
+
+    @Override
+    public List<Slope> measure(Scale scale) {
+        List<Sample> bytes = new ArrayList<>();
+        List<Sample> compose = new ArrayList<>();
+        List<Sample> take = new ArrayList<>();
+        for (int accounts : scale.sizes(770, 3_850, 7_700)) {
+            measure(accounts, bytes, compose, take);
+        }
+        List<Sample> remote = new ArrayList<>();
+        for (int accounts : scale.sizes(770, 3_850, 7_700)) {
+            remote.add(new Sample(accounts, Meter.retainedBytes(() -> remoteTotals(accounts))));
+        }
+        return List.of(
+                slope("heartbeat, bytes", "account that changed", bytes),
+                slope("CPU us of composing a beat", "account with usage", compose),
+                slope("CPU us of taking a heartbeat", "account that changed", take),
+                slope("totals of " + SENDERS + " senders, bytes", "account with usage", remote));
+    }
+
+    private static Slope slope(String measure, String per, List<Sample> samples) {
+        return new Slope(Role.PEER_MESH, measure, per, Planned.ACCOUNTS_TODAY, Planned.ACCOUNTS, samples);
+    }
+
+    private static void measure(int accounts, List<Sample> bytes, List<Sample> compose, List<Sample> take) {
+        ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
+        try (DispatchService sending = dispatch(scheduler, accounts);
+                DispatchService receiving = dispatch(scheduler, accounts)) {
+            serveAll(sending, accounts);
+            PeerExchange sender = exchange(sending, SELF);
+            HeartbeatRequest full = sender.nextRequest();
+            bytes.add(new Sample(accounts, full.getSerializedSize()));
+            compose.add(new Sample(accounts, Meter.cpuMicros(BEATS_BETWEEN_FULL, sender::nextRequest)));
+            PeerExchange receiver = exchange(receiving, SENDERS + 1);
+            for (int peer = 1; peer < SENDERS; peer++) {
+                receiver.answer(from(peer, full));
+            }
+            take.add(new Sample(accounts, Meter.cpuMicros(TAKEN_BEATS, () -> receiver.answer(full))));
+        } finally {
+            scheduler.shutdownNow();
+        }
+    }
+
+    private static DispatchService dispatch(ScheduledExecutorService scheduler, int accounts) {
+        DispatchService dispatch = LoadPollProbe.dispatch(scheduler);
+        dispatch.install(new InstalledConfig(1, BenchSite.of(accounts, ENGINES, ADDRESS)));
+        return dispatch;
+    }
+
+    /** Gives every account one request, so that every account has totals; each finds an idle engine. */
+    private static void serveAll(DispatchService dispatch, int accounts) {
+        for (int account = 0; account < accounts; account++) {
+            UpstreamConfig engine = BenchSite.engine(account % ENGINES, ADDRESS);
+            dispatch.onLoad(BenchSite.MODEL, engine.id(), BenchSite.load(BenchSite.CLOCK_MILLIS.getAsLong(), 0));
+            try (DispatchTicket ticket = dispatch.submit(request(account)).orElseThrow()) {
+                ticket.await(0)
+                        .filter(DispatchDecision.Dispatch.class::isInstance)
+                        .map(DispatchDecision.Dispatch.class::cast)
+                        .ifPresent(decision -> ticket.onAttemptEnd(decision.attempt(), COMPLETED));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IllegalStateException("interrupted while measuring", e);
+            }
+        }
+    }
+
+    private static DispatchRequest request(int account) {
+        return new DispatchRequest(
+                RequestId.fromString("request-" + account),
+                BenchSite.accountId(account),
+                BenchSite.MODEL,
+                400,
+                50,
+                List.of(),
+                BenchSite.CLOCK_MILLIS.getAsLong() + DEADLINE_MILLIS,
+                true,
+                account);
+    }
+
+    private static HeartbeatRequest from(int peer, HeartbeatRequest request) {
+        Sender sender = request.getSender().toBuilder()
+                .setInstanceId(BenchSite.instance(peer).value())
+                .setIncarnationId(BenchSite.incarnation(peer).value())
+                .setPeerAddress(BenchSite.peerAddress(peer))
+                .build();
+        return request.toBuilder().setSender(sender).build();
+    }
+
+    private static PeerExchange exchange(DispatchService dispatch, int node) {
+        NodeSettings settings = new NodeSettings(
+                BenchSite.instance(node),
+                BenchSite.SITE,
+                BenchSite.domain(0),
+                BenchSite.peerAddress(node),
+                BenchSite.peerAddress(node),
+                BenchSite.peerAddress(node),
+                List.of(),
+                List.of(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                "",
+                Optional.empty());
+        return new PeerExchange(
+                new NodeIdentity(settings, BenchSite.incarnation(node), BenchSite.peerAddress(node)),
+                MembershipTable.create(BenchSite.instance(node), NodeDefaults.TIMING.suspicionMillis()),
+                KeyProbe.freshness(),
+                ConfigProbe.idleDistributor(),
+                dispatch,
+                BenchSite.CLOCK_MILLIS);
+    }
+
+    private static RemoteTotals remoteTotals(int accounts) {
+        RemoteTotals totals = RemoteTotals.create();
+        for (int peer = 0; peer < SENDERS; peer++) {
+            for (int account = 0; account < accounts; account++) {
+                totals.accept(
+                        BenchSite.incarnation(peer),
+                        new AccountKey(BenchSite.MODEL, BenchSite.accountId(account)),
+                        new ServiceTotals(400L * account, 50, 1));
+            }
+        }
+        return totals;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/LinearFit.java
@@ -0,0 +1,53 @@
+package org.cactusshift.pgm.bench;
+
+import java.util.List;
+
+/**
+ * A straight line through samples by least squares.
+ *
+ * @param slope the growth of the value with each unit of size
+ * @param intercept the value at size 0
+ * @param residual the root of the mean square of the distances from the line, in the unit of the value
+ */
+public record LinearFit(double slope, double intercept, double residual) {
+    private static final int FEWEST_SIZES = 3;
+
+    /**
+     * Fits a line.
+     *
+     * @param samples the samples, of at least three sizes
+     * @return the line
+     * @throws IllegalArgumentException if there are fewer sizes
+     */
+    public static LinearFit of(List<Sample> samples) {
+        if (samples.stream().mapToDouble(Sample::size).distinct().count() < FEWEST_SIZES) {
+            throw new IllegalArgumentException("fewer than " + FEWEST_SIZES + " sizes");
+        }
+        double meanSize = samples.stream().mapToDouble(Sample::size).average().orElseThrow();
+        double meanValue = samples.stream().mapToDouble(Sample::value).average().orElseThrow();
+        double covariance = 0;
+        double variance = 0;
+        for (Sample sample : samples) {
+            covariance += (sample.size() - meanSize) * (sample.value() - meanValue);
+            variance += (sample.size() - meanSize) * (sample.size() - meanSize);
+        }
+        double slope = covariance / variance;
+        double intercept = meanValue - slope * meanSize;
+        double squares = samples.stream()
+                .mapToDouble(sample -> sample.value() - slope * sample.size() - intercept)
+                .map(distance -> distance * distance)
+                .average()
+                .orElseThrow();
+        return new LinearFit(slope, intercept, Math.sqrt(squares));
+    }
+
+    /**
+     * Returns the value on the line.
+     *
+     * @param size the size
+     * @return the value; 0 where the line is below
+     */
+    public double at(double size) {
+        return Math.max(0, slope * size + intercept);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/LoadPollProbe.java
@@ -0,0 +1,97 @@
+package org.cactusshift.pgm.bench;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+import org.cactusshift.config.SiteConfig;
+import org.cactusshift.internal.coordination.configsync.ConfigSource;
+import org.cactusshift.internal.coordination.configsync.InstalledConfig;
+import org.cactusshift.internal.coordination.dispatch.DispatchService;
+import org.cactusshift.internal.coordination.dispatch.DispatcherOptions;
+import org.cactusshift.internal.coordination.dispatch.ServiceDispatcher;
+import org.cactusshift.internal.transport.gateway.UpstreamLoadPoller;
+import org.cactusshift.internal.transport.http.ClientSettings;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.node.internal.NodeDefaults;
+
+/** Measures what a gateway spends on asking each engine for its load. */
+final class LoadPollProbe implements Probe {
+    private static final long SETTLE_MILLIS = 1_500;
+    private static final long WATCH_MILLIS = 4_000;
+    private static final String LOAD = "{\"age_millis\":120,\"role\":\"mixed\",\"running\":12,\"waiting\":3,"
+            + "\"queued_prefill_tokens\":4096,\"used_pieces\":40,\"total_pieces\":64,"
+            + "\"prefill_tokens_per_second\":8000.0,\"decode_tokens_per_second\":40.0,\"version\":\"2026-10\","
+            + "\"changing\":false,\"draining\":false,\"epoch\":1}";
+    private static final String NO_EVENTS = "{\"next\":0,\"events\":[]}";
+
+    /** The configuration of the engines that are asked. */
+    private record OneVersion(InstalledConfig installed) implements ConfigSource {
+        @Override
+        public Optional<InstalledConfig> current() {
+            return Optional.of(installed);
+        }
+
+        @Override
+        public void subscribe(Consumer<InstalledConfig> listener) {
+            listener.accept(installed);
+        }
+    }
+
+    @Override
+    public List<Slope> measure(Scale scale) {
+        List<Sample> bytes = new ArrayList<>();
+        List<Sample> cpu = new ArrayList<>();
+        for (int engines : scale.sizes(12, 48, 96)) {
+            measure(scale, engines, bytes, cpu);
+        }
+        return List.of(slope("load polls, bytes/s", bytes), slope("load polls, CPU us/s", cpu));
+    }
+
+    private static Slope slope(String measure, List<Sample> samples) {
+        return new Slope(Role.GATEWAY, measure, "engine in view", Planned.ENGINES_TODAY, Planned.ENGINES, samples);
+    }
+
+    private static void measure(Scale scale, int engines, List<Sample> bytes, List<Sample> cpu) {
+        ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(1);
+        try (CountingServer server = CountingServer.start(line -> line.contains(" /load ") ? LOAD : NO_EVENTS);
+                HttpClientPool pool = HttpClientPool.create(
+                        () -> ClientSettings.of(NodeDefaults.TIMING), BenchSite.CLOCK_MILLIS, scheduler);
+                DispatchService dispatch = dispatch(scheduler)) {
+            SiteConfig site = BenchSite.of(Planned.ACCOUNTS_TODAY, engines, server.address());
+            ConfigSource config = new OneVersion(new InstalledConfig(1, site));
+            config.subscribe(dispatch::install);
+            Set<Long> others = Meter.threads();
+            try (UpstreamLoadPoller poller =
+                    UpstreamLoadPoller.start(config, dispatch, pool, BenchSite.CLOCK_MILLIS, scheduler)) {
+                Meter.pause(scale.millis(SETTLE_MILLIS));
+                Set<Long> pollers = new HashSet<>(Meter.threadsNamed("upstream-load"));
+                pollers.removeAll(others);
+                long startNanos = System.nanoTime();
+                long bytesBefore = server.bytes();
+                double cpuBefore = Meter.cpuMicrosOf(pollers);
+                Meter.pause(scale.millis(WATCH_MILLIS));
+                double seconds = (System.nanoTime() - startNanos) / 1e9;
+                bytes.add(new Sample(engines, (server.bytes() - bytesBefore) / seconds));
+                cpu.add(new Sample(engines, (Meter.cpuMicrosOf(pollers) - cpuBefore) / seconds));
+            }
+        } finally {
+            scheduler.shutdownNow();
+        }
+    }
+
+    /** Returns a dispatch service without configuration. */
+    static DispatchService dispatch(ScheduledExecutorService scheduler) {
+        return DispatchService.create(
+                (service, site) -> ServiceDispatcher.create(
+                        DispatcherOptions.create(BenchSite.incarnation(1), service.kind(), site.limits()),
+                        new Random(1)),
+                BenchSite.CLOCK_MILLIS,
+                scheduler);
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/Meter.java
@@ -0,0 +1,108 @@
+package org.cactusshift.pgm.bench;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+import java.lang.ref.Reference;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/** Measures processor time and memory of this process. */
+final class Meter {
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+    private static final int BATCHES = 5;
+    private static final int COLLECTIONS = 3;
+    private static final long POLL_MILLIS = 5;
+    private static final long PATIENCE_MILLIS = 30_000;
+    private static final double NANOS_PER_MICRO = 1_000;
+
+    private Meter() {}
+
+    /** Returns the processor time of one run in this thread, in microseconds: the median of several batches. */
+    static double cpuMicros(int repeats, Runnable run) {
+        repeat(repeats, run);
+        double[] batches = new double[BATCHES];
+        for (int batch = 0; batch < BATCHES; batch++) {
+            long startNanos = THREADS.getCurrentThreadCpuTime();
+            repeat(repeats, run);
+            batches[batch] = (THREADS.getCurrentThreadCpuTime() - startNanos) / NANOS_PER_MICRO / repeats;
+        }
+        Arrays.sort(batches);
+        return batches[BATCHES / 2];
+    }
+
+    private static void repeat(int repeats, Runnable run) {
+        for (int i = 0; i < repeats; i++) {
+            run.run();
+        }
+    }
+
+    /** Returns the heap that the result keeps in use, in bytes, beyond what was in use before. */
+    static double retainedBytes(Supplier<?> build) {
+        long before = usedBytes();
+        Object kept = build.get();
+        long after = usedBytes();
+        Reference.reachabilityFence(kept);
+        return Math.max(0, after - before);
+    }
+
+    private static long usedBytes() {
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    /** Returns the ids of the threads that run now. */
+    static Set<Long> threads() {
+        Set<Long> ids = new HashSet<>();
+        for (long id : THREADS.getAllThreadIds()) {
+            ids.add(id);
+        }
+        return ids;
+    }
+
+    /** Returns the ids of the threads with a name. */
+    static Set<Long> threadsNamed(String name) {
+        Set<Long> ids = threads();
+        ids.removeIf(id -> {
+            ThreadInfo thread = THREADS.getThreadInfo(id);
+            return thread == null || !thread.getThreadName().equals(name);
+        });
+        return ids;
+    }
+
+    /** Returns the processor time that threads have used, in microseconds; threads that have ended count as 0. */
+    static double cpuMicrosOf(Set<Long> threads) {
+        return threads.stream()
+                        .mapToLong(THREADS::getThreadCpuTime)
+                        .filter(nanos -> nanos > 0)
+                        .sum()
+                / NANOS_PER_MICRO;
+    }
+
+    /** Waits for a condition. */
+    static void await(BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > endNanos) {
+                throw new IllegalStateException("what is measured did not settle in " + PATIENCE_MILLIS + " ms");
+            }
+            pause(POLL_MILLIS);
+        }
+    }
+
+    /** Waits for a time. */
+    static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while measuring", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/PeerSelectionProbe.java
@@ -0,0 +1,91 @@
+package org.cactusshift.pgm.bench;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.membership.Member;
+import org.cactusshift.internal.coordination.membership.PeerSelection;
+import org.cactusshift.internal.coordination.membership.RendezvousOrder;
+
+/**
+ * Counts, in fleets of several sizes, to whom nodes send heartbeats, whom they hear, and how many count themselves
+ * among the relays of their failure domain.
+ */
+final class PeerSelectionProbe implements Probe {
+    /** The purpose under which relays are chosen. */
+    static final String RELAY = "configuration relay";
+
+    private static final int RELAYS_OF_DOMAIN = 2;
+    private static final int REPEATS_DIVISOR = 10;
+
+    @Override
+    public List<Slope> measure(Scale scale) {
+        List<Sample> receivers = new ArrayList<>();
+        List<Sample> most = new ArrayList<>();
+        List<Sample> relays = new ArrayList<>();
+        List<Sample> cpu = new ArrayList<>();
+        for (int nodes : scale.sizes(200, 600, 1_800)) {
+            List<Member> all = BenchSite.members(nodes);
+            Map<InstanceId, List<Member>> receiversOf = receiversOf(all);
+            receivers.add(new Sample(
+                    nodes,
+                    receiversOf.values().stream().mapToInt(List::size).average().orElseThrow()));
+            most.add(new Sample(
+                    nodes,
+                    receiversOf.values().stream().mapToInt(List::size).max().orElseThrow()));
+            relays.add(new Sample(nodes, relays(all, receiversOf)));
+            PeerSelection selection = selection(all.get(0));
+            List<Member> others = all.subList(1, nodes);
+            int repeats = Math.max(1, scale.repeats() / REPEATS_DIVISOR);
+            cpu.add(new Sample(nodes, Meter.cpuMicros(repeats, () -> selection.select(others))));
+        }
+        return List.of(
+                slope(Role.PEER_MESH, "receivers of a beat, mean", receivers),
+                slope(Role.PEER_MESH, "receivers of a beat, most", most),
+                slope(Role.PEER_MESH, "CPU us of choosing the receivers", cpu),
+                slope(Role.CONFIG_RELAY, "nodes that take themselves for a relay", relays));
+    }
+
+    private static Slope slope(Role role, String measure, List<Sample> samples) {
+        return new Slope(role, measure, "node", Planned.NODES_TODAY, Planned.NODES, samples);
+    }
+
+    private static PeerSelection selection(Member self) {
+        return PeerSelection.of(self.id(), self.failureDomain());
+    }
+
+    private static Map<InstanceId, List<Member>> receiversOf(List<Member> all) {
+        Map<InstanceId, List<Member>> receivers = new HashMap<>();
+        for (Member self : all) {
+            List<Member> others = all.stream().filter(member -> member != self).toList();
+            receivers.put(self.id(), selection(self).select(others));
+        }
+        return receivers;
+    }
+
+    /** Each node chooses among the nodes of its failure domain that it hears: those it sends to or hears from. */
+    private static int relays(List<Member> all, Map<InstanceId, List<Member>> receiversOf) {
+        Map<InstanceId, Member> byId = all.stream().collect(Collectors.toMap(Member::id, member -> member));
+        Map<InstanceId, Set<InstanceId>> heard = new HashMap<>();
+        receiversOf.forEach((sender, receivers) -> receivers.forEach(receiver -> {
+            heard.computeIfAbsent(sender, id -> new HashSet<>()).add(receiver.id());
+            heard.computeIfAbsent(receiver.id(), id -> new HashSet<>()).add(sender);
+        }));
+        int relays = 0;
+        for (Member self : all) {
+            Set<InstanceId> view = heard.getOrDefault(self.id(), Set.of()).stream()
+                    .filter(id -> byId.get(id).failureDomain().equals(self.failureDomain()))
+                    .collect(Collectors.toCollection(HashSet::new));
+            view.add(self.id());
+            if (RendezvousOrder.of(RELAY, view).indexOf(self.id()) < RELAYS_OF_DOMAIN) {
+                relays++;
+            }
+        }
+        return relays;
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/Planned.java
@@ -0,0 +1,21 @@
+package org.cactusshift.pgm.bench;
+
+/** Sizes of a site of 8 nodes and of the one that is planned for. */
+final class Planned {
+    static final int NODES_TODAY = 8;
+    static final int NODES = 1_800;
+    static final int ENGINES_TODAY = 12;
+    static final int ENGINES = 12_000;
+    static final int MODELS = 19;
+    static final int FAILURE_DOMAINS = 22;
+    static final int ACCOUNTS_TODAY = 8;
+    static final int ACCOUNTS = 7_700;
+    /** The duties that a node of today seeks: 4 usage shards and 8 claim shards. */
+    static final int DUTIES_TODAY = 12;
+    /** With one duty for each model and failure domain and one for each failure domain. */
+    static final int DUTIES = DUTIES_TODAY + MODELS * FAILURE_DOMAINS + FAILURE_DOMAINS;
+    /** The engines of one model. */
+    static final int ENGINES_OF_MODEL = ENGINES / MODELS;
+
+    private Planned() {}
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/bench/UsageWriteProbe.java
@@ -0,0 +1,86 @@
+package org.cactusshift.pgm.bench;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.AttemptId;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.store.InMemoryKeyValueStore;
+import org.cactusshift.internal.coordination.usage.UsagePeers;
+import org.cactusshift.internal.coordination.usage.UsageRecord;
+import org.cactusshift.internal.coordination.usage.UsageReporter;
+import org.cactusshift.internal.coordination.usage.UsageService;
+import org.cactusshift.internal.coordination.usage.UsageServiceSetup;
+import org.cactusshift.internal.coordination.usage.UsageShards;
+import org.cactusshift.messages.UsageAck;
+import org.cactusshift.messages.UsageBatch;
+import org.cactusshift.node.internal.NodeDefaults;
+
+/** Measures how often the holder of usage shards writes while every account has usage all the time. */
+final class UsageWriteProbe implements Probe {
+    private static final long WATCH_MILLIS = 5_000;
+    private static final long SETTLE_MILLIS = 2_000;
+    private static final long RECORD_MILLIS = 50;
+    private static final int ACCOUNTS = 200;
+    private static final int SHARDS = 4;
+
+    /** No other node takes part. */
+    private static final class NoPeers implements UsagePeers {
+        @Override
+        public Either<Failure, UsageAck> handOver(DutyHolder holder, UsageBatch batch) {
+            return Either.left(Failure.noEffect("hand over usage", holder.peerAddress(), "unreachable"));
+        }
+    }
+
+    @Override
+    public List<Slope> measure(Scale scale) {
+        List<Sample> writes = new ArrayList<>();
+        for (int shards : scale.sizes(4, 8, 16)) {
+            writes.add(new Sample(shards, writesPerSecond(scale, shards)));
+        }
+        return List.of(new Slope(Role.USAGE_SHARD, "store writes/s", "shard", SHARDS, SHARDS, writes));
+    }
+
+    private static double writesPerSecond(Scale scale, int shards) {
+        CountedStore store = CountedStore.over(InMemoryKeyValueStore.create(BenchSite.CLOCK_MILLIS));
+        FixedHolder holder = new FixedHolder(BenchSite.holder(1), 1);
+        try (UsageService usage = UsageService.create(new UsageServiceSetup(
+                BenchSite.SITE,
+                holder.node(),
+                new UsageShards(shards),
+                NodeDefaults.TIMING.usageWindowMillis(),
+                NodeDefaults.TIMING.usageHandOverMillis(),
+                store.store(),
+                holder,
+                holder,
+                new NoPeers(),
+                window -> Either.right(UsageReporter.Receipt.RECORDED),
+                BenchSite.CLOCK_MILLIS,
+                System::currentTimeMillis))) {
+            usage.start();
+            record(usage, scale.millis(SETTLE_MILLIS));
+            long before = store.writes();
+            long startNanos = System.nanoTime();
+            record(usage, scale.millis(WATCH_MILLIS));
+            return (store.writes() - before) / ((System.nanoTime() - startNanos) / 1e9);
+        }
+    }
+
+    private static void record(UsageService usage, long forMillis) {
+        for (long passed = 0; passed < forMillis; passed += RECORD_MILLIS) {
+            for (int account = 0; account < ACCOUNTS; account++) {
+                usage.record(
+                        new UsageRecord(
+                                BenchSite.accountId(account),
+                                BenchSite.MODEL,
+                                AttemptId.fromString("attempt-" + account),
+                                400,
+                                50,
+                                1),
+                        System.currentTimeMillis());
+            }
+            Meter.pause(RECORD_MILLIS);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/test/java/org/cactusshift/pgm/BenchCapacityCommandTest.java
@@ -0,0 +1,41 @@
+package org.cactusshift.pgm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.StreamSupport;
+import org.cactusshift.config.Json;
+import org.cactusshift.pgm.bench.Role;
+import org.junit.jupiter.api.Test;
+
+class BenchCapacityCommandTest {
+    private static final int FEWEST_SIZES = 3;
+
+    @Test
+    void measuresEveryRoleAtThreeSizes() throws Exception {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream stream = new PrintStream(out, true, StandardCharsets.UTF_8);
+        Main main = Main.of(CommandRegistry.standard(), new Console(stream, stream));
+        assertEquals(ExitStatus.DONE, main.run(new String[] {"bench", "capacity", "--tiny", "--json"}));
+
+        JsonNode slopes = Json.mapper().readTree(out.toByteArray()).get("slopes");
+        Set<Role> roles = StreamSupport.stream(slopes.spliterator(), false)
+                .map(slope -> Role.valueOf(slope.get("role").asText()))
+                .collect(Collectors.toSet());
+        assertEquals(EnumSet.allOf(Role.class), roles);
+        for (JsonNode slope : slopes) {
+            Set<Double> sizes = StreamSupport.stream(slope.get("samples").spliterator(), false)
+                    .map(sample -> sample.get("size").asDouble())
+                    .collect(Collectors.toSet());
+            assertTrue(sizes.size() >= FEWEST_SIZES, slope::toString);
+            assertTrue(slope.get("fit").get("residual").isNumber(), slope::toString);
+        }
+    }
+}
