--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ConfigApplyCommand.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ConfigApplyCommand.java
@@ -52,6 +52,7 @@
                         .longOpt("replace-keys")
                         .desc("takes the keys of existing accounts from the files too")
                         .get())
+                .addOption(ConfigWait.option())
                 .addOption(CommonOptions.json());
     }
 
@@ -66,7 +67,9 @@
                     .setAgainst(against)
                     .call());
             ApplyReport.print(result, against, line.hasOption("json"), console);
-            return result.outcome() == ApplyResult.Outcome.CONFLICT ? ExitStatus.FAILED : ExitStatus.DONE;
+            boolean done = result.outcome() != ApplyResult.Outcome.CONFLICT
+                    && ConfigWait.await(line, result.version(), console);
+            return done ? ExitStatus.DONE : ExitStatus.FAILED;
         }
     }
 
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ConfigWait.java
@@ -0,0 +1,66 @@
+package org.cactusshift.pgm;
+
+import java.io.IOException;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.cactusshift.errors.CactusshiftException;
+
+/** Waits until nodes have a version of the configuration in force. */
+final class ConfigWait {
+    private static final String OPTION = "wait";
+    private static final long LIMIT_MILLIS = 30_000;
+    private static final long POLL_MILLIS = 100;
+
+    private ConfigWait() {}
+
+    static Option option() {
+        return Option.builder()
+                .longOpt(OPTION)
+                .hasArg()
+                .argName("ADDRESS,...")
+                .desc("waits up to 30 s until the nodes with these operator addresses have the version in force")
+                .get();
+    }
+
+    /**
+     * Waits if the option was given, and tells on how many nodes the version is in force.
+     *
+     * @return whether all named nodes have it
+     */
+    static boolean await(CommandLine line, long version, Console console) throws CactusshiftException {
+        if (!line.hasOption(OPTION)) {
+            return true;
+        }
+        List<String> addresses = List.of(line.getOptionValue(OPTION).split(","));
+        Set<String> behind = new LinkedHashSet<>(addresses);
+        long startMillis = System.currentTimeMillis();
+        try (OperatorClient client = OperatorClient.create()) {
+            while (!behind.isEmpty() && System.currentTimeMillis() - startMillis < LIMIT_MILLIS) {
+                behind.removeIf(address -> isInForce(client, address, version));
+                if (!behind.isEmpty()) {
+                    Thread.sleep(POLL_MILLIS);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        long tookMillis = System.currentTimeMillis() - startMillis;
+        console.err()
+                .println("version " + version + " is in force on " + (addresses.size() - behind.size()) + " of "
+                        + addresses.size() + " nodes after " + tookMillis + " ms");
+        behind.forEach(address -> console.err().println("not yet on " + address));
+        return behind.isEmpty();
+    }
+
+    private static boolean isInForce(OperatorClient client, String address, long version) {
+        try {
+            return client.read(address, "/status").path("configVersion").asLong() >= version;
+        } catch (IOException | CactusshiftException e) {
+            // An unreachable node counts as one that is behind.
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/OperatorClient.java
@@ -0,0 +1,68 @@
+package org.cactusshift.pgm;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
+import org.cactusshift.config.Json;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.transport.http.ClientExchange;
+import org.cactusshift.internal.transport.http.ClientSettings;
+import org.cactusshift.internal.transport.http.HttpClientPool;
+import org.cactusshift.internal.transport.http.WaitObserver;
+
+/** Reads the operators' pages of nodes. The operator key comes from the environment, so that no list shows it. */
+final class OperatorClient implements AutoCloseable {
+    private static final ClientSettings SETTINGS = new ClientSettings(2_000, 5_000, 4, 1_000);
+    private static final int MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024;
+    private static final String KEY_VARIABLE = "CACTUSSHIFT_OPERATOR_KEY";
+
+    private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+    private final HttpClientPool pool =
+            HttpClientPool.create(() -> SETTINGS, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), scheduler);
+
+    private OperatorClient() {}
+
+    static OperatorClient create() {
+        return new OperatorClient();
+    }
+
+    /**
+     * Reads a page.
+     *
+     * @param address the operator address of a node, as {@code IP:PORT}
+     * @param path the path of the page
+     * @return the page
+     * @throws IOException if the node can't be reached or does not answer
+     * @throws CactusshiftException if the node refuses
+     */
+    JsonNode read(String address, String path) throws IOException, CactusshiftException {
+        ClassicRequestBuilder request = ClassicRequestBuilder.get(path);
+        String key = System.getenv(KEY_VARIABLE);
+        if (key != null) {
+            request.addHeader("Authorization", "Bearer " + key);
+        }
+        var sent = pool.send(address, request.build(), WaitObserver.PATIENT);
+        if (sent.isLeft()) {
+            throw sent.getLeft();
+        }
+        try (ClientExchange exchange = sent.get()) {
+            JsonNode page = Json.mapper().readTree(exchange.readAll(MAXIMUM_ANSWER_BYTES));
+            if (exchange.status() != HttpStatus.SC_OK) {
+                String reason = page.path("error").asText("status " + exchange.status());
+                throw new CactusshiftException(Failure.rejected("read page", address, reason));
+            }
+            return page;
+        }
+    }
+
+    @Override
+    public void close() {
+        pool.close();
+        scheduler.shutdownNow();
+    }
+}
--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/StatusCommand.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/StatusCommand.java
@@ -3,26 +3,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.Optional;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
-import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
-import org.cactusshift.config.Json;
 import org.cactusshift.errors.CactusshiftException;
-import org.cactusshift.errors.Failure;
-import org.cactusshift.internal.transport.http.ClientExchange;
-import org.cactusshift.internal.transport.http.ClientSettings;
-import org.cactusshift.internal.transport.http.HttpClientPool;
-import org.cactusshift.internal.transport.http.WaitObserver;
 
 /** Shows the status of nodes. */
 public final class StatusCommand implements Command {
-    private static final ClientSettings CLIENT = new ClientSettings(2_000, 5_000, 4, 1_000);
-    private static final int MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024;
-    private static final String KEY_VARIABLE = "CACTUSSHIFT_OPERATOR_KEY";
     private static final String ROW = "%-14s %-6s %7s %-10s %6s  %s%n";
 
     @Override
@@ -63,14 +50,15 @@
             console.out().printf(ROW, "instance", "ready", "config", "keys", "open", "duties");
         }
         boolean complete = true;
-        for (String address : line.getArgList()) {
-            try {
-                JsonNode page =
-                        read(address, request.map(id -> "/explain/" + id).orElse("/status"));
-                print(page, asJson, console);
-            } catch (IOException e) {
-                console.err().println("cactusshift status: " + address + ": " + e.getMessage());
-                complete = false;
+        String path = request.map(id -> "/explain/" + id).orElse("/status");
+        try (OperatorClient client = OperatorClient.create()) {
+            for (String address : line.getArgList()) {
+                try {
+                    print(client.read(address, path), asJson, console);
+                } catch (IOException e) {
+                    console.err().println("cactusshift status: " + address + ": " + e.getMessage());
+                    complete = false;
+                }
             }
         }
         return complete ? ExitStatus.DONE : ExitStatus.FAILED;
@@ -101,30 +89,4 @@
             console.out().println("  not ready: " + page.path("notReadyReason").asText());
         }
     }
-
-    private static JsonNode read(String address, String path) throws IOException, CactusshiftException {
-        ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
-        try (HttpClientPool pool = HttpClientPool.create(
-                () -> CLIENT, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), scheduler)) {
-            ClassicRequestBuilder request = ClassicRequestBuilder.get(path);
-            String key = System.getenv(KEY_VARIABLE);
-            if (key != null) {
-                request.addHeader("Authorization", "Bearer " + key);
-            }
-            var sent = pool.send(address, request.build(), WaitObserver.PATIENT);
-            if (sent.isLeft()) {
-                throw sent.getLeft();
-            }
-            try (ClientExchange exchange = sent.get()) {
-                JsonNode page = Json.mapper().readTree(exchange.readAll(MAXIMUM_ANSWER_BYTES));
-                if (exchange.status() != 200) {
-                    throw new CactusshiftException(Failure.rejected(
-                            "read page", address, page.path("error").asText("status " + exchange.status())));
-                }
-                return page;
-            }
-        } finally {
-            scheduler.shutdownNow();
-        }
-    }
 }
