Test that a successor finishes a planned change

A holder that leaves while an engine carries out its order hands the duty on. That the successor issues no second order was tested for orders alone, not with the planned changes that decide about them. A killed holder was left out: it needs a node in a process of its own.

Orders of 1 s replace those of 0.3 s in both tests, so that the holder is stopped before its order ends.

--- a/org.cactusshift.node/src/test/java/org/cactusshift/node/OperatorPage.java
+++ b/org.cactusshift.node/src/test/java/org/cactusshift/node/OperatorPage.java
@@ -11,15 +11,18 @@
 
     /** Returns the value of a metric, 0 when it is not shown yet. */
     static long metric(Node node, String name) {
-        try (InputStream page = URI.create("http://" + node.operatorAddress() + "/metrics")
-                .toURL()
-                .openStream()) {
-            return new String(page.readAllBytes(), StandardCharsets.UTF_8)
-                    .lines()
-                    .filter(line -> line.startsWith(name + " "))
-                    .map(line -> line.substring(name.length() + 1))
-                    .mapToLong(value -> (long) Double.parseDouble(value))
-                    .sum();
+        return text(node.operatorAddress(), "/metrics")
+                .lines()
+                .filter(line -> line.startsWith(name + " "))
+                .map(line -> line.substring(name.length() + 1))
+                .mapToLong(value -> (long) Double.parseDouble(value))
+                .sum();
+    }
+
+    /** Returns the text of a page. */
+    static String text(String address, String path) {
+        try (InputStream page = URI.create("http://" + address + path).toURL().openStream()) {
+            return new String(page.readAllBytes(), StandardCharsets.UTF_8);
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
--- a/org.cactusshift.node/src/test/java/org/cactusshift/node/PlannedChangeTest.java
+++ b/org.cactusshift.node/src/test/java/org/cactusshift/node/PlannedChangeTest.java
@@ -32,7 +32,7 @@
 class PlannedChangeTest {
     private static final String VERSION = "2026-11";
     private static final int TOKENS = 200;
-    private static final long ORDER_MILLIS = 300;
+    private static final long ORDER_MILLIS = 1_000;
     private static final int MAXIMUM_POLLS = 900;
     private static final long POLL_MILLIS = 100;
 
@@ -78,6 +78,50 @@
         assertEquals(List.of(), overlaps());
     }
 
+    @Test
+    void finishesTheOrderOfAHolderThatLeftAndIssuesNoOther() throws Exception {
+        site.change(PlannedChangeTest::withVersion);
+        LocalSite.await(() -> firstOrdered().isPresent());
+        StandInEngine engine = firstOrdered().orElseThrow();
+        Node holder = holderFor(engine);
+        boolean outstanding = !isChanged(engine);
+        holder.stop();
+        for (int i = 0; i < MAXIMUM_POLLS && !site.platform().engines().stream().allMatch(this::isChanged); i++) {
+            Thread.sleep(POLL_MILLIS);
+        }
+
+        assertTrue(outstanding, "the holder was stopped too late");
+        for (StandInEngine each : site.platform().engines()) {
+            assertTrue(isChanged(each), each.settings().engineId());
+            assertEquals(List.of("load_version"), kindsOf(each), each.settings().engineId());
+        }
+    }
+
+    private Optional<StandInEngine> firstOrdered() {
+        return site.platform().engines().stream()
+                .filter(engine -> !engine.receivedOrders().isEmpty())
+                .findFirst();
+    }
+
+    private Node holderFor(StandInEngine engine) {
+        String failureDomain = site.config().upstreams().stream()
+                .filter(upstream ->
+                        upstream.id().value().equals(engine.settings().engineId()))
+                .map(upstream -> upstream.failureDomain().value())
+                .findFirst()
+                .orElseThrow();
+        return site.nodes().stream()
+                .filter(node -> OperatorPage.text(node.operatorAddress(), "/status")
+                        .contains("engine-orders/" + failureDomain + "+"))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private boolean isChanged(StandInEngine engine) {
+        String orders = OperatorPage.text(engine.address(), "/orders").replaceAll("\\s", "");
+        return orders.contains("\"outstanding\":null") && orders.contains("\"version\":\"" + VERSION + "\"");
+    }
+
     private void awaitOrders() throws InterruptedException {
         for (int i = 0;
                 i < MAXIMUM_POLLS && changed() < site.platform().engines().size();
