Give test processes ports that outgoing connections never take

Cause: the free ports of the process tests came from the range that the system gives to outgoing connections.

Ports now come from 12,000 to 29,999, below that range, each handed out once before any comes again.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/FreePorts.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/FreePorts.java
@@ -6,8 +6,18 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Finds addresses that a process started later can listen on. */
+/**
+ * Finds addresses that a process started later can listen on.
+ *
+ * <p>The ports lie below those that systems give to outgoing connections, so that none of the test's own connections
+ * takes one before the process listens on it. No port is handed out twice in a row of tests.
+ */
 final class FreePorts {
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+
+    private static int next = (int) (ProcessHandle.current().pid() * 977 % PORTS);
+
     private FreePorts() {}
 
     /**
@@ -17,20 +27,26 @@
      * @return the addresses as {@code ADDRESS:PORT}
      * @throws IOException if none can be had
      */
-    static List<String> addresses(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            List<String> addresses = new ArrayList<>();
-            for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                sockets.add(socket);
-                addresses.add(socket.getInetAddress().getHostAddress() + ":" + socket.getLocalPort());
+    static synchronized List<String> addresses(int count) throws IOException {
+        List<String> addresses = new ArrayList<>();
+        for (int tried = 0; addresses.size() < count; tried++) {
+            if (tried == PORTS) {
+                throw new IOException("no free ports between " + FIRST_PORT + " and " + (FIRST_PORT + PORTS));
             }
-            return addresses;
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
+            int port = FIRST_PORT + next;
+            next = (next + 1) % PORTS;
+            if (isFree(port)) {
+                addresses.add(InetAddress.getLoopbackAddress().getHostAddress() + ":" + port);
             }
         }
+        return addresses;
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
     }
 }
