Be ready only when keys may be honoured

Cause: a node said that it was ready as soon as it had a configuration, also before it could show that its view of the keys is recent, and then refused keyed calls with keys_not_fresh. A stream that ran into its deadline was suspected first and is ruled out by the refusal's code.

Readiness now asks the key rule too, and the status page gives that reason. A store that is away for everybody leaves nodes ready, since the rule then answers STORE_AWAY.

--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
@@ -241,10 +241,22 @@
     /**
      * Tells whether the node takes requests.
      *
-     * @return true when it has a configuration and is not stopping
+     * @return true when it has a configuration, may honour keys and is not stopping
      */
     public boolean isReady() {
-        return !stopping && config.current().isPresent();
+        return notReadyReason().isEmpty();
+    }
+
+    private Optional<String> notReadyReason() {
+        if (stopping) {
+            return Optional.of("the node is shutting down");
+        }
+        if (config.current().isEmpty()) {
+            return config.notServingReason();
+        }
+        return freshness.status(clockMillis.getAsLong()) == KeyFreshness.Status.CUT_OFF
+                ? Optional.of("the node can't show that its view of the keys is recent")
+                : Optional.empty();
     }
 
     private int openRequests() {
@@ -258,7 +270,7 @@
                 incarnation,
                 settings.site(),
                 isReady(),
-                stopping ? Optional.of("the node is shutting down") : config.notServingReason(),
+                notReadyReason(),
                 config.version(),
                 freshness.status(nowMillis).name(),
                 freshness.contactAgeMillis(nowMillis),
