--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ReplayCommand.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ReplayCommand.java
@@ -8,6 +8,7 @@
 import org.apache.commons.cli.Options;
 import org.cactusshift.errors.CactusshiftException;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.replay.ReplayPlot;
 import org.cactusshift.replay.ReplayReport;
 
 /** Replays a recorded trace and compares the measures with the stated outcomes. */
@@ -33,10 +34,22 @@
                 .addOption(Option.builder()
                         .longOpt("policy")
                         .hasArg()
-                        .argName("NAME,...")
-                        .desc("the policies; known: "
+                        .argName("NAME")
+                        .desc("the policy; cactusshift by default, known: "
                                 + String.join(", ", org.cactusshift.replay.ReplayCommand.policyNames()))
                         .get())
+                .addOption(Option.builder()
+                        .longOpt("compare")
+                        .hasArg()
+                        .argName("NAME,...")
+                        .desc("several policies side by side")
+                        .get())
+                .addOption(Option.builder()
+                        .longOpt("plots")
+                        .hasArg()
+                        .argName("DIRECTORY")
+                        .desc("writes goodput, worst account and roles over time as PNG")
+                        .get())
                 .addOption(Option.builder()
                         .longOpt("seed")
                         .hasArg()
@@ -53,8 +66,14 @@
         }
         org.cactusshift.replay.ReplayCommand replay = org.cactusshift.replay.ReplayCommand.create()
                 .setTrace(Path.of(line.getArgList().get(0)));
+        if (line.hasOption("policy") && line.hasOption("compare")) {
+            throw new UsageException("--policy and --compare exclude each other");
+        }
         if (line.hasOption("policy")) {
-            replay.setPolicies(List.of(line.getOptionValue("policy").split(",")));
+            replay.setPolicies(List.of(line.getOptionValue("policy")));
+        }
+        if (line.hasOption("compare")) {
+            replay.setPolicies(List.of(line.getOptionValue("compare").split(",")));
         }
         if (line.hasOption("seed")) {
             replay.setSeed(CommonOptions.number(line, "seed"));
@@ -62,6 +81,11 @@
         Either<Failure, ReplayReport> answer = replay.call();
         ReplayReport report = StoreSession.get(answer);
         console.out().println(line.hasOption("json") ? report.toJson() : report.toText());
+        if (line.hasOption("plots")) {
+            Path directory = Path.of(line.getOptionValue("plots"));
+            StoreSession.get(ReplayPlot.create(report).write(directory))
+                    .forEach(file -> console.err().println("wrote " + file));
+        }
         return report.isMet() ? ExitStatus.DONE : ExitStatus.FAILED;
     }
 }
