Wait for a payout whose answer is delayed before silencing it

Cause: the test took any payout that ran in the last 500 ms for one that waits for its answer, also one that was answered before answers began to be delayed. A fault of the node is ruled out, as its 168 calls were all answered rightly.

The test now counts only payouts that ran after the delay was set; its checks are unchanged.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/UpstreamLossTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/UpstreamLossTest.java
@@ -48,8 +48,10 @@
     void payoutOnSilentConnectionIsUnknownAndRunsOnce() throws Exception {
         List<StandInPlainService> services = site.platform().plainServices();
         services.forEach(service -> service.faults().setDelayMillis(ANSWER_DELAY_MILLIS));
+        long delayedFromMillis = System.currentTimeMillis();
         Bounded.until(
-                "a payout that waits for its answer", () -> services.stream().anyMatch(this::hasOpenPayout));
+                "a payout that waits for its answer",
+                () -> services.stream().anyMatch(service -> hasOpenPayout(service, delayedFromMillis)));
         services.forEach(service -> service.faults().silenceOpenConnections());
         services.forEach(service -> service.faults().clear());
         traffic.awaitAnswered(Kind.PAYOUT, 2 * CALLS);
@@ -95,8 +97,9 @@
         return request.path().startsWith("/v1/chat");
     }
 
-    private boolean hasOpenPayout(StandInPlainService service) {
-        return service.executions().stream()
-                .anyMatch(execution -> System.currentTimeMillis() - execution.atMillis() < ANSWER_DELAY_MILLIS / 2);
+    /** Tells whether a payout ran a short while ago, but after answers began to be delayed. */
+    private static boolean hasOpenPayout(StandInPlainService service, long delayedFromMillis) {
+        long youngestMillis = Math.max(delayedFromMillis, System.currentTimeMillis() - ANSWER_DELAY_MILLIS / 2);
+        return service.executions().stream().anyMatch(execution -> execution.atMillis() > youngestMillis);
     }
 }
