Never call a node ready between two looks at its configuration

Readiness asked whether a configuration was there and then why not. One that was installed between the two gave no reason, and so a ready node whose key view had not been asked about. The second look now has an answer in every case. Found by reading; NodeTest passes, 4 of 4.

--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeParts.java
@@ -252,7 +252,8 @@
             return Optional.of("the node is shutting down");
         }
         if (config.current().isEmpty()) {
-            return config.notServingReason();
+            // The configuration may be installed between the two questions; the next one finds it.
+            return Optional.of(config.notServingReason().orElse("the configuration is being installed"));
         }
         return freshness.status(clockMillis.getAsLong()) == KeyFreshness.Status.CUT_OFF
                 ? Optional.of("the node can't show that its view of the keys is recent")
