--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Bulletin.java
@@ -0,0 +1,33 @@
+package org.cactusshift.internal.coordination.serving;
+
+import java.util.Map;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.UpstreamId;
+
+/**
+ * What a node tells the others several times a second. All of it is a present state, so that a lost or repeated
+ * message does no harm.
+ *
+ * @param node the node
+ * @param incarnation its start
+ * @param unixMillis its time of day
+ * @param work its open work by upstream
+ * @param usage its running totals by usage window and client account; only told to the holder of the usage duty
+ * @param crashes crashes that it saw, by fingerprint of the request
+ */
+public record Bulletin(
+        InstanceId node,
+        IncarnationId incarnation,
+        long unixMillis,
+        Map<UpstreamId, RemoteWork> work,
+        Map<Long, Map<AccountId, Long>> usage,
+        Map<Long, Integer> crashes) {
+    /** Copies the maps. */
+    public Bulletin {
+        work = Map.copyOf(work);
+        usage = Map.copyOf(usage);
+        crashes = Map.copyOf(crashes);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -0,0 +1,284 @@
+package org.cactusshift.internal.coordination.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.lease.RendezvousHash;
+import org.cactusshift.internal.coordination.routing.UpstreamHealth;
+
+/**
+ * Chooses the upstream of a request by the expected time to its first answer and what the choice costs others.
+ *
+ * <p>Prompt parts that requests share have a home among the engines of a stage, by rendezvous hashing, so that nodes
+ * agree on it without talking. A home that is busy is passed over when another engine answers sooner by more than the
+ * parts cost to fetch.
+ */
+public final class Placer {
+    /** What a token that is read though another engine keeps it costs, as time; an engine reads about 40 a ms. */
+    private static final double REREAD_MILLIS_PER_TOKEN = 0.03;
+
+    /** What a request in another failure domain costs, as time: its bytes cross the link both ways. */
+    private static final double OTHER_DOMAIN_MILLIS_PER_KILOBYTE = 2;
+
+    private static final double OTHER_DOMAIN_MILLIS = 5;
+
+    /** What moving a prompt between two engines costs, as time. */
+    private static final double HAND_OVER_MILLIS = 15;
+
+    /** Shared parts below this length are read again rather than fetched. */
+    private static final int FETCH_TOKENS = 1_024;
+
+    /** Prompts with less to read than this are read by the engine that answers. */
+    private static final int HAND_OVER_TOKENS = 1_024;
+
+    /** Failures count as if the request had to be made again at the price of some answers' time. */
+    private static final double FAILURE_MILLIS = 400;
+
+    /** An upstream that has told nothing for this long, and for several expected answers, may be dead. */
+    private static final long SILENCE_MILLIS = 700;
+
+    private static final double SILENCE_ANSWERS = 3;
+    private static final double TIE_MILLIS = 2;
+
+    private final UpstreamDirectory directory;
+    private final Function<ServiceId, Optional<ServedService>> services;
+    private final ReadingSpeed speed;
+    private final RandomGenerator random;
+
+    private Placer(
+            UpstreamDirectory directory,
+            Function<ServiceId, Optional<ServedService>> services,
+            ReadingSpeed speed,
+            RandomGenerator random) {
+        this.directory = directory;
+        this.services = services;
+        this.speed = speed;
+        this.random = random;
+    }
+
+    /**
+     * Returns a placer.
+     *
+     * @param directory the upstreams
+     * @param services finds a service of the configuration in force
+     * @param speed what was learnt of the upstreams
+     * @param random breaks ties
+     * @return the placer
+     */
+    public static Placer create(
+            UpstreamDirectory directory,
+            Function<ServiceId, Optional<ServedService>> services,
+            ReadingSpeed speed,
+            RandomGenerator random) {
+        return new Placer(directory, services, speed, random);
+    }
+
+    /**
+     * Chooses where a request goes.
+     *
+     * @param query the request
+     * @param nowMillis the present time
+     * @return the choice, empty when no upstream may take it
+     */
+    public Optional<Placement> place(PlacementQuery query, long nowMillis) {
+        List<Upstream> usable = usable(query, nowMillis);
+        if (usable.isEmpty()) {
+            return Optional.empty();
+        }
+        if (services.apply(query.request().service())
+                .flatMap(ServedService::engine)
+                .isEmpty()) {
+            return choosePlain(query, usable, nowMillis);
+        }
+        return chooseEngine(query, usable, nowMillis);
+    }
+
+    private List<Upstream> usable(PlacementQuery query, long nowMillis) {
+        List<Upstream> open = directory.open(query.request().service());
+        open.removeIf(upstream -> query.excluded().contains(upstream.id()));
+        List<Upstream> healthy = new ArrayList<>();
+        for (Upstream upstream : open) {
+            UpstreamHealth.State state = upstream.health(nowMillis);
+            boolean probe = state == UpstreamHealth.State.PROBE_DUE
+                    && query.request().route().mayRepeat();
+            if ((state == UpstreamHealth.State.UP || probe) && !isSilent(upstream, nowMillis)) {
+                healthy.add(upstream);
+            }
+        }
+        return healthy.isEmpty() ? open : healthy;
+    }
+
+    private boolean isSilent(Upstream upstream, long nowMillis) {
+        long silentMillis = upstream.silentMillis(nowMillis);
+        if (silentMillis < SILENCE_MILLIS) {
+            return false;
+        }
+        double expected = speed.firstAnswerMillis(
+                upstream.entry().service(), upstream.entry().stage(), upstream.unreadTokens());
+        return silentMillis > SILENCE_ANSWERS * expected;
+    }
+
+    private Optional<Placement> choosePlain(PlacementQuery query, List<Upstream> usable, long nowMillis) {
+        double fixed = speed.firstAnswerMillis(query.request().service(), EngineStage.ANY, 0);
+        Upstream best = null;
+        double bestScore = Double.MAX_VALUE;
+        double bestTime = 0;
+        for (Upstream upstream : usable) {
+            int slots = Math.max(1, upstream.entry().slots());
+            double ahead = Math.max(0, upstream.allRequests(nowMillis) + 1 - slots) / (double) slots;
+            double busy = upstream.allRequests(nowMillis) / (double) slots;
+            double time = fixed * upstream.slowness() * (1 + ahead);
+            double score = time + fixed * busy / 2 + penalty(query, upstream) + random.nextDouble() * TIE_MILLIS;
+            if (score < bestScore) {
+                best = upstream;
+                bestScore = score;
+                bestTime = time;
+            }
+        }
+        return Optional.of(
+                new Placement(best, Optional.empty(), Optional.empty(), 0, Math.round(bestTime), Math.round(bestTime)));
+    }
+
+    private Optional<Placement> chooseEngine(PlacementQuery query, List<Upstream> usable, long nowMillis) {
+        List<Upstream> readers = stage(usable, EngineStage.PREFILL);
+        List<Upstream> answering = new ArrayList<>(usable);
+        answering.removeAll(readers);
+        if (answering.isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<Upstream> home = home(query.request(), answering);
+        Scored best = null;
+        for (Upstream upstream : answering) {
+            Scored direct = direct(query, upstream, home, nowMillis);
+            best = better(best, direct);
+        }
+        int longest = query.request().promptTokens();
+        if (query.mayHandOver() && !readers.isEmpty() && longest >= HAND_OVER_TOKENS) {
+            Upstream target = handOverTarget(query, answering, home, nowMillis);
+            for (Upstream reader : readers) {
+                best = better(best, handOver(query, reader, target, readers, home));
+            }
+        }
+        return Optional.of(best.placement);
+    }
+
+    private record Scored(Placement placement, double score) {}
+
+    private static Scored better(Scored one, Scored other) {
+        return one == null || other.score < one.score ? other : one;
+    }
+
+    private static List<Upstream> stage(List<Upstream> upstreams, EngineStage stage) {
+        List<Upstream> selected = new ArrayList<>();
+        for (Upstream upstream : upstreams) {
+            if (upstream.entry().stage() == stage) {
+                selected.add(upstream);
+            }
+        }
+        return selected;
+    }
+
+    /** Returns the engine that keeps the shared parts of a prompt, if these are long enough to matter. */
+    private static Optional<Upstream> home(ServingRequest request, List<Upstream> engines) {
+        int sharedTokens = sharedTokens(request);
+        if (sharedTokens < FETCH_TOKENS) {
+            return Optional.empty();
+        }
+        long part = request.prompt().get(request.prompt().size() - 2).id();
+        return engines.stream()
+                .max(Comparator.comparingLong(
+                        engine -> RendezvousHash.hash(part + "/" + engine.id().value())));
+    }
+
+    private static int sharedTokens(ServingRequest request) {
+        List<PromptPart> prompt = request.prompt();
+        return prompt.size() < 2
+                ? 0
+                : request.promptTokens() - prompt.get(prompt.size() - 1).tokens();
+    }
+
+    private Scored direct(PlacementQuery query, Upstream upstream, Optional<Upstream> home, long nowMillis) {
+        ServingRequest request = query.request();
+        boolean fetches = home.isPresent() && home.get() != upstream;
+        long keptTokens = Math.max(upstream.keptTokens(request.prompt()), fetches ? sharedTokens(request) : 0);
+        long freshTokens = Math.max(1, request.promptTokens() - keptTokens);
+        double time = upstream.slowness()
+                * speed.firstAnswerMillis(
+                        request.service(), EngineStage.DECODE, upstream.allUnreadTokens() + freshTokens);
+        // Reading a prompt here delays the tokens of the requests that run here.
+        double delayOfOthers = freshTokens * REREAD_MILLIS_PER_TOKEN;
+        double score = time
+                + delayOfOthers
+                + crowding(upstream, nowMillis)
+                + (fetches ? HAND_OVER_MILLIS : 0)
+                + penalty(query, upstream)
+                + random.nextDouble() * TIE_MILLIS;
+        Placement placement = new Placement(
+                upstream,
+                Optional.empty(),
+                home.filter(engine -> engine != upstream),
+                freshTokens,
+                Math.round(time),
+                Math.round(time));
+        return new Scored(placement, score);
+    }
+
+    private Upstream handOverTarget(
+            PlacementQuery query, List<Upstream> answering, Optional<Upstream> home, long nowMillis) {
+        return answering.stream()
+                .min(Comparator.comparingDouble(upstream -> crowding(upstream, nowMillis)
+                        + upstream.allUnreadTokens() * REREAD_MILLIS_PER_TOKEN
+                        + (home.isPresent() && home.get() == upstream ? 0 : HAND_OVER_MILLIS)
+                        + penalty(query, upstream)))
+                .orElseThrow();
+    }
+
+    private Scored handOver(
+            PlacementQuery query, Upstream reader, Upstream target, List<Upstream> readers, Optional<Upstream> home) {
+        ServingRequest request = query.request();
+        int sharedTokens = sharedTokens(request);
+        int keptTokens = reader.keptTokens(request.prompt());
+        boolean isReadersHome = home(request, readers).filter(reader::equals).isPresent();
+        boolean fetches = home.isPresent() && keptTokens < sharedTokens;
+        long assumedTokens = fetches || isReadersHome ? Math.max(keptTokens, sharedTokens) : keptTokens;
+        long freshTokens = Math.max(1, request.promptTokens() - assumedTokens);
+        double readMillis = reader.slowness()
+                * speed.firstAnswerMillis(
+                        request.service(), EngineStage.PREFILL, reader.allUnreadTokens() + freshTokens);
+        double time = readMillis + speed.firstAnswerMillis(request.service(), EngineStage.DECODE, 0);
+        double score = time
+                + HAND_OVER_MILLIS
+                + (fetches ? HAND_OVER_MILLIS : 0)
+                + penalty(query, reader)
+                + penalty(query, target)
+                + random.nextDouble() * TIE_MILLIS;
+        Placement placement = new Placement(
+                target,
+                Optional.of(reader),
+                fetches ? home : Optional.empty(),
+                freshTokens,
+                Math.round(time),
+                Math.round(readMillis));
+        return new Scored(placement, score);
+    }
+
+    /** Each token of a batch takes longer the more requests run in it. */
+    private static double crowding(Upstream upstream, long nowMillis) {
+        int slots = Math.max(1, upstream.entry().slots());
+        double busy = upstream.allRequests(nowMillis) / (double) slots;
+        return 100 * busy * busy;
+    }
+
+    private static double penalty(PlacementQuery query, Upstream upstream) {
+        double penalty = FAILURE_MILLIS * upstream.failureShare();
+        if (!upstream.entry().domain().equals(query.domain())) {
+            penalty += OTHER_DOMAIN_MILLIS
+                    + OTHER_DOMAIN_MILLIS_PER_KILOBYTE * query.request().bodyBytes() / 1024.0;
+        }
+        return penalty;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/RouteTable.java
@@ -0,0 +1,60 @@
+package org.cactusshift.internal.coordination.serving;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds the route of a request by host and longest path prefix. Immutable. */
+public final class RouteTable {
+    private final Map<String, Map<String, ServedRoute>> routesByHost = new HashMap<>();
+
+    private RouteTable() {}
+
+    /**
+     * Returns a table.
+     *
+     * @param routes the routes; of two with the same host and prefix the later one counts
+     * @return the table
+     */
+    public static RouteTable of(Collection<ServedRoute> routes) {
+        RouteTable table = new RouteTable();
+        for (ServedRoute route : routes) {
+            table.routesByHost
+                    .computeIfAbsent(route.host(), host -> new HashMap<>())
+                    .put(route.pathPrefix(), route);
+        }
+        return table;
+    }
+
+    /**
+     * Returns the route of a request.
+     *
+     * @param hostHeader the value of the host header, with or without a port
+     * @param target the request target; a query is ignored
+     * @return the route, empty when none matches
+     */
+    public Optional<ServedRoute> find(String hostHeader, String target) {
+        Map<String, ServedRoute> routes = routesByHost.get(hostName(hostHeader));
+        if (routes == null) {
+            return Optional.empty();
+        }
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        // Every prefix ends with a slash, so only the starts that do can match; the longest comes first.
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            ServedRoute route = routes.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String hostName(String hostHeader) {
+        int port = hostHeader.indexOf(':');
+        String host = port < 0 ? hostHeader : hostHeader.substring(0, port);
+        return host.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinCodec.java
@@ -0,0 +1,105 @@
+package org.cactusshift.internal.transport.relay;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.serving.Bulletin;
+import org.cactusshift.internal.coordination.serving.RemoteWork;
+
+/** Writes bulletins as JSON. */
+final class BulletinCodec {
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final ObjectMapper MAPPER = new ObjectMapper(JSON);
+
+    private BulletinCodec() {}
+
+    static byte[] write(Bulletin bulletin) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator json = JSON.createGenerator(out)) {
+            json.writeStartObject();
+            json.writeStringField("node", bulletin.node().value());
+            json.writeStringField("incarnation", bulletin.incarnation().value());
+            json.writeNumberField("unixMillis", bulletin.unixMillis());
+            json.writeObjectFieldStart("work");
+            for (Map.Entry<UpstreamId, RemoteWork> entry : bulletin.work().entrySet()) {
+                json.writeArrayFieldStart(entry.getKey().value());
+                json.writeNumber(entry.getValue().requests());
+                json.writeNumber(entry.getValue().unreadTokens());
+                json.writeEndArray();
+            }
+            json.writeEndObject();
+            json.writeObjectFieldStart("usage");
+            for (Map.Entry<Long, Map<AccountId, Long>> window : bulletin.usage().entrySet()) {
+                json.writeObjectFieldStart(Long.toString(window.getKey()));
+                for (Map.Entry<AccountId, Long> count : window.getValue().entrySet()) {
+                    json.writeNumberField(count.getKey().value(), count.getValue());
+                }
+                json.writeEndObject();
+            }
+            json.writeEndObject();
+            json.writeObjectFieldStart("crashes");
+            for (Map.Entry<Long, Integer> crash : bulletin.crashes().entrySet()) {
+                json.writeNumberField(Long.toString(crash.getKey()), crash.getValue());
+            }
+            json.writeEndObject();
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("an array cannot be written to", e);
+        }
+        return out.toByteArray();
+    }
+
+    /** Reads a bulletin; empty when the bytes are none. */
+    static Optional<Bulletin> read(byte[] bytes) {
+        try {
+            JsonNode root = MAPPER.readTree(bytes);
+            Map<UpstreamId, RemoteWork> work = new HashMap<>();
+            for (Map.Entry<String, JsonNode> entry : fields(root, "work")) {
+                work.put(
+                        UpstreamId.fromString(entry.getKey()),
+                        new RemoteWork(
+                                entry.getValue().path(0).asInt(),
+                                entry.getValue().path(1).asLong()));
+            }
+            Map<Long, Map<AccountId, Long>> usage = new HashMap<>();
+            for (Map.Entry<String, JsonNode> window : fields(root, "usage")) {
+                Map<AccountId, Long> counts = new HashMap<>();
+                window.getValue()
+                        .fields()
+                        .forEachRemaining(count -> counts.put(
+                                AccountId.fromString(count.getKey()),
+                                count.getValue().asLong()));
+                usage.put(Long.parseLong(window.getKey()), counts);
+            }
+            Map<Long, Integer> crashes = new HashMap<>();
+            for (Map.Entry<String, JsonNode> crash : fields(root, "crashes")) {
+                crashes.put(Long.parseLong(crash.getKey()), crash.getValue().asInt());
+            }
+            return Optional.of(new Bulletin(
+                    InstanceId.fromString(root.path("node").asText()),
+                    IncarnationId.fromString(root.path("incarnation").asText()),
+                    root.path("unixMillis").asLong(),
+                    work,
+                    usage,
+                    crashes));
+        } catch (IOException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static Iterable<Map.Entry<String, JsonNode>> fields(JsonNode root, String name) {
+        Iterator<Map.Entry<String, JsonNode>> fields = root.path(name).fields();
+        return () -> fields;
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinSender.java
@@ -0,0 +1,85 @@
+package org.cactusshift.internal.transport.relay;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.serving.Bulletin;
+import org.cactusshift.internal.coordination.serving.RemoteWork;
+import org.cactusshift.internal.coordination.serving.Upstream;
+import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
+import org.cactusshift.internal.coordination.serving.UsageCounts;
+
+/** Tells the other nodes what this one does. */
+final class BulletinSender {
+    /** Up to this many nodes tell each other in each tick; in a larger site each tells less often. */
+    private static final int NODES_EACH_TICK = 16;
+
+    /** The holder of the usage duty gets the counts in each such tick. */
+    private static final int USAGE_TICKS = 2;
+
+    private final DutyHolder self;
+    private final PeerLink link;
+    private final UpstreamDirectory directory;
+    private final UsageCounts usage;
+    private final Quarantine quarantine;
+    private Map<InstanceId, InetSocketAddress> known = new HashMap<>();
+    private long ticks;
+
+    private BulletinSender(
+            DutyHolder self, PeerLink link, UpstreamDirectory directory, UsageCounts usage, Quarantine quarantine) {
+        this.self = self;
+        this.link = link;
+        this.directory = directory;
+        this.usage = usage;
+        this.quarantine = quarantine;
+    }
+
+    static BulletinSender create(
+            DutyHolder self, PeerLink link, UpstreamDirectory directory, UsageCounts usage, Quarantine quarantine) {
+        return new BulletinSender(self, link, directory, usage, quarantine);
+    }
+
+    void tick(
+            Map<InstanceId, InetSocketAddress> members,
+            Optional<DutyHolder> usageHolder,
+            long unixMillis,
+            long nowMillis) {
+        if (!members.isEmpty()) {
+            known = members;
+        }
+        ticks++;
+        int parts = 1 + known.size() / NODES_EACH_TICK;
+        Bulletin bulletin = bulletin(unixMillis, Map.of(), nowMillis);
+        int index = 0;
+        for (Map.Entry<InstanceId, InetSocketAddress> member : known.entrySet()) {
+            boolean self = member.getKey().equals(this.self.instance());
+            boolean holder = usageHolder
+                    .filter(duty -> duty.instance().equals(member.getKey()))
+                    .isPresent();
+            if (!self && holder && ticks % USAGE_TICKS == 0) {
+                link.send(member.getValue(), bulletin(unixMillis, Map.copyOf(usage.own()), nowMillis));
+            } else if (!self && (index + ticks) % parts == 0) {
+                link.send(member.getValue(), bulletin);
+            }
+            index++;
+        }
+    }
+
+    private Bulletin bulletin(long unixMillis, Map<Long, Map<AccountId, Long>> counts, long nowMillis) {
+        Map<UpstreamId, RemoteWork> work = new HashMap<>();
+        for (Upstream upstream : directory.all()) {
+            if (upstream.openRequests() > 0) {
+                work.put(upstream.id(), new RemoteWork(upstream.openRequests(), upstream.unreadTokens()));
+            }
+        }
+        Map<Long, Integer> crashes = new HashMap<>();
+        quarantine.suspects(nowMillis).forEach(suspect -> crashes.put(suspect.fingerprint(), suspect.crashes()));
+        return new Bulletin(self.instance(), self.incarnation(), unixMillis, work, counts, crashes);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/DutyRunner.java
@@ -0,0 +1,190 @@
+package org.cactusshift.internal.transport.relay;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.lease.Authority;
+import org.cactusshift.internal.coordination.lease.DutyAction;
+import org.cactusshift.internal.coordination.lease.DutyEvent;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.lease.DutyMachine;
+import org.cactusshift.internal.coordination.lease.DutyState;
+import org.cactusshift.internal.coordination.lease.LeaseTiming;
+import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
+import org.cactusshift.internal.coordination.store.LeaseGrant;
+import org.cactusshift.internal.coordination.store.SwapResult;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+
+/**
+ * Drives a {@link DutyMachine} on the event loop. The duty keys are read from what the {@link SiteFollower} follows
+ * anyway.
+ */
+public final class DutyRunner {
+    private final DutyMachine machine;
+    private final DutyHolder self;
+    private final LeaseTiming timing;
+    private final SiteId site;
+    private final AsyncKeyValueStore store;
+    private final SiteFollower follower;
+    private final RelayClock clock;
+    private final EventLog log;
+    private DutyState state = DutyState.START;
+    private Map<DutyId, Long> heldBefore = Map.of();
+
+    private DutyRunner(
+            DutyHolder self,
+            LeaseTiming timing,
+            SiteId site,
+            AsyncKeyValueStore store,
+            SiteFollower follower,
+            RelayClock clock,
+            EventLog log) {
+        this.machine = DutyMachine.create(self, timing);
+        this.self = self;
+        this.timing = timing;
+        this.site = site;
+        this.store = store;
+        this.follower = follower;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /**
+     * Returns a runner that seeks nothing yet.
+     *
+     * @param self this node
+     * @param timing the periods
+     * @param site the site
+     * @param store the store
+     * @param follower follows the duty keys
+     * @param clock the clocks
+     * @param log takes what is won and lost
+     * @return the runner
+     */
+    public static DutyRunner create(
+            DutyHolder self,
+            LeaseTiming timing,
+            SiteId site,
+            AsyncKeyValueStore store,
+            SiteFollower follower,
+            RelayClock clock,
+            EventLog log) {
+        return new DutyRunner(self, timing, site, store, follower, clock, log);
+    }
+
+    /**
+     * Lets time pass.
+     *
+     * @param sought the duties to be done
+     * @param members the live nodes
+     */
+    public void tick(Set<DutyId> sought, Set<InstanceId> members) {
+        apply(new DutyEvent.Tick(sought, members));
+    }
+
+    /** Gives up all duties. */
+    public void stop() {
+        apply(new DutyEvent.Stop());
+    }
+
+    /**
+     * Returns the authority for a duty at this moment.
+     *
+     * @param duty the duty
+     * @return the authority, empty when another node may hold the duty
+     */
+    public Optional<Authority> authority(DutyId duty) {
+        return state.authority(duty, clock.steadyMillis());
+    }
+
+    /**
+     * Returns the holder of a duty as last read.
+     *
+     * @param duty the duty
+     * @return the holder
+     */
+    public Optional<DutyHolder> holder(DutyId duty) {
+        return Optional.ofNullable(state.directory().get(duty));
+    }
+
+    private void apply(DutyEvent event) {
+        DutyMachine.Step step = machine.apply(state, event, clock.steadyMillis());
+        state = step.state();
+        noteChanges();
+        step.actions().forEach(this::perform);
+    }
+
+    private void noteChanges() {
+        if (heldBefore.equals(state.held())) {
+            return;
+        }
+        log.event("duty.held")
+                .with("duties", state.held())
+                .with("before", heldBefore)
+                .write();
+        heldBefore = state.held();
+    }
+
+    private void perform(DutyAction action) {
+        long sentAtMillis = clock.steadyMillis();
+        if (action instanceof DutyAction.GrantLease) {
+            store.grantLease(timing.ttlMillis(), grant -> onLease(grant, LeaseGrant.NONE, sentAtMillis));
+        } else if (action instanceof DutyAction.RenewLease renew) {
+            store.keepAlive(renew.grant(), grant -> onLease(grant, renew.grant(), sentAtMillis));
+        } else if (action instanceof DutyAction.ListDuties) {
+            listDuties();
+        } else if (action instanceof DutyAction.TakeDuty take) {
+            take(take);
+        } else if (action instanceof DutyAction.RevokeLease revoke) {
+            store.revokeLease(revoke.grant(), done -> apply(new DutyEvent.Revoked()));
+        }
+    }
+
+    private void onLease(Either<Failure, LeaseGrant> grant, LeaseGrant renewed, long sentAtMillis) {
+        if (grant.isRight()) {
+            apply(new DutyEvent.LeaseAnswered(grant.get(), sentAtMillis));
+        } else {
+            boolean ended = grant.getLeft().kind() == Failure.Kind.REJECTED;
+            apply(new DutyEvent.LeaseFailed(renewed, ended));
+        }
+    }
+
+    private void listDuties() {
+        if (follower.isStoreAway() || !follower.isReady()) {
+            apply(new DutyEvent.ListFailed());
+            return;
+        }
+        Map<DutyId, DutyEvent.Entry> entries = new HashMap<>();
+        for (VersionedValue value : follower.ownKeys().values()) {
+            Optional<DutyId> duty = DutyId.fromKey(site, value.key());
+            Optional<DutyHolder> holder = DutyHolder.fromBytes(value.value());
+            if (duty.isPresent() && holder.isPresent()) {
+                entries.put(duty.get(), new DutyEvent.Entry(holder.get(), value.createRevision()));
+            }
+        }
+        apply(new DutyEvent.Listed(entries));
+    }
+
+    private void take(DutyAction.TakeDuty take) {
+        long leaseId = take.grant().leaseId();
+        byte[] value = self.withLease(leaseId).toBytes();
+        AsyncKeyValueStore.Write write =
+                new AsyncKeyValueStore.Write(take.duty().key(site), 0, value, take.grant(), List.of());
+        store.compareAndSwap(write, swap -> onTaken(take.duty(), leaseId, swap));
+    }
+
+    private void onTaken(DutyId duty, long leaseId, Either<Failure, SwapResult> swap) {
+        if (swap.isRight() && swap.get().isApplied()) {
+            apply(new DutyEvent.Taken(duty, leaseId, swap.get().revision()));
+        } else {
+            apply(new DutyEvent.TakeFailed(duty));
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/JsonLinesLog.java
@@ -0,0 +1,139 @@
+package org.cactusshift.internal.transport.relay;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Map;
+
+/**
+ * Writes JSON lines to a stream from a thread of its own.
+ *
+ * <p>Lines beyond the rate or the length of the queue are left out and counted; the count is written with the next line
+ * that passes.
+ */
+public final class JsonLinesLog implements EventLog {
+    /** Lines a second; four lines each for two hundred requests a second, which fills a small instance. */
+    private static final int LINES_PER_SECOND = 800;
+
+    private static final int MAXIMUM_QUEUED = 2_000;
+    private static final long FLUSH_MILLIS = 100;
+
+    private final OutputStream out;
+    private final String node;
+    private final RelayClock clock;
+    private final JsonFactory json = new JsonFactory();
+    private final ArrayDeque<String> queue = new ArrayDeque<>();
+    private long secondStartedMillis;
+    private int linesInSecond;
+    private long leftOut;
+
+    private JsonLinesLog(OutputStream out, String node, RelayClock clock) {
+        this.out = out;
+        this.node = node;
+        this.clock = clock;
+    }
+
+    /**
+     * Returns a log and starts its thread.
+     *
+     * @param out the stream
+     * @param node the id of this node, in each line
+     * @param clock the clocks
+     * @return the log
+     */
+    public static JsonLinesLog start(OutputStream out, String node, RelayClock clock) {
+        JsonLinesLog log = new JsonLinesLog(out, node, clock);
+        Thread writer = new Thread(log::writeQueued, "log-writer");
+        writer.setDaemon(true);
+        writer.start();
+        return log;
+    }
+
+    @Override
+    public void write(String event, Map<String, Object> fields) {
+        long nowMillis = clock.steadyMillis();
+        synchronized (queue) {
+            if (nowMillis - secondStartedMillis >= 1_000) {
+                secondStartedMillis = nowMillis;
+                linesInSecond = 0;
+            }
+            if (linesInSecond >= LINES_PER_SECOND || queue.size() >= MAXIMUM_QUEUED) {
+                leftOut++;
+                return;
+            }
+            linesInSecond++;
+            queue.addLast(line(event, fields));
+            leftOut = 0;
+        }
+    }
+
+    private String line(String event, Map<String, Object> fields) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator generator = json.createGenerator(text)) {
+            generator.writeStartObject();
+            generator.writeStringField(
+                    "time", Instant.ofEpochMilli(clock.unixMillis()).toString());
+            generator.writeStringField("node", node);
+            generator.writeStringField("event", event);
+            for (Map.Entry<String, Object> field : fields.entrySet()) {
+                writeField(generator, field.getKey(), field.getValue());
+            }
+            if (leftOut > 0) {
+                generator.writeNumberField("linesLeftOut", leftOut);
+            }
+            generator.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("a string cannot be written to", e);
+        }
+        return text.append('\n').toString();
+    }
+
+    private static void writeField(JsonGenerator generator, String name, Object value) throws IOException {
+        if (value instanceof Long || value instanceof Integer) {
+            generator.writeNumberField(name, ((Number) value).longValue());
+        } else if (value instanceof Number number) {
+            generator.writeNumberField(name, Math.round(number.doubleValue() * 1_000) / 1_000.0);
+        } else if (value instanceof Boolean flag) {
+            generator.writeBooleanField(name, flag);
+        } else {
+            generator.writeStringField(name, String.valueOf(value));
+        }
+    }
+
+    private void writeQueued() {
+        try {
+            while (true) {
+                Thread.sleep(FLUSH_MILLIS);
+                flush();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Writes what is queued. */
+    public void flush() {
+        StringBuilder lines = new StringBuilder();
+        synchronized (queue) {
+            queue.forEach(lines::append);
+            queue.clear();
+        }
+        if (lines.length() == 0) {
+            return;
+        }
+        try {
+            out.write(lines.toString().getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        } catch (IOException e) {
+            // Nothing reads the log any more; the node goes on without it.
+            synchronized (queue) {
+                leftOut++;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeRuntime.java
@@ -0,0 +1,43 @@
+package org.cactusshift.internal.transport.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The event loop of a node with what runs on it everywhere.
+ *
+ * @param group the event loop as a group of one
+ * @param clock the clocks
+ * @param pool connections to upstreams and the platform
+ * @param log takes decisions
+ */
+public record NodeRuntime(EventLoopGroup group, RelayClock clock, UpstreamPool pool, EventLog log) {
+    /**
+     * Returns a runtime with an event loop of its own.
+     *
+     * @param clock the clocks
+     * @param log takes decisions
+     * @return the runtime
+     */
+    public static NodeRuntime create(RelayClock clock, EventLog log) {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        return new NodeRuntime(group, clock, UpstreamPool.create(group, clock), log);
+    }
+
+    /**
+     * Returns the event loop.
+     *
+     * @return the event loop
+     */
+    public EventLoop eventLoop() {
+        return (EventLoop) group.next();
+    }
+
+    /** Ends the event loop. */
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeSettingsReader.java
@@ -0,0 +1,99 @@
+package org.cactusshift.internal.transport.relay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.InstanceId;
+
+/** Reads the JSON settings of a relay node; a missing or wrong field is named in the error. */
+public final class NodeSettingsReader {
+    private static final int MAXIMUM_PORT = 65_535;
+
+    private final JsonNode root;
+
+    private NodeSettingsReader(JsonNode root) {
+        this.root = root;
+    }
+
+    /**
+     * Reads settings from a file.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws IOException if the file cannot be read, or is no JSON
+     * @throws IllegalArgumentException if a field is missing or has a wrong form; the message names it
+     */
+    public static NodeSettings read(Path file) throws IOException {
+        return read(Files.readAllBytes(file));
+    }
+
+    static NodeSettings read(byte[] json) throws IOException {
+        NodeSettingsReader reader = new NodeSettingsReader(new ObjectMapper().readTree(json));
+        return new NodeSettings(
+                InstanceId.fromString(reader.text("instance")),
+                FailureDomainId.fromString(reader.text("failureDomain")),
+                reader.address("listen", "callers"),
+                reader.address("listen", "readiness"),
+                reader.address("listen", "peers"),
+                reader.address("listen", "metrics"),
+                reader.text("keyValueService"),
+                Optional.ofNullable(reader.root.path("platformService").asText(null)),
+                new NodeSettings.Retries(
+                        reader.number("retries", "ratio"),
+                        reader.number("retries", "extra"),
+                        Math.round(reader.number("retries", "windowSeconds") * 1_000)),
+                new NodeSettings.Timing(
+                        Math.round(reader.number("timing", "leaseMillis")),
+                        Math.round(reader.number("timing", "usageWindowSeconds") * 1_000),
+                        Math.round(reader.number("timing", "drainMillis")),
+                        Math.round(reader.number("timing", "graceSeconds") * 1_000)));
+    }
+
+    private JsonNode field(String... path) {
+        JsonNode node = root;
+        for (String name : path) {
+            node = node.path(name);
+        }
+        if (node.isMissingNode() || node.isNull()) {
+            throw new IllegalArgumentException("settings: " + String.join(".", path) + " is missing");
+        }
+        return node;
+    }
+
+    private String text(String... path) {
+        JsonNode node = field(path);
+        if (!node.isTextual() || node.asText().isBlank()) {
+            throw new IllegalArgumentException("settings: " + String.join(".", path) + " is no text");
+        }
+        return node.asText();
+    }
+
+    private double number(String... path) {
+        JsonNode node = field(path);
+        if (!node.isNumber() || node.asDouble() < 0) {
+            throw new IllegalArgumentException("settings: " + String.join(".", path) + " is no number from 0");
+        }
+        return node.asDouble();
+    }
+
+    private InetSocketAddress address(String... path) {
+        String text = text(path);
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon < 1 || port < 0 || port > MAXIMUM_PORT) {
+                throw new IllegalArgumentException("no host or port");
+            }
+            return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)), port);
+        } catch (IllegalArgumentException | IOException e) {
+            throw new IllegalArgumentException(
+                    "settings: " + String.join(".", path) + " is no ADDRESS:PORT: " + text, e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerLink.java
@@ -0,0 +1,96 @@
+package org.cactusshift.internal.transport.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import org.cactusshift.internal.coordination.serving.Bulletin;
+
+/**
+ * Exchanges bulletins between nodes as datagrams, which need no connections that could fall silent.
+ */
+public final class PeerLink {
+    private final EventLoopGroup eventLoop;
+    private final EventLog log;
+    private Channel channel;
+    private boolean malformedNoted;
+
+    private PeerLink(EventLoopGroup eventLoop, EventLog log) {
+        this.eventLoop = eventLoop;
+        this.log = log;
+    }
+
+    /**
+     * Returns a link that is not bound yet.
+     *
+     * @param eventLoop the event loop
+     * @param log takes malformed datagrams
+     * @return the link
+     */
+    public static PeerLink create(EventLoopGroup eventLoop, EventLog log) {
+        return new PeerLink(eventLoop, log);
+    }
+
+    /**
+     * Binds the link.
+     *
+     * @param address the address
+     * @param receiver takes bulletins of others
+     * @throws InterruptedException if the thread is interrupted meanwhile
+     */
+    public void bind(InetSocketAddress address, Consumer<Bulletin> receiver) throws InterruptedException {
+        channel = new Bootstrap()
+                .group(eventLoop)
+                .channel(NioDatagramChannel.class)
+                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+                        byte[] bytes = new byte[packet.content().readableBytes()];
+                        packet.content().readBytes(bytes);
+                        BulletinCodec.read(bytes).ifPresentOrElse(receiver, () -> onMalformed(packet.sender()));
+                    }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                        log.event("peer.linkError")
+                                .with("reason", String.valueOf(cause.getMessage()))
+                                .write();
+                    }
+                })
+                .bind(address)
+                .sync()
+                .channel();
+    }
+
+    private void onMalformed(InetSocketAddress sender) {
+        if (!malformedNoted) {
+            malformedNoted = true;
+            log.event("peer.malformed").with("peer", sender).write();
+        }
+    }
+
+    /**
+     * Returns the address to which the link is bound.
+     *
+     * @return the address
+     */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    /**
+     * Sends a bulletin; it may be lost.
+     *
+     * @param peer the address of the other node
+     * @param bulletin the bulletin
+     */
+    public void send(InetSocketAddress peer, Bulletin bulletin) {
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(BulletinCodec.write(bulletin)), peer));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -0,0 +1,68 @@
+package org.cactusshift.internal.transport.relay;
+
+import io.netty.channel.EventLoop;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.serving.CrashWitness;
+import org.cactusshift.internal.coordination.serving.Placer;
+import org.cactusshift.internal.coordination.serving.ReadingSpeed;
+import org.cactusshift.internal.coordination.serving.RepeatAllowance;
+
+/**
+ * What requests under way share.
+ *
+ * @param eventLoop the event loop
+ * @param clock the clocks
+ * @param codec the protocol
+ * @param pool connections to upstreams
+ * @param placer chooses upstreams
+ * @param speed learns from answers
+ * @param allowance limits repeated sends; looked up by service
+ * @param quarantine knows crash-inducing requests
+ * @param witness tells crashes from lost connections
+ * @param begun counts requests that began to run
+ * @param nodes the live nodes of the site
+ * @param domain the failure domain of this node
+ * @param metrics counts outcomes
+ * @param log takes decisions
+ * @param random the source of random choices
+ */
+public record RelayContext(
+        EventLoop eventLoop,
+        RelayClock clock,
+        RelayCodec codec,
+        UpstreamPool pool,
+        Placer placer,
+        ReadingSpeed speed,
+        AllowanceByService allowance,
+        Quarantine quarantine,
+        CrashWitness witness,
+        BegunRequests begun,
+        IntSupplier nodes,
+        FailureDomainId domain,
+        RelayMetrics metrics,
+        EventLog log,
+        RandomGenerator random) {
+    /** Finds the allowance of a service. */
+    public interface AllowanceByService {
+        /**
+         * Returns the allowance.
+         *
+         * @param service the service
+         * @return the allowance
+         */
+        RepeatAllowance of(org.cactusshift.id.ServiceId service);
+    }
+
+    /** Counts requests that an upstream began to run. */
+    public interface BegunRequests {
+        /**
+         * Counts a request.
+         *
+         * @param account the client account
+         */
+        void add(org.cactusshift.id.AccountId account);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -0,0 +1,89 @@
+package org.cactusshift.internal.transport.relay;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+
+/** Counters and histograms of the relay. */
+public final class RelayMetrics {
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests = Counter.builder()
+            .name("cactusshift_relay_requests_total")
+            .help("Requests of callers by route kind and outcome.")
+            .labelNames("kind", "outcome")
+            .register(registry);
+    private final Counter attempts = Counter.builder()
+            .name("cactusshift_relay_attempts_total")
+            .help("Sends to upstreams by service and outcome.")
+            .labelNames("service", "outcome")
+            .register(registry);
+    private final Histogram firstAnswer = Histogram.builder()
+            .name("cactusshift_relay_first_answer_seconds")
+            .help("Time from the whole request to the first part of the answer, by route kind.")
+            .labelNames("kind")
+            .classicUpperBounds(0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+            .classicOnly()
+            .register(registry);
+    private final Gauge versions = Gauge.builder()
+            .name("cactusshift_relay_config_version")
+            .help("The version of the configuration in force.")
+            .register(registry);
+
+    /**
+     * Counts the end of a request.
+     *
+     * @param kind the kind of its route
+     * @param outcome how it ended
+     */
+    public void onRequest(String kind, String outcome) {
+        requests.labelValues(kind, outcome).inc();
+    }
+
+    /**
+     * Counts the end of a send.
+     *
+     * @param service the service
+     * @param outcome how it ended
+     */
+    public void onAttempt(String service, String outcome) {
+        attempts.labelValues(service, outcome).inc();
+    }
+
+    /**
+     * Takes the time to a first answer.
+     *
+     * @param kind the kind of the route
+     * @param millis the time
+     */
+    public void onFirstAnswer(String kind, long millis) {
+        firstAnswer.labelValues(kind).observe(millis / 1_000.0);
+    }
+
+    /**
+     * Notes the configuration in force.
+     *
+     * @param version its version
+     */
+    public void onConfig(long version) {
+        versions.set(version);
+    }
+
+    /**
+     * Writes all metrics.
+     *
+     * @return the Prometheus text format
+     */
+    public byte[] toText() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new IllegalStateException("an array cannot be written to", e);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -0,0 +1,330 @@
+package org.cactusshift.internal.transport.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SiteId;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.lease.LeaseTiming;
+import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.serving.CallerLimits;
+import org.cactusshift.internal.coordination.serving.CrashWitness;
+import org.cactusshift.internal.coordination.serving.PeerBoard;
+import org.cactusshift.internal.coordination.serving.Placer;
+import org.cactusshift.internal.coordination.serving.ReadingSpeed;
+import org.cactusshift.internal.coordination.serving.RepeatAllowance;
+import org.cactusshift.internal.coordination.serving.ServedService;
+import org.cactusshift.internal.coordination.serving.ServingConfig;
+import org.cactusshift.internal.coordination.serving.SharedClock;
+import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
+import org.cactusshift.internal.coordination.serving.UsageCounts;
+import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
+
+/** A node of the relay: serves callers, follows the store, tells its peers and does duties. */
+public final class ServingNode {
+    private static final long TICK_MILLIS = 250;
+
+    /** A node that told nothing for this long counts as gone; six bulletins may be lost. */
+    private static final long PEER_SILENT_MILLIS = 1_500;
+
+    /** An upstream whose entry lapsed while the store was away is kept for this part of the drain bound. */
+    private static final double GRACE_PART = 0.7;
+
+    /** A request that crashed several upstreams is refused for this long. */
+    private static final long QUARANTINE_MILLIS = 120_000;
+
+    /** The balancer sends no new callers after two questions without a good answer, a second apart. */
+    private static final long BALANCER_MILLIS = 2_500;
+
+    /** What is left of the grace for the process itself to end. */
+    private static final long EXIT_MILLIS = 700;
+
+    private static final SiteId SITE = SiteId.fromString("site");
+    private static final String OWN_PREFIX = "/cactusshift/";
+    private static final String USAGE_PREFIX = OWN_PREFIX + "usage/";
+    private static final long MEGABYTE_TOKENS = 1L << 20;
+
+    private final NodeRuntime runtime;
+    private final NodeSettings settings;
+    private final EventLoop eventLoop;
+    private final DutyId usageDuty = DutyId.usage(0);
+    private final IncarnationId incarnation =
+            IncarnationId.fromString(UUID.randomUUID().toString().substring(0, 13));
+    private final Map<ServiceId, RepeatAllowance> allowances = new HashMap<>();
+    private final RelayMetrics metrics = new RelayMetrics();
+    private final SharedClock sharedClock = new SharedClock();
+    private final Quarantine quarantine = Quarantine.create(QUARANTINE_MILLIS);
+    private final UsageCounts usage;
+    private final UpstreamDirectory directory;
+    private final SiteFollower follower;
+    private final PeerBoard board;
+    private final PeerLink link;
+    private final NodeRegistration registration;
+    private final DutyRunner duties;
+    private final Optional<UsageReportRunner> usageReports;
+    private final BulletinSender bulletins;
+    private final CallerServer callers;
+    private final CallerServer readiness;
+    private final CallerServer metricsPage;
+    private final long startedAtMillis;
+    private boolean stopping;
+    private long stoppedAtMillis;
+
+    /**
+     * What a site's protocol provides.
+     *
+     * @param codec headers of requests and answers
+     * @param decoder values in the store
+     * @param store the store
+     * @param usageCalls usage reports, empty when the site takes none
+     * @param readinessPath the path of the balancer's question
+     */
+    public record Protocol(
+            RelayCodec codec,
+            SiteDecoder decoder,
+            AsyncKeyValueStore store,
+            Optional<UsageCalls> usageCalls,
+            String readinessPath) {}
+
+    private ServingNode(NodeRuntime runtime, NodeSettings settings, Protocol protocol) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.eventLoop = runtime.eventLoop();
+        this.startedAtMillis = runtime.clock().steadyMillis();
+        this.usage = UsageCounts.create(settings.timing().usageWindowMillis());
+        this.directory = UpstreamDirectory.create(
+                this::kvCapacityTokens,
+                Math.round(GRACE_PART * settings.timing().drainMillis()));
+        CrashWitness witness = CrashWitness.create(quarantine);
+        this.follower = SiteFollower.create(
+                new SiteFollower.Parts(
+                        protocol.store(),
+                        protocol.decoder(),
+                        directory,
+                        witness,
+                        eventLoop,
+                        runtime.clock(),
+                        runtime.log(),
+                        metrics),
+                OWN_PREFIX);
+        this.board = PeerBoard.create(directory, sharedClock, usage, quarantine);
+        this.link = PeerLink.create(runtime.group(), runtime.log());
+        DutyHolder self = new DutyHolder(settings.instance(), incarnation, addressText(settings.peers()), 0);
+        this.registration =
+                NodeRegistration.create(self, OWN_PREFIX, protocol.store(), follower, runtime.clock(), runtime.log());
+        this.duties = DutyRunner.create(
+                self,
+                LeaseTiming.ofTtl(settings.timing().leaseMillis()),
+                SITE,
+                protocol.store(),
+                follower,
+                runtime.clock(),
+                runtime.log());
+        this.usageReports = protocol.usageCalls()
+                .map(calls -> UsageReportRunner.create(
+                        usage, calls, protocol.store(), follower, settings.instance(), USAGE_PREFIX, runtime.log()));
+        this.bulletins = BulletinSender.create(self, link, directory, usage, quarantine);
+        this.callers = CallerServer.create(
+                runtime.group(),
+                runtime.clock(),
+                this::limits,
+                Relay.create(context(protocol, witness), follower::config),
+                runtime.log());
+        this.readiness = page(protocol.readinessPath(), this::answerReadiness);
+        this.metricsPage = page("/metrics", this::answerMetrics);
+    }
+
+    /**
+     * Returns a node that is not started.
+     *
+     * @param runtime the event loop and what runs on it
+     * @param settings the settings
+     * @param protocol the site's protocol
+     * @return the node
+     */
+    public static ServingNode create(NodeRuntime runtime, NodeSettings settings, Protocol protocol) {
+        return new ServingNode(runtime, settings, protocol);
+    }
+
+    private RelayContext context(Protocol protocol, CrashWitness witness) {
+        SplittableRandom random = new SplittableRandom();
+        ReadingSpeed speed = new ReadingSpeed();
+        return new RelayContext(
+                eventLoop,
+                runtime.clock(),
+                protocol.codec(),
+                runtime.pool(),
+                Placer.create(directory, this::service, speed, random),
+                speed,
+                this::allowance,
+                quarantine,
+                witness,
+                account -> usage.add(account, unixMillis()),
+                this::nodes,
+                settings.domain(),
+                metrics,
+                runtime.log(),
+                random);
+    }
+
+    private Optional<ServedService> service(ServiceId id) {
+        return follower.config().map(config -> config.services().get(id));
+    }
+
+    private long kvCapacityTokens(ServiceId id) {
+        return service(id)
+                .flatMap(ServedService::engine)
+                .map(engine -> engine.kvCapacityTokens())
+                .orElse(MEGABYTE_TOKENS);
+    }
+
+    private RepeatAllowance allowance(ServiceId service) {
+        return allowances.computeIfAbsent(
+                service,
+                id -> RepeatAllowance.create(
+                        settings.retries().ratio(),
+                        settings.retries().extra(),
+                        settings.retries().windowMillis(),
+                        startedAtMillis));
+    }
+
+    private CallerLimits limits() {
+        return follower.config().map(ServingConfig::limits).orElse(CallerLimits.DEFAULT);
+    }
+
+    private int nodes() {
+        return Math.max(registration.members().size(), board.liveNodes() + 1);
+    }
+
+    private long unixMillis() {
+        return sharedClock.unixMillis(
+                runtime.clock().unixMillis(), runtime.clock().steadyMillis());
+    }
+
+    private static String addressText(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private CallerServer page(String path, CallerRequestHandler handler) {
+        CallerRequestHandler onPath = exchange -> {
+            if (exchange.request().uri().equals(path)) {
+                handler.onRequest(exchange);
+            } else {
+                exchange.answer(HttpResponseStatus.NOT_FOUND, new DefaultHttpHeaders(), new byte[0]);
+            }
+        };
+        return CallerServer.create(runtime.group(), runtime.clock(), () -> CallerLimits.DEFAULT, onPath, runtime.log());
+    }
+
+    private void answerReadiness(CallerExchange exchange) {
+        HttpResponseStatus status = isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+        exchange.answer(status, new DefaultHttpHeaders(), new byte[0]);
+    }
+
+    private void answerMetrics(CallerExchange exchange) {
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
+        exchange.answer(HttpResponseStatus.OK, headers, metrics.toText());
+    }
+
+    private boolean isReady() {
+        return follower.isReady() && !stopping;
+    }
+
+    /**
+     * Starts to listen and to follow the store.
+     *
+     * @throws InterruptedException if the thread is interrupted meanwhile
+     */
+    public void start() throws InterruptedException {
+        callers.listen(settings.callers());
+        readiness.listen(settings.readiness());
+        metricsPage.listen(settings.metrics());
+        link.bind(
+                settings.peers(),
+                bulletin -> board.onBulletin(bulletin, runtime.clock().steadyMillis()));
+        eventLoop.execute(() -> {
+            follower.start();
+            eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        });
+        runtime.log()
+                .event("node.started")
+                .with("incarnation", incarnation.value())
+                .with("domain", settings.domain().value())
+                .with("callers", settings.callers())
+                .write();
+    }
+
+    private void tick() {
+        long now = runtime.clock().steadyMillis();
+        directory.expire(now);
+        quarantine.expire(now);
+        board.refresh(PEER_SILENT_MILLIS, now);
+        callers.sweep(now);
+        readiness.sweep(now);
+        metricsPage.sweep(now);
+        runtime.pool().sweep(now);
+        registration.tick(now);
+        if (!stopping) {
+            duties.tick(Set.of(usageDuty), registration.memberIds());
+        }
+        usageReports.ifPresent(reports -> reports.tick(duties.authority(usageDuty), unixMillis()));
+        bulletins.tick(
+                registration.members(),
+                duties.holder(usageDuty),
+                runtime.clock().unixMillis(),
+                now);
+    }
+
+    /**
+     * Stops without cutting a request: takes no new callers, tells the others to close, and ends when all is answered
+     * or the grace is nearly over.
+     *
+     * @throws InterruptedException if the thread is interrupted meanwhile
+     */
+    public void stop() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        eventLoop.execute(() -> {
+            stopping = true;
+            stoppedAtMillis = runtime.clock().steadyMillis();
+            callers.startDraining();
+            duties.stop();
+            registration.stop();
+            runtime.log()
+                    .event("node.stopping")
+                    .with("openRequests", callers.openRequests())
+                    .write();
+            eventLoop.scheduleAtFixedRate(() -> drain(done), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        });
+        done.await(settings.timing().graceMillis() - EXIT_MILLIS, TimeUnit.MILLISECONDS);
+        runtime.log()
+                .event("node.stopped")
+                .with("openRequests", callers.openRequests())
+                .write();
+        runtime.close();
+    }
+
+    private void drain(CountDownLatch done) {
+        long now = runtime.clock().steadyMillis();
+        if (now - stoppedAtMillis < BALANCER_MILLIS) {
+            return;
+        }
+        callers.closeQuiet(now, TICK_MILLIS);
+        if (callers.openRequests() == 0 && callers.connections() == 0) {
+            done.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -0,0 +1,439 @@
+package org.cactusshift.internal.transport.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.serving.EngineStage;
+import org.cactusshift.internal.coordination.serving.Placement;
+import org.cactusshift.internal.coordination.serving.RequestKind;
+import org.cactusshift.internal.coordination.serving.ServingRequest;
+import org.cactusshift.internal.coordination.serving.Upstream;
+import org.cactusshift.internal.protocol.stream.EventSplitter;
+
+/** One send of a request to one upstream, to have the prompt read or to run it. */
+final class UpstreamAttempt implements UpstreamListener {
+    /** A request that may not be repeated goes on connections used this lately, which are least likely to be stale. */
+    private static final long FRESH_CONNECTION_MILLIS = 2_000;
+
+    private static final int MAXIMUM_ANSWER_BYTES = 16 * 1_024 * 1_024;
+    private static final int MAXIMUM_EVENT_BYTES = 1_024 * 1_024;
+
+    /** An upstream that is silent for this long, and for several times the expected time, is given up where allowed. */
+    private static final long SILENCE_MILLIS = 700;
+
+    private static final int SILENCE_EXPECTED = 3;
+
+    /** A stream that pauses for this many times its stated pause goes on elsewhere where allowed. */
+    private static final int PAUSE_TARGETS = 3;
+
+    private final RelayedRequest owner;
+    private final Placement placement;
+    private final boolean reading;
+    private final Optional<String> memorySource;
+    private final Upstream upstream;
+    private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+    private final EventSplitter events = EventSplitter.create(MAXIMUM_EVENT_BYTES);
+    private UpstreamConnection connection;
+    private ScheduledFuture<?> watchdog;
+    private HttpResponseStatus status;
+    private HttpHeaders headers;
+    private AnswerFacts facts;
+    private boolean stream;
+    private boolean heard;
+    private boolean closed;
+    private long sentAtMillis;
+    private long tokensAhead;
+    private long lastBytesMillis;
+
+    private UpstreamAttempt(RelayedRequest owner, Placement placement, boolean reading, Optional<String> memorySource) {
+        this.owner = owner;
+        this.placement = placement;
+        this.reading = reading;
+        this.memorySource = memorySource;
+        this.upstream = reading ? placement.reader().orElseThrow() : placement.target();
+    }
+
+    static UpstreamAttempt reading(RelayedRequest owner, Placement placement) {
+        return new UpstreamAttempt(owner, placement, true, Optional.empty());
+    }
+
+    static UpstreamAttempt running(RelayedRequest owner, Placement placement, Optional<String> memorySource) {
+        return new UpstreamAttempt(owner, placement, false, memorySource);
+    }
+
+    Placement placement() {
+        return placement;
+    }
+
+    Upstream upstream() {
+        return upstream;
+    }
+
+    boolean isReading() {
+        return reading;
+    }
+
+    Optional<String> memorySource() {
+        return memorySource;
+    }
+
+    boolean wasSent() {
+        return connection != null;
+    }
+
+    long sentAtMillis() {
+        return sentAtMillis;
+    }
+
+    private RelayContext context() {
+        return owner.context();
+    }
+
+    private long nowMillis() {
+        return context().clock().steadyMillis();
+    }
+
+    private ServingRequest request() {
+        return owner.request();
+    }
+
+    void open() {
+        boolean once = request().route().kind() == RequestKind.NOT_REPEATABLE;
+        long longestIdleMillis = once ? FRESH_CONNECTION_MILLIS : Long.MAX_VALUE;
+        tokensAhead = upstream.unreadTokens() + freshTokens();
+        upstream.onSent(request().prompt(), freshTokens(), nowMillis());
+        context().pool().take(upstream.entry().address(), longestIdleMillis, this::onConnection);
+    }
+
+    private long freshTokens() {
+        return memorySource.isPresent() ? 0 : placement.freshTokens();
+    }
+
+    private void onConnection(Either<Failure, UpstreamConnection> taken) {
+        if (closed) {
+            taken.forEach(context().pool()::giveBack);
+            return;
+        }
+        if (taken.isLeft()) {
+            close("not-reached", taken.getLeft().message());
+            upstream.onUnreachable(nowMillis(), context().random());
+            context().witness().onDown(upstream.id(), nowMillis());
+            freeMemory();
+            owner.onNotRun(this);
+            return;
+        }
+        connection = taken.get();
+        sentAtMillis = nowMillis();
+        lastBytesMillis = sentAtMillis;
+        owner.onSending(this);
+        HttpHeaders out = HopHeaders.without(owner.exchange().request().headers());
+        context().codec().writeOrder(out, owner.order(this));
+        connection.send(
+                owner.exchange().request().method(),
+                owner.exchange().request().uri(),
+                out,
+                owner.exchange().body(),
+                this);
+        long expected = reading ? placement.readMillis() : placement.firstAnswerMillis();
+        watch(Math.max(SILENCE_MILLIS, SILENCE_EXPECTED * expected));
+        context()
+                .log()
+                .event("attempt.sent")
+                .with("request", request().id().value())
+                .with("upstream", upstream.id().value())
+                .with("reading", reading)
+                .with("freshTokens", freshTokens())
+                .with("openThere", upstream.openRequests())
+                .with("expectedMillis", expected)
+                .write();
+    }
+
+    private void watch(long millis) {
+        watchdog = context().eventLoop().schedule(() -> onQuiet(millis), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void onQuiet(long millis) {
+        if (closed) {
+            return;
+        }
+        long quietMillis = nowMillis() - lastBytesMillis;
+        if (quietMillis < millis) {
+            watch(millis - quietMillis);
+        } else if (owner.hasAlternative(this)) {
+            upstream.onFailedAnswer();
+            abandon("silent");
+            owner.onLost(this, "the upstream was silent for " + quietMillis + " ms");
+        }
+    }
+
+    @Override
+    public boolean onHead(HttpResponse response) {
+        AnswerFacts read = context().codec().readAnswer(response);
+        if (read.requestId().isPresent()
+                && !read.requestId().get().equals(request().id().value())) {
+            context()
+                    .log()
+                    .event("attempt.strayAnswer")
+                    .with("request", request().id().value())
+                    .with("upstream", upstream.id().value())
+                    .with("answers", read.requestId().get())
+                    .write();
+            return false;
+        }
+        facts = read;
+        status = response.status();
+        headers = HopHeaders.without(response.headers());
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        stream = !reading
+                && status.codeClass() == HttpStatusClass.SUCCESS
+                && request().route().kind() == RequestKind.STREAM;
+        lastBytesMillis = nowMillis();
+        facts.load().ifPresent(load -> upstream.onLoad(load.running(), load.waiting(), nowMillis()));
+        facts.idleTimeoutMillis().ifPresent(connection::setIdleLimitMillis);
+        if (!stream) {
+            onHeard();
+        }
+        return true;
+    }
+
+    private void onHeard() {
+        if (heard) {
+            return;
+        }
+        heard = true;
+        long tookMillis = nowMillis() - sentAtMillis;
+        upstream.onHeard(freshTokens(), nowMillis());
+        boolean ran = facts != null && !facts.notRun();
+        if (ran && memorySource.isEmpty()) {
+            context().speed().onFirstAnswer(request().service(), stage(), tokensAhead, tookMillis);
+        }
+    }
+
+    private EngineStage stage() {
+        if (reading) {
+            return EngineStage.PREFILL;
+        }
+        return request().prompt().isEmpty() ? EngineStage.ANY : EngineStage.DECODE;
+    }
+
+    @Override
+    public void onContent(ByteBuf bytes) {
+        lastBytesMillis = nowMillis();
+        if (!stream) {
+            addContent(bytes);
+            return;
+        }
+        List<EventSplitter.Event> whole;
+        try {
+            whole = events.add(bytes);
+        } catch (IllegalArgumentException e) {
+            breakOff(e.getMessage());
+            return;
+        }
+        if (whole.isEmpty() || !facts.signed()) {
+            return;
+        }
+        if (!heard) {
+            onHeard();
+            watchPauses();
+        }
+        whole.forEach(event -> owner.onEvent(status, headers, event));
+        if (!owner.exchange().isWritable()) {
+            connection.setReading(false);
+            owner.exchange().onWritable(() -> connection.setReading(true));
+        }
+    }
+
+    private void watchPauses() {
+        watchdog.cancel(false);
+        long pauseMillis = request().route().pauseTargetMillis();
+        watch(Math.max(SILENCE_MILLIS, PAUSE_TARGETS * pauseMillis));
+    }
+
+    private void addContent(ByteBuf bytes) {
+        if (content.size() + bytes.readableBytes() > MAXIMUM_ANSWER_BYTES) {
+            breakOff("the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes");
+            return;
+        }
+        try {
+            bytes.readBytes(content, bytes.readableBytes());
+        } catch (IOException e) {
+            throw new IllegalStateException("an array cannot be written to", e);
+        }
+    }
+
+    private void breakOff(String reason) {
+        connection.abandon();
+        onBroken(reason);
+    }
+
+    @Override
+    public void onComplete() {
+        if (facts.notRun()) {
+            onNotRun();
+        } else if (reading) {
+            onRead();
+        } else if (!facts.signed()) {
+            onBroken("the answer carries no signature");
+        } else if (!stream) {
+            close("answered", "status " + status.code());
+            noteQuality(status.code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
+            owner.onAnswer(this, new UpstreamAnswerBuffer(status, headers, content.toByteArray()));
+        } else if (events.isInsideEvent()) {
+            onBroken("the stream ended inside an event");
+        } else {
+            close("answered", "stream complete");
+            noteQuality(true);
+            owner.onStreamEnd(status, headers);
+        }
+    }
+
+    private void noteQuality(boolean good) {
+        if (good) {
+            double expected = Math.max(1, reading ? placement.readMillis() : placement.firstAnswerMillis());
+            double took = stream || memorySource.isPresent() ? expected : nowMillis() - sentAtMillis;
+            upstream.onSuccess(sentAtMillis, took / expected);
+        } else {
+            upstream.onFailedAnswer();
+        }
+    }
+
+    private void onNotRun() {
+        close("not-run", "status " + status.code());
+        upstream.onNothingLearnt(nowMillis());
+        if (facts.otherUpstream()) {
+            upstream.onUnreachable(nowMillis(), context().random());
+        }
+        freeMemory();
+        owner.onNotRun(this);
+    }
+
+    private void onRead() {
+        Optional<String> memoryName = status.code() == HttpResponseStatus.OK.code()
+                ? context().codec().readMemoryName(content.toByteArray())
+                : Optional.empty();
+        if (memoryName.isEmpty()) {
+            close("failed", "status " + status.code());
+            upstream.onFailedAnswer();
+            owner.onLost(this, "the prompt was not read");
+            return;
+        }
+        close("read", "status " + status.code());
+        noteQuality(true);
+        owner.onRead(this, memoryName.get());
+    }
+
+    @Override
+    public void onBroken(String reason) {
+        if (closed) {
+            return;
+        }
+        close("broken", reason);
+        upstream.onFailedAnswer();
+        upstream.onNothingLearnt(nowMillis());
+        freeMemory();
+        owner.onLost(this, reason);
+    }
+
+    /** Gives up the attempt; the upstream stops when it sees the connection closed. */
+    void abandon(String reason) {
+        if (closed) {
+            return;
+        }
+        close("abandoned", reason);
+        upstream.onNothingLearnt(nowMillis());
+        if (connection != null) {
+            connection.abandon();
+        }
+        freeMemory();
+    }
+
+    /** Gives up an attempt that was never opened. */
+    void discard() {
+        closed = true;
+        freeMemory();
+    }
+
+    private void close(String outcome, String reason) {
+        closed = true;
+        if (watchdog != null) {
+            watchdog.cancel(false);
+        }
+        onHeardNothing();
+        upstream.onDone();
+        context().metrics().onAttempt(request().service().value(), outcome);
+        context()
+                .log()
+                .event("attempt.ended")
+                .with("request", request().id().value())
+                .with("upstream", upstream.id().value())
+                .with("outcome", outcome)
+                .with("reason", reason)
+                .with("tookMillis", sentAtMillis == 0 ? 0 : nowMillis() - sentAtMillis)
+                .write();
+    }
+
+    private void onHeardNothing() {
+        if (!heard) {
+            heard = true;
+            upstream.onHeard(freshTokens(), nowMillis());
+        }
+    }
+
+    /** Frees the memory that the reading engine keeps for this run, when the run does not take it. */
+    private void freeMemory() {
+        boolean taken = connection != null && facts != null && !facts.notRun();
+        if (memorySource.isEmpty() || taken) {
+            return;
+        }
+        int slash = memorySource.get().indexOf('/');
+        String address = memorySource.get().substring(0, slash);
+        String path = context().codec().freeMemoryPath(memorySource.get().substring(slash + 1));
+        context()
+                .pool()
+                .take(
+                        address,
+                        Long.MAX_VALUE,
+                        free -> free.forEach(used -> {
+                            HttpHeaders host = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, address);
+                            used.send(HttpMethod.DELETE, path, host, Unpooled.EMPTY_BUFFER, new IgnoredAnswer());
+                        }));
+    }
+
+    /** Reads an answer that decides nothing; memory that is not freed here ends by itself. */
+    private static final class IgnoredAnswer implements UpstreamListener {
+        @Override
+        public boolean onHead(HttpResponse response) {
+            return true;
+        }
+
+        @Override
+        public void onContent(ByteBuf bytes) {
+            // Nothing to learn.
+        }
+
+        @Override
+        public void onComplete() {
+            // Nothing to learn.
+        }
+
+        @Override
+        public void onBroken(String reason) {
+            // Nothing to learn.
+        }
+    }
+}
