Tell peers which engine used which long prompt part

Cause: a node knows an eighth of the traffic, so it read shared parts again that an engine kept. Bulletins now carry the uses of long parts; brief prompts may be handed over as well. Still short: a long first reading blocks the brief prompts behind it.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Admission.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Admission.java
@@ -3,13 +3,12 @@
 /**
  * Decides at arrival whether a request is worth placing.
  *
- * <p>A request whose first answer is expected after its deadline is refused at once. Beyond its latency target it is
- * still served, as a late answer is worth something, unless the queue ahead would make every request behind it late:
- * then it is refused while the caller has time to come back.
+ * <p>A late answer is worth something, a refusal nothing, and callers that are refused twice are the worst served. So
+ * only a request that can hardly be answered before its deadline is refused, at once.
  */
 public final class Admission {
-    /** How far behind the target the first answer may be expected, as a multiple of the target. */
-    private static final double LATEST_TARGETS = 2.0;
+    /** The part of the time budget within which the first answer must be expected; the rest is for the output. */
+    private static final double LATEST_PART = 0.75;
 
     private Admission() {}
 
@@ -22,9 +21,8 @@
      * @return the excess, 0 or less when the request is to be placed
      */
     public static long excessMillis(ServingRequest request, long expectedFirstAnswerMillis, long nowMillis) {
-        long answerAtMillis = nowMillis + expectedFirstAnswerMillis;
-        long latestMillis = request.arrivedAtMillis()
-                + Math.round(LATEST_TARGETS * request.route().targetLatencyMillis());
-        return answerAtMillis - Math.min(latestMillis, request.deadlineMillis());
+        long budgetMillis = request.deadlineMillis() - request.arrivedAtMillis();
+        long latestMillis = request.arrivedAtMillis() + Math.round(LATEST_PART * budgetMillis);
+        return nowMillis + expectedFirstAnswerMillis - latestMillis;
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Bulletin.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Bulletin.java
@@ -1,5 +1,6 @@
 package org.cactusshift.internal.coordination.serving;
 
+import java.util.List;
 import java.util.Map;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
@@ -16,6 +17,7 @@
  * @param work its open work by upstream
  * @param usage its running totals by usage window and client account; only told to the holder of the usage duty
  * @param crashes crashes that it saw, by fingerprint of the request
+ * @param uses long prompt parts that it used lately
  */
 public record Bulletin(
         InstanceId node,
@@ -23,11 +25,13 @@
         long unixMillis,
         Map<UpstreamId, RemoteWork> work,
         Map<Long, Map<AccountId, Long>> usage,
-        Map<Long, Integer> crashes) {
+        Map<Long, Integer> crashes,
+        List<PartUse> uses) {
     /** Copies the maps. */
     public Bulletin {
         work = Map.copyOf(work);
         usage = Map.copyOf(usage);
         crashes = Map.copyOf(crashes);
+        uses = List.copyOf(uses);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/KeptParts.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/KeptParts.java
@@ -1,46 +1,74 @@
 package org.cactusshift.internal.coordination.serving;
 
+import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Guesses which prompt parts an engine keeps, from the requests sent to it.
+ * Guesses which prompt parts an engine keeps, from the requests that nodes sent to it.
  *
- * <p>The parts used least recently are given up first, as engines do. A wrong guess costs time, never correctness.
+ * <p>Engines give up the parts used least recently. So a part is kept while the tokens that came after its last use fit
+ * into the memory. Long parts are told by all nodes; of short ones a node knows its own, and takes others to send as
+ * much. A wrong guess costs time, never correctness.
  */
 final class KeptParts {
     /** The share of an engine's memory that parts are assumed to fill; running requests need the rest. */
-    private static final double PARTS_SHARE = 0.7;
+    private static final double PARTS_SHARE = 0.75;
 
-    private final long capacityTokens;
-    private final LinkedHashMap<Long, Kept> parts = new LinkedHashMap<>(16, 0.75f, true);
-    private long keptTokens;
+    /** Parts are forgotten once more than this many are noted, oldest first. */
+    private static final int MAXIMUM_PARTS = 4_096;
+
+    private final double capacityTokens;
+    private final Map<Long, Double> admittedAtUse = new HashMap<>();
+    private double admittedTokens;
 
     KeptParts(long kvCapacityTokens) {
-        this.capacityTokens = (long) (kvCapacityTokens * PARTS_SHARE);
+        this.capacityTokens = kvCapacityTokens * PARTS_SHARE;
     }
 
-    private record Kept(int tokens, long usedAtMillis) {}
-
-    void onUse(List<PromptPart> prompt, long nowMillis) {
+    /** Notes a prompt that this node sent; parts that other nodes do not tell of stand for theirs too. */
+    void onSent(List<PromptPart> prompt, int nodes) {
         for (PromptPart part : prompt) {
-            Kept before = parts.put(part.id(), new Kept(part.tokens(), nowMillis));
-            keptTokens += part.tokens() - (before == null ? 0 : before.tokens());
+            if (PartUse.isTold(part)) {
+                onUse(part);
+            } else {
+                admittedTokens += (double) part.tokens() * nodes;
+                admittedAtUse.put(part.id(), admittedTokens);
+            }
+        }
+        trim();
+    }
+
+    /** Notes the use of a part, by this node or another. */
+    void onUse(PromptPart part) {
+        if (!isKept(part)) {
+            admittedTokens += part.tokens();
         }
-        Iterator<Map.Entry<Long, Kept>> oldest = parts.entrySet().iterator();
-        while (keptTokens > capacityTokens && oldest.hasNext()) {
-            keptTokens -= oldest.next().getValue().tokens();
-            oldest.remove();
+        admittedAtUse.put(part.id(), admittedTokens);
+    }
+
+    private void trim() {
+        if (admittedAtUse.size() <= MAXIMUM_PARTS) {
+            return;
+        }
+        for (Iterator<Double> uses = admittedAtUse.values().iterator(); uses.hasNext(); ) {
+            if (admittedTokens - uses.next() > capacityTokens) {
+                uses.remove();
+            }
         }
     }
 
+    boolean isKept(PromptPart part) {
+        Double used = admittedAtUse.get(part.id());
+        return used != null && admittedTokens - used + part.tokens() <= capacityTokens;
+    }
+
     /** Returns the tokens at the start of a prompt that need not be read again. */
     int keptTokens(List<PromptPart> prompt) {
         int tokens = 0;
         for (PromptPart part : prompt) {
-            if (!parts.containsKey(part.id())) {
+            if (!isKept(part)) {
                 break;
             }
             tokens += part.tokens();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PeerBoard.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PeerBoard.java
@@ -47,6 +47,9 @@
         heard.put(bulletin.node(), new Heard(bulletin, nowMillis));
         clock.onTold(bulletin.node(), bulletin.unixMillis(), nowMillis);
         bulletin.usage().forEach((window, counts) -> usage.onTold(bulletin.incarnation(), window, counts));
+        for (PartUse use : bulletin.uses()) {
+            directory.find(use.upstream()).ifPresent(upstream -> upstream.onRemoteUse(use.part()));
+        }
         bulletin.crashes().forEach((fingerprint, count) -> quarantine.onRemote(fingerprint, count, nowMillis));
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -22,7 +22,7 @@
     private static final double REREAD_MILLIS_PER_TOKEN = 0.03;
 
     /** What a request in another failure domain costs, as time: its bytes cross the link both ways. */
-    private static final double OTHER_DOMAIN_MILLIS_PER_KILOBYTE = 2;
+    private static final double OTHER_DOMAIN_MILLIS_PER_KILOBYTE = 0.2;
 
     private static final double OTHER_DOMAIN_MILLIS = 5;
 
@@ -32,8 +32,8 @@
     /** Shared parts below this length are read again rather than fetched. */
     private static final int FETCH_TOKENS = 1_024;
 
-    /** Prompts with less to read than this are read by the engine that answers. */
-    private static final int HAND_OVER_TOKENS = 1_024;
+    /** What an answer at another engine than the home of its shared part costs, as time: a further copy. */
+    private static final double OTHER_HOME_MILLIS = 60;
 
     /** Failures count as if the request had to be made again at the price of some answers' time. */
     private static final double FAILURE_MILLIS = 400;
@@ -150,17 +150,17 @@
         if (answering.isEmpty()) {
             return Optional.empty();
         }
-        Optional<Upstream> home = home(query.request(), answering);
+        Optional<PromptPart> shared = sharedPart(query.request());
+        List<Upstream> holders = shared.map(part -> holders(usable, part)).orElse(List.of());
+        Optional<Upstream> home = shared.map(part -> home(part, answering));
         Scored best = null;
         for (Upstream upstream : answering) {
-            Scored direct = direct(query, upstream, home, nowMillis);
-            best = better(best, direct);
+            best = better(best, direct(query, upstream, holders, nowMillis));
         }
-        int longest = query.request().promptTokens();
-        if (query.mayHandOver() && !readers.isEmpty() && longest >= HAND_OVER_TOKENS) {
+        if (query.mayHandOver() && !readers.isEmpty()) {
             Upstream target = handOverTarget(query, answering, home, nowMillis);
             for (Upstream reader : readers) {
-                best = better(best, handOver(query, reader, target, readers, home));
+                best = better(best, handOver(query, reader, target, holders));
             }
         }
         return Optional.of(best.placement);
@@ -182,46 +182,72 @@
         return selected;
     }
 
-    /** Returns the engine that keeps the shared parts of a prompt, if these are long enough to matter. */
-    private static Optional<Upstream> home(ServingRequest request, List<Upstream> engines) {
-        int sharedTokens = sharedTokens(request);
-        if (sharedTokens < FETCH_TOKENS) {
+    /** Returns the last part that a prompt shares with others, if it is long enough to matter. */
+    private static Optional<PromptPart> sharedPart(ServingRequest request) {
+        List<PromptPart> prompt = request.prompt();
+        if (prompt.size() < 2) {
             return Optional.empty();
         }
-        long part = request.prompt().get(request.prompt().size() - 2).id();
+        return Optional.of(prompt.get(prompt.size() - 2)).filter(PartUse::isTold);
+    }
+
+    private static List<Upstream> holders(List<Upstream> engines, PromptPart part) {
+        List<Upstream> holders = new ArrayList<>();
+        for (Upstream engine : engines) {
+            if (engine.keeps(part)) {
+                holders.add(engine);
+            }
+        }
+        return holders;
+    }
+
+    /** Returns the engine on which all nodes agree to keep a part. */
+    private static Upstream home(PromptPart part, List<Upstream> engines) {
         return engines.stream()
-                .max(Comparator.comparingLong(
-                        engine -> RendezvousHash.hash(part + "/" + engine.id().value())));
+                .max(Comparator.comparingLong(engine ->
+                        RendezvousHash.hash(part.id() + "/" + engine.id().value())))
+                .orElseThrow();
     }
 
-    private static int sharedTokens(ServingRequest request) {
-        List<PromptPart> prompt = request.prompt();
-        return prompt.size() < 2
-                ? 0
-                : request.promptTokens() - prompt.get(prompt.size() - 1).tokens();
+    /** What reading a prompt at an engine takes. */
+    private record Reading(long freshTokens, Optional<Upstream> fetchFrom) {}
+
+    private Reading reading(ServingRequest request, Upstream reader, List<Upstream> holders) {
+        int prompt = request.promptTokens();
+        int kept = reader.keptTokens(request.prompt());
+        Optional<Upstream> holder = holders.stream()
+                .filter(engine -> engine != reader)
+                .min(Comparator.comparing((Upstream engine) ->
+                                !engine.entry().domain().equals(reader.entry().domain()))
+                        .thenComparingLong(Upstream::allUnreadTokens));
+        if (holder.isPresent()) {
+            int keptThere = holder.get().keptTokens(request.prompt());
+            if (keptThere - kept >= FETCH_TOKENS) {
+                return new Reading(Math.max(1, prompt - keptThere), holder);
+            }
+        }
+        return new Reading(Math.max(1, prompt - kept), Optional.empty());
     }
 
-    private Scored direct(PlacementQuery query, Upstream upstream, Optional<Upstream> home, long nowMillis) {
+    private Scored direct(PlacementQuery query, Upstream upstream, List<Upstream> holders, long nowMillis) {
         ServingRequest request = query.request();
-        boolean fetches = home.isPresent() && home.get() != upstream;
-        long keptTokens = Math.max(upstream.keptTokens(request.prompt()), fetches ? sharedTokens(request) : 0);
-        long freshTokens = Math.max(1, request.promptTokens() - keptTokens);
+        Reading reading = reading(request, upstream, holders);
         double time = upstream.slowness()
                 * speed.firstAnswerMillis(
-                        request.service(), EngineStage.DECODE, upstream.allUnreadTokens() + freshTokens);
+                        request.service(), EngineStage.DECODE, upstream.allUnreadTokens() + reading.freshTokens());
         // Reading a prompt here delays the tokens of the requests that run here.
-        double delayOfOthers = freshTokens * REREAD_MILLIS_PER_TOKEN;
+        double delayOfOthers = reading.freshTokens() * REREAD_MILLIS_PER_TOKEN;
         double score = time
                 + delayOfOthers
                 + crowding(upstream, nowMillis)
-                + (fetches ? HAND_OVER_MILLIS : 0)
+                + (reading.fetchFrom().isPresent() ? HAND_OVER_MILLIS : 0)
                 + penalty(query, upstream)
                 + random.nextDouble() * TIE_MILLIS;
         Placement placement = new Placement(
                 upstream,
                 Optional.empty(),
-                home.filter(engine -> engine != upstream),
-                freshTokens,
+                reading.fetchFrom(),
+                reading.freshTokens(),
                 Math.round(time),
                 Math.round(time));
         return new Scored(placement, score);
@@ -232,35 +258,31 @@
         return answering.stream()
                 .min(Comparator.comparingDouble(upstream -> crowding(upstream, nowMillis)
                         + upstream.allUnreadTokens() * REREAD_MILLIS_PER_TOKEN
-                        + (home.isPresent() && home.get() == upstream ? 0 : HAND_OVER_MILLIS)
-                        + penalty(query, upstream)))
+                        + (home.isEmpty() || home.get() == upstream ? 0 : OTHER_HOME_MILLIS)
+                        + penalty(query, upstream)
+                        + random.nextDouble() * TIE_MILLIS))
                 .orElseThrow();
     }
 
-    private Scored handOver(
-            PlacementQuery query, Upstream reader, Upstream target, List<Upstream> readers, Optional<Upstream> home) {
+    private Scored handOver(PlacementQuery query, Upstream reader, Upstream target, List<Upstream> holders) {
         ServingRequest request = query.request();
-        int sharedTokens = sharedTokens(request);
-        int keptTokens = reader.keptTokens(request.prompt());
-        boolean isReadersHome = home(request, readers).filter(reader::equals).isPresent();
-        boolean fetches = home.isPresent() && keptTokens < sharedTokens;
-        long assumedTokens = fetches || isReadersHome ? Math.max(keptTokens, sharedTokens) : keptTokens;
-        long freshTokens = Math.max(1, request.promptTokens() - assumedTokens);
+        Reading reading = reading(request, reader, holders);
         double readMillis = reader.slowness()
                 * speed.firstAnswerMillis(
-                        request.service(), EngineStage.PREFILL, reader.allUnreadTokens() + freshTokens);
-        double time = readMillis + speed.firstAnswerMillis(request.service(), EngineStage.DECODE, 0);
+                        request.service(), EngineStage.PREFILL, reader.allUnreadTokens() + reading.freshTokens());
+        double time = readMillis + speed.firstAnswerMillis(request.service(), EngineStage.ANY, 0);
         double score = time
                 + HAND_OVER_MILLIS
-                + (fetches ? HAND_OVER_MILLIS : 0)
+                + reading.freshTokens() * REREAD_MILLIS_PER_TOKEN / 2
+                + (reading.fetchFrom().isPresent() ? HAND_OVER_MILLIS : 0)
                 + penalty(query, reader)
                 + penalty(query, target)
                 + random.nextDouble() * TIE_MILLIS;
         Placement placement = new Placement(
                 target,
                 Optional.of(reader),
-                fetches ? home : Optional.empty(),
-                freshTokens,
+                reading.fetchFrom(),
+                reading.freshTokens(),
                 Math.round(time),
                 Math.round(readMillis));
         return new Scored(placement, score);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -17,6 +17,9 @@
     /** Within this time a load that the upstream told is still believed; engines answer several times a second. */
     private static final long LOAD_BELIEVED_MILLIS = 1_000;
 
+    /** One answer that was held up tells no more than this. */
+    private static final double LARGEST_PACE = 10;
+
     private final UpstreamHealth health = UpstreamHealth.create();
     private final KeptParts keptParts;
     private UpstreamEntry entry;
@@ -80,9 +83,10 @@
      *
      * @param prompt the parts of its prompt, empty for plain services
      * @param freshTokens the tokens that the upstream has to read
+     * @param nodes the live nodes of the site
      * @param nowMillis the present time
      */
-    public void onSent(List<PromptPart> prompt, long freshTokens, long nowMillis) {
+    public void onSent(List<PromptPart> prompt, long freshTokens, int nodes, long nowMillis) {
         if (health.state(nowMillis) == UpstreamHealth.State.PROBE_DUE) {
             health.onProbe();
         }
@@ -92,7 +96,7 @@
             unheardSinceMillis = nowMillis;
         }
         unheardRequests++;
-        keptParts.onUse(prompt, nowMillis);
+        keptParts.onSent(prompt, nodes);
     }
 
     /**
@@ -116,12 +120,19 @@
      * Notes a whole answer that is no failure.
      *
      * @param sentAtMillis when the request was sent
-     * @param relativeTime the time that it took over the time that was expected, above 0
      */
-    public void onSuccess(long sentAtMillis, double relativeTime) {
+    public void onSuccess(long sentAtMillis) {
         health.onSuccess(sentAtMillis);
         failureShare -= SAMPLE_WEIGHT * failureShare;
-        slowness += SAMPLE_WEIGHT * (Math.min(relativeTime, 10) - slowness);
+    }
+
+    /**
+     * Notes how long a first answer took compared with other upstreams under the same work.
+     *
+     * @param relativeTime the time that it took over the time that is usual, above 0
+     */
+    public void onPace(double relativeTime) {
+        slowness += SAMPLE_WEIGHT * (Math.min(relativeTime, LARGEST_PACE) - slowness);
     }
 
     /** Notes an answer that tells of a failure, or an answer that broke off. */
@@ -184,7 +195,12 @@
         return unreadTokens;
     }
 
-    long allUnreadTokens() {
+    /**
+     * Returns the prompt tokens that all nodes' requests wait for, as far as this node knows.
+     *
+     * @return tokens
+     */
+    public long allUnreadTokens() {
         return unreadTokens + remoteUnreadTokens;
     }
 
@@ -194,6 +210,14 @@
         return nowMillis - toldAtMillis <= LOAD_BELIEVED_MILLIS ? Math.max(known, toldRequests) : known;
     }
 
+    void onRemoteUse(PromptPart part) {
+        keptParts.onUse(part);
+    }
+
+    boolean keeps(PromptPart part) {
+        return keptParts.isKept(part);
+    }
+
     int keptTokens(List<PromptPart> prompt) {
         return keptParts.keptTokens(prompt);
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinCodec.java
@@ -6,8 +6,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.cactusshift.id.AccountId;
@@ -15,6 +17,8 @@
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.serving.Bulletin;
+import org.cactusshift.internal.coordination.serving.PartUse;
+import org.cactusshift.internal.coordination.serving.PromptPart;
 import org.cactusshift.internal.coordination.serving.RemoteWork;
 
 /** Writes bulletins as JSON. */
@@ -53,6 +57,15 @@
                 json.writeNumberField(Long.toString(crash.getKey()), crash.getValue());
             }
             json.writeEndObject();
+            json.writeArrayFieldStart("uses");
+            for (PartUse use : bulletin.uses()) {
+                json.writeStartArray();
+                json.writeString(use.upstream().value());
+                json.writeNumber(use.part().id());
+                json.writeNumber(use.part().tokens());
+                json.writeEndArray();
+            }
+            json.writeEndArray();
             json.writeEndObject();
         } catch (IOException e) {
             throw new IllegalStateException("an array cannot be written to", e);
@@ -86,13 +99,20 @@
             for (Map.Entry<String, JsonNode> crash : fields(root, "crashes")) {
                 crashes.put(Long.parseLong(crash.getKey()), crash.getValue().asInt());
             }
+            List<PartUse> uses = new ArrayList<>();
+            for (JsonNode use : root.path("uses")) {
+                uses.add(new PartUse(
+                        UpstreamId.fromString(use.path(0).asText()),
+                        new PromptPart(use.path(1).asLong(), use.path(2).asInt())));
+            }
             return Optional.of(new Bulletin(
                     InstanceId.fromString(root.path("node").asText()),
                     IncarnationId.fromString(root.path("incarnation").asText()),
                     root.path("unixMillis").asLong(),
                     work,
                     usage,
-                    crashes));
+                    crashes,
+                    uses));
         } catch (IOException | IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinSender.java
@@ -1,7 +1,9 @@
 package org.cactusshift.internal.transport.relay;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.cactusshift.id.AccountId;
@@ -10,6 +12,7 @@
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.quarantine.Quarantine;
 import org.cactusshift.internal.coordination.serving.Bulletin;
+import org.cactusshift.internal.coordination.serving.PartUse;
 import org.cactusshift.internal.coordination.serving.RemoteWork;
 import org.cactusshift.internal.coordination.serving.Upstream;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
@@ -23,14 +26,20 @@
     /** The holder of the usage duty gets the counts in each such tick. */
     private static final int USAGE_TICKS = 2;
 
+    /** A use is told for this long, so that a lost bulletin does not hide it. */
+    private static final long USE_TOLD_MILLIS = 700;
+
     private final DutyHolder self;
     private final PeerLink link;
     private final UpstreamDirectory directory;
     private final UsageCounts usage;
     private final Quarantine quarantine;
     private Map<InstanceId, InetSocketAddress> known = new HashMap<>();
+    private final ArrayDeque<RecentUse> recentUses = new ArrayDeque<>();
     private long ticks;
 
+    private record RecentUse(PartUse use, long atMillis) {}
+
     private BulletinSender(
             DutyHolder self, PeerLink link, UpstreamDirectory directory, UsageCounts usage, Quarantine quarantine) {
         this.self = self;
@@ -45,6 +54,11 @@
         return new BulletinSender(self, link, directory, usage, quarantine);
     }
 
+    /** Notes the use of a long prompt part, to be told for a while. */
+    void onUse(PartUse use, long nowMillis) {
+        recentUses.addLast(new RecentUse(use, nowMillis));
+    }
+
     void tick(
             Map<InstanceId, InetSocketAddress> members,
             Optional<DutyHolder> usageHolder,
@@ -54,6 +68,9 @@
             known = members;
         }
         ticks++;
+        while (!recentUses.isEmpty() && nowMillis - recentUses.peekFirst().atMillis() > USE_TOLD_MILLIS) {
+            recentUses.removeFirst();
+        }
         int parts = 1 + known.size() / NODES_EACH_TICK;
         Bulletin bulletin = bulletin(unixMillis, Map.of(), nowMillis);
         int index = 0;
@@ -80,6 +97,7 @@
         }
         Map<Long, Integer> crashes = new HashMap<>();
         quarantine.suspects(nowMillis).forEach(suspect -> crashes.put(suspect.fingerprint(), suspect.crashes()));
-        return new Bulletin(self.instance(), self.incarnation(), unixMillis, work, counts, crashes);
+        List<PartUse> uses = recentUses.stream().map(RecentUse::use).toList();
+        return new Bulletin(self.instance(), self.incarnation(), unixMillis, work, counts, crashes, uses);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -1,11 +1,13 @@
 package org.cactusshift.internal.transport.relay;
 
 import io.netty.channel.EventLoop;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.internal.coordination.quarantine.Quarantine;
 import org.cactusshift.internal.coordination.serving.CrashWitness;
+import org.cactusshift.internal.coordination.serving.PartUse;
 import org.cactusshift.internal.coordination.serving.Placer;
 import org.cactusshift.internal.coordination.serving.ReadingSpeed;
 import org.cactusshift.internal.coordination.serving.RepeatAllowance;
@@ -23,6 +25,7 @@
  * @param quarantine knows crash-inducing requests
  * @param witness tells crashes from lost connections
  * @param begun counts requests that began to run
+ * @param uses learns which long prompt parts were used where
  * @param nodes the live nodes of the site
  * @param domain the failure domain of this node
  * @param metrics counts outcomes
@@ -40,6 +43,7 @@
         Quarantine quarantine,
         CrashWitness witness,
         BegunRequests begun,
+        Consumer<PartUse> uses,
         IntSupplier nodes,
         FailureDomainId domain,
         RelayMetrics metrics,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -173,6 +173,7 @@
                 quarantine,
                 witness,
                 account -> usage.add(account, unixMillis()),
+                use -> bulletins.onUse(use, runtime.clock().steadyMillis()),
                 this::nodes,
                 settings.domain(),
                 metrics,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -18,7 +18,9 @@
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.internal.coordination.serving.EngineStage;
+import org.cactusshift.internal.coordination.serving.PartUse;
 import org.cactusshift.internal.coordination.serving.Placement;
+import org.cactusshift.internal.coordination.serving.PromptPart;
 import org.cactusshift.internal.coordination.serving.RequestKind;
 import org.cactusshift.internal.coordination.serving.ServingRequest;
 import org.cactusshift.internal.coordination.serving.Upstream;
@@ -114,8 +116,13 @@
     void open() {
         boolean once = request().route().kind() == RequestKind.NOT_REPEATABLE;
         long longestIdleMillis = once ? FRESH_CONNECTION_MILLIS : Long.MAX_VALUE;
-        tokensAhead = upstream.unreadTokens() + freshTokens();
-        upstream.onSent(request().prompt(), freshTokens(), nowMillis());
+        tokensAhead = upstream.allUnreadTokens() + freshTokens();
+        upstream.onSent(request().prompt(), freshTokens(), context().nodes().getAsInt(), nowMillis());
+        for (PromptPart part : request().prompt()) {
+            if (PartUse.isTold(part)) {
+                context().uses().accept(new PartUse(upstream.id(), part));
+            }
+        }
         context().pool().take(upstream.entry().address(), longestIdleMillis, this::onConnection);
     }
 
@@ -217,8 +224,9 @@
         heard = true;
         long tookMillis = nowMillis() - sentAtMillis;
         upstream.onHeard(freshTokens(), nowMillis());
-        boolean ran = facts != null && !facts.notRun();
-        if (ran && memorySource.isEmpty()) {
+        if (facts != null && !facts.notRun()) {
+            double usual = context().speed().firstAnswerMillis(request().service(), stage(), tokensAhead);
+            upstream.onPace(tookMillis / Math.max(1, usual));
             context().speed().onFirstAnswer(request().service(), stage(), tokensAhead, tookMillis);
         }
     }
@@ -227,7 +235,9 @@
         if (reading) {
             return EngineStage.PREFILL;
         }
-        return request().prompt().isEmpty() ? EngineStage.ANY : EngineStage.DECODE;
+        // The run after a reading elsewhere has a pace of its own.
+        boolean readsHere = !request().prompt().isEmpty() && memorySource.isEmpty();
+        return readsHere ? EngineStage.DECODE : EngineStage.ANY;
     }
 
     @Override
@@ -304,9 +314,7 @@
 
     private void noteQuality(boolean good) {
         if (good) {
-            double expected = Math.max(1, reading ? placement.readMillis() : placement.firstAnswerMillis());
-            double took = stream || memorySource.isPresent() ? expected : nowMillis() - sentAtMillis;
-            upstream.onSuccess(sentAtMillis, took / expected);
+            upstream.onSuccess(sentAtMillis);
         } else {
             upstream.onFailedAnswer();
         }
