Order reclaimable engines, and make most engines read prompts

Cause: reading fills the engines' time and shared parts their memory, while outputs run well side by side; and parts counted as kept before they were read, so that one cold part was read at several engines. Change: a planner holds twice the operator's fleet, half of it lasting, the rest reclaimable; a quarter of the engines produce output; parts are kept from the end of their reading, cold ones go to their home.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/KeptParts.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/KeptParts.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /**
- * Guesses which prompt parts an engine keeps, from the requests that nodes sent to it.
+ * Guesses which prompt parts an engine keeps, from the prompts that nodes had it read.
  *
  * <p>Engines give up the parts used least recently. So a part is kept while the tokens that came after its last use fit
  * into the memory. Long parts are told by all nodes; of short ones a node knows its own, and takes others to send as
@@ -27,8 +27,8 @@
         this.capacityTokens = kvCapacityTokens * PARTS_SHARE;
     }
 
-    /** Notes a prompt that this node sent; parts that other nodes do not tell of stand for theirs too. */
-    void onSent(List<PromptPart> prompt, int nodes) {
+    /** Notes a prompt of this node that was read; parts that other nodes do not tell of stand for theirs too. */
+    void onRead(List<PromptPart> prompt, int nodes) {
         for (PromptPart part : prompt) {
             if (PartUse.isTold(part)) {
                 onUse(part);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -29,6 +29,15 @@
     /** What moving a prompt between two engines costs, as time. */
     private static final double HAND_OVER_MILLIS = 15;
 
+    /**
+     * What reading a shared part away from its home costs, as time, while no engine keeps it: other nodes send it to
+     * its home at the same moment, and it is read twice.
+     */
+    private static final double COLD_DETOUR_MILLIS = 800;
+
+    /** Requests that come to a busy engine in a millisecond; a reading of 100 ms delays one other by its length. */
+    private static final double OTHERS_PER_MILLI = 0.02;
+
     /** Shared parts below this length are read again rather than fetched. */
     private static final int FETCH_TOKENS = 1_024;
 
@@ -153,14 +162,17 @@
         Optional<PromptPart> shared = sharedPart(query.request());
         List<Upstream> holders = shared.map(part -> holders(usable, part)).orElse(List.of());
         Optional<Upstream> home = shared.map(part -> home(part, answering));
+        Optional<Upstream> readingHome = readers.isEmpty() ? Optional.empty() : shared.map(part -> home(part, readers));
         Scored best = null;
         for (Upstream upstream : answering) {
-            best = better(best, direct(query, upstream, holders, nowMillis));
+            boolean isHome = readers.isEmpty() && home.filter(upstream::equals).isPresent();
+            best = better(best, direct(query, upstream, holders, isHome, nowMillis));
         }
         if (query.mayHandOver() && !readers.isEmpty()) {
             Upstream target = handOverTarget(query, answering, home, nowMillis);
             for (Upstream reader : readers) {
-                best = better(best, handOver(query, reader, target, holders));
+                boolean isHome = readingHome.isEmpty() || readingHome.get() == reader;
+                best = better(best, handOver(query, reader, target, holders, isHome));
             }
         }
         return Optional.of(best.placement);
@@ -209,8 +221,8 @@
                 .orElseThrow();
     }
 
-    /** What reading a prompt at an engine takes. */
-    private record Reading(long freshTokens, Optional<Upstream> fetchFrom) {}
+    /** What reading a prompt at an engine takes; a cold one reads shared parts that no engine keeps. */
+    private record Reading(long freshTokens, Optional<Upstream> fetchFrom, boolean cold) {}
 
     private Reading reading(ServingRequest request, Upstream reader, List<Upstream> holders) {
         int prompt = request.promptTokens();
@@ -223,23 +235,24 @@
         if (holder.isPresent()) {
             int keptThere = holder.get().keptTokens(request.prompt());
             if (keptThere - kept >= FETCH_TOKENS) {
-                return new Reading(Math.max(1, prompt - keptThere), holder);
+                return new Reading(Math.max(1, prompt - keptThere), holder, false);
             }
         }
-        return new Reading(Math.max(1, prompt - kept), Optional.empty());
+        boolean cold = holders.isEmpty() && sharedPart(request).isPresent();
+        return new Reading(Math.max(1, prompt - kept), Optional.empty(), cold);
     }
 
-    private Scored direct(PlacementQuery query, Upstream upstream, List<Upstream> holders, long nowMillis) {
+    private Scored direct(
+            PlacementQuery query, Upstream upstream, List<Upstream> holders, boolean isHome, long nowMillis) {
         ServingRequest request = query.request();
         Reading reading = reading(request, upstream, holders);
         double time = upstream.slowness()
                 * speed.firstAnswerMillis(
                         request.service(), EngineStage.DECODE, upstream.allUnreadTokens() + reading.freshTokens());
-        // Reading a prompt here delays the tokens of the requests that run here.
-        double delayOfOthers = reading.freshTokens() * REREAD_MILLIS_PER_TOKEN;
         double score = time
-                + delayOfOthers
+                + delayOfOthers(request.service(), EngineStage.DECODE, reading.freshTokens())
                 + crowding(upstream, nowMillis)
+                + (reading.cold() && !isHome ? COLD_DETOUR_MILLIS : 0)
                 + (reading.fetchFrom().isPresent() ? HAND_OVER_MILLIS : 0)
                 + penalty(query, upstream)
                 + random.nextDouble() * TIE_MILLIS;
@@ -253,6 +266,16 @@
         return new Scored(placement, score);
     }
 
+    /**
+     * Returns by how much a reading delays those behind it, on average one that comes at any moment: half of them wait
+     * for half of it.
+     */
+    private double delayOfOthers(ServiceId service, EngineStage stage, long tokens) {
+        double readMillis =
+                speed.firstAnswerMillis(service, stage, tokens) - speed.firstAnswerMillis(service, stage, 0);
+        return readMillis * readMillis * OTHERS_PER_MILLI / 2;
+    }
+
     private Upstream handOverTarget(
             PlacementQuery query, List<Upstream> answering, Optional<Upstream> home, long nowMillis) {
         return answering.stream()
@@ -264,7 +287,8 @@
                 .orElseThrow();
     }
 
-    private Scored handOver(PlacementQuery query, Upstream reader, Upstream target, List<Upstream> holders) {
+    private Scored handOver(
+            PlacementQuery query, Upstream reader, Upstream target, List<Upstream> holders, boolean isHome) {
         ServingRequest request = query.request();
         Reading reading = reading(request, reader, holders);
         double readMillis = reader.slowness()
@@ -273,7 +297,8 @@
         double time = readMillis + speed.firstAnswerMillis(request.service(), EngineStage.ANY, 0);
         double score = time
                 + HAND_OVER_MILLIS
-                + reading.freshTokens() * REREAD_MILLIS_PER_TOKEN / 2
+                + (isHome ? 0 : reading.cold() ? COLD_DETOUR_MILLIS : OTHER_HOME_MILLIS)
+                + delayOfOthers(request.service(), EngineStage.PREFILL, reading.freshTokens())
                 + (reading.fetchFrom().isPresent() ? HAND_OVER_MILLIS : 0)
                 + penalty(query, reader)
                 + penalty(query, target)
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -81,12 +81,10 @@
     /**
      * Notes a request that is about to be sent.
      *
-     * @param prompt the parts of its prompt, empty for plain services
      * @param freshTokens the tokens that the upstream has to read
-     * @param nodes the live nodes of the site
      * @param nowMillis the present time
      */
-    public void onSent(List<PromptPart> prompt, long freshTokens, int nodes, long nowMillis) {
+    public void onSent(long freshTokens, long nowMillis) {
         if (health.state(nowMillis) == UpstreamHealth.State.PROBE_DUE) {
             health.onProbe();
         }
@@ -96,7 +94,6 @@
             unheardSinceMillis = nowMillis;
         }
         unheardRequests++;
-        keptParts.onSent(prompt, nodes);
     }
 
     /**
@@ -111,6 +108,25 @@
         unheardSinceMillis = nowMillis;
     }
 
+    /**
+     * Notes that bytes came, of any request of this node.
+     *
+     * @param nowMillis the present time
+     */
+    public void onBytes(long nowMillis) {
+        unheardSinceMillis = nowMillis;
+    }
+
+    /**
+     * Notes that the upstream has read a prompt, so that it keeps its parts.
+     *
+     * @param prompt the parts of the prompt
+     * @param nodes the live nodes of the site
+     */
+    public void onRead(List<PromptPart> prompt, int nodes) {
+        keptParts.onRead(prompt, nodes);
+    }
+
     /** Notes the end of a request in any way. */
     public void onDone() {
         openRequests = Math.max(0, openRequests - 1);
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetRunner.java
@@ -0,0 +1,254 @@
+package org.cactusshift.internal.transport.relay;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cactusshift.errors.Failure;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.lease.Authority;
+import org.cactusshift.internal.coordination.serving.CapacityRule;
+import org.cactusshift.internal.coordination.serving.EngineStage;
+import org.cactusshift.internal.coordination.serving.FleetPlan;
+import org.cactusshift.internal.coordination.serving.FleetPlanner;
+import org.cactusshift.internal.coordination.serving.ServedService;
+import org.cactusshift.internal.coordination.serving.ServingConfig;
+import org.cactusshift.internal.coordination.serving.StagePlanner;
+import org.cactusshift.internal.coordination.serving.Upstream;
+import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
+import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
+import org.cactusshift.internal.coordination.store.LeaseGrant;
+import org.cactusshift.internal.coordination.store.SwapResult;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+
+/**
+ * Carries out the plans for engines while this node holds the duty: writes a plan to the store first, then orders what
+ * is missing, then the stages.
+ */
+public final class FleetRunner {
+    /** Engines register within this time of their start; before it the operator's fleet is not complete. */
+    private static final long SETTLE_MILLIS = 2_000;
+
+    /** An order that brought nothing is repeated after this time besides the boot time. */
+    private static final long REPEAT_MILLIS = 2_500;
+
+    /** An engine that was ordered to change its stage is left alone for this time besides the change itself. */
+    private static final long STAGE_REPEAT_MILLIS = 4_000;
+
+    private final FleetCalls calls;
+    private final AsyncKeyValueStore store;
+    private final SiteFollower follower;
+    private final UpstreamDirectory directory;
+    private final InstanceId self;
+    private final String planKey;
+    private final EventLog log;
+    private final Map<Subject, Long> orderedUntilMillis = new HashMap<>();
+    private final Map<UpstreamId, OrderedStage> stagesUnderWay = new HashMap<>();
+    private final Map<UpstreamId, Long> firstSeenMillis = new HashMap<>();
+    private boolean writing;
+    private long refusedNumber = Long.MIN_VALUE;
+
+    private record OrderedStage(EngineStage stage, long untilMillis) {}
+
+    private record Subject(ServiceId service, FailureDomainId domain, boolean reclaimable, int count) {}
+
+    private FleetRunner(
+            FleetCalls calls,
+            AsyncKeyValueStore store,
+            SiteFollower follower,
+            UpstreamDirectory directory,
+            InstanceId self,
+            String planKey,
+            EventLog log) {
+        this.calls = calls;
+        this.store = store;
+        this.follower = follower;
+        this.directory = directory;
+        this.self = self;
+        this.planKey = planKey;
+        this.log = log;
+    }
+
+    /**
+     * Returns a runner that has ordered nothing.
+     *
+     * @param calls gives orders
+     * @param store keeps the plans
+     * @param follower knows the configuration and the plans
+     * @param directory knows the engines
+     * @param self this node
+     * @param planKey the key of the plans
+     * @param log takes orders
+     * @return the runner
+     */
+    public static FleetRunner create(
+            FleetCalls calls,
+            AsyncKeyValueStore store,
+            SiteFollower follower,
+            UpstreamDirectory directory,
+            InstanceId self,
+            String planKey,
+            EventLog log) {
+        return new FleetRunner(calls, store, follower, directory, self, planKey, log);
+    }
+
+    /**
+     * Orders what is due, if this node holds the duty.
+     *
+     * @param authority the authority, empty when this node does not hold the duty
+     * @param nowMillis the present time
+     */
+    public void tick(Optional<Authority> authority, long nowMillis) {
+        boolean holds = authority.isPresent() && authority.get().fencingNumber() != refusedNumber;
+        if (!holds || follower.isStoreAway() || follower.config().isEmpty() || writing) {
+            return;
+        }
+        ServingConfig config = follower.config().get();
+        FleetCalls.Holder holder = new FleetCalls.Holder(self, authority.get().fencingNumber());
+        VersionedValue kept = follower.ownKeys().get(planKey);
+        Map<ServiceId, FleetPlan> plans = kept == null
+                ? new HashMap<>()
+                : FleetPlanCodec.read(kept.value()).orElseGet(HashMap::new);
+        for (ServedService service : config.services().values()) {
+            List<Upstream> engines = directory.open(service.id());
+            if (service.capacity().isPresent() && !plans.containsKey(service.id())) {
+                planFirst(service, engines, plans, kept, nowMillis);
+                return;
+            }
+            if (service.capacity().isPresent()) {
+                orderMissing(holder, service, plans.get(service.id()), engines, nowMillis);
+            }
+            if (service.engine().isPresent()) {
+                orderStages(holder, service, engines, nowMillis);
+            }
+        }
+    }
+
+    private void planFirst(
+            ServedService service,
+            List<Upstream> engines,
+            Map<ServiceId, FleetPlan> plans,
+            VersionedValue kept,
+            long nowMillis) {
+        engines.forEach(engine -> firstSeenMillis.putIfAbsent(engine.id(), nowMillis));
+        boolean settled = !engines.isEmpty()
+                && engines.stream().allMatch(engine -> nowMillis - firstSeenMillis.get(engine.id()) >= SETTLE_MILLIS);
+        if (!settled) {
+            return;
+        }
+        Map<FailureDomainId, Integer> started = new HashMap<>();
+        engines.forEach(engine -> started.merge(engine.entry().domain(), 1, Integer::sum));
+        CapacityRule rule = service.capacity().orElseThrow();
+        Map<ServiceId, FleetPlan> changed = new HashMap<>(plans);
+        changed.put(service.id(), FleetPlanner.plan(rule, started));
+        writing = true;
+        long expected = kept == null ? 0 : kept.modRevision();
+        byte[] value = FleetPlanCodec.write(changed);
+        log.event("fleet.planned")
+                .with("service", service.id().value())
+                .with("plan", changed.get(service.id()).sorted())
+                .write();
+        store.compareAndSwap(
+                new AsyncKeyValueStore.Write(planKey, expected, value, LeaseGrant.NONE, List.of()), this::onWritten);
+    }
+
+    private void onWritten(Either<Failure, SwapResult> swap) {
+        // What is in the store now shows with the next changes; until then nothing is ordered from it.
+        writing = false;
+        if (swap.isLeft()) {
+            log.event("fleet.planNotKept").with("failure", swap.getLeft()).write();
+        }
+    }
+
+    private void orderMissing(
+            FleetCalls.Holder holder, ServedService service, FleetPlan plan, List<Upstream> engines, long nowMillis) {
+        Map<FailureDomainId, FleetPlan.Counts> present = FleetPlanner.count(engines);
+        plan.sorted().forEach((domain, wanted) -> {
+            FleetPlan.Counts counts = present.getOrDefault(domain, FleetPlan.Counts.NONE);
+            Subject reclaimable = new Subject(service.id(), domain, true, wanted.reclaimable());
+            order(holder, reclaimable, counts.reclaimable(), service.capacity().orElseThrow(), nowMillis);
+            // The lasting ones are only released once the reclaimable ones are there, or there is no room for these.
+            boolean replaced = counts.reclaimable() >= wanted.reclaimable()
+                    || (counts.reclaimable() > 0
+                            && counts.total()
+                                    >= service.capacity().orElseThrow().maximum());
+            if (counts.lasting() < wanted.lasting() || replaced) {
+                Subject lasting = new Subject(service.id(), domain, false, wanted.lasting());
+                order(holder, lasting, counts.lasting(), service.capacity().orElseThrow(), nowMillis);
+            }
+        });
+    }
+
+    private void order(FleetCalls.Holder holder, Subject subject, int present, CapacityRule rule, long nowMillis) {
+        if (present == subject.count() || nowMillis < orderedUntilMillis.getOrDefault(subject, Long.MIN_VALUE)) {
+            return;
+        }
+        orderedUntilMillis.put(subject, nowMillis + rule.bootMillis() + REPEAT_MILLIS);
+        calls.order(
+                holder,
+                subject.service(),
+                subject.domain(),
+                subject.reclaimable(),
+                subject.count(),
+                result -> onOrdered(holder, subject, present, result));
+    }
+
+    private void onOrdered(
+            FleetCalls.Holder holder, Subject subject, int present, Either<Failure, FleetCalls.Result> result) {
+        log.event("fleet.ordered")
+                .with("service", subject.service().value())
+                .with("domain", subject.domain().value())
+                .with("reclaimable", subject.reclaimable())
+                .with("count", subject.count())
+                .with("present", present)
+                .with("fencingNumber", holder.fencingNumber())
+                .with("outcome", result.fold(Failure::toString, FleetCalls.Result::toString))
+                .write();
+        noteSuperseded(holder, result);
+    }
+
+    private void noteSuperseded(FleetCalls.Holder holder, Either<Failure, FleetCalls.Result> result) {
+        if (result.isRight() && result.get() == FleetCalls.Result.SUPERSEDED) {
+            refusedNumber = holder.fencingNumber();
+        }
+    }
+
+    private void orderStages(FleetCalls.Holder holder, ServedService service, List<Upstream> engines, long nowMillis) {
+        long changeMillis = service.engine().orElseThrow().roleSwitchMillis() + STAGE_REPEAT_MILLIS;
+        stagesUnderWay.values().removeIf(ordered -> nowMillis >= ordered.untilMillis());
+        Map<UpstreamId, EngineStage> underWay = new HashMap<>();
+        stagesUnderWay.forEach((engine, ordered) -> underWay.put(engine, ordered.stage()));
+        // Half of the engines at a time, so that the others go on serving.
+        int most = Math.max(0, (engines.size() + 1) / 2 - underWay.size());
+        List<StagePlanner.Change> changes = StagePlanner.plan(engines, underWay);
+        changes = changes.subList(0, Math.min(most, changes.size()));
+        for (StagePlanner.Change change : changes) {
+            stagesUnderWay.put(change.engine().id(), new OrderedStage(change.stage(), nowMillis + changeMillis));
+            calls.acceptedOrders(change.engine(), accepted -> onAcceptedOrders(holder, change, accepted));
+        }
+    }
+
+    private void onAcceptedOrders(
+            FleetCalls.Holder holder, StagePlanner.Change change, Either<Failure, Long> accepted) {
+        if (accepted.isLeft()) {
+            logStage(change, accepted.getLeft().toString());
+            return;
+        }
+        calls.changeStage(holder, change.engine(), change.stage(), accepted.get(), result -> {
+            logStage(change, result.fold(Failure::toString, FleetCalls.Result::toString));
+            noteSuperseded(holder, result);
+        });
+    }
+
+    private void logStage(StagePlanner.Change change, String outcome) {
+        log.event("fleet.stageOrdered")
+                .with("upstream", change.engine().id().value())
+                .with("stage", change.stage() == EngineStage.PREFILL ? "reading" : "output")
+                .with("outcome", outcome)
+                .write();
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -13,6 +13,7 @@
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.SiteId;
@@ -55,12 +56,14 @@
     private static final SiteId SITE = SiteId.fromString("site");
     private static final String OWN_PREFIX = "/cactusshift/";
     private static final String USAGE_PREFIX = OWN_PREFIX + "usage/";
+    private static final String PLAN_KEY = OWN_PREFIX + "fleet";
     private static final long MEGABYTE_TOKENS = 1L << 20;
 
     private final NodeRuntime runtime;
     private final NodeSettings settings;
     private final EventLoop eventLoop;
     private final DutyId usageDuty = DutyId.usage(0);
+    private final DutyId fleetDuty = DutyId.upstreamOrders(FailureDomainId.fromString("all"));
     private final IncarnationId incarnation =
             IncarnationId.fromString(UUID.randomUUID().toString().substring(0, 13));
     private final Map<ServiceId, RepeatAllowance> allowances = new HashMap<>();
@@ -75,6 +78,7 @@
     private final NodeRegistration registration;
     private final DutyRunner duties;
     private final Optional<UsageReportRunner> usageReports;
+    private final Optional<FleetRunner> fleet;
     private final BulletinSender bulletins;
     private final CallerServer callers;
     private final CallerServer readiness;
@@ -90,6 +94,7 @@
      * @param decoder values in the store
      * @param store the store
      * @param usageCalls usage reports, empty when the site takes none
+     * @param fleetCalls orders for engines, empty when the site's fleet is fixed
      * @param readinessPath the path of the balancer's question
      */
     public record Protocol(
@@ -97,6 +102,7 @@
             SiteDecoder decoder,
             AsyncKeyValueStore store,
             Optional<UsageCalls> usageCalls,
+            Optional<FleetCalls> fleetCalls,
             String readinessPath) {}
 
     private ServingNode(NodeRuntime runtime, NodeSettings settings, Protocol protocol) {
@@ -136,6 +142,9 @@
         this.usageReports = protocol.usageCalls()
                 .map(calls -> UsageReportRunner.create(
                         usage, calls, protocol.store(), follower, settings.instance(), USAGE_PREFIX, runtime.log()));
+        this.fleet = protocol.fleetCalls()
+                .map(calls -> FleetRunner.create(
+                        calls, protocol.store(), follower, directory, settings.instance(), PLAN_KEY, runtime.log()));
         this.bulletins = BulletinSender.create(self, link, directory, usage, quarantine);
         this.callers = CallerServer.create(
                 runtime.group(),
@@ -280,9 +289,10 @@
         runtime.pool().sweep(now);
         registration.tick(now);
         if (!stopping) {
-            duties.tick(Set.of(usageDuty), registration.memberIds());
+            duties.tick(Set.of(usageDuty, fleetDuty), registration.memberIds());
         }
         usageReports.ifPresent(reports -> reports.tick(duties.authority(usageDuty), unixMillis()));
+        fleet.ifPresent(orders -> orders.tick(duties.authority(fleetDuty), now));
         bulletins.tick(
                 registration.members(),
                 duties.holder(usageDuty),
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -117,12 +117,7 @@
         boolean once = request().route().kind() == RequestKind.NOT_REPEATABLE;
         long longestIdleMillis = once ? FRESH_CONNECTION_MILLIS : Long.MAX_VALUE;
         tokensAhead = upstream.allUnreadTokens() + freshTokens();
-        upstream.onSent(request().prompt(), freshTokens(), context().nodes().getAsInt(), nowMillis());
-        for (PromptPart part : request().prompt()) {
-            if (PartUse.isTold(part)) {
-                context().uses().accept(new PartUse(upstream.id(), part));
-            }
-        }
+        upstream.onSent(freshTokens(), nowMillis());
         context().pool().take(upstream.entry().address(), longestIdleMillis, this::onConnection);
     }
 
@@ -164,6 +159,9 @@
                 .with("upstream", upstream.id().value())
                 .with("reading", reading)
                 .with("freshTokens", freshTokens())
+                .with(
+                        "fetchFrom",
+                        placement.fetchFrom().map(from -> from.id().value()).orElse("-"))
                 .with("openThere", upstream.openRequests())
                 .with("expectedMillis", expected)
                 .write();
@@ -177,7 +175,11 @@
         if (closed) {
             return;
         }
-        long quietMillis = nowMillis() - lastBytesMillis;
+        // A request that waits its turn at an upstream that answers others is not given up.
+        long quietMillis = Math.min(nowMillis() - lastBytesMillis, upstream.silentMillis(nowMillis()));
+        if (heard) {
+            quietMillis = nowMillis() - lastBytesMillis;
+        }
         if (quietMillis < millis) {
             watch(millis - quietMillis);
         } else if (owner.hasAlternative(this)) {
@@ -222,6 +224,7 @@
             return;
         }
         heard = true;
+        noteRead();
         long tookMillis = nowMillis() - sentAtMillis;
         upstream.onHeard(freshTokens(), nowMillis());
         if (facts != null && !facts.notRun()) {
@@ -231,6 +234,18 @@
         }
     }
 
+    private void noteRead() {
+        if (facts == null || facts.notRun() || request().prompt().isEmpty()) {
+            return;
+        }
+        upstream.onRead(request().prompt(), context().nodes().getAsInt());
+        for (PromptPart part : request().prompt()) {
+            if (PartUse.isTold(part)) {
+                context().uses().accept(new PartUse(upstream.id(), part));
+            }
+        }
+    }
+
     private EngineStage stage() {
         if (reading) {
             return EngineStage.PREFILL;
@@ -243,6 +258,7 @@
     @Override
     public void onContent(ByteBuf bytes) {
         lastBytesMillis = nowMillis();
+        upstream.onBytes(lastBytesMillis);
         if (!stream) {
             addContent(bytes);
             return;
