Weigh what a reading delays, and leave refusing engines alone

Change: two engines in five produce output; a reading is charged with the outputs that it holds up; a refusal sets an engine aside.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -38,6 +38,12 @@
     /** Requests that come to a busy engine in a millisecond; a reading of 100 ms delays one other by its length. */
     private static final double OTHERS_PER_MILLI = 0.02;
 
+    /** What one more request costs the requests that run beside it, for each of them: some tenths of a ms a token. */
+    private static final double CROWDING_MILLIS = 6;
+
+    /** The part of the requests at an engine that wait for a token at any moment. */
+    private static final double DELAYED_PART = 0.5;
+
     /** Shared parts below this length are read again rather than fetched. */
     private static final int FETCH_TOKENS = 1_024;
 
@@ -114,7 +120,8 @@
             UpstreamHealth.State state = upstream.health(nowMillis);
             boolean probe = state == UpstreamHealth.State.PROBE_DUE
                     && query.request().route().mayRepeat();
-            if ((state == UpstreamHealth.State.UP || probe) && !isSilent(upstream, nowMillis)) {
+            boolean takes = !upstream.isRefusing(nowMillis) && !isSilent(upstream, nowMillis);
+            if ((state == UpstreamHealth.State.UP || probe) && takes) {
                 healthy.add(upstream);
             }
         }
@@ -251,6 +258,7 @@
                         request.service(), EngineStage.DECODE, upstream.allUnreadTokens() + reading.freshTokens());
         double score = time
                 + delayOfOthers(request.service(), EngineStage.DECODE, reading.freshTokens())
+                + delayOfOutput(upstream, reading.freshTokens(), nowMillis)
                 + crowding(upstream, nowMillis)
                 + (reading.cold() && !isHome ? COLD_DETOUR_MILLIS : 0)
                 + (reading.fetchFrom().isPresent() ? HAND_OVER_MILLIS : 0)
@@ -313,11 +321,17 @@
         return new Scored(placement, score);
     }
 
-    /** Each token of a batch takes longer the more requests run in it. */
+    /** Each output token of a batch takes longer the more requests run in it. */
     private static double crowding(Upstream upstream, long nowMillis) {
-        int slots = Math.max(1, upstream.entry().slots());
-        double busy = upstream.allRequests(nowMillis) / (double) slots;
-        return 100 * busy * busy;
+        return CROWDING_MILLIS * upstream.allRequests(nowMillis);
+    }
+
+    /** Returns by how much a reading at an engine delays the outputs that it produces. */
+    private double delayOfOutput(Upstream upstream, long tokens, long nowMillis) {
+        ServiceId service = upstream.entry().service();
+        double readMillis = speed.firstAnswerMillis(service, EngineStage.DECODE, tokens)
+                - speed.firstAnswerMillis(service, EngineStage.DECODE, 0);
+        return readMillis * upstream.allRequests(nowMillis) * DELAYED_PART;
     }
 
     private static double penalty(PlacementQuery query, Upstream upstream) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StagePlanner.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StagePlanner.java
@@ -14,11 +14,11 @@
  * Plans which engines read prompts and which produce output.
  *
  * <p>Reading takes most of an engine's time and shared parts fill its memory, while many outputs run together on one
- * engine. So a quarter of the engines produce output and the others read. Outputs run on engines that last and that are
+ * engine. So less than half of the engines produce output and the others read. Outputs run on engines that last and are
  * spread over failure domains, since a lost output costs more than a lost reading.
  */
 public final class StagePlanner {
-    private static final double OUTPUT_PART = 0.25;
+    private static final double OUTPUT_PART = 0.4;
     private static final int FEWEST_OUTPUT = 2;
 
     /** An engine changes its stage only if the plan holds for its part of the fleet even after the loss of one. */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -17,6 +17,11 @@
     /** Within this time a load that the upstream told is still believed; engines answer several times a second. */
     private static final long LOAD_BELIEVED_MILLIS = 1_000;
 
+    /** After a refusal an upstream is left alone for this long; a full queue moves on in less. */
+    private static final long FIRST_REFUSAL_MILLIS = 100;
+
+    private static final int MAXIMUM_DOUBLINGS = 4;
+
     /** One answer that was held up tells no more than this. */
     private static final double LARGEST_PACE = 10;
 
@@ -34,6 +39,8 @@
     private double failureShare;
     private double slowness = 1;
     private boolean leaving;
+    private int refusals;
+    private long refusedUntilMillis = Long.MIN_VALUE;
 
     Upstream(UpstreamEntry entry, long kvCapacityTokens) {
         this.entry = entry;
@@ -139,6 +146,7 @@
      */
     public void onSuccess(long sentAtMillis) {
         health.onSuccess(sentAtMillis);
+        refusals = 0;
         failureShare -= SAMPLE_WEIGHT * failureShare;
     }
 
@@ -151,6 +159,21 @@
         slowness += SAMPLE_WEIGHT * (Math.min(relativeTime, LARGEST_PACE) - slowness);
     }
 
+    /**
+     * Notes that the upstream turned a request away; it is left alone for a while that doubles with each refusal.
+     *
+     * @param nowMillis the present time
+     */
+    public void onRefused(long nowMillis) {
+        health.onProbeWithoutResult(nowMillis);
+        refusedUntilMillis = nowMillis + (FIRST_REFUSAL_MILLIS << Math.min(refusals, MAXIMUM_DOUBLINGS));
+        refusals++;
+    }
+
+    boolean isRefusing(long nowMillis) {
+        return nowMillis < refusedUntilMillis;
+    }
+
     /** Notes an answer that tells of a failure, or an answer that broke off. */
     public void onFailedAnswer() {
         failureShare += SAMPLE_WEIGHT * (1 - failureShare);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -338,7 +338,7 @@
 
     private void onNotRun() {
         close("not-run", "status " + status.code());
-        upstream.onNothingLearnt(nowMillis());
+        upstream.onRefused(nowMillis());
         if (facts.otherUpstream()) {
             upstream.onUnreachable(nowMillis(), context().random());
         }
