--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/ScriptedUpstream.java
@@ -0,0 +1,236 @@
+package org.cactusshift.standin.site;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** An upstream whose answers are written byte by byte by a script, so that any fault of an answer can be played. */
+public final class ScriptedUpstream implements AutoCloseable {
+    private static final int RESET_LINGER_SECONDS = 0;
+
+    private final ServerSocket listening;
+    private final Script script;
+    private final List<Request> requests = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+    private ScriptedUpstream(ServerSocket listening, Script script) {
+        this.listening = listening;
+        this.script = script;
+    }
+
+    /** Answers one request. */
+    public interface Script {
+        /**
+         * Writes an answer.
+         *
+         * @param request the request
+         * @param connection where to write
+         * @throws IOException if the connection is gone
+         */
+        void answer(Request request, Connection connection) throws IOException;
+    }
+
+    /**
+     * A request as received.
+     *
+     * @param method the method
+     * @param target the request target
+     * @param headers the headers, names in lower case
+     * @param body the body
+     */
+    public record Request(String method, String target, Map<String, String> headers, byte[] body) {
+        /**
+         * Returns a header.
+         *
+         * @param name the name
+         * @return the value, empty text when absent
+         */
+        public String header(String name) {
+            return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
+        }
+    }
+
+    /** A connection to the node under test. */
+    public static final class Connection {
+        private final Socket socket;
+
+        private Connection(Socket socket) {
+            this.socket = socket;
+        }
+
+        /**
+         * Writes text.
+         *
+         * @param text the text, in ISO 8859-1
+         * @throws IOException if the connection is gone
+         */
+        public void write(String text) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+
+        /**
+         * Closes the connection in order.
+         *
+         * @throws IOException if it cannot be closed
+         */
+        public void close() throws IOException {
+            socket.close();
+        }
+
+        /**
+         * Resets the connection.
+         *
+         * @throws IOException if it cannot be closed
+         */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, RESET_LINGER_SECONDS);
+            socket.close();
+        }
+
+        /**
+         * Waits until the other side closes the connection.
+         *
+         * @return whether it closed before the limit
+         * @throws IOException if the connection fails in another way
+         */
+        public boolean awaitClose() throws IOException {
+            socket.setSoTimeout(10_000);
+            try {
+                return socket.getInputStream().read() < 0;
+            } catch (java.net.SocketTimeoutException e) {
+                return false;
+            } catch (java.net.SocketException e) {
+                return true;
+            }
+        }
+    }
+
+    /**
+     * Starts an upstream on a loopback port.
+     *
+     * @param script answers the requests
+     * @return the upstream
+     * @throws IOException if no port can be opened
+     */
+    public static ScriptedUpstream start(Script script) throws IOException {
+        ServerSocket listening = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        ScriptedUpstream upstream = new ScriptedUpstream(listening, script);
+        Thread acceptor = new Thread(upstream::accept, "scripted-upstream");
+        acceptor.setDaemon(true);
+        acceptor.start();
+        return upstream;
+    }
+
+    /**
+     * Returns where it listens.
+     *
+     * @return the address as {@code ADDRESS:PORT}
+     */
+    public String address() {
+        return InetAddress.getLoopbackAddress().getHostAddress() + ":" + listening.getLocalPort();
+    }
+
+    /**
+     * Returns the requests received so far.
+     *
+     * @return the requests in order
+     */
+    public List<Request> requests() {
+        return requests;
+    }
+
+    /**
+     * Returns the connections accepted so far.
+     *
+     * @return the number of connections
+     */
+    public int connections() {
+        return sockets.size();
+    }
+
+    private void accept() {
+        while (!listening.isClosed()) {
+            try {
+                Socket socket = listening.accept();
+                sockets.add(socket);
+                Thread worker = new Thread(() -> serve(socket), "scripted-upstream-connection");
+                worker.setDaemon(true);
+                worker.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            while (true) {
+                Request request = read(in);
+                if (request == null) {
+                    return;
+                }
+                requests.add(request);
+                script.answer(request, new Connection(socket));
+                if (socket.isClosed()) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // The node under test closed the connection.
+            return;
+        }
+    }
+
+    private static Request read(InputStream in) throws IOException {
+        String line = line(in);
+        if (line == null) {
+            return null;
+        }
+        String[] start = line.split(" ");
+        Map<String, String> headers = new TreeMap<>();
+        for (String header = line(in); header != null && !header.isEmpty(); header = line(in)) {
+            int colon = header.indexOf(':');
+            headers.put(
+                    header.substring(0, colon).toLowerCase(Locale.ROOT),
+                    header.substring(colon + 1).trim());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        return new Request(start[0], start[1], headers, in.readNBytes(length));
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                return null;
+            }
+            if (next != '\r') {
+                line.write(next);
+            }
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Stops listening and closes all connections. */
+    @Override
+    public void close() throws IOException {
+        listening.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/SiteStore.java
@@ -0,0 +1,309 @@
+package org.cactusshift.standin.site;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.cactusshift.standin.ReceivedLog;
+import org.cactusshift.standin.StandIn;
+import org.cactusshift.standin.StandInAnswer;
+import org.cactusshift.standin.StandInFaults;
+import org.cactusshift.standin.StandInHandler;
+import org.cactusshift.standin.StandInRequest;
+import org.cactusshift.standin.StandInServer;
+
+/** The platform's metadata store: keys with revisions, conditional writes, leases, and changes since a revision. */
+public final class SiteStore implements StandIn, StandInHandler {
+    private static final int GONE = 410;
+    private static final int CONDITION_FAILED = 412;
+    private static final int FORBIDDEN = 403;
+
+    private final StandInServer server = StandInServer.create(0, this);
+    private final ObjectMapper json = new ObjectMapper();
+    private final TreeMap<String, Item> items = new TreeMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private long revision = 1;
+    private long historyStart = 1;
+    private long nextLease = 100;
+
+    private record Item(String key, byte[] value, long revision, long created, long lease) {}
+
+    private record Change(String key, Optional<Item> item, long revision) {}
+
+    private record Lease(long ttlMillis, long endNanos) {}
+
+    private SiteStore() {}
+
+    /**
+     * Returns a store that does not listen yet.
+     *
+     * @return the store
+     */
+    public static SiteStore create() {
+        return new SiteStore();
+    }
+
+    @Override
+    public void start() throws IOException {
+        server.start();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    @Override
+    public StandInFaults faults() {
+        return server.faults();
+    }
+
+    @Override
+    public ReceivedLog log() {
+        return server.log();
+    }
+
+    @Override
+    public void crash() {
+        server.crash();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    /**
+     * Writes a key, as the operator and the upstreams do.
+     *
+     * @param key the key
+     * @param value the text
+     */
+    public synchronized void put(String key, String value) {
+        write(key, value.getBytes(StandardCharsets.UTF_8), 0);
+        notifyAll();
+    }
+
+    /**
+     * Removes a key.
+     *
+     * @param key the key
+     */
+    public synchronized void remove(String key) {
+        delete(key);
+        notifyAll();
+    }
+
+    /** Drops the history, so that whoever follows it has to read everything again. */
+    public synchronized void dropHistory() {
+        history.clear();
+        revision++;
+        historyStart = revision;
+    }
+
+    /**
+     * Returns the keys with a prefix.
+     *
+     * @param prefix the prefix
+     * @return the texts by key
+     */
+    public synchronized Map<String, String> values(String prefix) {
+        expire();
+        Map<String, String> values = new TreeMap<>();
+        items.forEach((key, item) -> {
+            if (key.startsWith(prefix)) {
+                values.put(key, new String(item.value(), StandardCharsets.UTF_8));
+            }
+        });
+        return values;
+    }
+
+    @Override
+    public StandInAnswer handle(StandInRequest request) {
+        String path = request.path();
+        JsonNode body = body(request);
+        if (path.equals("/-/kv-watch")) {
+            return watch(request);
+        }
+        synchronized (this) {
+            expire();
+            if (path.equals("/-/kv-range")) {
+                return range(request.parameter("path_prefix").orElse(""));
+            } else if (path.equals("/-/kv-txn")) {
+                return transaction(body);
+            } else if (path.equals("/-/kv-lease")) {
+                return grant(body.path("ttl_ms").asLong());
+            } else if (path.startsWith("/-/kv-keep/")) {
+                return keep(Long.parseLong(request.segments()[2]));
+            } else if (path.startsWith("/-/kv-lease-end/")) {
+                endLease(Long.parseLong(request.segments()[2]));
+                return StandInAnswer.json(StandInAnswer.OK, JsonNodeFactory.instance.objectNode());
+            }
+        }
+        return StandInAnswer.error(StandInAnswer.NOT_FOUND, "not_found");
+    }
+
+    private JsonNode body(StandInRequest request) {
+        try {
+            return request.body().isEmpty() ? json.createObjectNode() : json.readTree(request.body());
+        } catch (JsonProcessingException e) {
+            return json.createObjectNode();
+        }
+    }
+
+    private StandInAnswer watch(StandInRequest request) {
+        String prefix = request.parameter("path_prefix").orElse("");
+        long after = Long.parseLong(request.parameter("after").orElse("0"));
+        long waitMillis = Long.parseLong(request.parameter("wait_ms").orElse("0"));
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+        synchronized (this) {
+            while (true) {
+                expire();
+                if (after < historyStart - 1) {
+                    return StandInAnswer.error(GONE, "history_gone");
+                }
+                ArrayNode events = events(prefix, after);
+                long leftMillis = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+                if (!events.isEmpty() || leftMillis <= 0) {
+                    ObjectNode answer = json.createObjectNode().put("current_rev", revision);
+                    answer.set("events", events);
+                    return StandInAnswer.json(StandInAnswer.OK, answer);
+                }
+                try {
+                    wait(leftMillis);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return StandInAnswer.error(StandInAnswer.UNAVAILABLE, "interrupted");
+                }
+            }
+        }
+    }
+
+    private ArrayNode events(String prefix, long after) {
+        ArrayNode events = json.createArrayNode();
+        for (Change change : history) {
+            if (change.revision() > after && change.key().startsWith(prefix)) {
+                events.add(change.item()
+                        .map(this::toJson)
+                        .orElseGet(() -> json.createObjectNode()
+                                .put("key", change.key())
+                                .put("revision", change.revision())
+                                .put("removed", true)));
+            }
+        }
+        return events;
+    }
+
+    private ObjectNode toJson(Item item) {
+        return json.createObjectNode()
+                .put("key", item.key())
+                .put("value", Base64.getEncoder().encodeToString(item.value()))
+                .put("revision", item.revision())
+                .put("created_rev", item.created())
+                .put("lease", item.lease());
+    }
+
+    private StandInAnswer range(String prefix) {
+        ObjectNode answer = json.createObjectNode().put("has_more", false).put("current_rev", revision);
+        ArrayNode listed = answer.putArray("items");
+        items.values().stream().filter(item -> item.key().startsWith(prefix)).forEach(item -> listed.add(toJson(item)));
+        return StandInAnswer.json(StandInAnswer.OK, answer);
+    }
+
+    private StandInAnswer transaction(JsonNode body) {
+        ArrayNode found = json.createArrayNode();
+        boolean holds = true;
+        for (JsonNode expected : body.path("expected")) {
+            Item item = items.get(expected.path("key").asText());
+            holds &= expected.path("revision").asLong() == (item == null ? 0 : item.revision());
+            if (item != null) {
+                found.add(toJson(item));
+            }
+        }
+        if (!holds) {
+            ObjectNode answer = json.createObjectNode();
+            answer.set("items", found);
+            return StandInAnswer.json(CONDITION_FAILED, answer);
+        }
+        for (JsonNode write : body.path("writes")) {
+            String key = write.path("key").asText();
+            long lease = write.path("lease").asLong();
+            if (key.startsWith("op/") || key.startsWith("servers/")) {
+                return StandInAnswer.error(FORBIDDEN, "not_yours");
+            }
+            if (lease != 0 && !leases.containsKey(lease)) {
+                return StandInAnswer.error(StandInAnswer.NOT_FOUND, "no_lease");
+            }
+            write(key, Base64.getDecoder().decode(write.path("value").asText()), lease);
+        }
+        body.path("remove").forEach(key -> delete(key.asText()));
+        notifyAll();
+        return StandInAnswer.json(StandInAnswer.OK, json.createObjectNode().put("revision", revision));
+    }
+
+    private void write(String key, byte[] value, long lease) {
+        revision++;
+        Item before = items.get(key);
+        Item item = new Item(key, value, revision, before == null ? revision : before.created(), lease);
+        items.put(key, item);
+        history.add(new Change(key, Optional.of(item), revision));
+    }
+
+    private void delete(String key) {
+        if (items.remove(key) != null) {
+            revision++;
+            history.add(new Change(key, Optional.empty(), revision));
+        }
+    }
+
+    private StandInAnswer grant(long ttlMillis) {
+        long id = nextLease++;
+        leases.put(id, new Lease(ttlMillis, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttlMillis)));
+        return StandInAnswer.json(
+                StandInAnswer.OK, json.createObjectNode().put("lease", id).put("ttl_ms", ttlMillis));
+    }
+
+    private StandInAnswer keep(long id) {
+        Lease lease = leases.get(id);
+        if (lease == null) {
+            return StandInAnswer.error(StandInAnswer.NOT_FOUND, "no_lease");
+        }
+        long ttlMillis = lease.ttlMillis();
+        leases.put(id, new Lease(ttlMillis, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttlMillis)));
+        return StandInAnswer.json(StandInAnswer.OK, json.createObjectNode().put("ttl_ms", ttlMillis));
+    }
+
+    private void expire() {
+        long now = System.nanoTime();
+        List<Long> ended = new ArrayList<>();
+        leases.forEach((id, lease) -> {
+            if (lease.endNanos() - now <= 0) {
+                ended.add(id);
+            }
+        });
+        ended.forEach(this::endLease);
+    }
+
+    private void endLease(long id) {
+        leases.remove(id);
+        List<String> keys = items.values().stream()
+                .filter(item -> item.lease() == id)
+                .map(Item::key)
+                .toList();
+        keys.forEach(this::delete);
+        notifyAll();
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -278,6 +278,33 @@
                 .write();
     }
 
+    /**
+     * Returns the port on which callers connect.
+     *
+     * @return the port
+     */
+    public int callersPort() {
+        return callers.port();
+    }
+
+    /**
+     * Returns the port on which the balancer asks.
+     *
+     * @return the port
+     */
+    public int readinessPort() {
+        return readiness.port();
+    }
+
+    /**
+     * Returns the port on which metrics are served.
+     *
+     * @return the port
+     */
+    public int metricsPort() {
+        return metricsPage.port();
+    }
+
     private void tick() {
         long now = runtime.clock().steadyMillis();
         directory.expire(now);
--- a/org.cactusshift/src/test/java/org/cactusshift/ArchitectureRules.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/ArchitectureRules.java
@@ -28,6 +28,7 @@
         "org.cactusshift.internal.coordination.roles..",
         "org.cactusshift.internal.coordination.capacity..",
         "org.cactusshift.internal.coordination.lease..",
+        "org.cactusshift.internal.coordination.serving..",
         "org.cactusshift.internal.coordination.claim..",
         "org.cactusshift.internal.coordination.usage..",
         "org.cactusshift.internal.coordination.key..",
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/KeptPartsTest.java
@@ -0,0 +1,54 @@
+package org.cactusshift.internal.coordination.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class KeptPartsTest {
+    private final KeptParts parts = new KeptParts(100_000);
+    private final PromptPart shared = new PromptPart(1, 13_000);
+
+    @Test
+    void partIsKeptFromItsReadingOn() {
+        assertFalse(parts.isKept(shared));
+        parts.onRead(List.of(shared), 8);
+        assertTrue(parts.isKept(shared));
+    }
+
+    @Test
+    void onlyAnUnbrokenStartOfThePromptIsKept() {
+        PromptPart own = new PromptPart(2, 500);
+        parts.onUse(own);
+        assertEquals(0, parts.keptTokens(List.of(shared, own)));
+        parts.onUse(shared);
+        assertEquals(13_500, parts.keptTokens(List.of(shared, own)));
+    }
+
+    @Test
+    void partUnusedForLongestYields() {
+        parts.onUse(shared);
+        for (int id = 10; id < 14; id++) {
+            parts.onUse(new PromptPart(id, 13_000));
+        }
+        assertTrue(parts.isKept(shared));
+        parts.onUse(new PromptPart(14, 13_000));
+        parts.onUse(new PromptPart(15, 13_000));
+        assertFalse(parts.isKept(shared));
+    }
+
+    @Test
+    void shortPartsOfOtherNodesFillTheMemoryToo() {
+        parts.onUse(shared);
+        for (int id = 10; id < 20; id++) {
+            parts.onRead(List.of(new PromptPart(id, 400)), 8);
+        }
+        assertTrue(parts.isKept(shared));
+        for (int id = 20; id < 40; id++) {
+            parts.onRead(List.of(new PromptPart(id, 400)), 8);
+        }
+        assertFalse(parts.isKept(shared));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/PlacerTest.java
@@ -0,0 +1,169 @@
+package org.cactusshift.internal.coordination.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.cactusshift.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PlacerTest {
+    private static final ServedRoute STREAM =
+            ServingFixture.route(RequestKind.STREAM, ServingFixture.MODEL, 600, 5_000);
+    private static final ServedRoute ONCE =
+            ServingFixture.route(RequestKind.NOT_REPEATABLE, ServingFixture.PLAIN, 120, 1_500);
+
+    private final ServingFixture fixture = new ServingFixture();
+
+    private void addEngines(int readers, int output) {
+        for (int i = 0; i < readers; i++) {
+            fixture.add("reader-" + i, ServingFixture.MODEL, ServingFixture.HERE, EngineStage.PREFILL);
+        }
+        for (int i = 0; i < output; i++) {
+            fixture.add("output-" + i, ServingFixture.MODEL, ServingFixture.HERE, EngineStage.DECODE);
+        }
+    }
+
+    @Test
+    void nothingTakesARequestWithoutUpstreams() {
+        assertTrue(
+                fixture.place(ServingFixture.request("q", ONCE, List.of()), 0).isEmpty());
+    }
+
+    @Test
+    void plainRequestsSpreadOverEqualUpstreams() {
+        for (int i = 0; i < 3; i++) {
+            fixture.add("plain-" + i, ServingFixture.PLAIN, ServingFixture.HERE, EngineStage.ANY);
+        }
+        Set<UpstreamId> used = new HashSet<>();
+        for (int i = 0; i < 3; i++) {
+            Placement placement = fixture.place(ServingFixture.request("q" + i, ONCE, List.of()), 0)
+                    .orElseThrow();
+            placement.target().onSent(0, 0);
+            used.add(placement.target().id());
+        }
+        assertEquals(3, used.size());
+    }
+
+    @Test
+    void failingUpstreamIsLeftForAHealthyOneElsewhere() {
+        Upstream near = fixture.add("near", ServingFixture.PLAIN, ServingFixture.HERE, EngineStage.ANY);
+        Upstream far = fixture.add("far", ServingFixture.PLAIN, ServingFixture.THERE, EngineStage.ANY);
+        assertEquals(
+                near,
+                fixture.place(ServingFixture.request("q", ONCE, List.of()), 0)
+                        .orElseThrow()
+                        .target());
+        near.onUnreachable(0, new SplittableRandom(1));
+        assertEquals(
+                far,
+                fixture.place(ServingFixture.request("q", ONCE, List.of()), 0)
+                        .orElseThrow()
+                        .target());
+    }
+
+    @Test
+    void unrepeatableRequestDoesNotProbeAnUpstreamThatWasDown() {
+        Upstream near = fixture.add("near", ServingFixture.PLAIN, ServingFixture.HERE, EngineStage.ANY);
+        fixture.add("far", ServingFixture.PLAIN, ServingFixture.THERE, EngineStage.ANY);
+        near.onUnreachable(0, new SplittableRandom(1));
+        Placement placement = fixture.place(ServingFixture.request("q", ONCE, List.of()), 60_000)
+                .orElseThrow();
+        assertNotEquals(near, placement.target());
+    }
+
+    /** Load pattern: an engine changes its stage and refuses all; it looks empty and would draw every request. */
+    @Test
+    void refusingUpstreamDrawsNoFurtherRequests() {
+        Upstream refusing = fixture.add("a", ServingFixture.PLAIN, ServingFixture.HERE, EngineStage.ANY);
+        fixture.add("b", ServingFixture.PLAIN, ServingFixture.THERE, EngineStage.ANY);
+        refusing.onRefused(0);
+        for (long now = 0; now < 100; now += 10) {
+            Placement placement = fixture.place(ServingFixture.request("q" + now, ONCE, List.of()), now)
+                    .orElseThrow();
+            assertNotEquals(refusing, placement.target());
+        }
+    }
+
+    @Test
+    void silentUpstreamIsAvoidedAndOneThatAnswersOthersIsNot() {
+        Upstream near = fixture.add("near", ServingFixture.PLAIN, ServingFixture.HERE, EngineStage.ANY);
+        Upstream far = fixture.add("far", ServingFixture.PLAIN, ServingFixture.THERE, EngineStage.ANY);
+        near.onSent(0, 0);
+        ServingRequest request = ServingFixture.request("q", ONCE, List.of());
+        assertEquals(far, fixture.place(request, 5_000).orElseThrow().target());
+        near.onBytes(4_900);
+        assertEquals(near, fixture.place(request, 5_000).orElseThrow().target());
+    }
+
+    @Test
+    void leavingUpstreamTakesNothing() {
+        UpstreamEntry entry = ServingFixture.entry("a", ServingFixture.PLAIN, ServingFixture.HERE, EngineStage.ANY);
+        fixture.directory.put(entry);
+        fixture.directory.remove(entry.id(), false, 0);
+        assertTrue(
+                fixture.place(ServingFixture.request("q", ONCE, List.of()), 0).isEmpty());
+    }
+
+    @Test
+    void coldSharedPartGoesToItsHomeFromEveryNode() {
+        addEngines(4, 3);
+        ServingRequest request = ServingFixture.request("q", STREAM, ServingFixture.prompt(5, 13_000, 3_000));
+        Set<UpstreamId> readers = new HashSet<>();
+        for (int node = 0; node < 20; node++) {
+            Placement placement = fixture.place(request, 0).orElseThrow();
+            readers.add(placement.reader().orElseThrow().id());
+        }
+        assertEquals(1, readers.size());
+    }
+
+    @Test
+    void keptSharedPartIsFetchedWhenItsHolderIsBusy() {
+        addEngines(2, 2);
+        ServingRequest request = ServingFixture.request("q", STREAM, ServingFixture.prompt(5, 13_000, 3_000));
+        Upstream home = fixture.place(request, 0).orElseThrow().reader().orElseThrow();
+        home.onRead(request.prompt().subList(0, 1), 8);
+        home.onSent(60_000, 0);
+        Placement placement = fixture.place(request, 0).orElseThrow();
+        assertNotEquals(home, placement.reader().orElse(placement.target()));
+        assertEquals(home, placement.fetchFrom().orElseThrow());
+        assertEquals(3_000, placement.freshTokens());
+    }
+
+    /** Load pattern: brief prompts on engines that produce output hold up all that run there. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 20, 40})
+    void briefPromptIsReadElsewhereWhileOutputEnginesAreBusy(int running) {
+        addEngines(3, 2);
+        for (Upstream upstream : fixture.directory.all()) {
+            if (upstream.entry().stage() == EngineStage.DECODE) {
+                for (int i = 0; i < running; i++) {
+                    upstream.onSent(0, 0);
+                    upstream.onHeard(0, 0);
+                }
+            }
+        }
+        ServingRequest request = ServingFixture.request("q", STREAM, ServingFixture.prompt(5, 90, 290));
+        Placement placement = fixture.place(request, 0).orElseThrow();
+        assertTrue(placement.reader().isPresent());
+        assertEquals(EngineStage.DECODE, placement.target().entry().stage());
+    }
+
+    @Test
+    void excludedUpstreamsAreNotTriedAgain() {
+        addEngines(0, 2);
+        ServingRequest request = ServingFixture.request("q", STREAM, ServingFixture.prompt(5, 90, 290));
+        UpstreamId first = fixture.place(request, 0).orElseThrow().target().id();
+        UpstreamId second =
+                fixture.place(request, Set.of(first), 0).orElseThrow().target().id();
+        assertNotEquals(first, second);
+        assertFalse(fixture.place(request, Set.of(first, second), 0).isPresent());
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
@@ -0,0 +1,98 @@
+package org.cactusshift.internal.coordination.serving;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.RequestId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.UpstreamId;
+
+/** Upstreams, routes and requests for tests of placement. */
+final class ServingFixture {
+    static final ServiceId MODEL = ServiceId.fromString("model");
+    static final ServiceId PLAIN = ServiceId.fromString("plain");
+    static final FailureDomainId HERE = FailureDomainId.fromString("here");
+    static final FailureDomainId THERE = FailureDomainId.fromString("there");
+    static final long MEMORY_TOKENS = 400_000;
+
+    final UpstreamDirectory directory = UpstreamDirectory.create(service -> MEMORY_TOKENS, 1_000);
+    final ReadingSpeed speed = new ReadingSpeed();
+    final Placer placer = Placer.create(directory, ServingFixture::service, speed, new SplittableRandom(7));
+
+    static Optional<ServedService> service(ServiceId id) {
+        Optional<EngineAbilities> engine = id.equals(MODEL)
+                ? Optional.of(new EngineAbilities(64, MEMORY_TOKENS, 18_432, 370_000, 5_000, 3_000, true))
+                : Optional.empty();
+        return Optional.of(new ServedService(id, "/healthz", 100, engine, Optional.empty()));
+    }
+
+    static UpstreamEntry entry(String id, ServiceId service, FailureDomainId domain, EngineStage stage) {
+        return new UpstreamEntry(
+                UpstreamId.fromString(id),
+                service,
+                "127.0.0.1:1",
+                domain,
+                service.equals(MODEL) ? 64 : 6,
+                false,
+                stage,
+                false,
+                1,
+                OptionalLong.empty());
+    }
+
+    Upstream add(String id, ServiceId service, FailureDomainId domain, EngineStage stage) {
+        return directory.put(entry(id, service, domain, stage)).orElseThrow();
+    }
+
+    static ServedRoute route(RequestKind kind, ServiceId service, long targetMillis, long timeoutMillis) {
+        return new ServedRoute(
+                "r",
+                "host.example",
+                "/a/",
+                kind,
+                List.of(new WeightedService(service, 1)),
+                timeoutMillis,
+                targetMillis,
+                300,
+                0,
+                2,
+                false,
+                kind == RequestKind.STREAM);
+    }
+
+    static ServingRequest request(String id, ServedRoute route, List<PromptPart> prompt) {
+        return new ServingRequest(
+                RequestId.fromString(id),
+                AccountId.fromString("account"),
+                route,
+                route.service(0).orElseThrow(),
+                route.priority(),
+                prompt,
+                0,
+                1_000,
+                0,
+                route.timeoutMillis(),
+                id.hashCode());
+    }
+
+    /** A prompt of a shared part and a part of its own. */
+    static List<PromptPart> prompt(long sharedId, int sharedTokens, int ownTokens) {
+        List<PromptPart> parts = new ArrayList<>();
+        parts.add(new PromptPart(sharedId, sharedTokens));
+        parts.add(new PromptPart(1_000_000 + sharedId * 31 + ownTokens, ownTokens));
+        return parts;
+    }
+
+    Optional<Placement> place(ServingRequest request, long nowMillis) {
+        return place(request, Set.of(), nowMillis);
+    }
+
+    Optional<Placement> place(ServingRequest request, Set<UpstreamId> excluded, long nowMillis) {
+        return placer.place(new PlacementQuery(request, HERE, excluded, 8, true), nowMillis);
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/SharedClockTest.java
@@ -0,0 +1,40 @@
+package org.cactusshift.internal.coordination.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.cactusshift.id.InstanceId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SharedClockTest {
+    private static final long START = 1_700_000_000_000L;
+    private final SharedClock clock = new SharedClock();
+
+    private void tell(int node, long unixMillis, long nowMillis) {
+        clock.onTold(InstanceId.fromString("n" + node), unixMillis, nowMillis);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {-60_000, -2_400, 2_400, 60_000})
+    void jumpOfTheOwnClockMovesNothing(long jumpMillis) {
+        for (int node = 0; node < 3; node++) {
+            tell(node, START + 100, 100);
+        }
+        assertEquals(START + 200, clock.unixMillis(START + 200 + jumpMillis, 200));
+    }
+
+    @Test
+    void jumpOnAMinorityOfTheOthersMovesNothing() {
+        tell(0, START + 100, 100);
+        tell(1, START + 100, 100);
+        tell(2, START + 100 + 2_400, 100);
+        assertEquals(START + 150, clock.unixMillis(START + 150, 150));
+    }
+
+    @Test
+    void ownClockCountsAlone() {
+        tell(0, START + 9_000, 0);
+        assertEquals(START + 5_000, clock.unixMillis(START + 5_000, 5_000));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UpstreamDirectoryTest.java
@@ -0,0 +1,97 @@
+package org.cactusshift.internal.coordination.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.cactusshift.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class UpstreamDirectoryTest {
+    private static final UpstreamId ID = UpstreamId.fromString("a");
+    private final UpstreamDirectory directory = UpstreamDirectory.create(service -> 1, 1_000);
+
+    private static UpstreamEntry entry(boolean leaving, long startedAt, String address) {
+        return new UpstreamEntry(
+                ID,
+                ServingFixture.PLAIN,
+                address,
+                ServingFixture.HERE,
+                6,
+                leaving,
+                EngineStage.ANY,
+                false,
+                startedAt,
+                OptionalLong.empty());
+    }
+
+    private int open() {
+        return directory.open(ServingFixture.PLAIN).size();
+    }
+
+    @Test
+    void leaveThatWasSeenIsNotTakenBackInTheSameLife() {
+        directory.put(entry(true, 1, "x:1"));
+        directory.put(entry(false, 1, "x:1"));
+        assertEquals(0, open());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2, x:1", "1, x:2"})
+    void newStartUnderTheSameIdIsANewUpstream(long startedAt, String address) {
+        directory.put(entry(true, 1, "x:1"));
+        Upstream before = directory.find(ID).orElseThrow();
+        assertTrue(directory.put(entry(false, startedAt, address)).isPresent());
+        assertNotSame(before, directory.find(ID).orElseThrow());
+        assertEquals(1, open());
+    }
+
+    @Test
+    void sameStartKeepsItsState() {
+        directory.put(entry(false, 1, "x:1"));
+        Upstream before = directory.find(ID).orElseThrow();
+        assertTrue(directory.put(entry(false, 1, "x:1")).isEmpty());
+        assertSame(before, directory.find(ID).orElseThrow());
+    }
+
+    @Test
+    void removedUpstreamTakesNothingAtOnce() {
+        directory.put(entry(false, 1, "x:1"));
+        directory.remove(ID, false, 0);
+        assertEquals(0, open());
+    }
+
+    @Test
+    void entryThatLapsedWhileTheStoreWasAwayHasAGrace() {
+        directory.put(entry(false, 1, "x:1"));
+        directory.replaceAll(List.of(), true, 0);
+        directory.expire(999);
+        assertEquals(1, open());
+        directory.expire(1_000);
+        assertEquals(0, open());
+    }
+
+    @Test
+    void entryThatIsBackWithinTheGraceStays() {
+        directory.put(entry(false, 1, "x:1"));
+        directory.remove(ID, true, 0);
+        directory.put(entry(false, 1, "x:1"));
+        directory.expire(5_000);
+        assertEquals(1, open());
+    }
+
+    @Test
+    void workOfOthersIsReplacedAsAWhole() {
+        directory.put(entry(false, 1, "x:1"));
+        directory.setRemoteWork(Map.of(ID, new RemoteWork(3, 70)));
+        assertEquals(70, directory.find(ID).orElseThrow().allUnreadTokens());
+        directory.setRemoteWork(Map.of());
+        assertEquals(0, directory.find(ID).orElseThrow().allUnreadTokens());
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UsageCountsTest.java
@@ -0,0 +1,43 @@
+package org.cactusshift.internal.coordination.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Map;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.IncarnationId;
+import org.junit.jupiter.api.Test;
+
+class UsageCountsTest {
+    private static final AccountId ACCOUNT = AccountId.fromString("a");
+    private static final IncarnationId OTHER = IncarnationId.fromString("other");
+    private final UsageCounts counts = UsageCounts.create(5_000);
+
+    @Test
+    void totalIsTheSumOfAllNodes() {
+        counts.add(ACCOUNT, 5_001);
+        counts.onTold(OTHER, 1, Map.of(ACCOUNT, 4L));
+        assertEquals(Map.of(ACCOUNT, 5L), counts.total(1));
+        assertEquals(Map.of(), counts.total(0));
+    }
+
+    @Test
+    void repeatedAndLateMessagesCountOnce() {
+        counts.onTold(OTHER, 1, Map.of(ACCOUNT, 4L));
+        counts.onTold(OTHER, 1, Map.of(ACCOUNT, 4L));
+        counts.onTold(OTHER, 1, Map.of(ACCOUNT, 3L));
+        assertEquals(4L, counts.total(1).get(ACCOUNT));
+    }
+
+    @Test
+    void restartedNodeCountsBesideItsFormerLife() {
+        counts.onTold(OTHER, 1, Map.of(ACCOUNT, 4L));
+        counts.onTold(IncarnationId.fromString("again"), 1, Map.of(ACCOUNT, 1L));
+        assertEquals(5L, counts.total(1).get(ACCOUNT));
+    }
+
+    @Test
+    void windowEndsWhereTheNextBegins() {
+        assertEquals(2, counts.window(counts.endUnixMillis(1)));
+        assertEquals(1, counts.window(counts.endUnixMillis(1) - 1));
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/protocol/stream/EventSplitterTest.java
@@ -0,0 +1,55 @@
+package org.cactusshift.internal.protocol.stream;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EventSplitterTest {
+    private static final String STREAM = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight: 3\nid:3\ndata: c\n\n";
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 5, 7, 16, 1_000})
+    void eventsAreTheSameHoweverTheBytesArrive(int pieceBytes) {
+        EventSplitter splitter = EventSplitter.create(1_000);
+        List<EventSplitter.Event> events = new ArrayList<>();
+        byte[] all = bytes(STREAM);
+        for (int start = 0; start < all.length; start += pieceBytes) {
+            int length = Math.min(pieceBytes, all.length - start);
+            events.addAll(splitter.add(Unpooled.wrappedBuffer(all, start, length)));
+        }
+        assertEquals(
+                List.of(1L, 2L, 3L),
+                events.stream().map(event -> event.id().getAsLong()).toList());
+        ByteArrayOutputStream joined = new ByteArrayOutputStream();
+        events.forEach(event -> joined.writeBytes(event.bytes()));
+        assertArrayEquals(all, joined.toByteArray());
+    }
+
+    @Test
+    void halfAnEventIsKeptBack() {
+        EventSplitter splitter = EventSplitter.create(1_000);
+        assertEquals(List.of(), splitter.add(Unpooled.wrappedBuffer(bytes("id: 1\ndata: a\n"))));
+        assertTrue(splitter.isInsideEvent());
+    }
+
+    @Test
+    void eventWithoutEndIsRefused() {
+        EventSplitter splitter = EventSplitter.create(10);
+        assertThrows(
+                IllegalArgumentException.class, () -> splitter.add(Unpooled.wrappedBuffer(bytes("data: too long"))));
+    }
+}
