--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/CommandRegistry.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/CommandRegistry.java
@@ -32,6 +32,7 @@
                 new DemoCommand(),
                 new NodeCommand(),
                 new StatusCommand(),
+                new ExplainCommand(),
                 new ReplayCommand(),
                 new BenchCapacityCommand(),
                 new ConfigValidateCommand(),
--- /dev/null
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ExplainCommand.java
@@ -0,0 +1,147 @@
+package org.cactusshift.pgm;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cactusshift.errors.CactusshiftException;
+import org.cactusshift.errors.Failure;
+
+/**
+ * Explains a request from the logs of nodes: its own lines, and what its nodes and upstreams went through around it.
+ */
+public final class ExplainCommand implements Command {
+    /** What happened this long before a request may explain it; a lost lease or a lapsed entry takes seconds. */
+    private static final long BEFORE_MILLIS = 5_000;
+
+    private static final long AFTER_MILLIS = 1_000;
+
+    private static final List<String> SURROUNDING_EVENTS =
+            List.of("config.", "site.", "store.", "upstream.", "duty.", "node.", "fleet.");
+
+    private final ObjectMapper json = new ObjectMapper();
+
+    private record Line(Instant time, String node, String event, JsonNode fields, String text) {}
+
+    @Override
+    public String name() {
+        return "explain";
+    }
+
+    @Override
+    public String summary() {
+        return "explains a request by its id from the logs of nodes";
+    }
+
+    @Override
+    public String arguments() {
+        return "ID";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("log")
+                        .hasArg()
+                        .argName("FILE")
+                        .desc("the log lines of one or more nodes; - for standard input")
+                        .get());
+    }
+
+    @Override
+    public int run(CommandLine line, Console console) throws UsageException, CactusshiftException {
+        if (line.getArgList().size() != 1) {
+            throw new UsageException("one request id is needed");
+        }
+        String file = line.getOptionValue("log");
+        if (file == null) {
+            throw new UsageException("--log names no file");
+        }
+        String id = line.getArgList().get(0);
+        List<Line> lines = read(file);
+        List<Line> own = lines.stream()
+                .filter(entry -> entry.fields().path("request").asText().equals(id))
+                .toList();
+        if (own.isEmpty()) {
+            console.err().println("no line of request " + id + " among " + lines.size() + " lines");
+            return ExitStatus.FAILED;
+        }
+        explanation(lines, own).forEach(entry -> console.out().println(entry.text()));
+        return ExitStatus.DONE;
+    }
+
+    private List<Line> read(String file) throws CactusshiftException {
+        try (BufferedReader reader = file.equals("-")
+                ? new BufferedReader(new java.io.InputStreamReader(System.in, java.nio.charset.StandardCharsets.UTF_8))
+                : Files.newBufferedReader(Path.of(file))) {
+            List<Line> lines = new ArrayList<>();
+            for (String text = reader.readLine(); text != null; text = reader.readLine()) {
+                parse(text).ifPresent(lines::add);
+            }
+            lines.sort(Comparator.comparing(Line::time));
+            return lines;
+        } catch (IOException e) {
+            throw new CactusshiftException(
+                    Failure.noEffect("read log", file, "the file cannot be read: " + e.getMessage()));
+        }
+    }
+
+    /** Reads a line; text before the first brace, such as a collector's time stamp, is left out. */
+    private Optional<Line> parse(String text) {
+        int start = text.indexOf('{');
+        if (start < 0) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode fields = json.readTree(text.substring(start));
+            return Optional.of(new Line(
+                    Instant.parse(fields.path("time").asText()),
+                    fields.path("node").asText(),
+                    fields.path("event").asText(),
+                    fields,
+                    text.substring(start)));
+        } catch (IOException | DateTimeParseException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static List<Line> explanation(List<Line> lines, List<Line> own) {
+        Set<String> nodes = new HashSet<>();
+        Set<String> upstreams = new HashSet<>();
+        for (Line line : own) {
+            nodes.add(line.node());
+            upstreams.add(line.fields().path("upstream").asText("-"));
+        }
+        Instant from = own.get(0).time().minusMillis(BEFORE_MILLIS);
+        Instant to = own.get(own.size() - 1).time().plusMillis(AFTER_MILLIS);
+        List<Line> explanation = new ArrayList<>();
+        for (Line line : lines) {
+            boolean near = !line.time().isBefore(from) && !line.time().isAfter(to);
+            boolean surrounds = near
+                    && nodes.contains(line.node())
+                    && SURROUNDING_EVENTS.stream().anyMatch(line.event()::startsWith);
+            boolean sameUpstream = near
+                    && line.event().equals("attempt.ended")
+                    && upstreams.contains(line.fields().path("upstream").asText())
+                    && !line.fields().path("outcome").asText().matches("answered|read");
+            if (own.contains(line) || surrounds || sameUpstream) {
+                explanation.add(line);
+            }
+        }
+        return explanation;
+    }
+}
