--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeClaims.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeClaims.java
@@ -12,7 +12,7 @@
 
 /** Keeps claims in memory and logs each call. */
 final class FakeClaims implements CallClaims {
-    final List<String> log = new ArrayList<>();
+    final List<String> log = new java.util.concurrent.CopyOnWriteArrayList<>();
     private final Map<String, CallClaim> claims = new HashMap<>();
     private final Map<String, CallOutcome> outcomes = new HashMap<>();
     boolean available = true;
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeDispatcher.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeDispatcher.java
@@ -28,8 +28,8 @@
     private final Map<RequestId, DispatchRequest> requests = new HashMap<>();
     private final Map<RequestId, Integer> attempts = new HashMap<>();
     private final Map<RequestId, Boolean> sent = new HashMap<>();
-    final List<AttemptEnd> ends = new ArrayList<>();
-    final List<DispatchRequest> submitted = new ArrayList<>();
+    final List<AttemptEnd> ends = new CopyOnWriteArrayList<>();
+    final List<DispatchRequest> submitted = new CopyOnWriteArrayList<>();
     final List<EngineLoad> loads = new CopyOnWriteArrayList<>();
     final List<PrefixIndex.Event> cacheEvents = new CopyOnWriteArrayList<>();
     int progressTokens;
