--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinSender.java
@@ -2,14 +2,18 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.lease.RendezvousHash;
 import org.cactusshift.internal.coordination.quarantine.Quarantine;
 import org.cactusshift.internal.coordination.serving.Bulletin;
 import org.cactusshift.internal.coordination.serving.PartUse;
@@ -23,9 +27,12 @@
     /** Up to this many nodes tell each other in each tick; in a larger site each tells less often. */
     private static final int NODES_EACH_TICK = 16;
 
-    /** The holder of the usage duty gets the counts in each such tick. */
+    /** The counts are told in each such tick. */
     private static final int USAGE_TICKS = 2;
 
+    /** Nodes that learn the counts besides the holder of the usage duty, so that they outlive it. */
+    private static final int USAGE_KEEPERS = 3;
+
     /** A use is told for this long, so that a lost bulletin does not hide it. */
     private static final long USE_TOLD_MILLIS = 700;
 
@@ -73,13 +80,11 @@
         }
         int parts = 1 + known.size() / NODES_EACH_TICK;
         Bulletin bulletin = bulletin(unixMillis, Map.of(), nowMillis);
+        Set<InstanceId> usageReaders = usageReaders(usageHolder);
         int index = 0;
         for (Map.Entry<InstanceId, InetSocketAddress> member : known.entrySet()) {
             boolean self = member.getKey().equals(this.self.instance());
-            boolean holder = usageHolder
-                    .filter(duty -> duty.instance().equals(member.getKey()))
-                    .isPresent();
-            if (!self && holder && ticks % USAGE_TICKS == 0) {
+            if (!self && usageReaders.contains(member.getKey()) && ticks % USAGE_TICKS == 0) {
                 link.send(member.getValue(), bulletin(unixMillis, Map.copyOf(usage.own()), nowMillis));
             } else if (!self && (index + ticks) % parts == 0) {
                 link.send(member.getValue(), bulletin);
@@ -88,6 +93,16 @@
         }
     }
 
+    private Set<InstanceId> usageReaders(Optional<DutyHolder> usageHolder) {
+        Set<InstanceId> readers = new HashSet<>();
+        known.keySet().stream()
+                .sorted(Comparator.comparingLong(node -> RendezvousHash.hash("usage " + node.value())))
+                .limit(USAGE_KEEPERS)
+                .forEach(readers::add);
+        usageHolder.map(DutyHolder::instance).ifPresent(readers::add);
+        return readers;
+    }
+
     private Bulletin bulletin(long unixMillis, Map<Long, Map<AccountId, Long>> counts, long nowMillis) {
         Map<UpstreamId, RemoteWork> work = new HashMap<>();
         for (Upstream upstream : directory.all()) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeClaims.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeClaims.java
@@ -1,6 +1,5 @@
 package org.cactusshift.internal.transport.gateway;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
