End authority by either clock, and tell fewer nodes at once in large sites

Cause: a suspended machine's steady clock stands still while its lease runs on; the nodes of a site of 85 would have been forgotten between two bulletins; members were read anew for each request; a lost history made a node unready. Change: authority needs both clocks, silence is counted in rounds, members are kept until keys change, readiness stays once the site was listed. Log lines go out in batches.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/BulletinSender.java
@@ -24,8 +24,8 @@
 
 /** Tells the other nodes what this one does. */
 final class BulletinSender {
-    /** Up to this many nodes tell each other in each tick; in a larger site each tells less often. */
-    private static final int NODES_EACH_TICK = 16;
+    /** A node tells about this many others in each tick; in a larger site each hears it less often. */
+    private static final int NODES_EACH_TICK = 8;
 
     /** The counts are told in each such tick. */
     private static final int USAGE_TICKS = 2;
@@ -33,14 +33,15 @@
     /** Nodes that learn the counts besides the holder of the usage duty, so that they outlive it. */
     private static final int USAGE_KEEPERS = 3;
 
-    /** A use is told for this long, so that a lost bulletin does not hide it. */
-    private static final long USE_TOLD_MILLIS = 700;
+    /** A use is told in this many rounds, so that a lost bulletin does not hide it. */
+    private static final int USE_TOLD_ROUNDS = 3;
 
     private final DutyHolder self;
     private final PeerLink link;
     private final UpstreamDirectory directory;
     private final UsageCounts usage;
     private final Quarantine quarantine;
+    private final long tickMillis;
     private Map<InstanceId, InetSocketAddress> known = new HashMap<>();
     private final ArrayDeque<RecentUse> recentUses = new ArrayDeque<>();
     private long ticks;
@@ -48,17 +49,28 @@
     private record RecentUse(PartUse use, long atMillis) {}
 
     private BulletinSender(
-            DutyHolder self, PeerLink link, UpstreamDirectory directory, UsageCounts usage, Quarantine quarantine) {
+            DutyHolder self,
+            PeerLink link,
+            UpstreamDirectory directory,
+            UsageCounts usage,
+            Quarantine quarantine,
+            long tickMillis) {
         this.self = self;
         this.link = link;
         this.directory = directory;
         this.usage = usage;
         this.quarantine = quarantine;
+        this.tickMillis = tickMillis;
     }
 
     static BulletinSender create(
-            DutyHolder self, PeerLink link, UpstreamDirectory directory, UsageCounts usage, Quarantine quarantine) {
-        return new BulletinSender(self, link, directory, usage, quarantine);
+            DutyHolder self,
+            PeerLink link,
+            UpstreamDirectory directory,
+            UsageCounts usage,
+            Quarantine quarantine,
+            long tickMillis) {
+        return new BulletinSender(self, link, directory, usage, quarantine, tickMillis);
     }
 
     /** Notes the use of a long prompt part, to be told for a while. */
@@ -75,10 +87,10 @@
             known = members;
         }
         ticks++;
-        while (!recentUses.isEmpty() && nowMillis - recentUses.peekFirst().atMillis() > USE_TOLD_MILLIS) {
+        while (!recentUses.isEmpty() && nowMillis - recentUses.peekFirst().atMillis() > usesToldMillis()) {
             recentUses.removeFirst();
         }
-        int parts = 1 + known.size() / NODES_EACH_TICK;
+        int parts = ticksPerRound();
         Bulletin bulletin = bulletin(unixMillis, Map.of(), nowMillis);
         Set<InstanceId> usageReaders = usageReaders(usageHolder);
         int index = 0;
@@ -93,6 +105,15 @@
         }
     }
 
+    private long usesToldMillis() {
+        return USE_TOLD_ROUNDS * ticksPerRound() * tickMillis;
+    }
+
+    /** Returns the ticks in which every other node is told once. */
+    int ticksPerRound() {
+        return 1 + (known.size() - 1) / NODES_EACH_TICK;
+    }
+
     private Set<InstanceId> usageReaders(Optional<DutyHolder> usageHolder) {
         Set<InstanceId> readers = new HashSet<>();
         known.keySet().stream()
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/DutyRunner.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/DutyRunner.java
@@ -36,6 +36,7 @@
     private final RelayClock clock;
     private final EventLog log;
     private DutyState state = DutyState.START;
+    private long renewedUnixMillis;
     private Map<DutyId, Long> heldBefore = Map.of();
 
     private DutyRunner(
@@ -101,7 +102,9 @@
      * @return the authority, empty when another node may hold the duty
      */
     public Optional<Authority> authority(DutyId duty) {
-        return state.authority(duty, clock.steadyMillis());
+        // The steady clock stands still while a machine is suspended and the lease does not, so both clocks must agree.
+        boolean suspended = clock.unixMillis() - renewedUnixMillis > timing.ttlMillis() - timing.marginMillis();
+        return suspended ? Optional.empty() : state.authority(duty, clock.steadyMillis());
     }
 
     /**
@@ -132,12 +135,14 @@
         heldBefore = state.held();
     }
 
+    private record SentAt(long steadyMillis, long unixMillis) {}
+
     private void perform(DutyAction action) {
-        long sentAtMillis = clock.steadyMillis();
+        SentAt sentAt = new SentAt(clock.steadyMillis(), clock.unixMillis());
         if (action instanceof DutyAction.GrantLease) {
-            store.grantLease(timing.ttlMillis(), grant -> onLease(grant, LeaseGrant.NONE, sentAtMillis));
+            store.grantLease(timing.ttlMillis(), grant -> onLease(grant, LeaseGrant.NONE, sentAt));
         } else if (action instanceof DutyAction.RenewLease renew) {
-            store.keepAlive(renew.grant(), grant -> onLease(grant, renew.grant(), sentAtMillis));
+            store.keepAlive(renew.grant(), grant -> onLease(grant, renew.grant(), sentAt));
         } else if (action instanceof DutyAction.ListDuties) {
             listDuties();
         } else if (action instanceof DutyAction.TakeDuty take) {
@@ -147,9 +152,10 @@
         }
     }
 
-    private void onLease(Either<Failure, LeaseGrant> grant, LeaseGrant renewed, long sentAtMillis) {
+    private void onLease(Either<Failure, LeaseGrant> grant, LeaseGrant renewed, SentAt sentAt) {
         if (grant.isRight()) {
-            apply(new DutyEvent.LeaseAnswered(grant.get(), sentAtMillis));
+            renewedUnixMillis = sentAt.unixMillis();
+            apply(new DutyEvent.LeaseAnswered(grant.get(), sentAt.steadyMillis()));
         } else {
             boolean ended = grant.getLeft().kind() == Failure.Kind.REJECTED;
             apply(new DutyEvent.LeaseFailed(renewed, ended));
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/JsonLinesLog.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/JsonLinesLog.java
@@ -21,7 +21,7 @@
     private static final int LINES_PER_SECOND = 800;
 
     private static final int MAXIMUM_QUEUED = 2_000;
-    private static final long FLUSH_MILLIS = 100;
+    private static final long FLUSH_MILLIS = 200;
 
     private final OutputStream out;
     private final String node;
@@ -68,6 +68,7 @@
             }
             linesInSecond++;
             queue.addLast(line(event, fields));
+            queue.notifyAll();
             leftOut = 0;
         }
     }
@@ -108,6 +109,12 @@
     private void writeQueued() {
         try {
             while (true) {
+                synchronized (queue) {
+                    while (queue.isEmpty()) {
+                        queue.wait();
+                    }
+                }
+                // Lines of a while go out together, as each write is a system call.
                 Thread.sleep(FLUSH_MILLIS);
                 flush();
             }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeRegistration.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeRegistration.java
@@ -29,6 +29,8 @@
     private final SiteFollower follower;
     private final RelayClock clock;
     private final EventLog log;
+    private Map<InstanceId, InetSocketAddress> members = Map.of();
+    private long membersChange = -1;
     private LeaseGrant lease = LeaseGrant.NONE;
     private boolean written;
     private boolean busy;
@@ -77,7 +79,11 @@
      * @return peer addresses by node
      */
     public Map<InstanceId, InetSocketAddress> members() {
-        Map<InstanceId, InetSocketAddress> members = new HashMap<>();
+        if (membersChange == follower.ownKeyChanges()) {
+            return members;
+        }
+        membersChange = follower.ownKeyChanges();
+        members = new HashMap<>();
         for (VersionedValue value : follower.ownKeys().values()) {
             if (value.key().startsWith(prefix)) {
                 Optional<DutyHolder> holder = DutyHolder.fromBytes(value.value());
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -38,8 +38,8 @@
 public final class ServingNode {
     private static final long TICK_MILLIS = 250;
 
-    /** A node that told nothing for this long counts as gone; six bulletins may be lost. */
-    private static final long PEER_SILENT_MILLIS = 1_500;
+    /** A node that told nothing in this many rounds counts as gone. */
+    private static final int PEER_SILENT_ROUNDS = 6;
 
     /** An upstream whose entry lapsed while the store was away is kept for this part of the drain bound. */
     private static final double GRACE_PART = 0.7;
@@ -145,7 +145,7 @@
         this.fleet = protocol.fleetCalls()
                 .map(calls -> FleetRunner.create(
                         calls, protocol.store(), follower, directory, settings.instance(), PLAN_KEY, runtime.log()));
-        this.bulletins = BulletinSender.create(self, link, directory, usage, quarantine);
+        this.bulletins = BulletinSender.create(self, link, directory, usage, quarantine, TICK_MILLIS);
         this.callers = CallerServer.create(
                 runtime.group(),
                 runtime.clock(),
@@ -309,7 +309,7 @@
         long now = runtime.clock().steadyMillis();
         directory.expire(now);
         quarantine.expire(now);
-        board.refresh(PEER_SILENT_MILLIS, now);
+        board.refresh(PEER_SILENT_ROUNDS * bulletins.ticksPerRound() * TICK_MILLIS, now);
         callers.sweep(now);
         readiness.sweep(now);
         metricsPage.sweep(now);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteFollower.java
@@ -54,10 +54,12 @@
     private Optional<ServingConfig> config = Optional.empty();
     private long revision;
     private boolean listed;
+    private boolean listedOnce;
     private boolean away;
     private long answeredAtMillis;
     private long returnedAtMillis = Long.MIN_VALUE / 2;
     private boolean stopped;
+    private long ownKeyChanges;
 
     private SiteFollower(Parts parts, String ownPrefix) {
         this.store = parts.store();
@@ -130,7 +132,7 @@
      * @return whether it was
      */
     public boolean isReady() {
-        return listed && config.isPresent();
+        return listedOnce && config.isPresent();
     }
 
     /**
@@ -151,6 +153,15 @@
         return ownKeys;
     }
 
+    /**
+     * Returns how often the keys that nodes write have changed, so that what is derived from them can be kept.
+     *
+     * @return the number of changes
+     */
+    public long ownKeyChanges() {
+        return ownKeyChanges;
+    }
+
     private void read() {
         if (stopped) {
             return;
@@ -178,6 +189,7 @@
         long now = clock.steadyMillis();
         List<UpstreamEntry> entries = new ArrayList<>();
         ownKeys.clear();
+        ownKeyChanges++;
         for (VersionedValue value : values.get().values()) {
             if (value.key().startsWith(decoder.upstreamPrefix())) {
                 readUpstream(value).ifPresent(entries::add);
@@ -192,6 +204,7 @@
                 .with("revision", revision)
                 .write();
         listed = true;
+        listedOnce = true;
         again(startedAtMillis, PACE_MILLIS);
     }
 
@@ -253,6 +266,7 @@
             onUpstreamGone(change.key().substring(decoder.upstreamPrefix().length()));
         } else {
             ownKeys.remove(change.key());
+            ownKeyChanges++;
         }
     }
 
@@ -311,6 +325,7 @@
             onConfig(value);
         } else if (value.key().startsWith(ownPrefix)) {
             ownKeys.put(value.key(), value);
+            ownKeyChanges++;
         }
     }
 
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/BulletinCodecTest.java
@@ -0,0 +1,49 @@
+package org.cactusshift.internal.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.serving.Bulletin;
+import org.cactusshift.internal.coordination.serving.PartUse;
+import org.cactusshift.internal.coordination.serving.PromptPart;
+import org.cactusshift.internal.coordination.serving.RemoteWork;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class BulletinCodecTest {
+    @Test
+    void bulletinIsReadAsItWasWritten() {
+        Bulletin bulletin = new Bulletin(
+                InstanceId.fromString("n1"),
+                IncarnationId.fromString("i1"),
+                1_700_000_000_000L,
+                Map.of(UpstreamId.fromString("u1"), new RemoteWork(3, 4_000)),
+                Map.of(7L, Map.of(AccountId.fromString("a"), 9L)),
+                Map.of(-5L, 2),
+                List.of(new PartUse(UpstreamId.fromString("u1"), new PromptPart(-1, 13_000))));
+        assertEquals(bulletin, BulletinCodec.read(BulletinCodec.write(bulletin)).orElseThrow());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "{",
+                "[]",
+                "{}",
+                "{\"node\":\"n 1\",\"incarnation\":\"i\"}",
+                "{\"node\":\"n1\",\"incarnation\":\"i\",\"usage\":{\"x\":{}}}",
+                "{\"node\":\"n1\",\"incarnation\":\"i\",\"work\":{\"\":[1,2]}}",
+            })
+    void bytesThatAreNoBulletinAreLeftOut(String text) {
+        assertTrue(BulletinCodec.read(text.getBytes(StandardCharsets.UTF_8)).isEmpty());
+    }
+}
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/BulletinSenderTest.java
@@ -0,0 +1,81 @@
+package org.cactusshift.internal.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cactusshift.id.AccountId;
+import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.serving.Bulletin;
+import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
+import org.cactusshift.internal.coordination.serving.UsageCounts;
+import org.junit.jupiter.api.Test;
+
+class BulletinSenderTest {
+    private static final int NODES = 8;
+    private static final long LONGEST_WAIT_MILLIS = 20_000;
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private static DutyHolder holder(int node) {
+        return new DutyHolder(InstanceId.fromString("n" + node), IncarnationId.fromString("i"), "127.0.0.1:1", 0);
+    }
+
+    @Test
+    void countsAreToldToTheHolderAndThreeMore() throws InterruptedException {
+        EventLog log = (event, fields) -> {};
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Map<InstanceId, Bulletin> withCounts = new ConcurrentHashMap<>();
+        Map<InstanceId, Bulletin> heard = new ConcurrentHashMap<>();
+        Map<InstanceId, InetSocketAddress> members = new HashMap<>();
+        List<PeerLink> links = new ArrayList<>();
+        try {
+            for (int node = 0; node < NODES; node++) {
+                InstanceId id = InstanceId.fromString("n" + node);
+                PeerLink link = PeerLink.create(group, log);
+                link.bind(ANY_PORT, bulletin -> {
+                    heard.put(id, bulletin);
+                    if (!bulletin.usage().isEmpty()) {
+                        withCounts.put(id, bulletin);
+                    }
+                });
+                links.add(link);
+                members.put(id, link.address());
+            }
+            UsageCounts usage = UsageCounts.create(5_000);
+            usage.add(AccountId.fromString("a"), 6_000);
+            BulletinSender sender = BulletinSender.create(
+                    holder(0),
+                    links.get(0),
+                    UpstreamDirectory.create(service -> 1, 1),
+                    usage,
+                    Quarantine.create(1_000),
+                    250);
+            long end = System.nanoTime() + LONGEST_WAIT_MILLIS * 1_000_000;
+            while (heard.size() < NODES - 1 || withCounts.size() < 3) {
+                assertTrue(System.nanoTime() < end, "heard by " + heard.keySet());
+                sender.tick(members, Optional.of(holder(5)), 1, 1);
+                Thread.sleep(20);
+            }
+            assertTrue(withCounts.containsKey(InstanceId.fromString("n5")));
+            assertTrue(withCounts.size() <= 4, withCounts.keySet().toString());
+            assertEquals(
+                    Map.of(1L, Map.of(AccountId.fromString("a"), 1L)),
+                    withCounts.get(InstanceId.fromString("n5")).usage());
+        } finally {
+            group.shutdownGracefully();
+        }
+    }
+}
