--- a/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ExplainCommand.java
+++ b/org.cactusshift.pgm/src/main/java/org/cactusshift/pgm/ExplainCommand.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
@@ -86,7 +88,7 @@
 
     private List<Line> read(String file) throws CactusshiftException {
         try (BufferedReader reader = file.equals("-")
-                ? new BufferedReader(new java.io.InputStreamReader(System.in, java.nio.charset.StandardCharsets.UTF_8))
+                ? new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))
                 : Files.newBufferedReader(Path.of(file))) {
             List<Line> lines = new ArrayList<>();
             for (String text = reader.readLine(); text != null; text = reader.readLine()) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/GatewayHeaders.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/GatewayHeaders.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpMessage;
+import org.cactusshift.internal.transport.http.HopByHopHeaders;
 
 /** Names of headers, and the rule which of them cross the gateway. */
 final class GatewayHeaders {
@@ -20,20 +21,8 @@
 
     private static final String OWN_PREFIX = "x-cactusshift-";
 
-    /** Headers that concern one connection only. */
-    private static final Set<String> HOP_BY_HOP = Set.of(
-            "connection",
-            "keep-alive",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "proxy-connection",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "content-length",
-            "expect",
-            "host");
+    /** Headers that the gateway writes itself. */
+    private static final Set<String> REWRITTEN = Set.of("content-length", "expect", "host");
 
     /** Headers in which callers send keys, whether or not the gateway reads them. */
     private static final Set<String> CREDENTIALS = Set.of("authorization", "api-key", "x-api-key", "x-auth-token");
@@ -58,7 +47,8 @@
         List<Header> selected = new ArrayList<>();
         for (Header header : message.getHeaders()) {
             String name = header.getName().toLowerCase(Locale.ROOT);
-            boolean crosses = !HOP_BY_HOP.contains(name)
+            boolean crosses = !HopByHopHeaders.NAMES.contains(name)
+                    && !REWRITTEN.contains(name)
                     && !named.contains(name)
                     && !REPLACED.contains(name)
                     && !name.startsWith(OWN_PREFIX)
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HopHeaders.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HopHeaders.java
@@ -3,21 +3,10 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.List;
+import org.cactusshift.internal.transport.http.HopByHopHeaders;
 
 /** Removes the headers that concern one connection only. */
 final class HopHeaders {
-    private static final List<String> NAMES = List.of(
-            "connection",
-            "keep-alive",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "proxy-connection",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade");
-
     private HopHeaders() {}
 
     /** Returns a copy without such headers, and without those that the connection header names. */
@@ -31,7 +20,7 @@
                 }
             }
         }
-        NAMES.forEach(copy::remove);
+        HopByHopHeaders.NAMES.forEach(copy::remove);
         return copy;
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -4,7 +4,9 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.cactusshift.id.AccountId;
 import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.ServiceId;
 import org.cactusshift.internal.coordination.quarantine.Quarantine;
 import org.cactusshift.internal.coordination.serving.CrashWitness;
 import org.cactusshift.internal.coordination.serving.PartUse;
@@ -57,7 +59,7 @@
          * @param service the service
          * @return the allowance
          */
-        RepeatAllowance of(org.cactusshift.id.ServiceId service);
+        RepeatAllowance of(ServiceId service);
     }
 
     /** Counts requests that an upstream began to run. */
@@ -67,6 +69,6 @@
          *
          * @param account the client account
          */
-        void add(org.cactusshift.id.AccountId account);
+        void add(AccountId account);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -89,12 +90,7 @@
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                method,
-                target,
-                body.retainedDuplicate(),
-                headers,
-                io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
+                HttpVersion.HTTP_1_1, method, target, body.retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
         channel.writeAndFlush(request).addListener(written -> requestWritten = written.isSuccess());
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeClaims.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeClaims.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.cactusshift.internal.coordination.claim.CallClaim;
 import org.cactusshift.internal.coordination.claim.CallClaims;
 import org.cactusshift.internal.coordination.claim.CallOutcome;
@@ -11,7 +12,7 @@
 
 /** Keeps claims in memory and logs each call. */
 final class FakeClaims implements CallClaims {
-    final List<String> log = new java.util.concurrent.CopyOnWriteArrayList<>();
+    final List<String> log = new CopyOnWriteArrayList<>();
     private final Map<String, CallClaim> claims = new HashMap<>();
     private final Map<String, CallOutcome> outcomes = new HashMap<>();
     boolean available = true;
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/DutyRunnerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/DutyRunnerTest.java
@@ -20,7 +20,9 @@
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
 import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.serving.CallerLimits;
 import org.cactusshift.internal.coordination.serving.CrashWitness;
+import org.cactusshift.internal.coordination.serving.RouteTable;
 import org.cactusshift.internal.coordination.serving.ServingConfig;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.cactusshift.internal.coordination.serving.UpstreamEntry;
@@ -129,12 +131,8 @@
 
         @Override
         public Either<String, ServingConfig> config(byte[] value) {
-            return Either.right(new ServingConfig(
-                    1,
-                    org.cactusshift.internal.coordination.serving.RouteTable.of(List.of()),
-                    Map.of(),
-                    org.cactusshift.internal.coordination.serving.CallerLimits.DEFAULT,
-                    Optional.empty()));
+            return Either.right(
+                    new ServingConfig(1, RouteTable.of(List.of()), Map.of(), CallerLimits.DEFAULT, Optional.empty()));
         }
 
         @Override
