Send nothing to an engine that began to leave while a prompt was read for it

The engine for the output is chosen before the prompt is read at another one, which may take seconds, and was not looked at again. Change: an upstream that is leaving when its connection is there gets nothing; the request is placed anew. Test: engineThatLeavesWhileAPromptIsReadForItGetsNothing, failing before.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -138,6 +138,14 @@
             owner.onNotRun(this);
             return;
         }
+        if (upstream.isLeaving()) {
+            // It began to leave while the prompt was read elsewhere or a connection was opened.
+            context().pool().giveBack(taken.get());
+            close("left", "the upstream is leaving");
+            freeMemory();
+            owner.onNotRun(this);
+            return;
+        }
         connection = taken.get();
         sentAtMillis = nowMillis();
         lastBytesMillis = sentAtMillis;
