--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -126,9 +126,8 @@
         }
         if (bytes.isReadable()) {
             partialSinceMillis = server.steadyMillis();
-            if (!body.isWritable(bytes.readableBytes())) {
-                int length = (int) Math.max(HttpUtil.getContentLength(head, 0L), bytes.readableBytes());
-                body = body == Unpooled.EMPTY_BUFFER ? Unpooled.buffer(length) : body;
+            if (body == Unpooled.EMPTY_BUFFER) {
+                body = Unpooled.buffer((int) Math.max(HttpUtil.getContentLength(head, 0L), bytes.readableBytes()));
             }
             body.writeBytes(bytes);
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpCalls.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpCalls.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.transport.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -10,7 +11,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cactusshift.errors.Failure;
@@ -124,11 +124,7 @@
 
         @Override
         public void onContent(ByteBuf bytes) {
-            try {
-                bytes.readBytes(content, bytes.readableBytes());
-            } catch (IOException e) {
-                throw new IllegalStateException("an array cannot be written to", e);
-            }
+            content.writeBytes(ByteBufUtil.getBytes(bytes));
         }
 
         @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -40,7 +40,6 @@
 
     private final RelayContext context;
     private final CallerExchange exchange;
-    private final CallerFacts facts;
     private final ServingRequest request;
     private final Optional<AccountId> account;
     private final long configVersion;
@@ -65,7 +64,6 @@
             long configVersion) {
         this.context = context;
         this.exchange = exchange;
-        this.facts = facts;
         this.request = request;
         this.account = account;
         this.configVersion = configVersion;
@@ -123,8 +121,7 @@
             return;
         }
         long now = nowMillis();
-        PlacementQuery query = new PlacementQuery(
-                request, context.domain(), excluded, Math.max(1, context.nodes().getAsInt()), mayHandOver);
+        PlacementQuery query = new PlacementQuery(request, context.domain(), excluded, mayHandOver);
         Optional<Placement> placed = context.placer().place(query, now);
         if (placed.isEmpty()) {
             waitForUpstream(now);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.transport.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -12,7 +13,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -232,10 +232,10 @@
             return;
         }
         heard = true;
-        noteRead();
         long tookMillis = nowMillis() - sentAtMillis;
         upstream.onHeard(freshTokens(), nowMillis());
         if (facts != null && !facts.notRun()) {
+            noteRead();
             double usual = context().speed().firstAnswerMillis(request().service(), stage(), tokensAhead);
             upstream.onPace(tookMillis / Math.max(1, usual));
             context().speed().onFirstAnswer(request().service(), stage(), tokensAhead, tookMillis);
@@ -243,7 +243,7 @@
     }
 
     private void noteRead() {
-        if (facts == null || facts.notRun() || request().prompt().isEmpty()) {
+        if (request().prompt().isEmpty()) {
             return;
         }
         upstream.onRead(request().prompt(), context().nodes().getAsInt());
@@ -303,11 +303,7 @@
             breakOff("the answer is longer than " + MAXIMUM_ANSWER_BYTES + " bytes");
             return;
         }
-        try {
-            bytes.readBytes(content, bytes.readableBytes());
-        } catch (IOException e) {
-            throw new IllegalStateException("an array cannot be written to", e);
-        }
+        content.writeBytes(ByteBufUtil.getBytes(bytes));
     }
 
     private void breakOff(String reason) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
@@ -93,6 +93,6 @@
     }
 
     Optional<Placement> place(ServingRequest request, Set<UpstreamId> excluded, long nowMillis) {
-        return placer.place(new PlacementQuery(request, HERE, excluded, 8, true), nowMillis);
+        return placer.place(new PlacementQuery(request, HERE, excluded, true), nowMillis);
     }
 }
