--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/WindowedRetryBudget.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/WindowedRetryBudget.java
@@ -74,16 +74,33 @@
      * @return whether the retry is allowed; false when the budget of this node is exhausted
      */
     public boolean tryRetry(int nodeCount, long nowMillis) {
-        removeExpired(requestTimesMillis, nowMillis);
-        removeExpired(retryTimesMillis, nowMillis);
-        if (retryTimesMillis.size() + 1 > allowedRetries(nodeCount, nowMillis)) {
+        if (takenRetries(nowMillis) + 1 > allowedRetries(nodeCount, nowMillis)) {
             return false;
         }
         retryTimesMillis.addLast(nowMillis);
         return true;
     }
 
-    private double allowedRetries(int nodeCount, long nowMillis) {
+    /**
+     * Returns the retries that were taken in the current window.
+     *
+     * @param nowMillis the current time
+     * @return the number of retries
+     */
+    public int takenRetries(long nowMillis) {
+        removeExpired(retryTimesMillis, nowMillis);
+        return retryTimesMillis.size();
+    }
+
+    /**
+     * Returns the retries that this node may make in the current window.
+     *
+     * @param nodeCount the nodes that share the fixed number, at least 1
+     * @param nowMillis the current time
+     * @return the number of retries, including those already taken
+     */
+    public double allowedRetries(int nodeCount, long nowMillis) {
+        removeExpired(requestTimesMillis, nowMillis);
         boolean firstWindow = nowMillis - startedAtMillis < windowMillis;
         double fixed = firstWindow ? 0 : fixedRetriesPerWindow / Math.max(1, nodeCount);
         return USABLE_SHARE * (ratio * requestTimesMillis.size() + fixed);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -227,6 +227,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        server.logFailed(String.valueOf(channel.remoteAddress()), String.valueOf(cause), current != null);
         channel.close();
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
@@ -156,6 +156,14 @@
                 .write();
     }
 
+    void logFailed(String callerAddress, String cause, boolean inRequest) {
+        log.event("caller.failed")
+                .with("caller", callerAddress)
+                .with("cause", cause)
+                .with("inRequest", inRequest)
+                .write();
+    }
+
     /**
      * Returns the number of requests that have not been responded to yet.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -21,6 +21,11 @@
             .help("Sends to upstreams by service and outcome.")
             .labelNames("service", "outcome")
             .register(registry);
+    private final Counter deniedRetries = Counter.builder()
+            .name("cactusshift_relay_retries_denied_total")
+            .help("Retries that the retry budget did not allow, by service.")
+            .labelNames("service")
+            .register(registry);
     private final Histogram firstResponsePart = Histogram.builder()
             .name("cactusshift_relay_first_answer_seconds")
             .help("Time from the whole request to the first part of the answer, by route kind.")
@@ -53,6 +58,15 @@
         attempts.labelValues(service, outcome).inc();
     }
 
+    /**
+     * Counts a retry that the retry budget did not allow.
+     *
+     * @param service the service
+     */
+    public void onRetryDenied(String service) {
+        deniedRetries.labelValues(service).inc();
+    }
+
     /**
      * Records the time from the receipt of a complete request to the first part of its response. Of a request that is
      * not a stream, this is the time to its end, whatever its outcome.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -20,6 +20,7 @@
 import org.cactusshift.internal.coordination.serving.RequestKind;
 import org.cactusshift.internal.coordination.serving.RetryAfterPolicy;
 import org.cactusshift.internal.coordination.serving.ServingRequest;
+import org.cactusshift.internal.coordination.serving.WindowedRetryBudget;
 import org.cactusshift.internal.protocol.stream.SseEventSplitter;
 
 /**
@@ -184,10 +185,7 @@
     private void send(UpstreamAttempt next) {
         currentAttempt = next;
         boolean isRetry = next.isPrefill() ? prefillAttempts > 0 : sentRunAttempts > 0;
-        if (isRetry
-                && !context.retryBudgets()
-                        .of(request.service())
-                        .tryRetry(context.nodeCount().getAsInt(), nowMillis())) {
+        if (isRetry && !tryRetry()) {
             currentAttempt = null;
             next.discard();
             endWithoutSuccess("the allowance for repeated sends is spent");
@@ -196,6 +194,26 @@
         next.start();
     }
 
+    /** Takes a retry from the budget of the service; returns false if none is left. */
+    private boolean tryRetry() {
+        WindowedRetryBudget budget = context.retryBudgets().of(request.service());
+        int nodes = context.nodeCount().getAsInt();
+        long now = nowMillis();
+        if (budget.tryRetry(nodes, now)) {
+            return true;
+        }
+        context.metrics().onRetryDenied(request.service().value());
+        context.log()
+                .event("retry.denied")
+                .with("request", request.id().value())
+                .with("service", request.service().value())
+                .with("taken", budget.takenRetries(now))
+                .with("allowed", budget.allowedRetries(nodes, now))
+                .with("nodes", nodes)
+                .write();
+        return false;
+    }
+
     /** Counts an attempt that is about to be sent to its upstream. */
     void onSending(UpstreamAttempt attempt) {
         if (attempt.isPrefill()) {
