Extract the check of stalled upstreams and log its inputs

The log named an upstream as silent without the time that it had been so, or the limit. Behaviour is unchanged: the check moves from UpstreamAttempt to StallDetector, which takes the time as an argument.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -23,6 +23,7 @@
 import org.cactusshift.internal.coordination.serving.PromptPartUse;
 import org.cactusshift.internal.coordination.serving.RequestKind;
 import org.cactusshift.internal.coordination.serving.ServingRequest;
+import org.cactusshift.internal.coordination.serving.StallDetector;
 import org.cactusshift.internal.coordination.serving.Upstream;
 import org.cactusshift.internal.protocol.stream.SseEventSplitter;
 
@@ -86,7 +87,8 @@
     /** The tokens waiting for prefill at the upstream when the attempt started, including those of this request. */
     private long pendingPrefillTokens;
 
-    private long lastProgressMillis;
+    /** Null until the request is sent. */
+    private StallDetector stallDetector;
 
     private UpstreamAttempt(
             RelayedRequest relayedRequest, Placement placement, boolean isPrefill, Optional<String> kvSource) {
@@ -177,7 +179,6 @@
         }
         connection = acquired.get();
         sentAtMillis = nowMillis();
-        lastProgressMillis = sentAtMillis;
         relayedRequest.onSending(this);
         HttpHeaders requestHeaders = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(
                 relayedRequest.exchange().request().headers());
@@ -189,7 +190,9 @@
                 relayedRequest.exchange().body(),
                 this);
         long expectedMillis = isPrefill ? placement.prefillMillis() : placement.firstPartMillis();
-        scheduleProgressCheck(Math.max(MINIMUM_PROGRESS_TIMEOUT_MILLIS, EXPECTED_TIME_FACTOR * expectedMillis));
+        long limitMillis = Math.max(MINIMUM_PROGRESS_TIMEOUT_MILLIS, EXPECTED_TIME_FACTOR * expectedMillis);
+        stallDetector = StallDetector.create(limitMillis, sentAtMillis);
+        scheduleProgressCheck(limitMillis);
         context()
                 .log()
                 .event("attempt.sent")
@@ -205,23 +208,33 @@
                 .write();
     }
 
-    private void scheduleProgressCheck(long millis) {
-        progressTimer = context().eventLoop().schedule(() -> checkProgress(millis), millis, TimeUnit.MILLISECONDS);
+    private void scheduleProgressCheck(long delayMillis) {
+        progressTimer = context().eventLoop().schedule(this::checkProgress, delayMillis, TimeUnit.MILLISECONDS);
     }
 
-    private void checkProgress(long millis) {
+    private void checkProgress() {
         if (ended) {
             return;
         }
-        // A request that is queued at an upstream that makes progress with other requests is not abandoned; once its
-        // response has started, only its own progress counts.
-        long stalledMillis = Math.min(nowMillis() - lastProgressMillis, upstream.millisSinceProgress(nowMillis()));
-        if (firstResponsePartRecorded) {
-            stalledMillis = nowMillis() - lastProgressMillis;
+        long now = nowMillis();
+        long limitMillis = stallDetector.limitMillis();
+        long remainingMillis = stallDetector.remainingMillis(upstream.millisSinceProgress(now), now);
+        if (remainingMillis > 0) {
+            scheduleProgressCheck(remainingMillis);
+            return;
         }
-        if (stalledMillis < millis) {
-            scheduleProgressCheck(millis - stalledMillis);
-        } else if (relayedRequest.mayReplace(this)) {
+        long stalledMillis = stallDetector.stalledMillis(upstream.millisSinceProgress(now), now);
+        boolean replace = relayedRequest.mayReplace(this);
+        context()
+                .log()
+                .event("attempt.stalled")
+                .with("request", request().id().value())
+                .with("upstream", upstream.id().value())
+                .with("stalledMillis", stalledMillis)
+                .with("limitMillis", limitMillis)
+                .with("replace", replace)
+                .write();
+        if (replace) {
             upstream.onFailedAttempt();
             abandon("silent");
             relayedRequest.onAttemptFailed(this, "the upstream was silent for " + stalledMillis + " ms");
@@ -249,7 +262,7 @@
         isStreaming = !isPrefill
                 && status.codeClass() == HttpStatusClass.SUCCESS
                 && request().route().kind() == RequestKind.STREAM;
-        lastProgressMillis = nowMillis();
+        stallDetector.onProgress(nowMillis());
         metadata.load().ifPresent(load -> upstream.onLoad(load.running(), load.waiting(), nowMillis()));
         metadata.idleTimeoutMillis().ifPresent(connection::setIdleLimitMillis);
         if (!isStreaming) {
@@ -263,6 +276,7 @@
             return;
         }
         firstResponsePartRecorded = true;
+        stallDetector.onResponseStarted();
         long tookMillis = nowMillis() - sentAtMillis;
         upstream.onFirstResponsePart(uncachedTokens(), nowMillis());
         if (metadata != null && !metadata.notExecuted()) {
@@ -302,8 +316,8 @@
 
     @Override
     public void onContent(ByteBuf bytes) {
-        lastProgressMillis = nowMillis();
-        upstream.onProgress(lastProgressMillis);
+        stallDetector.onProgress(nowMillis());
+        upstream.onProgress(nowMillis());
         if (!isStreaming) {
             addContent(bytes);
             return;
@@ -333,7 +347,8 @@
     private void scheduleEventGapCheck() {
         progressTimer.cancel(false);
         long gapMillis = request().route().targetEventGapMillis();
-        scheduleProgressCheck(Math.max(MINIMUM_PROGRESS_TIMEOUT_MILLIS, TARGET_GAP_FACTOR * gapMillis));
+        stallDetector.setLimitMillis(Math.max(MINIMUM_PROGRESS_TIMEOUT_MILLIS, TARGET_GAP_FACTOR * gapMillis));
+        scheduleProgressCheck(stallDetector.limitMillis());
     }
 
     private void addContent(ByteBuf bytes) {
