Keep the limit of a stalled upstream between checks

Callers saw streams cut, or requests sent again, although their upstream made progress. Each check that found progress used the time left until the limit as the limit of the next check, so it shrank by the pauses seen so far: with events 300 ms apart from 700 ms to 400, 100 and 0 in three checks. An attempt at a busy upstream that answers others counted as silent after about 1.2 s.

StallDetectorTest.progressBetweenChecksKeepsTheLimit failed before: expected <400> but was <100>, 4 of 4 cases; 9 tests pass now.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StallDetector.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StallDetector.java
@@ -79,7 +79,6 @@
      * @return the time in milliseconds, 0 when the upstream has stalled
      */
     public long remainingMillis(long upstreamStalledMillis, long nowMillis) {
-        limitMillis = Math.max(0, limitMillis - stalledMillis(upstreamStalledMillis, nowMillis));
-        return limitMillis;
+        return Math.max(0, limitMillis - stalledMillis(upstreamStalledMillis, nowMillis));
     }
 }
