Keep a stalled run open until its replacement responds

Callers saw event streams cut in the middle, and repeatable requests ended with 502, while nothing but planned work was near. An instance abandoned the run at a silent upstream first and looked for a replacement afterwards. When its retry budget was used up, or the other upstreams refused, there was nothing left to answer with.

The class of fault is giving up a resource before its substitute is secured. The order is now the reverse: a replacement needs a placement and a retry from the budget before anything is sent, and the stalled run is abandoned when the replacement responds; if it goes on first, or the replacement fails, the replacement is given up instead. A caller receives events of one run only, as the other is abandoned in the same turn. A stalled prefill, with which no answer is lost, is abandoned once the replacement is allowed.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -59,9 +59,15 @@
     private final Set<UpstreamId> excludedUpstreams = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
 
-    /** The open attempt; null while there is none. */
+    /** The newest open attempt; null while there is none. */
     private UpstreamAttempt currentAttempt;
 
+    /**
+     * The stalled run that {@link #currentAttempt} is to replace; null when there is none. It stays open until the
+     * replacement responds, because the replacement may be refused.
+     */
+    private UpstreamAttempt stalledAttempt;
+
     private boolean usageCounted;
 
     /** Number of attempts to run the request, other than prefills, that were sent. */
@@ -146,9 +152,7 @@
             return;
         }
         long now = nowMillis();
-        PlacementQuery query = new PlacementQuery(
-                request, context.domain(), excludedUpstreams, prefillAttempts < MAXIMUM_PREFILL_ATTEMPTS);
-        Optional<Placement> found = context.placer().place(query, now);
+        Optional<Placement> found = place(now);
         if (found.isEmpty()) {
             waitForUpstream(now);
             return;
@@ -159,11 +163,20 @@
             refuse("the first answer would come " + excess + " ms too late", excess);
             return;
         }
-        if (placement.prefillEngine().isPresent()) {
-            send(UpstreamAttempt.prefill(this, placement));
-        } else {
-            send(UpstreamAttempt.run(this, placement, Optional.empty()));
-        }
+        send(firstAttempt(placement));
+    }
+
+    private Optional<Placement> place(long now) {
+        PlacementQuery query = new PlacementQuery(
+                request, context.domain(), excludedUpstreams, prefillAttempts < MAXIMUM_PREFILL_ATTEMPTS);
+        return context.placer().place(query, now);
+    }
+
+    /** Returns the first of the one or two attempts that a placement takes. */
+    private UpstreamAttempt firstAttempt(Placement placement) {
+        return placement.prefillEngine().isPresent()
+                ? UpstreamAttempt.prefill(this, placement)
+                : UpstreamAttempt.run(this, placement, Optional.empty());
     }
 
     /**
@@ -183,15 +196,23 @@
     }
 
     private void send(UpstreamAttempt next) {
-        currentAttempt = next;
-        boolean isRetry = next.isPrefill() ? prefillAttempts > 0 : sentRunAttempts > 0;
-        if (isRetry && !tryRetry()) {
-            currentAttempt = null;
-            next.discard();
-            endWithoutSuccess("the allowance for repeated sends is spent");
+        if (isAllowed(next)) {
+            currentAttempt = next;
+            next.start();
             return;
         }
-        next.start();
+        next.discard();
+        if (stalledAttempt != null) {
+            returnToStalledAttempt();
+        } else {
+            endWithoutSuccess("the allowance for repeated sends is spent");
+        }
+    }
+
+    /** Returns whether an attempt may be sent, for which a retry is taken from the budget if it is one. */
+    private boolean isAllowed(UpstreamAttempt next) {
+        boolean isRetry = next.isPrefill() ? prefillAttempts > 0 : sentRunAttempts > 0;
+        return !isRetry || tryRetry();
     }
 
     /** Takes a retry from the budget of the service; returns false if none is left. */
@@ -251,15 +272,106 @@
         }
     }
 
+    /**
+     * Sends the request to another upstream in place of a stalled attempt, if the route, the retry budget and the state
+     * of the upstreams allow it. A stalled prefill is abandoned; a stalled run stays open until the replacement
+     * responds.
+     *
+     * @return whether another attempt was sent; otherwise the stalled one goes on
+     */
+    boolean replace(UpstreamAttempt stalled) {
+        if (!mayReplace(stalled)) {
+            return false;
+        }
+        excludedUpstreams.add(stalled.upstream().id());
+        Optional<UpstreamAttempt> next = place(nowMillis()).map(this::firstAttempt);
+        if (next.isEmpty() || !isAllowed(next.get())) {
+            return false;
+        }
+        if (stalledAttempt == null && !stalled.isPrefill()) {
+            stalledAttempt = stalled;
+        } else if (stalled != stalledAttempt) {
+            // It is a prefill, or an earlier stalled run is still open.
+            countLostRun(stalled);
+            stalled.abandon("silent");
+        }
+        currentAttempt = next.get();
+        currentAttempt.start();
+        return true;
+    }
+
+    private boolean mayReplace(UpstreamAttempt stalled) {
+        if (stalled.isPrefill()) {
+            return true;
+        }
+        return mayRunAgain(stalledAttempt == null || stalledAttempt == stalled ? 1 : 2);
+    }
+
+    /** Returns whether the request may be run once more, beside the given number of runs that are still open. */
+    private boolean mayRunAgain(int openRuns) {
+        return request.route().isRetryable()
+                && possibleExecutions + openRuns < request.route().maximumAttempts()
+                && context.quarantine().verdict(request.fingerprint(), nowMillis()) != Quarantine.Verdict.REFUSED;
+    }
+
+    /** Makes an attempt that has responded the only one. */
+    private void takeOver(UpstreamAttempt responding) {
+        if (stalledAttempt == null) {
+            return;
+        }
+        UpstreamAttempt other = responding == stalledAttempt ? currentAttempt : stalledAttempt;
+        if (responding == stalledAttempt) {
+            possibleExecutions += other.mayHaveRun() ? 1 : 0;
+        } else {
+            countLostRun(other);
+        }
+        currentAttempt = responding;
+        stalledAttempt = null;
+        other.abandon("another upstream responded");
+        responding.checkProgressLater();
+    }
+
+    private void returnToStalledAttempt() {
+        currentAttempt = stalledAttempt;
+        stalledAttempt = null;
+        currentAttempt.checkProgressLater();
+    }
+
+    /** Removes an attempt that has ended without a usable response; returns whether another one goes on. */
+    private boolean remove(UpstreamAttempt endedAttempt) {
+        excludedUpstreams.add(endedAttempt.upstream().id());
+        if (endedAttempt == stalledAttempt) {
+            stalledAttempt = null;
+            return true;
+        }
+        currentAttempt = null;
+        if (stalledAttempt == null) {
+            return false;
+        }
+        if (!replace(stalledAttempt)) {
+            returnToStalledAttempt();
+        }
+        return true;
+    }
+
+    /** Counts a run that ended without a valid response, but may have been executed. */
+    private void countLostRun(UpstreamAttempt attempt) {
+        if (attempt.mayHaveRun()) {
+            possibleExecutions++;
+            context.crashDetector()
+                    .onAttemptLost(request.fingerprint(), attempt.upstream().id(), attempt.sentAtMillis(), nowMillis());
+        }
+    }
+
     /** Continues after an attempt that did not run the request. */
     void onNotExecuted(UpstreamAttempt attempt) {
-        currentAttempt = null;
-        excludedUpstreams.add(attempt.upstream().id());
         if (attempt.kvSource().isPresent()) {
             // The cause may be that the KV cache could not be fetched, so its prefill engine is excluded too.
             attempt.placement().prefillEngine().ifPresent(prefillEngine -> excludedUpstreams.add(prefillEngine.id()));
         }
-        placeAndSend();
+        if (!remove(attempt)) {
+            placeAndSend();
+        }
     }
 
     /**
@@ -267,63 +379,54 @@
      * the request.
      */
     void onAttemptFailed(UpstreamAttempt attempt, String reason) {
-        currentAttempt = null;
-        excludedUpstreams.add(attempt.upstream().id());
-        if (attempt.isPrefill()) {
-            placeAndSend();
+        countLostRun(attempt);
+        if (remove(attempt)) {
             return;
         }
-        possibleExecutions++;
-        context.crashDetector()
-                .onAttemptLost(request.fingerprint(), attempt.upstream().id(), attempt.sentAtMillis(), nowMillis());
-        if (mayRetry()) {
+        if (attempt.isPrefill() || mayRunAgain(0)) {
             placeAndSend();
         } else {
             endWithoutSuccess(reason);
         }
     }
 
-    private boolean mayRetry() {
-        return request.route().isRetryable()
-                && possibleExecutions < request.route().maximumAttempts()
-                && context.quarantine().verdict(request.fingerprint(), nowMillis()) != Quarantine.Verdict.REFUSED;
-    }
-
-    /**
-     * Returns whether another attempt may be made in place of an unresponsive one, which is still open and thus not yet
-     * counted as a possible execution.
-     */
-    boolean mayReplace(UpstreamAttempt attempt) {
-        return attempt.isPrefill()
-                || (request.route().isRetryable()
-                        && possibleExecutions + 1 < request.route().maximumAttempts());
-    }
-
     /** Handles a complete response that is not a stream. */
     void onResponse(UpstreamAttempt attempt, BufferedResponse response) {
-        currentAttempt = null;
         countStartedRequest();
         possibleExecutions++;
         boolean isError = response.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-        if (isError && !exchange.isStreaming() && mayRetry()) {
+        if (isError || exchange.isStreaming()) {
+            onUnusableResponse(attempt, response);
+            return;
+        }
+        takeOver(attempt);
+        currentAttempt = null;
+        end("answered", "status " + response.status().code());
+        exchange.respond(response.status(), response.headers(), response.content());
+    }
+
+    private void onUnusableResponse(UpstreamAttempt attempt, BufferedResponse response) {
+        boolean isStreaming = exchange.isStreaming();
+        if (!isStreaming) {
             lastErrorResponse = response;
-            excludedUpstreams.add(attempt.upstream().id());
-            placeAndSend();
+        }
+        if (remove(attempt)) {
             return;
         }
-        if (exchange.isStreaming()) {
-            end("broken", "the resumed stream failed with " + response.status().code());
-            exchange.abort();
+        if (!isStreaming && mayRunAgain(0)) {
+            placeAndSend();
             return;
         }
-        end(
-                isError ? "failed-upstream" : "answered",
-                "status " + response.status().code());
-        exchange.respond(response.status(), response.headers(), response.content());
+        endWithoutSuccess(
+                isStreaming
+                        ? "the resumed stream failed with " + response.status().code()
+                        : "status " + response.status().code());
     }
 
     /** Passes on a complete event of a stream; events that the caller already has are skipped. */
-    void onEvent(HttpResponseStatus status, HttpHeaders headers, SseEventSplitter.Event event) {
+    void onEvent(
+            UpstreamAttempt attempt, HttpResponseStatus status, HttpHeaders headers, SseEventSplitter.Event event) {
+        takeOver(attempt);
         if (event.id().isPresent()) {
             if (event.id().getAsLong() <= lastEventId) {
                 return;
@@ -340,7 +443,8 @@
     }
 
     /** Handles the end of a stream. */
-    void onStreamEnd(HttpResponseStatus status, HttpHeaders headers) {
+    void onStreamEnd(UpstreamAttempt attempt, HttpResponseStatus status, HttpHeaders headers) {
+        takeOver(attempt);
         currentAttempt = null;
         countStartedRequest();
         // A stream without events has not been started yet; otherwise this has no effect.
@@ -361,18 +465,21 @@
         if (isEnded()) {
             return;
         }
-        UpstreamAttempt attempt = currentAttempt;
-        currentAttempt = null;
-        boolean mayHaveRun = attempt != null && !attempt.isPrefill() && attempt.wasSent();
-        if (attempt != null) {
-            attempt.abandon("deadline");
-        }
-        if (mayHaveRun) {
-            possibleExecutions++;
-        }
+        abandonOpenAttempts("deadline");
         endWithoutSuccess("the deadline is reached");
     }
 
+    private void abandonOpenAttempts(String reason) {
+        for (UpstreamAttempt attempt : new UpstreamAttempt[] {currentAttempt, stalledAttempt}) {
+            if (attempt != null) {
+                possibleExecutions += attempt.mayHaveRun() ? 1 : 0;
+                attempt.abandon(reason);
+            }
+        }
+        currentAttempt = null;
+        stalledAttempt = null;
+    }
+
     /** Ends the request without success; states that it was not run only if no upstream may have run it. */
     private void endWithoutSuccess(String reason) {
         if (exchange.isStreaming()) {
@@ -434,11 +541,7 @@
         if (ended) {
             return;
         }
-        UpstreamAttempt attempt = currentAttempt;
-        currentAttempt = null;
         end("caller-gone", "caller disconnected");
-        if (attempt != null) {
-            attempt.abandon("caller disconnected");
-        }
+        abandonOpenAttempts("caller disconnected");
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -123,8 +123,9 @@
         return kvSource;
     }
 
-    boolean wasSent() {
-        return connection != null;
+    /** Returns whether this attempt was sent to run the request, so that the upstream may have executed it. */
+    boolean mayHaveRun() {
+        return !isPrefill && connection != null;
     }
 
     long sentAtMillis() {
@@ -212,32 +213,39 @@
         progressTimer = context().eventLoop().schedule(this::checkProgress, delayMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Resumes the checks that pause while another attempt is open as a replacement. */
+    void checkProgressLater() {
+        if (!ended) {
+            progressTimer.cancel(false);
+            scheduleProgressCheck(stallDetector.limitMillis());
+        }
+    }
+
     private void checkProgress() {
         if (ended) {
             return;
         }
         long now = nowMillis();
-        long limitMillis = stallDetector.limitMillis();
-        long remainingMillis = stallDetector.remainingMillis(upstream.millisSinceProgress(now), now);
+        long upstreamStalledMillis = upstream.millisSinceProgress(now);
+        long remainingMillis = stallDetector.remainingMillis(upstreamStalledMillis, now);
         if (remainingMillis > 0) {
             scheduleProgressCheck(remainingMillis);
             return;
         }
-        long stalledMillis = stallDetector.stalledMillis(upstream.millisSinceProgress(now), now);
-        boolean replace = relayedRequest.mayReplace(this);
+        boolean replaced = relayedRequest.replace(this);
         context()
                 .log()
                 .event("attempt.stalled")
                 .with("request", request().id().value())
                 .with("upstream", upstream.id().value())
-                .with("stalledMillis", stalledMillis)
-                .with("limitMillis", limitMillis)
-                .with("replace", replace)
+                .with("stalledMillis", stallDetector.stalledMillis(upstreamStalledMillis, now))
+                .with("limitMillis", stallDetector.limitMillis())
+                .with("replaced", replaced)
                 .write();
-        if (replace) {
+        if (replaced) {
             upstream.onFailedAttempt();
-            abandon("silent");
-            relayedRequest.onAttemptFailed(this, "the upstream was silent for " + stalledMillis + " ms");
+        } else {
+            scheduleProgressCheck(stallDetector.limitMillis());
         }
     }
 
@@ -337,7 +345,7 @@
             recordFirstResponsePart();
             scheduleEventGapCheck();
         }
-        completeEvents.forEach(event -> relayedRequest.onEvent(status, headers, event));
+        completeEvents.forEach(event -> relayedRequest.onEvent(this, status, headers, event));
         if (!relayedRequest.exchange().isWritable()) {
             connection.setReading(false);
             relayedRequest.exchange().setWritableListener(() -> connection.setReading(true));
@@ -381,7 +389,7 @@
         } else {
             end("answered", "stream complete");
             recordResult(true);
-            relayedRequest.onStreamEnd(status, headers);
+            relayedRequest.onStreamEnd(this, status, headers);
         }
     }
 
