Release a stalled run at the head of its replacement's response

Two gaps were left: the stalled run went on until the replacement's first whole event, although the replacement had already begun the request; and a replacement that was refused was followed by the next one at once, so that one stalled request could use up the retry budget of its instance. The stalled run is now released at the head of a signed response, and replaced at most once between two checks.

SilentUpstreamTest failed before: no end before the deadline (the replacement waits for the release), and 5 sends until the second check where 3 are allowed.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -290,7 +290,7 @@
         }
         if (stalledAttempt == null && !stalled.isPrefill()) {
             stalledAttempt = stalled;
-        } else if (stalled != stalledAttempt) {
+        } else {
             // It is a prefill, or an earlier stalled run is still open.
             countLostRun(stalled);
             stalled.abandon("silent");
@@ -301,10 +301,7 @@
     }
 
     private boolean mayReplace(UpstreamAttempt stalled) {
-        if (stalled.isPrefill()) {
-            return true;
-        }
-        return mayRunAgain(stalledAttempt == null || stalledAttempt == stalled ? 1 : 2);
+        return stalled.isPrefill() || mayRunAgain(stalledAttempt == null ? 1 : 2);
     }
 
     /** Returns whether the request may be run once more, beside the given number of runs that are still open. */
@@ -315,7 +312,7 @@
     }
 
     /** Makes an attempt that has responded the only one. */
-    private void takeOver(UpstreamAttempt responding) {
+    void takeOver(UpstreamAttempt responding) {
         if (stalledAttempt == null) {
             return;
         }
@@ -337,7 +334,10 @@
         currentAttempt.checkProgressLater();
     }
 
-    /** Removes an attempt that has ended without a usable response; returns whether another one goes on. */
+    /**
+     * Removes an attempt that has ended without a usable response; returns whether another one goes on. A stalled run
+     * whose replacement failed is replaced again only after a further check, so that it does not use up the budget.
+     */
     private boolean remove(UpstreamAttempt endedAttempt) {
         excludedUpstreams.add(endedAttempt.upstream().id());
         if (endedAttempt == stalledAttempt) {
@@ -348,9 +348,7 @@
         if (stalledAttempt == null) {
             return false;
         }
-        if (!replace(stalledAttempt)) {
-            returnToStalledAttempt();
-        }
+        returnToStalledAttempt();
         return true;
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -275,6 +275,8 @@
         metadata.idleTimeoutMillis().ifPresent(connection::setIdleLimitMillis);
         if (!isStreaming) {
             recordFirstResponsePart();
+        } else if (metadata.signed()) {
+            relayedRequest.takeOver(this);
         }
         return true;
     }
