Do not take a slow caller for a stalled upstream

While a caller reads slowly, the response is not read, and the upstream counted as stalled: the request was sent again and the upstream blamed. The check now pauses with the reading. A connection whose exchange ended while its reading was paused went back to the pool unread, and the next request on it would have got no response; reading is switched on with each exchange.

StallDetectorTest.responseThatIsNotReadIsNotStalled covers the check; no test covers the connection.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StallDetector.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StallDetector.java
@@ -4,12 +4,14 @@
  * Decides whether an upstream has stalled while it processes a request.
  *
  * <p>A request that is queued at an upstream which makes progress with other requests is not stalled; once its response
- * has started, only its own progress counts.
+ * has started, only its own progress counts. While the response is not read, because the caller reads slowly, the
+ * upstream is not stalled.
  */
 public final class StallDetector {
     private long limitMillis;
     private long lastProgressMillis;
     private boolean responseStarted;
+    private boolean paused;
 
     private StallDetector(long limitMillis, long nowMillis) {
         this.limitMillis = limitMillis;
@@ -36,6 +38,21 @@
         lastProgressMillis = nowMillis;
     }
 
+    /** Records that the response is not read for now. */
+    public void onPaused() {
+        paused = true;
+    }
+
+    /**
+     * Records that the response is read again.
+     *
+     * @param nowMillis the current time
+     */
+    public void onResumed(long nowMillis) {
+        paused = false;
+        lastProgressMillis = nowMillis;
+    }
+
     /** Records that the response has started, so that progress with other requests no longer counts. */
     public void onResponseStarted() {
         responseStarted = true;
@@ -64,9 +81,12 @@
      *
      * @param upstreamStalledMillis how long the upstream has made no progress with any request
      * @param nowMillis the current time
-     * @return the time in milliseconds
+     * @return the time in milliseconds, 0 while the response is not read
      */
     public long stalledMillis(long upstreamStalledMillis, long nowMillis) {
+        if (paused) {
+            return 0;
+        }
         long ownMillis = nowMillis - lastProgressMillis;
         return responseStarted ? ownMillis : Math.min(ownMillis, upstreamStalledMillis);
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -91,6 +91,8 @@
         inResponse = false;
         skippingResponse = false;
         requestWritten = false;
+        // The previous exchange may have ended while its reading was paused.
+        setReading(true);
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         if (body.isReadable() || !method.equals(HttpMethod.GET)) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -349,11 +349,22 @@
         }
         completeEvents.forEach(event -> relayedRequest.onEvent(this, status, headers, event));
         if (!relayedRequest.exchange().isWritable()) {
-            connection.setReading(false);
-            relayedRequest.exchange().setWritableListener(() -> connection.setReading(true));
+            pauseReading();
         }
     }
 
+    /** Applies the back-pressure of a caller that reads slowly. */
+    private void pauseReading() {
+        stallDetector.onPaused();
+        connection.setReading(false);
+        relayedRequest.exchange().setWritableListener(() -> {
+            if (!ended) {
+                stallDetector.onResumed(nowMillis());
+                connection.setReading(true);
+            }
+        });
+    }
+
     private void scheduleEventGapCheck() {
         progressTimer.cancel(false);
         long gapMillis = request().route().targetEventGapMillis();
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/StallDetectorTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/StallDetectorTest.java
@@ -43,4 +43,15 @@
         assertEquals(400, detector.remainingMillis(0, 1_100));
         assertEquals(0, detector.remainingMillis(0, 1_500));
     }
+
+    /** Guards against replacing an upstream because its caller reads slowly. */
+    @Test
+    void responseThatIsNotReadIsNotStalled() {
+        StallDetector detector = StallDetector.create(LIMIT_MILLIS, 0);
+        detector.onResponseStarted();
+        detector.onPaused();
+        assertEquals(LIMIT_MILLIS, detector.remainingMillis(0, 5_000));
+        detector.onResumed(6_000);
+        assertEquals(600, detector.remainingMillis(0, 6_100));
+    }
 }
