Accept no connection and drop no pipelined request while a node stops

A stopping node listened until it exited. A connection accepted between its last check of open connections and its exit was lost, with its request if that had been read already. The node now stops listening when it begins to close idle connections, and exits at the next check at the earliest, so the last connection accepted is counted. Also, a connection was closed after the current response although further requests had been read from it; it is now closed after the last of them.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -53,8 +53,9 @@
         this.server = server;
     }
 
+    /** Returns whether the connection is to be closed after the current response. */
     boolean isDraining() {
-        return server.isDraining();
+        return server.isDraining() && pipelined.isEmpty();
     }
 
     @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
@@ -207,10 +207,16 @@
         List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMillis, idleMillis));
     }
 
-    /** Stops listening. */
-    public void close() {
-        if (serverChannel != null) {
+    /**
+     * Stops listening; connections that were accepted before stay open.
+     *
+     * @return whether the server was listening until now
+     */
+    public boolean close() {
+        boolean wasListening = serverChannel != null && serverChannel.isOpen();
+        if (wasListening) {
             serverChannel.close();
         }
+        return wasListening;
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -424,8 +424,11 @@
         if (now - stopRequestedAtMillis < BALANCER_REACTION_MILLIS) {
             return;
         }
+        // A connection that is accepted while the process exits would be lost with its request; the last one accepted
+        // is counted by the next check.
+        boolean wasListening = callerServer.close();
         callerServer.closeIdle(now, TICK_MILLIS);
-        if (callerServer.openRequestCount() == 0 && callerServer.connectionCount() == 0) {
+        if (!wasListening && callerServer.openRequestCount() == 0 && callerServer.connectionCount() == 0) {
             done.countDown();
         }
     }
