Do not count a planned leave of an upstream as a crash

A request whose connection was lost at an upstream was made a suspect when the upstream's entry disappeared within four seconds, also if the upstream had announced that it leaves. After two of these, equal requests were refused at the instance for two minutes, and their retries too. An upstream that was leaving is now not reported as down.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -337,8 +337,12 @@
         long now = clock.monotonicMillis();
         try {
             UpstreamId upstream = UpstreamId.fromString(id);
+            boolean wasLeaving =
+                    directory.find(upstream).map(known -> known.isLeaving()).orElse(false);
             directory.remove(upstream, wasRecentlyUnavailable(now), now);
-            crashDetector.onUpstreamDown(upstream, now);
+            if (!wasLeaving) {
+                crashDetector.onUpstreamDown(upstream, now);
+            }
             log.event("upstream.gone")
                     .with("upstream", id)
                     .with("storeWasAway", wasRecentlyUnavailable(now))
