Print log lines and faults for each lost request of the soak

A LOST violation named the request and nothing else, and the faults were listed without times. For each lost request the soak now prints how its connection ended, the faults that were in effect from 10 s before it, with their times, and the lines of its node's log on the request and on the node's start and stop. The checks and the choice of faults are unchanged.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
@@ -72,6 +72,8 @@
         boolean nonRepeatable = path.startsWith("/once/");
         site.invariants().onSent(id, path);
         long sentAtNanos = System.nanoTime();
+        long sentAtEpochMillis = System.currentTimeMillis();
+        String ending = "end of the stream before a response";
         RawHttpCaller.Response response;
         try {
             socket.getOutputStream()
@@ -79,10 +81,13 @@
                             .getBytes(StandardCharsets.ISO_8859_1));
             response = RawHttpCaller.read(socket.getInputStream());
         } catch (IOException e) {
+            ending = e.toString();
             response = new RawHttpCaller.Response(0, Map.of(), "", false);
         }
         if (response.status() == 0 && site.invariants().hasStartedToRun(id) && !node.hadRecentFault(sentAtNanos)) {
-            site.invariants().addViolation("LOST: " + id + " ran and its connection ended without a response");
+            int nodeIndex = site.nodes().indexOf(node);
+            site.invariants()
+                    .onLost(new SoakLostRequest(id, nodeIndex, sentAtEpochMillis, System.currentTimeMillis(), ending));
         }
         if (route > 0 && response.status() != 0 && response.status() != 503) {
             checkRouteVisibility(node, incarnation, route, response.status());
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
@@ -26,7 +26,7 @@
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final List<Future<?>> activeFaults = new ArrayList<>();
     private final Set<SoakNode> nodesWithSignalFault = new HashSet<>();
-    private final List<String> history = new ArrayList<>();
+    private final List<SoakFault> history = new ArrayList<>();
 
     SoakFaultInjector(SoakSite site, long seed) {
         this.site = site;
@@ -37,81 +37,44 @@
         void run() throws IOException, InterruptedException;
     }
 
-    private enum Kind {
-        /** Pauses a node process (SIGSTOP). */
-        PAUSE,
-        /** Kills a node process (SIGKILL) and starts a new one. */
-        KILL,
-        /** Terminates a node process (SIGTERM) and starts a new one. */
-        TERMINATE,
-        /** Makes a node process reload its settings (SIGHUP). */
-        RELOAD_SETTINGS,
-        /** Cuts the connections of callers to a node. */
-        CALLERS_CUT,
-        /** Stalls the open connections of callers to a node. */
-        CALLERS_STALLED,
-        /** Cuts the connections of a node to the store. */
-        STORE_CUT,
-        /** Holds back what the store sends to a node. */
-        STORE_RESPONSES_HELD,
-        /** Stalls the open connections of a node to the store. */
-        STORE_STALLED,
-        /** Delays the bytes between a node and the store. */
-        STORE_SLOW,
-        /** Drops the change history of the store, so that watchers have to read all keys again. */
-        STORE_HISTORY_DROPPED,
-        /** Makes the store unavailable. */
-        STORE_AWAY,
-        /** Cuts the connections of a node to the endpoint for usage reports. */
-        PLATFORM_CUT,
-        /** Cuts the connections of all nodes to an upstream. */
-        UPSTREAM_CUT,
-        /** Stalls the open connections of all nodes to an upstream. */
-        UPSTREAM_STALLED,
-        /** Holds back what an upstream sends to the nodes. */
-        UPSTREAM_RESPONSES_HELD,
-        /** Removes the store entry of an upstream. */
-        UPSTREAM_UNLISTED,
-        /** Publishes the next configuration. */
-        CONFIG_CHANGE
-    }
-
     /** Starts faults at random intervals for the given time. */
     void run(long durationMillis) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(durationMillis);
         while (System.nanoTime() < endNanos) {
-            Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
-            SoakNode node = site.nodes().get(random.nextInt(site.nodes().size()));
+            SoakFaultKind kind = SoakFaultKind.values()[random.nextInt(SoakFaultKind.values().length)];
+            int nodeIndex = random.nextInt(site.nodes().size());
             int upstreamIndex = random.nextInt(site.upstreams().relays().size());
             long faultMillis = 1 + random.nextInt(MAXIMUM_FAULT_MILLIS);
-            history.add(kind + " " + site.nodes().indexOf(node) + " " + upstreamIndex + " " + faultMillis);
-            inject(kind, node, upstreamIndex, faultMillis);
+            SoakFault fault = SoakFault.create(kind, nodeIndex, upstreamIndex, faultMillis, System.currentTimeMillis());
+            history.add(fault);
+            inject(fault);
             TimeUnit.MILLISECONDS.sleep(
                     MINIMUM_INTERVAL_MILLIS + random.nextInt(MAXIMUM_INTERVAL_MILLIS - MINIMUM_INTERVAL_MILLIS));
         }
     }
 
-    private void inject(Kind kind, SoakNode node, int upstreamIndex, long faultMillis) {
-        TcpRelay relay = site.upstreams().relays().get(upstreamIndex);
-        switch (kind) {
+    private void inject(SoakFault fault) {
+        SoakNode node = site.nodes().get(fault.nodeIndex());
+        TcpRelay relay = site.upstreams().relays().get(fault.upstreamIndex());
+        switch (fault.kind()) {
             case PAUSE ->
-                startSignalFault(node, () -> {
+                startSignalFault(fault, node, () -> {
                     node.process().pause();
-                    TimeUnit.MILLISECONDS.sleep(faultMillis);
+                    TimeUnit.MILLISECONDS.sleep(fault.faultMillis());
                     node.process().resume();
                 });
             case KILL ->
-                startSignalFault(node, () -> {
+                startSignalFault(fault, node, () -> {
                     node.process().kill();
                     node.restart();
                 });
             case TERMINATE ->
-                startSignalFault(node, () -> {
+                startSignalFault(fault, node, () -> {
                     node.process().terminate();
                     node.restart();
                 });
             case RELOAD_SETTINGS ->
-                startSignalFault(node, () -> {
+                startSignalFault(fault, node, () -> {
                     // SIGHUP would end a process that has not installed its signal handler yet.
                     if (node.isReady()) {
                         node.process().reloadSettings();
@@ -119,7 +82,7 @@
                 });
             case CALLERS_CUT ->
                 startTimedFault(
-                        faultMillis,
+                        fault,
                         () -> {
                             node.recordFault();
                             node.callerRelay().cut();
@@ -131,42 +94,43 @@
             case CALLERS_STALLED -> {
                 node.recordFault();
                 node.callerRelay().stallOpenConnections();
+                fault.onEnded(System.currentTimeMillis());
             }
-            case STORE_CUT -> startTimedFault(faultMillis, node.storeRelay()::cut, node.storeRelay()::restore);
+            case STORE_CUT -> startTimedFault(fault, node.storeRelay()::cut, node.storeRelay()::restore);
             case STORE_RESPONSES_HELD ->
-                startTimedFault(
-                        faultMillis, () -> node.storeRelay().hold(Direction.FROM_TARGET), node.storeRelay()::restore);
-            case STORE_STALLED -> node.storeRelay().stallOpenConnections();
+                startTimedFault(fault, () -> node.storeRelay().hold(Direction.FROM_TARGET), node.storeRelay()::restore);
+            case STORE_STALLED -> injectImmediateFault(fault, node.storeRelay()::stallOpenConnections);
             case STORE_SLOW ->
                 startTimedFault(
-                        faultMillis,
+                        fault,
                         () -> node.storeRelay().setDelayMillis(STORE_DELAY_MILLIS),
                         () -> node.storeRelay().setDelayMillis(0));
-            case STORE_HISTORY_DROPPED -> site.store().dropHistory();
+            case STORE_HISTORY_DROPPED -> injectImmediateFault(fault, site.store()::dropHistory);
             case STORE_AWAY ->
                 startTimedFault(
-                        faultMillis,
+                        fault,
                         () -> site.store().faults().setUnavailable(true),
                         () -> site.store().faults().setUnavailable(false));
-            case PLATFORM_CUT -> startTimedFault(faultMillis, node.platformRelay()::cut, node.platformRelay()::restore);
-            case UPSTREAM_CUT -> startTimedFault(faultMillis, relay::cut, relay::restore);
-            case UPSTREAM_STALLED -> relay.stallOpenConnections();
+            case PLATFORM_CUT -> startTimedFault(fault, node.platformRelay()::cut, node.platformRelay()::restore);
+            case UPSTREAM_CUT -> startTimedFault(fault, relay::cut, relay::restore);
+            case UPSTREAM_STALLED -> injectImmediateFault(fault, relay::stallOpenConnections);
             case UPSTREAM_RESPONSES_HELD ->
-                startTimedFault(faultMillis, () -> relay.hold(Direction.FROM_TARGET), relay::restore);
+                startTimedFault(fault, () -> relay.hold(Direction.FROM_TARGET), relay::restore);
             case UPSTREAM_UNLISTED ->
                 startTimedFault(
-                        faultMillis,
-                        () -> site.upstreams().setListed(upstreamIndex, false),
-                        () -> site.upstreams().setListed(upstreamIndex, true));
-            case CONFIG_CHANGE -> site.publishNextConfig();
-            default -> throw new IllegalStateException("unknown fault: " + kind);
+                        fault,
+                        () -> site.upstreams().setListed(fault.upstreamIndex(), false),
+                        () -> site.upstreams().setListed(fault.upstreamIndex(), true));
+            case CONFIG_CHANGE -> injectImmediateFault(fault, site::publishNextConfig);
+            default -> throw new IllegalStateException("unknown fault: " + fault.kind());
         }
     }
 
     /** Starts a signal fault unless one is active at the node. */
-    private void startSignalFault(SoakNode node, Step step) {
+    private void startSignalFault(SoakFault fault, SoakNode node, Step step) {
         synchronized (nodesWithSignalFault) {
             if (!nodesWithSignalFault.add(node)) {
+                fault.onSkipped();
                 return;
             }
         }
@@ -174,6 +138,7 @@
             try {
                 step.run();
             } finally {
+                fault.onEnded(System.currentTimeMillis());
                 synchronized (nodesWithSignalFault) {
                     nodesWithSignalFault.remove(node);
                 }
@@ -181,14 +146,20 @@
         });
     }
 
-    private void startTimedFault(long faultMillis, Step begin, Step end) {
+    private void startTimedFault(SoakFault fault, Step begin, Step end) {
         start(() -> {
             begin.run();
-            TimeUnit.MILLISECONDS.sleep(faultMillis);
+            TimeUnit.MILLISECONDS.sleep(fault.faultMillis());
             end.run();
+            fault.onEnded(System.currentTimeMillis());
         });
     }
 
+    private static void injectImmediateFault(SoakFault fault, Runnable step) {
+        step.run();
+        fault.onEnded(System.currentTimeMillis());
+    }
+
     private void start(Step step) {
         activeFaults.add(executor.submit(() -> {
             step.run();
@@ -205,8 +176,13 @@
         executor.shutdown();
     }
 
+    /** Returns the faults chosen so far; to be called by the thread that runs the injector. */
+    List<SoakFault> history() {
+        return List.copyOf(history);
+    }
+
     @Override
     public String toString() {
-        return history.toString();
+        return history.stream().map(SoakFault::choice).toList().toString();
     }
 }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
@@ -37,6 +37,7 @@
     private final Map<Long, String> holderByFencingNumber = new HashMap<>();
     private final Map<Integer, Integer> responsesByStatus = new HashMap<>();
     private final List<String> violations = new CopyOnWriteArrayList<>();
+    private final List<SoakLostRequest> lostRequests = new CopyOnWriteArrayList<>();
     private long highestFencingNumber;
 
     synchronized void onSent(String id, String path) {
@@ -94,6 +95,12 @@
         return true;
     }
 
+    /** Records that a request ran and its connection ended without a response, with no recent fault of that connection. */
+    void onLost(SoakLostRequest lost) {
+        lostRequests.add(lost);
+        addViolation("LOST: " + lost.id() + " ran and its connection ended without a response");
+    }
+
     void addViolation(String violation) {
         violations.add(violation);
     }
@@ -102,6 +109,10 @@
         return violations;
     }
 
+    List<SoakLostRequest> lostRequests() {
+        return lostRequests;
+    }
+
     synchronized int responseCount(int status) {
         return responsesByStatus.getOrDefault(status, 0);
     }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
@@ -68,6 +68,9 @@
             String summary = "seed " + seed + ": " + site.invariants()
                     + ", chosen faults (kind, node, upstream, milliseconds): " + faults;
             System.out.println(summary);
+            for (SoakLostRequest lost : site.invariants().lostRequests()) {
+                System.out.println(SoakEvidence.of(lost, site.nodes().get(lost.nodeIndex()), faults.history()));
+            }
             List<String> violations = new ArrayList<>(site.invariants().violations());
             violations.removeIf(
                     violation -> IGNORED_VIOLATION_KIND.equals(violation.substring(0, violation.indexOf(':'))));
