--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/TcpRelay.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/TcpRelay.java
@@ -23,6 +23,7 @@
  *
  * <ul>
  *   <li>{@link #cut()}: resets all connections and refuses new ones;
+ *   <li>{@link #resetOpenConnections()}: resets the connections that are open now, while new ones work;
  *   <li>{@link #hold}: bytes of one direction are held back until {@link #restore()}, as in a network partition;
  *   <li>{@link #stallOpenConnections()}: the connections that are open now deliver nothing any more, not even the end
  *       of the stream, while new ones work;
@@ -114,6 +115,15 @@
         awaitAcceptorEnd(closedAcceptor);
     }
 
+    /** Resets the connections that are open now; new ones work. */
+    void resetOpenConnections() {
+        List<RelayLink> openLinks;
+        synchronized (lock) {
+            openLinks = List.copyOf(links);
+        }
+        openLinks.forEach(RelayLink::reset);
+    }
+
     /**
      * Holds back the bytes of one direction on all connections, open and new, until {@link #restore()}.
      *
