--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -30,12 +29,6 @@
      */
     private static final List<Long> REGRESSION_SEEDS = List.of(4L);
 
-    /**
-     * Kind of violation, as {@link SoakInvariants} lists them, that is printed but does not fail the test, for a known
-     * fault that KNOWN-RED.txt lists; CI sets it. When it is empty, every violation fails the test.
-     */
-    private static final String IGNORED_VIOLATION_KIND = System.getProperty("soak.passOver", "");
-
     private static final int FAULT_SECONDS = Integer.getInteger("soak.seconds", 12);
     private static final int NODE_COUNT = Integer.getInteger("soak.nodes", 3);
     private static final int CALLER_COUNT = Integer.getInteger("soak.callers", 12);
@@ -71,10 +64,7 @@
             for (SoakLostRequest lost : site.invariants().lostRequests()) {
                 System.out.println(SoakEvidence.of(lost, site.nodes().get(lost.nodeIndex()), faults.history()));
             }
-            List<String> violations = new ArrayList<>(site.invariants().violations());
-            violations.removeIf(
-                    violation -> IGNORED_VIOLATION_KIND.equals(violation.substring(0, violation.indexOf(':'))));
-            assertEquals(List.of(), violations, summary);
+            assertEquals(List.of(), site.invariants().violations(), summary);
             assertTrue(site.invariants().responseCount(200) > 0, summary);
         }
     }
