Refuse connections to a stand-in once its crash returns

EtcdKeyValueStoreTest.writeThatCannotConnectHasNoEffectAndTheNextAddressIsTried got UNKNOWN_EFFECT for NO_EFFECT, alone on the machine. The client was right: it had opened a connection and sent the write. The stand-in closed its listening socket, but the operating system accepts connections until the accepting thread has left accept(), and crash() did not wait for that. TcpRelay.cut() waits for the same reason.

The socket's close() now returns only after accept() has ended.

--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInServer.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInServer.java
@@ -131,7 +131,7 @@
         return faults.isPaused() || stalledConnections.contains(connection);
     }
 
-    /** Opens the port; retries while the accepting thread of an earlier start still holds it. */
+    /** Opens the port; retries while it is in use. */
     private HttpServer listen() throws IOException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BIND_TIMEOUT_MILLIS);
         while (true) {
@@ -152,6 +152,7 @@
         return ServerBootstrap.bootstrap()
                 .setLocalAddress(InetAddress.getLoopbackAddress())
                 .setListenerPort(port)
+                .setServerSocketFactory(ListeningSocket.factory())
                 .setSocketConfig(SocketConfig.custom()
                         .setSoReuseAddress(true)
                         .setTcpNoDelay(true)
