--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeComponents.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeComponents.java
@@ -81,13 +81,13 @@
     private PeerServer peerServer;
     private NodeIdentity identity;
     private ConfigDistributor config;
+    private NodeReadiness readiness;
     private DeferredCoordination coordination;
     private HeartbeatService heartbeats;
     private Optional<InstanceListPoller> instanceListPoller = Optional.empty();
     private UpstreamLoadPoller loadPoller;
     private HttpListener callerListener;
     private HttpListener operatorListener;
-    private volatile boolean stopping;
 
     private NodeComponents(NodeSettings settings, Optional<SpanExporter> spanExporter) throws CactusshiftException {
         this.settings = settings;
@@ -150,6 +150,7 @@
                 .setContactAgeMillis(() -> freshness.contactAgeMillis(monotonicMillis.getAsLong()))
                 .setMonotonicMillis(monotonicMillis)
                 .build();
+        readiness = NodeReadiness.create(config, freshness);
         UpstreamDrains drains = new UpstreamDrains(config, dispatch, monotonicMillis);
         PlannedChangeDependencies changes = new PlannedChangeDependencies(
                 config, membership, drains, executors.workers(), NodeMetrics.registerPlannedChanges(registry));
@@ -262,16 +263,7 @@
     }
 
     private Optional<String> notReadyReason() {
-        if (stopping) {
-            return Optional.of("the node is shutting down");
-        }
-        if (config.active().isEmpty()) {
-            // The configuration may have been installed between the two calls; the next check sees it.
-            return Optional.of(config.missingConfigReason().orElse("the configuration is being installed"));
-        }
-        return freshness.status(monotonicMillis.getAsLong()) == KeyFreshness.Status.CUT_OFF
-                ? Optional.of("the node can't show that its view of the keys is recent")
-                : Optional.empty();
+        return readiness.notReadyReason(monotonicMillis.getAsLong());
     }
 
     private int openRequests() {
@@ -316,7 +308,7 @@
      *     interrupted before that
      */
     public boolean stop() {
-        stopping = true;
+        readiness.markStopping();
         heartbeats.announceLeaving();
         boolean allRequestsCompleted = stopListener(callerListener);
         loadPoller.close();
