Report a node ready only once it can dispatch requests

KeyRevocationTest got "503 no_upstream" from a node that had just reported ready. A configuration is active before the subscribers have run, and the node creates its dispatchers after it has started its coordination. A read of the head by the installing thread counts as store contact only afterwards, so that a node alone isn't ready too early; a node to which a peer or another thread has already shown a fresh contact was ready in between.

Readiness now asks the dispatch service whether it has a configuration.

--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeComponents.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeComponents.java
@@ -150,7 +150,7 @@
                 .setContactAgeMillis(() -> freshness.contactAgeMillis(monotonicMillis.getAsLong()))
                 .setMonotonicMillis(monotonicMillis)
                 .build();
-        readiness = NodeReadiness.create(config, freshness);
+        readiness = NodeReadiness.create(config, dispatch, freshness);
         UpstreamDrains drains = new UpstreamDrains(config, dispatch, monotonicMillis);
         PlannedChangeDependencies changes = new PlannedChangeDependencies(
                 config, membership, drains, executors.workers(), NodeMetrics.registerPlannedChanges(registry));
@@ -256,7 +256,8 @@
     /**
      * Returns whether the node accepts requests.
      *
-     * @return true if it has a configuration, can decide which API keys are valid, and is not stopping
+     * @return true if it has a configuration and can dispatch requests, can decide which API keys are valid, and is not
+     *     stopping
      */
     public boolean isReady() {
         return notReadyReason().isEmpty();
--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeReadiness.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/NodeReadiness.java
@@ -2,21 +2,24 @@
 
 import java.util.Optional;
 import org.cactusshift.internal.coordination.configsync.ConfigDistributor;
+import org.cactusshift.internal.coordination.dispatch.DispatchService;
 import org.cactusshift.internal.coordination.key.KeyFreshness;
 
 /** Decides whether a node accepts requests. Thread-safe. */
 final class NodeReadiness {
     private final ConfigDistributor config;
+    private final DispatchService dispatch;
     private final KeyFreshness freshness;
     private volatile boolean stopping;
 
-    private NodeReadiness(ConfigDistributor config, KeyFreshness freshness) {
+    private NodeReadiness(ConfigDistributor config, DispatchService dispatch, KeyFreshness freshness) {
         this.config = config;
+        this.dispatch = dispatch;
         this.freshness = freshness;
     }
 
-    static NodeReadiness create(ConfigDistributor config, KeyFreshness freshness) {
-        return new NodeReadiness(config, freshness);
+    static NodeReadiness create(ConfigDistributor config, DispatchService dispatch, KeyFreshness freshness) {
+        return new NodeReadiness(config, dispatch, freshness);
     }
 
     /** Records that the node is shutting down. */
@@ -29,8 +32,8 @@
         if (stopping) {
             return Optional.of("the node is shutting down");
         }
-        if (config.active().isEmpty()) {
-            // The configuration may have been installed between the two calls; the next check sees it.
+        // The configuration is active before the dispatchers are created.
+        if (dispatch.installedVersion() == 0) {
             return Optional.of(config.missingConfigReason().orElse("the configuration is being installed"));
         }
         return freshness.status(nowMillis) == KeyFreshness.Status.CUT_OFF
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
@@ -52,6 +52,7 @@
     private final Set<SynchronizedDispatcher> retiredDispatchers = ConcurrentHashMap.newKeySet();
 
     private final ScheduledFuture<?> ticker;
+    private volatile long installedVersion;
 
     private DispatchService(DispatcherFactory factory, LongSupplier clockMillis, ScheduledExecutorService scheduler) {
         this.factory = factory;
@@ -96,6 +97,16 @@
                 retiredDispatchers.add(dispatcher);
             }
         }
+        installedVersion = installed.version();
+    }
+
+    /**
+     * Returns the version of the configuration whose services have dispatchers.
+     *
+     * @return the version; 0 before the first configuration was installed
+     */
+    public long installedVersion() {
+        return installedVersion;
     }
 
     /**
