Add failing tests for answers cut at a silent upstream of the gateway

A stream is then cut with the error retry_budget, and a call that may run only once is answered 502 although nothing may replace its attempt.

The tests use the dispatcher of the product. They count the checks of the open request, which come at each 100 ms of a wait, to know that the progress timeout has passed.

--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/EngineFaultsTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/EngineFaultsTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.cactusshift.internal.coordination.dispatch.AttemptEnd.Outcome;
 import org.cactusshift.internal.transport.http.RawClient;
 import org.cactusshift.internal.transport.http.ScriptedServer;
@@ -20,6 +21,9 @@
 
 class EngineFaultsTest {
     private static final long TIMEOUT_MILLIS = 10_000;
+    /** Longer than the progress timeout of the gateway. */
+    private static final long SHORT_REQUEST_TIMEOUT_MILLIS = 1_500;
+
     private static final String FIRST_DELTA = "{\"role\":\"assistant\",\"content\":\"aaa \"}";
 
     /** A fault of the first engine, after which the second must answer. */
@@ -299,4 +303,119 @@
             assertTrue(stopped.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
         }
     }
+
+    /**
+     * Starts an engine that is silent before its response or after the first token, counts down {@code silent} then,
+     * and goes on after {@code released}.
+     */
+    private static ScriptedServer pausing(boolean inStream, CountDownLatch silent, CountDownLatch released)
+            throws IOException {
+        return ScriptedServer.start((request, socket, out) -> {
+            if (!inStream) {
+                silent.countDown();
+                released.await();
+            }
+            FakeEngine.writeHead(out, request.header("X-Request-Id"));
+            FakeEngine.writeEvent(out, FakeEngine.chunk(FIRST_DELTA, "null"));
+            if (inStream) {
+                silent.countDown();
+                released.await();
+            }
+            FakeEngine.writeEvent(out, FakeEngine.chunk("{\"content\":\"end\"}", "\"stop\""));
+            FakeEngine.writeEvent(out, "[DONE]");
+            FakeEngine.writeEnd(out);
+        });
+    }
+
+    /** Guards against giving up a silent engine before a retry is granted, which cuts the answer. */
+    @ParameterizedTest
+    @CsvSource({
+        // retry budget ratio, engines, in the stream, streamed to the caller
+        "0,2,true,true",
+        "0,2,true,false",
+        "0,2,false,true",
+        "0.2,1,true,true",
+        "0.2,1,true,false",
+        "0.2,1,false,true"
+    })
+    void silentEngineIsNotGivenUpWhileNoRetryIsPossible(
+            double retryBudgetRatio, int engineCount, boolean inStream, boolean stream) throws Exception {
+        CountDownLatch silent = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        try (ScriptedServer first = pausing(inStream, silent, released);
+                ScriptedServer second = pausing(inStream, silent, released);
+                GatewayFixture gateway = GatewayFixture.withServiceDispatcher(
+                        GatewayFixture.MODEL,
+                        retryBudgetRatio,
+                        GatewayFixture.REQUEST_TIMEOUT_MILLIS,
+                        Stream.of(first.address(), second.address())
+                                .limit(engineCount)
+                                .toArray(String[]::new))) {
+            CompletableFuture<HttpResponse<String>> response =
+                    gateway.postAsync("/v1/chat/completions", GatewayFixture.chatBody(stream));
+            assertTrue(silent.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            gateway.awaitProgressTimeout(response);
+            released.countDown();
+            String body = response.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).body();
+            assertTrue(body.contains("aaa ") && body.contains("end"), body);
+            assertTrue(!stream || body.endsWith("data: [DONE]\n\n"), body);
+            assertEquals(
+                    1,
+                    first.receivedRequests().size() + second.receivedRequests().size());
+        }
+    }
+
+    /** Starts an engine that sends one token and then nothing until its connection is closed. */
+    private static ScriptedServer unresponsive(CountDownLatch silent, CompletableFuture<Void> connectionClosed)
+            throws IOException {
+        return ScriptedServer.start((request, socket, out) -> {
+            FakeEngine.writeHead(out, request.header("X-Request-Id"));
+            FakeEngine.writeEvent(out, FakeEngine.chunk(FIRST_DELTA, "null"));
+            silent.countDown();
+            if (socket.getInputStream().read() < 0) {
+                connectionClosed.complete(null);
+            }
+        });
+    }
+
+    /** Guards against a stream that never ends when its engine is dead and no retry is possible. */
+    @Test
+    void streamOfAnUnresponsiveEngineEndsAtTheDefaultDeadline() throws Exception {
+        CompletableFuture<Void> connectionClosed = new CompletableFuture<>();
+        try (ScriptedServer engine = unresponsive(new CountDownLatch(1), connectionClosed);
+                GatewayFixture gateway = GatewayFixture.withServiceDispatcher(
+                        GatewayFixture.MODEL, 0, SHORT_REQUEST_TIMEOUT_MILLIS, engine.address())) {
+            HttpResponse<String> response = gateway.chat(true);
+            assertTrue(response.body().contains("aaa "), response.body());
+            assertTrue(response.body().contains("\"deadline_exceeded\""), response.body());
+            assertFalse(response.body().contains("[DONE]"));
+            connectionClosed.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Guards against holding a silent engine after its answer is no longer needed. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void silentAttemptEndsWhenItsCallerDisconnectsOrItsKeyIsWithdrawn(boolean disconnects) throws Exception {
+        CountDownLatch silent = new CountDownLatch(1);
+        CompletableFuture<Void> connectionClosed = new CompletableFuture<>();
+        try (ScriptedServer engine = unresponsive(silent, connectionClosed);
+                GatewayFixture gateway = GatewayFixture.withServiceDispatcher(
+                        GatewayFixture.MODEL, 0, GatewayFixture.REQUEST_TIMEOUT_MILLIS, engine.address());
+                RawClient caller = RawClient.connect(gateway.listener.address())) {
+            String body = GatewayFixture.chatBody(true);
+            caller.send("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+                    + GatewayFixture.BEARER_TOKEN + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            assertTrue(silent.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            gateway.awaitProgressTimeout(connectionClosed);
+            assertFalse(connectionClosed.isDone(), "the engine was given up");
+            if (disconnects) {
+                caller.close();
+            } else {
+                gateway.keyValid = false;
+            }
+            connectionClosed.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            GatewayFixture.await(() -> gateway.dispatch.openRequests() == 0);
+        }
+    }
 }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/GatewayFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/GatewayFixture.java
@@ -17,10 +17,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -32,6 +36,7 @@
 import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.KeyId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.SiteId;
@@ -39,6 +44,8 @@
 import org.cactusshift.internal.coordination.configsync.ConfigSource;
 import org.cactusshift.internal.coordination.configsync.VersionedConfig;
 import org.cactusshift.internal.coordination.dispatch.DispatchService;
+import org.cactusshift.internal.coordination.dispatch.DispatcherOptions;
+import org.cactusshift.internal.coordination.dispatch.ServiceDispatcher;
 import org.cactusshift.internal.coordination.key.KeyVerdict;
 import org.cactusshift.internal.coordination.key.KeyVerifier;
 import org.cactusshift.internal.coordination.usage.UsageRecord;
@@ -46,6 +53,7 @@
 import org.cactusshift.internal.transport.http.HttpClientSettings;
 import org.cactusshift.internal.transport.http.HttpListener;
 import org.cactusshift.internal.transport.http.ListenerSettings;
+import org.cactusshift.internal.transport.http.ResponseNeededCheck;
 
 /** A gateway on a loopback port whose collaborators are fakes. */
 final class GatewayFixture implements AutoCloseable {
@@ -57,12 +65,18 @@
     private static final AccountId ACCOUNT = AccountId.fromString("crew");
     private static final KeyId KEY_ID = KeyId.fromString("k1");
     private static final long TIMEOUT_MILLIS = 10_000;
+    private static final long SEED = 20261204L;
+    /** The deadline of requests whose caller names none. */
+    static final long REQUEST_TIMEOUT_MILLIS = 30_000;
 
     final Map<ServiceId, FakeDispatcher> dispatchers = new ConcurrentHashMap<>();
     final FakeClaimRegistry claims = new FakeClaimRegistry();
     final List<UsageRecord> usageRecords = Collections.synchronizedList(new ArrayList<>());
     final LongSupplier monotonicMillis = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(2);
+    /** How often the gateway has read the clock; an open request reads it at each check while it waits. */
+    private final AtomicInteger clockReadings = new AtomicInteger();
+
     final VersionedConfig config;
     final DispatchService dispatch;
     final HttpClientPool pool;
@@ -75,9 +89,18 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     private GatewayFixture(List<UpstreamConfig> upstreams) throws IOException {
-        config = new VersionedConfig(1, site(upstreams));
+        this(upstreams, REQUEST_TIMEOUT_MILLIS, Optional.empty());
+    }
+
+    private GatewayFixture(
+            List<UpstreamConfig> upstreams,
+            long requestTimeoutMillis,
+            Optional<DispatchService.DispatcherFactory> dispatcherFactory)
+            throws IOException {
+        config = new VersionedConfig(1, site(upstreams, requestTimeoutMillis));
         dispatch = DispatchService.create(
-                (service, site) -> dispatchers.computeIfAbsent(service.id(), id -> new FakeDispatcher()),
+                dispatcherFactory.orElse(
+                        (service, site) -> dispatchers.computeIfAbsent(service.id(), id -> new FakeDispatcher())),
                 monotonicMillis,
                 scheduler);
         dispatch.install(config);
@@ -92,7 +115,7 @@
                 pool,
                 OpenTelemetry.noop().getTracer("test"),
                 GatewayMetrics.create(new PrometheusRegistry()),
-                monotonicMillis,
+                this::readGatewayClock,
                 Clock.systemUTC(),
                 () -> true);
         listener = HttpListener.open(
@@ -109,6 +132,21 @@
         return new GatewayFixture(upstreams(PLAIN_SERVICE, addresses));
     }
 
+    /**
+     * Starts a gateway with the dispatcher of the product instead of a fake.
+     *
+     * @param retryBudgetRatio the retries allowed per request; 0 allows none
+     * @param requestTimeoutMillis the deadline of requests whose caller names none
+     */
+    static GatewayFixture withServiceDispatcher(
+            ServiceId service, double retryBudgetRatio, long requestTimeoutMillis, String... addresses)
+            throws IOException {
+        DispatchService.DispatcherFactory factory = (config, site) -> ServiceDispatcher.create(
+                new DispatcherOptions(IncarnationId.fromString("n1"), config.kind(), 100, retryBudgetRatio),
+                new Random(SEED));
+        return new GatewayFixture(upstreams(service, addresses), requestTimeoutMillis, Optional.of(factory));
+    }
+
     private static List<UpstreamConfig> upstreams(ServiceId service, String... addresses) {
         List<UpstreamConfig> upstreams = new ArrayList<>();
         for (String address : addresses) {
@@ -127,7 +165,7 @@
         return upstreams;
     }
 
-    private static SiteConfig site(List<UpstreamConfig> upstreams) {
+    private static SiteConfig site(List<UpstreamConfig> upstreams, long requestTimeoutMillis) {
         AccountConfig account = new AccountConfig(ACCOUNT, 1, 1_000_000, 100, List.of(MODEL, PLAIN_SERVICE), List.of());
         ServiceConfig model = new ServiceConfig(MODEL, ServiceConfig.Kind.MODEL, "1", false, false, List.of());
         ServiceConfig plain =
@@ -139,8 +177,8 @@
         ServiceConfig forbiddenModel = new ServiceConfig(
                 ServiceId.fromString("other-lm"), ServiceConfig.Kind.MODEL, "1", false, false, List.of());
         LimitsConfig limits = new LimitsConfig(64 * 1024, 8 * 1024, 64, 100, 0.1, 100);
-        TimingConfig timing =
-                new TimingConfig(30_000, 400, 1000, 500, 1000, 3000, 10_000, 5000, 10_000, 1000, 10_000, 10_000);
+        TimingConfig timing = new TimingConfig(
+                requestTimeoutMillis, 400, 1000, 500, 1000, 3000, 10_000, 5000, 10_000, 1000, 10_000, 10_000);
         return new SiteConfig(
                 1,
                 SiteId.fromString("be-coast"),
@@ -228,6 +266,29 @@
                 + (stream ? ",\"stream_options\":{\"include_usage\":true}}" : "}");
     }
 
+    private long readGatewayClock() {
+        clockReadings.incrementAndGet();
+        return monotonicMillis.getAsLong();
+    }
+
+    /**
+     * Waits until the only open request has been checked so often that its upstream, silent since before the call, has
+     * exceeded the progress timeout, or until the response ends before.
+     */
+    void awaitProgressTimeout(Future<?> response) throws InterruptedException {
+        long timeoutMillis = config.config().timing().upstreamProgressTimeoutMillis();
+        long checks = timeoutMillis / ResponseNeededCheck.CHECK_INTERVAL_MILLIS + 4;
+        long end = clockReadings.get() + checks;
+        await(() -> clockReadings.get() >= end || response.isDone());
+    }
+
+    /** Sends a request in another thread. */
+    CompletableFuture<HttpResponse<String>> postAsync(String path, String body) {
+        return client.sendAsync(
+                request(path).POST(HttpRequest.BodyPublishers.ofString(body)).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Waits until a condition holds; fails after {@link #TIMEOUT_MILLIS}. */
     static void await(BooleanSupplier condition) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/ServiceGatewayTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/ServiceGatewayTest.java
@@ -10,6 +10,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.internal.transport.http.RawClient;
@@ -298,4 +299,95 @@
             assertEquals(1, service.connectionCount());
         }
     }
+
+    /** Where a response is interrupted by a silence of its upstream. */
+    enum Silence {
+        BEFORE_RESPONSE(0),
+        IN_BUFFERED_BODY(8),
+        /** The part of the response before the silence has reached the caller. */
+        IN_STREAMED_BODY(100_000);
+
+        private static final String PART = "0123456789";
+
+        private final int bytesBefore;
+
+        Silence(int bytesBefore) {
+            this.bytesBefore = bytesBefore;
+        }
+
+        String body() {
+            return PART.repeat(bytesBefore / PART.length() + 1);
+        }
+
+        /** Starts an upstream that counts down {@code silent} and goes on after {@code released}. */
+        ScriptedServer start(CountDownLatch silent, CountDownLatch released) throws IOException {
+            byte[] response = ("HTTP/1.1 201 Created\r\nContent-Length: " + body().length() + "\r\n\r\n" + body())
+                    .getBytes(StandardCharsets.US_ASCII);
+            int before = this == BEFORE_RESPONSE ? 0 : response.length - body().length() + bytesBefore;
+            return ScriptedServer.start((request, socket, out) -> {
+                out.write(response, 0, before);
+                silent.countDown();
+                released.await();
+                out.write(response, before, response.length - before);
+            });
+        }
+    }
+
+    /**
+     * Guards against giving up a silent upstream before a retry is granted, which loses the outcome of a call that may
+     * run only once.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // path, retry budget ratio
+        "/pay,0.2,BEFORE_RESPONSE",
+        "/pay,0.2,IN_BUFFERED_BODY",
+        "/pay,0.2,IN_STREAMED_BODY",
+        "/balance,0,BEFORE_RESPONSE",
+        "/balance,0,IN_BUFFERED_BODY",
+        "/balance,0.2,IN_STREAMED_BODY"
+    })
+    void silentUpstreamIsNotGivenUpWhileNoRetryIsPossible(String path, double retryBudgetRatio, Silence silence)
+            throws Exception {
+        CountDownLatch silent = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        try (ScriptedServer first = silence.start(silent, released);
+                ScriptedServer second = silence.start(silent, released);
+                GatewayFixture gateway = GatewayFixture.withServiceDispatcher(
+                        GatewayFixture.PLAIN_SERVICE,
+                        retryBudgetRatio,
+                        GatewayFixture.REQUEST_TIMEOUT_MILLIS,
+                        first.address(),
+                        second.address())) {
+            CompletableFuture<HttpResponse<String>> response = gateway.postAsync("/services/settle-app" + path, "body");
+            assertTrue(silent.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            gateway.awaitProgressTimeout(response);
+            released.countDown();
+            HttpResponse<String> received = response.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            assertEquals(201, received.statusCode(), received.body());
+            assertEquals(silence.body(), received.body());
+            assertEquals(
+                    1,
+                    first.receivedRequests().size() + second.receivedRequests().size());
+        }
+    }
+
+    /** Guards against holding a call that may run only once after its deadline. */
+    @Test
+    void nonRepeatableCallOfAnUnresponsiveUpstreamEndsAtItsDeadline() throws Exception {
+        CountDownLatch connectionClosed = new CountDownLatch(1);
+        try (ScriptedServer service = ScriptedServer.start((request, socket, out) -> {
+                    if (socket.getInputStream().read() < 0) {
+                        connectionClosed.countDown();
+                    }
+                });
+                GatewayFixture gateway = GatewayFixture.withServiceDispatcher(
+                        GatewayFixture.PLAIN_SERVICE, 0.2, GatewayFixture.REQUEST_TIMEOUT_MILLIS, service.address())) {
+            // Longer than the progress timeout of the gateway.
+            HttpResponse<String> response = gateway.post(PAY_PATH, "body", "x-cactusshift-timeout-ms", "1500");
+            assertEquals(504, response.statusCode());
+            assertEquals("unknown", outcome(response));
+            assertTrue(connectionClosed.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        }
+    }
 }
