Extract the open attempts and the routing queries of the dispatcher

OpenAttempts keeps the attempts and their load at the upstreams, RequestRouter asks the routing policy. No change of behaviour: ServiceDispatcherTest and ServiceDispatcherPropertyTest pass, 29 tests.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/PendingRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/PendingRequest.java
@@ -1,5 +1,7 @@
 package org.cactusshift.internal.coordination.dispatch;
 
+import org.cactusshift.config.ServiceConfig;
+
 /** A request that has arrived and has no final response yet. */
 final class PendingRequest {
     final DispatchRequest request;
@@ -37,6 +39,12 @@
         return nowMillis >= (deliveredTokens == 0 ? latestStartMillis : request.deadlineMillis());
     }
 
+    /** Returns whether the request may be sent again after an attempt that may have run it, in part or whole. */
+    boolean mayRunAgain(ServiceConfig.Kind kind) {
+        boolean resumable = kind == ServiceConfig.Kind.MODEL || deliveredTokens == 0;
+        return request.repeatable() && resumable;
+    }
+
     /** Returns the prompt and expected output tokens, which the account limiter counts at the admission. */
     long expectedTotalTokens() {
         return request.promptTokens() + expectedOutputTokens;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -14,7 +14,6 @@
 import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.AttemptId;
-import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.fairness.RequestQueue;
@@ -24,7 +23,6 @@
 import org.cactusshift.internal.coordination.retry.RetryBudget;
 import org.cactusshift.internal.coordination.routing.Candidate;
 import org.cactusshift.internal.coordination.routing.FleetView;
-import org.cactusshift.internal.coordination.routing.OutputDeadline;
 import org.cactusshift.internal.coordination.routing.PrefixIndex;
 import org.cactusshift.internal.coordination.routing.RouteQuery;
 import org.cactusshift.internal.coordination.routing.RoutingDecision;
@@ -64,25 +62,20 @@
     private final RemotePrefillRate remotePrefillRate = new RemotePrefillRate();
     private final DecisionLog decisionLog = new DecisionLog();
     private final Map<RequestId, PendingRequest> pendingById = new HashMap<>();
-    private final Map<AttemptId, Attempt> attemptById = new HashMap<>();
+    private final OpenAttempts openAttempts;
+    private final RequestRouter router;
     private final AccountTotalsCounter accountTotals = new AccountTotalsCounter();
-    private double nodePosition;
     private long blockedUntilMillis = Long.MIN_VALUE;
-    private long nextAttempt;
 
     private ServiceDispatcher(DispatcherOptions options, DispatchPolicy policy, RandomGenerator random) {
         this.options = Objects.requireNonNull(options, "options");
         this.policy = Objects.requireNonNull(policy, "policy");
         this.random = Objects.requireNonNull(random, "random");
         this.queue = policy.queueing().create();
+        this.openAttempts = new OpenAttempts(options.incarnation());
         this.retryBudget = RetryBudget.create(options.retryBudgetRatio(), RETRY_RESERVE_COUNT);
-        this.nodePosition = initialPosition(options.incarnation());
-    }
-
-    /** Returns a position from 0 to below 1, by a Fibonacci hash, for a node whose live peers are not known yet. */
-    private static double initialPosition(IncarnationId incarnation) {
-        long hash = incarnation.value().hashCode() * 0x9E3779B97F4A7C15L;
-        return (hash >>> 11) * 0x1.0p-53;
+        this.router =
+                new RequestRouter(policy, fleet, suspectScheduler, longPromptPartition, options.incarnation(), random);
     }
 
     /**
@@ -195,10 +188,10 @@
 
     @Override
     public void onProgress(AttemptId attempt, int outputTokens, long nowMillis) {
-        Attempt openAttempt = attemptById.get(attempt);
-        if (openAttempt == null) {
-            return;
-        }
+        openAttempts.find(attempt).ifPresent(openAttempt -> onProgress(openAttempt, outputTokens));
+    }
+
+    private void onProgress(Attempt openAttempt, int outputTokens) {
         openAttempt.reportedOutputTokens += outputTokens;
         openAttempt.outputDeadline.onTokens(outputTokens);
         countDelivered(openAttempt.pending, outputTokens);
@@ -214,23 +207,25 @@
 
     @Override
     public List<DispatchDecision> onAttemptEnd(AttemptId attempt, AttemptEnd end, long nowMillis) {
-        Attempt endedAttempt = attemptById.remove(attempt);
-        if (endedAttempt == null) {
+        Optional<Attempt> endedAttempt = openAttempts.find(attempt);
+        if (endedAttempt.isEmpty()) {
             return List.of();
         }
-        endedAttempt.upstream.onEnd(endedAttempt.requiredBlocks, nowMillis);
-        endedAttempt.upstream.remove(endedAttempt.outputDeadline);
-        blockedUntilMillis = Long.MIN_VALUE;
-        endedAttempt.prefillEngine.ifPresent(engine -> engine.onEnd(0, nowMillis));
-        countDelivered(endedAttempt.pending, Math.max(0, end.outputTokens() - endedAttempt.reportedOutputTokens));
-        if (endedAttempt.runsAlone) {
-            suspectScheduler.releaseReservation(endedAttempt.upstream.id());
-        }
-        List<DispatchDecision> decisions = new ArrayList<>(applyOutcome(endedAttempt, end.outcome(), nowMillis));
+        close(attempt, endedAttempt.get(), end, nowMillis);
+        List<DispatchDecision> decisions = new ArrayList<>(applyOutcome(endedAttempt.get(), end.outcome(), nowMillis));
         decisions.addAll(processQueues(nowMillis));
         return decisions;
     }
 
+    private void close(AttemptId id, Attempt attempt, AttemptEnd end, long nowMillis) {
+        openAttempts.close(id, nowMillis);
+        blockedUntilMillis = Long.MIN_VALUE;
+        countDelivered(attempt.pending, Math.max(0, end.outputTokens() - attempt.reportedOutputTokens));
+        if (attempt.runsAlone) {
+            suspectScheduler.releaseReservation(attempt.upstream.id());
+        }
+    }
+
     private List<DispatchDecision> applyOutcome(Attempt attempt, AttemptEnd.Outcome outcome, long nowMillis) {
         PendingRequest pending = attempt.pending;
         UpstreamHealth health = attempt.upstream.health();
@@ -284,8 +279,7 @@
 
     private List<DispatchDecision> retryAfterLoss(PendingRequest pending, long nowMillis) {
         pending.mayHaveRun = true;
-        boolean resumable = options.kind() == ServiceConfig.Kind.MODEL || pending.deliveredTokens == 0;
-        if (!pending.request.repeatable() || !resumable) {
+        if (!pending.mayRunAgain(options.kind())) {
             return List.of(refuse(pending, DispatchDecision.Reason.UPSTREAM_LOST, nowMillis));
         }
         return retry(pending, nowMillis);
@@ -341,8 +335,7 @@
 
     @Override
     public void onLiveNodes(int index, int liveNodeCount) {
-        nodePosition = (double) index / liveNodeCount;
-        longPromptPartition.setLiveNodes(liveNodeCount);
+        router.setLiveNodes(index, liveNodeCount);
     }
 
     @Override
@@ -393,9 +386,7 @@
      * @return the number of attempts; 0 when a drain is complete at this node
      */
     public int openAttempts(UpstreamId upstream) {
-        return (int) attemptById.values().stream()
-                .filter(attempt -> attempt.uses(upstream))
-                .count();
+        return openAttempts.count(upstream);
     }
 
     /**
@@ -466,7 +457,7 @@
 
     private void sendRetries(List<DispatchDecision> decisions, long nowMillis) {
         while (!retries.isEmpty()) {
-            Optional<RoutingDecision> route = route(retries.peekFirst(), nowMillis);
+            Optional<RoutingDecision> route = router.choose(retries.peekFirst(), nowMillis);
             if (route.isEmpty()) {
                 return;
             }
@@ -489,7 +480,7 @@
     /** Sends or refuses the first queued request that can be routed; a long prompt does not block a short one. */
     private boolean sendOrRefuseNext(List<DispatchDecision> decisions, long nowMillis) {
         for (PendingRequest pending : queue.heads(MAXIMUM_QUEUE_HEADS)) {
-            Optional<RoutingDecision> route = route(pending, nowMillis);
+            Optional<RoutingDecision> route = router.choose(pending, nowMillis);
             if (route.isPresent()) {
                 decisions.add(sendOrRefuse(pending, route.get(), nowMillis));
                 return true;
@@ -513,52 +504,21 @@
         return nowMillis + chosen.completionMillis() > pending.request.deadlineMillis();
     }
 
-    private Optional<RoutingDecision> route(PendingRequest pending, long nowMillis) {
-        return policy.routing().choose(fleet, query(pending, nowMillis), nowMillis, random);
-    }
-
-    private RouteQuery query(PendingRequest pending, long nowMillis) {
-        return new RouteQuery(
-                pending.request,
-                pending.request.promptTokens() + pending.deliveredTokens,
-                pending.remainingOutputTokens(),
-                suspectScheduler.reservedIds(),
-                policy.protectsNonRepeatable() && !pending.request.repeatable(),
-                longPromptPartition.share(fleet.upstreams().size(), nowMillis),
-                nodePosition);
-    }
-
     private DispatchDecision send(PendingRequest pending, RoutingDecision route, boolean alone, long nowMillis) {
-        UpstreamState upstream = route.upstream();
-        RouteQuery query = query(pending, nowMillis);
-        boolean probe = upstream.health().state(nowMillis) == UpstreamHealth.State.PROBE_DUE;
-        if (probe) {
-            upstream.health().onProbe();
-        }
+        RouteQuery query = router.query(pending, nowMillis);
         long uncachedTokens = Math.max(0, query.prefillTokens() - route.chosen().cachedTokens());
-        UpstreamState prefillEngine = route.prefill().orElse(upstream);
-        prefillEngine.onSend(uncachedTokens, prefillEngine == upstream ? query.requiredBlocks() : 0, nowMillis);
-        if (prefillEngine != upstream) {
-            upstream.onSend(0, query.requiredBlocks(), nowMillis);
-        }
-        fleet.prefixes().onSend(prefillEngine.id(), pending.request.prefixHashes());
+        AttemptId id = openAttempts.open(pending, route, query, uncachedTokens, alone, nowMillis);
+        UpstreamId prefillEngine = route.prefill().orElse(route.upstream()).id();
+        fleet.prefixes().onSend(prefillEngine, pending.request.prefixHashes());
         pendingById.remove(pending.request.id());
         pending.sentUncachedTokens += uncachedTokens;
         accountTotals.onPrefill(pending.request.account(), uncachedTokens);
-        OutputDeadline deadline =
-                OutputDeadline.create(pending.request.deadlineMillis(), pending.remainingOutputTokens());
-        upstream.add(deadline);
-        AttemptId id = AttemptId.fromString(options.incarnation().value() + "-" + Long.toString(nextAttempt++, 36));
-        attemptById.put(
-                id,
-                new Attempt(
-                        pending, upstream, route.prefill(), nowMillis, query.requiredBlocks(), deadline, probe, alone));
         boolean resume = options.kind() == ServiceConfig.Kind.MODEL && pending.deliveredTokens > 0;
         long firstTokenMillis = Math.round(route.chosen().firstTokenMillis());
         DispatchDecision decision = new DispatchDecision.Dispatch(
                 pending.request.id(),
                 id,
-                upstream.id(),
+                route.upstream().id(),
                 resume,
                 firstTokenMillis,
                 route.prefill().map(UpstreamState::id));
