Keep a silent attempt of the gateway until its replacement is granted

Callers of the gateway saw answers cut, or 502 and 503, when an engine paused longer than the progress timeout and no retry was possible: the retry budget was used up, no other engine was there, or the call may run only once.

Now the silence is reported to the dispatcher first. Dispatcher.replaceSilent ends the attempt only together with the dispatch of another one: the request may run again, its deadline has not passed, the quarantine is clear, another upstream takes it now, and a retry is taken from the budget, all under the lock of the service. Otherwise the read goes on and asks again at each check. Deadline, disconnected callers and withdrawn keys end it as before. A silent stream also ends at a deadline that its caller did not name, as a dead connection would else hold a thread for ever. The silence counts at once as a failure of the upstream, so that it gets no new requests.

A silent prefill needs no replacement, as the decode engine can process the prompt itself. An answer whose closing events alone are missing is complete on silence, as before. A stream that no engine can resume, and a plain response that the caller has in part, are not replaced.

Residual: the silent attempt ends before its replacement has responded, as one thread serves a request. If the replacement is then refused or lost and no retry is left, the answer is cut. A silent attempt waits for a place at another upstream without precedence over the queue, and a suspect of the quarantine is not replaced; both may wait until their deadline.

FakeDispatcher gives up a silent attempt as if a replacement had been granted. The existing case EngineFaultsTest.reportsWhetherAFailedRequestMayHaveRun, SILENT with one engine, thereby covers a granted replacement that is refused; with the dispatcher of the product such a request now ends at its deadline.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Attempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Attempt.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.coordination.dispatch;
 
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.routing.OutputDeadline;
 import org.cactusshift.internal.coordination.routing.UpstreamState;
@@ -25,6 +26,8 @@
     /** Output tokens that were reported as delivered before the end of the attempt. */
     long reportedOutputTokens;
 
+    private boolean silenceCounted;
+
     Attempt(
             PendingRequest pending,
             UpstreamState upstream,
@@ -44,6 +47,14 @@
         this.runsAlone = runsAlone;
     }
 
+    /** Records that the upstream is silent, which counts once for each attempt as a failure of the upstream. */
+    void onSilence(long nowMillis, RandomGenerator random) {
+        if (!silenceCounted) {
+            silenceCounted = true;
+            upstream.health().onFailure(nowMillis, random);
+        }
+    }
+
     boolean uses(UpstreamId id) {
         return upstream.id().equals(id)
                 || prefillEngine.filter(engine -> engine.id().equals(id)).isPresent();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchTicket.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchTicket.java
@@ -61,6 +61,18 @@
         dispatcher.onAttemptEnd(attempt, end);
     }
 
+    /**
+     * Reports that the upstream of an open attempt is silent. If another attempt can replace it now, the silent one
+     * ends, and the decision about the other one follows; its end need not be reported again.
+     *
+     * @param attempt the attempt
+     * @param end how it ends if it is replaced
+     * @return whether it was replaced; false when it stays open
+     */
+    public boolean replaceSilent(AttemptId attempt, AttemptEnd end) {
+        return dispatcher.replaceSilent(attempt, end);
+    }
+
     /**
      * Abandons the request: a queued request is removed from the queue, an open attempt is ended as cancelled. Does
      * nothing when the request has ended.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Dispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Dispatcher.java
@@ -57,6 +57,20 @@
      */
     List<DispatchDecision> onAttemptEnd(AttemptId attempt, AttemptEnd end, long nowMillis);
 
+    /**
+     * Replaces an open attempt whose upstream is silent, if the request may run again and can be sent to another
+     * upstream now. The attempt then ends as {@link AttemptEnd.Outcome#SILENT}; otherwise it stays open. May be called
+     * again while the silence lasts.
+     *
+     * @param attempt the attempt
+     * @param end the end of the attempt if it is replaced
+     * @param nowMillis the current time
+     * @return the decisions to carry out now, among them the new attempt; empty when the attempt stays open
+     */
+    default List<DispatchDecision> replaceSilent(AttemptId attempt, AttemptEnd end, long nowMillis) {
+        return List.of();
+    }
+
     /**
      * Removes a request whose caller cancelled it before dispatch.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/RequestRouter.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/RequestRouter.java
@@ -1,8 +1,11 @@
 package org.cactusshift.internal.coordination.dispatch;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.IncarnationId;
+import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.routing.FleetView;
 import org.cactusshift.internal.coordination.routing.RouteQuery;
 import org.cactusshift.internal.coordination.routing.RoutingDecision;
@@ -46,12 +49,23 @@
         return policy.routing().choose(fleet, query(pending, nowMillis), nowMillis, random);
     }
 
+    /** Chooses an upstream other than the given one. */
+    Optional<RoutingDecision> chooseOther(PendingRequest pending, UpstreamId current, long nowMillis) {
+        Set<UpstreamId> excluded = new HashSet<>(suspectScheduler.reservedIds());
+        excluded.add(current);
+        return policy.routing().choose(fleet, query(pending, excluded, nowMillis), nowMillis, random);
+    }
+
     RouteQuery query(PendingRequest pending, long nowMillis) {
+        return query(pending, suspectScheduler.reservedIds(), nowMillis);
+    }
+
+    private RouteQuery query(PendingRequest pending, Set<UpstreamId> excluded, long nowMillis) {
         return new RouteQuery(
                 pending.request,
                 pending.request.promptTokens() + pending.deliveredTokens,
                 pending.remainingOutputTokens(),
-                suspectScheduler.reservedIds(),
+                excluded,
                 policy.protectsNonRepeatable() && !pending.request.repeatable(),
                 longPromptPartition.share(fleet.upstreams().size(), nowMillis),
                 nodePosition);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -226,6 +226,37 @@
         }
     }
 
+    @Override
+    public List<DispatchDecision> replaceSilent(AttemptId attempt, AttemptEnd end, long nowMillis) {
+        Optional<Attempt> silentAttempt = openAttempts.find(attempt);
+        if (silentAttempt.isEmpty()) {
+            return List.of();
+        }
+        silentAttempt.get().onSilence(nowMillis, random);
+        Optional<RoutingDecision> replacement = replacementOf(silentAttempt.get(), nowMillis);
+        if (replacement.isEmpty() || !retryBudget.tryRetry()) {
+            return List.of();
+        }
+        PendingRequest pending = silentAttempt.get().pending;
+        close(attempt, silentAttempt.get(), end, nowMillis);
+        pending.mayHaveRun = true;
+        List<DispatchDecision> decisions = new ArrayList<>();
+        decisions.add(send(pending, replacement.get(), false, nowMillis));
+        decisions.addAll(processQueues(nowMillis));
+        return decisions;
+    }
+
+    /** Returns where a request may be sent now instead of to its silent upstream; a suspect must wait to run alone. */
+    private Optional<RoutingDecision> replacementOf(Attempt silentAttempt, long nowMillis) {
+        PendingRequest pending = silentAttempt.pending;
+        if (!pending.mayRunAgain(options.kind())
+                || pending.isTooLate(nowMillis)
+                || verdict(pending.request, nowMillis) != Quarantine.Verdict.CLEAR) {
+            return Optional.empty();
+        }
+        return router.chooseOther(pending, silentAttempt.upstream.id(), nowMillis);
+    }
+
     private List<DispatchDecision> applyOutcome(Attempt attempt, AttemptEnd.Outcome outcome, long nowMillis) {
         PendingRequest pending = attempt.pending;
         UpstreamHealth health = attempt.upstream.health();
@@ -250,7 +281,7 @@
                 recordCrash(attempt, nowMillis);
                 return retryAfterLoss(pending, nowMillis);
             case SILENT:
-                health.onFailure(nowMillis, random);
+                attempt.onSilence(nowMillis, random);
                 return retryAfterLoss(pending, nowMillis);
             default:
                 throw new IllegalStateException("unknown outcome " + outcome);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/SynchronizedDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/SynchronizedDispatcher.java
@@ -75,6 +75,19 @@
         deliver(dispatcher.onAttemptEnd(attempt, end, clockMillis.getAsLong()));
     }
 
+    synchronized boolean replaceSilent(AttemptId attempt, AttemptEnd end) {
+        if (!openAttemptById.containsKey(attempt)) {
+            return false;
+        }
+        List<DispatchDecision> decisions = dispatcher.replaceSilent(attempt, end, clockMillis.getAsLong());
+        if (decisions.isEmpty()) {
+            return false;
+        }
+        openAttemptById.remove(attempt);
+        deliver(decisions);
+        return true;
+    }
+
     private static boolean endsRequest(AttemptEnd.Outcome outcome) {
         return outcome == AttemptEnd.Outcome.COMPLETED || outcome == AttemptEnd.Outcome.CANCELLED;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/CompletionSource.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/CompletionSource.java
@@ -130,6 +130,7 @@
             return onOpenFailed(dispatch, EngineAttempt.FailedOpen.of(Outcome.CANCELLED));
         }
         additionalPromptTokens = completion.resumeTokens(assembler.text());
+        monitor.setSilentAttemptReplacer(() -> isGivenUpWhenSilent(dispatch));
         Either<EngineAttempt.FailedOpen, EngineAttempt> opened =
                 EngineAttempt.open(request, completion.kind(), dispatch, address.get(), body, monitor);
         if (opened.isRight()) {
@@ -139,6 +140,18 @@
         return onOpenFailed(dispatch, opened.getLeft());
     }
 
+    /** Returns whether a silent attempt is given up, because another one replaces it or its answer is complete. */
+    private boolean isGivenUpWhenSilent(Dispatch dispatch) {
+        if (assembler.isFinished()) {
+            return true;
+        }
+        if (!assembler.isResumable() && !isBuffered) {
+            return false;
+        }
+        long outputTokens = attempt == null ? 0 : attempt.deliveredTokens();
+        return ticket.replaceSilent(dispatch.attempt(), new AttemptEnd(Outcome.SILENT, 0, outputTokens));
+    }
+
     /**
      * Ends an answer that has reached its length limit or that no engine can resume. Returns empty when a further
      * attempt follows, which resumes the answer, or starts it anew if nothing has been delivered.
@@ -178,7 +191,8 @@
         if (address.isEmpty()) {
             return Optional.empty();
         }
-        PrefillStep step = new PrefillStep(request, completion.kind(), dispatch, monitor);
+        // A silent prefill is given up without a replacement, as the decode engine can process the prompt itself.
+        PrefillStep step = new PrefillStep(request, completion.kind(), dispatch, monitor::isResponseNeeded);
         Optional<byte[]> body = step.run(address.get(), engineRequest);
         mayHaveRun |= step.mayHaveRun();
         return body;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/RequestMonitor.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/RequestMonitor.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.transport.gateway;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.cactusshift.id.KeyId;
 import org.cactusshift.internal.transport.http.ResponseNeededCheck;
 
@@ -29,6 +30,7 @@
     private long nextKeyCheckMillis;
     private boolean responseStarted;
     private boolean endsOnlyAtDeadline;
+    private BooleanSupplier silentAttemptReplacer = () -> true;
     private Reason reason;
 
     RequestMonitor(GatewayRequest request, Caller caller, Deadline deadline) {
@@ -55,6 +57,14 @@
         endsOnlyAtDeadline = true;
     }
 
+    /**
+     * Sets the action for a silent attempt, for the attempts from now on: it replaces the attempt if that is possible,
+     * and returns whether the attempt is given up. It is repeated while the silence lasts.
+     */
+    void setSilentAttemptReplacer(BooleanSupplier replacer) {
+        silentAttemptReplacer = replacer;
+    }
+
     Optional<Reason> reason() {
         return Optional.ofNullable(reason);
     }
@@ -68,6 +78,16 @@
         return reason == null;
     }
 
+    /**
+     * Returns whether a silent attempt is given up: when it was replaced, or when any deadline has passed, which else
+     * would not end a response that has started.
+     */
+    @Override
+    public boolean isAbandonedWhenSilent() {
+        long nowMillis = request.dependencies().monotonicMillis().getAsLong();
+        return nowMillis >= deadline.atMillis() || silentAttemptReplacer.getAsBoolean();
+    }
+
     private Reason findReason(long nowMillis) {
         if (nowMillis >= deadline.atMillis() && (deadline.setByCaller() || !responseStarted)) {
             return Reason.DEADLINE;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/ServiceCall.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/ServiceCall.java
@@ -97,6 +97,8 @@
         if (!dispatchRequest.repeatable()) {
             monitor.endOnlyAtDeadline();
         }
+        monitor.setSilentAttemptReplacer(
+                () -> ticket.replaceSilent(dispatch.attempt(), new AttemptEnd(Outcome.SILENT, 0, 0)));
         Span span = RequestTracing.startAttempt(
                 request.dependencies().tracer(), request.span(), dispatch.attempt(), dispatch.upstream());
         try {
@@ -185,6 +187,8 @@
                 .orElse(-1L);
         boolean delivered = false;
         monitor.onResponseStarted();
+        // No other attempt can go on with a response that the caller has in part.
+        monitor.setSilentAttemptReplacer(() -> false);
         try {
             send(exchange, Optional.of(new EntityTemplate(length, null, null, out -> copy(buffered, exchange, out))));
             delivered = true;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/ResponseNeededCheck.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/ResponseNeededCheck.java
@@ -18,4 +18,14 @@
      * @return false if the exchange is to be abandoned
      */
     boolean isResponseNeeded();
+
+    /**
+     * Returns whether an exchange is abandoned that has made no progress for the progress timeout. Polled like {@link
+     * #isResponseNeeded} while the silence lasts.
+     *
+     * @return false if the exchange goes on
+     */
+    default boolean isAbandonedWhenSilent() {
+        return true;
+    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/UpstreamConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/UpstreamConnection.java
@@ -15,7 +15,7 @@
 
 /**
  * A connection to an upstream. It records whether bytes of a request may have been sent, and limits the time without
- * progress.
+ * progress unless the {@link ResponseNeededCheck} lets a silent exchange go on.
  */
 final class UpstreamConnection extends DefaultBHttpClientConnection
         implements DeadlineSweeper.MonitoredConnection, WriteObservedOutputStream.WriteObserver {
@@ -203,7 +203,7 @@
             }
             lastCheckMillis = monotonicMillis.getAsLong();
             long stalledMillis = lastCheckMillis - readStartMillis;
-            if (stalledMillis >= progressTimeoutMillis) {
+            if (stalledMillis >= progressTimeoutMillis && responseNeededCheck.isAbandonedWhenSilent()) {
                 throw HttpExchangeException.of(
                         Reason.SILENT, "await response", address, "no progress for " + stalledMillis + " ms");
             }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcherTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcherTest.java
@@ -11,7 +11,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import org.cactusshift.config.ServiceConfig;
+import org.cactusshift.id.IncarnationId;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspectReport;
 import org.cactusshift.internal.coordination.quarantine.Quarantine;
 import org.junit.jupiter.api.Test;
@@ -23,6 +25,8 @@
     /** A time at which nodes have exchanged the suspects of a crash at time 0. */
     private static final long SUSPECTS_EXCHANGED_MILLIS = 2_000;
 
+    private static final AttemptEnd SILENT_END = new AttemptEnd(AttemptEnd.Outcome.SILENT, 0, 0);
+
     @ParameterizedTest
     @CsvSource({
         "PLAIN, false, NOT_RUN, true",
@@ -241,4 +245,80 @@
         assertNotEquals(first.upstream(), second.upstream());
         assertEquals(List.of(), dispatcher.crashSuspects(20));
     }
+
+    /** Why a silent attempt can't be replaced. */
+    enum Obstacle {
+        NON_REPEATABLE,
+        NO_OTHER_UPSTREAM,
+        NO_RETRY_BUDGET,
+        DEADLINE,
+        SUSPECT
+    }
+
+    /** Guards against ending an attempt at a silent upstream before its replacement is granted. */
+    @ParameterizedTest
+    @EnumSource(Obstacle.class)
+    void silentAttemptStaysOpenWhileItCanNotBeReplaced(Obstacle obstacle) {
+        double retryBudgetRatio = obstacle == Obstacle.NO_RETRY_BUDGET ? 0 : 0.2;
+        ServiceDispatcher dispatcher = ServiceDispatcher.create(
+                new DispatcherOptions(IncarnationId.fromString("n1"), ServiceConfig.Kind.MODEL, 100, retryBudgetRatio),
+                new Random(DispatchFixture.SEED));
+        int upstreamCount = obstacle == Obstacle.NO_OTHER_UPSTREAM ? 1 : 3;
+        dispatcher.onConfig(List.of(DispatchFixture.account("fonds", 1)), DispatchFixture.upstreams(upstreamCount), 0);
+        boolean repeatable = obstacle != Obstacle.NON_REPEATABLE;
+        DispatchDecision.Dispatch first = dispatched(dispatcher.submit(request("r1", "fonds", 60_000, repeatable), 0));
+        if (obstacle == Obstacle.SUSPECT) {
+            dispatcher.onRemoteCrashSuspect("r1".hashCode(), 1, 1);
+        }
+        long silentMillis = obstacle == Obstacle.DEADLINE ? 60_000 : 5_000;
+
+        // Asked again while the silence lasts, until after the upstream may be probed.
+        for (long nowMillis = silentMillis; nowMillis < silentMillis + 5_000; nowMillis += 100) {
+            assertEquals(List.of(), dispatcher.replaceSilent(first.attempt(), SILENT_END, nowMillis));
+        }
+
+        assertEquals(1, dispatcher.openAttempts(first.upstream()));
+        dispatcher.onAttemptEnd(first.attempt(), new AttemptEnd(AttemptEnd.Outcome.COMPLETED, 400, 9), 70_000);
+        assertEquals(0, dispatcher.accountTotals().get(0).requestsInFlight());
+    }
+
+    /** Guards against granting more replacements than the retry budget has retries. */
+    @Test
+    void eachReplacementOfASilentAttemptTakesARetry() {
+        int reserve = 50;
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.MODEL, 2);
+        dispatcher.onExclusionChanged(DispatchFixture.upstreams(2).get(1).id(), true, 0);
+        List<DispatchDecision.Dispatch> silent = new ArrayList<>();
+        for (int i = 0; i <= reserve; i++) {
+            silent.add(dispatched(dispatcher.submit(request("r" + i, "fonds", 60_000, true), 0)));
+        }
+        dispatcher.onExclusionChanged(DispatchFixture.upstreams(2).get(1).id(), false, 1);
+        dispatcher.onProgress(silent.get(0).attempt(), 7, 5);
+
+        for (int i = 0; i < reserve; i++) {
+            DispatchDecision.Dispatch replacement =
+                    dispatched(dispatcher.replaceSilent(silent.get(i).attempt(), SILENT_END, 5_000));
+            assertEquals(silent.get(i).request(), replacement.request());
+            assertNotEquals(silent.get(i).upstream(), replacement.upstream());
+            assertEquals(i == 0, replacement.resume());
+        }
+
+        assertEquals(List.of(), dispatcher.replaceSilent(silent.get(reserve).attempt(), SILENT_END, 5_000));
+        assertEquals(1, dispatcher.openAttempts(silent.get(0).upstream()));
+        // The end of a replaced attempt is not counted again.
+        assertEquals(List.of(), dispatcher.onAttemptEnd(silent.get(0).attempt(), SILENT_END, 5_001));
+    }
+
+    /** Guards against sending new requests to a silent upstream because its attempt is kept open. */
+    @Test
+    void silentUpstreamGetsNoNewRequestsWhileItsAttemptStaysOpen() {
+        ServiceDispatcher dispatcher = dispatcher(ServiceConfig.Kind.PLAIN, 2);
+        DispatchDecision.Dispatch first = dispatched(dispatcher.submit(request("r1", "fonds", 60_000, false), 0));
+        assertEquals(List.of(), dispatcher.replaceSilent(first.attempt(), SILENT_END, 5_000));
+        for (int i = 0; i < 20; i++) {
+            DispatchDecision.Dispatch other =
+                    dispatched(dispatcher.submit(request("o" + i, "crew", 60_000, false), 5_001));
+            assertNotEquals(first.upstream(), other.upstream());
+        }
+    }
 }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeDispatcher.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/FakeDispatcher.java
@@ -97,6 +97,12 @@
         return next(request, nowMillis);
     }
 
+    /** Gives up a silent attempt as if a replacement had been granted, which may then be refused. */
+    @Override
+    public List<DispatchDecision> replaceSilent(AttemptId attempt, AttemptEnd end, long nowMillis) {
+        return onAttemptEnd(attempt, end, nowMillis);
+    }
+
     @Override
     public List<DispatchDecision> cancel(RequestId request, long nowMillis) {
         return List.of();
