--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultKind.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultKind.java
@@ -46,8 +46,8 @@
 
     /**
      * Returns whether the fault is unplanned and interrupts a node or its connections to callers, so that the node
-     * cannot be held to respond. A termination, a reload and a configuration change are planned; faults of the store and
-     * of upstreams leave the node able to respond.
+     * cannot be held to respond. A termination, a reload and a configuration change are planned; faults of the store
+     * and of upstreams leave the node able to respond.
      */
     boolean isUnplannedInterruption() {
         return INTERRUPTING.contains(this);
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
@@ -17,8 +17,8 @@
  *   <li>REFUSED: a non-repeatable request ran although it was refused as not run;
  *   <li>DENIED: a valid request, other than a route probe, got a status for invalid requests;
  *   <li>ONE: two holders used one fencing number, or one usage window was reported with two contents;
- *   <li>LOST: a request ran and its connection ended without a response, with no recent unplanned interruption of the node
- *       or of its connections to callers;
+ *   <li>LOST: a request ran and its connection ended without a response, with no recent unplanned interruption of the
+ *       node or of its connections to callers;
  *   <li>CONFIG: a node no longer served a route that it had served before;
  *   <li>MIXED: a non-streamed response had other content than expected;
  *   <li>ORDER: a stream had other events than expected.
@@ -98,8 +98,8 @@
     }
 
     /**
-     * Records that a request ran and its connection ended without a response. It is lost unless an unplanned interruption
-     * of the node or of its connections to callers was near.
+     * Records that a request ran and its connection ended without a response. It is lost unless an unplanned
+     * interruption of the node or of its connections to callers was near.
      */
     synchronized void onCut(SoakLostRequest cut, boolean interrupted) {
         cutRequests++;
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakLostCheckTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakLostCheckTest.java
@@ -13,7 +13,7 @@
     private static final long SEED = 1;
     private static final long READY_TIMEOUT_MILLIS = 60_000;
 
-    /** Guards against counting requests that an unplanned fault cuts, and against excusing those beside planned ones. */
+    /** Guards against counting a request that an unplanned fault cuts, and against excusing one beside planned work. */
     @ParameterizedTest
     @CsvSource({
         "TERMINATE, true",
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
@@ -17,7 +17,7 @@
     private static final long STOP_TIMEOUT_MILLIS = 30_000;
     private static final long READINESS_PROBE_TIMEOUT_MILLIS = 200;
 
-    /** Time after an unplanned interruption during which lost responses are no violations, as in the platform's rules. */
+    /** Time after an unplanned interruption during which lost responses are no violations, as the platform has it. */
     private static final long INTERRUPTION_GRACE_MILLIS = 3_000;
 
     private final Path settings;
