Read a connection again when its paused exchange ends

A connection whose exchange ended while its reading was paused lay in the pool unread until its next exchange, so the upstream's close went unnoticed and the next request was sent on a dead connection. Reading is now switched on before the connection is released, not with the next request.

HttpClientConnectionTest failed before: expected <true> but was <false>; it passes now.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -91,8 +91,6 @@
         inResponse = false;
         skippingResponse = false;
         requestWritten = false;
-        // The previous exchange may have ended while its reading was paused.
-        setReading(true);
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         if (body.isReadable() || !method.equals(HttpMethod.GET)) {
@@ -188,6 +186,8 @@
         boolean reusable =
                 keepAlive && requestWritten && !outOfSync && !delimitedByClose && !closed && channel.isActive();
         if (reusable) {
+            // The exchange may have ended while its reading was paused.
+            setReading(true);
             pool.release(this);
         } else {
             channel.close();
