--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/Quarantine.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/Quarantine.java
@@ -79,11 +79,23 @@
      * @return the verdict
      */
     public Verdict verdict(long fingerprint, long nowMillis) {
-        CrashRecord crashRecord = crashRecordByFingerprint.get(fingerprint);
-        if (crashRecord == null || isExpired(crashRecord, nowMillis)) {
+        int crashes = crashCount(fingerprint, nowMillis);
+        if (crashes == 0) {
             return Verdict.CLEAR;
         }
-        return crashRecord.totalCrashes() >= REFUSAL_CRASH_COUNT ? Verdict.REFUSED : Verdict.SUSPECT;
+        return crashes >= REFUSAL_CRASH_COUNT ? Verdict.REFUSED : Verdict.SUSPECT;
+    }
+
+    /**
+     * Returns the number of crashes that are known for a fingerprint.
+     *
+     * @param fingerprint the fingerprint
+     * @param nowMillis the current monotonic time, in milliseconds
+     * @return the number of crashes, 0 after the retention time
+     */
+    public int crashCount(long fingerprint, long nowMillis) {
+        CrashRecord crashRecord = crashRecordByFingerprint.get(fingerprint);
+        return crashRecord == null || isExpired(crashRecord, nowMillis) ? 0 : crashRecord.totalCrashes();
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.coordination.serving;
 
 import java.util.ArrayDeque;
+import java.util.function.Consumer;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.quarantine.Quarantine;
 
@@ -16,22 +17,33 @@
     private static final int MAXIMUM_LOST_ATTEMPTS = 1_024;
 
     private final Quarantine quarantine;
+    private final Consumer<LostAttempt> crashListener;
     private final ArrayDeque<LostAttempt> lostAttempts = new ArrayDeque<>();
 
-    private CrashDetector(Quarantine quarantine) {
+    private CrashDetector(Quarantine quarantine, Consumer<LostAttempt> crashListener) {
         this.quarantine = quarantine;
+        this.crashListener = crashListener;
     }
 
-    private record LostAttempt(long fingerprint, UpstreamId upstream, long sentAtMillis, long lostAtMillis) {}
+    /**
+     * An attempt that ended without a complete response.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @param upstream the upstream that the request was sent to
+     * @param sentAtMillis when the request was sent
+     * @param lostAtMillis when the attempt ended
+     */
+    public record LostAttempt(long fingerprint, UpstreamId upstream, long sentAtMillis, long lostAtMillis) {}
 
     /**
      * Returns a detector without recorded lost attempts.
      *
      * @param quarantine receives the detected crashes
+     * @param crashListener receives each attempt that was lost in a crash
      * @return the detector
      */
-    public static CrashDetector create(Quarantine quarantine) {
-        return new CrashDetector(quarantine);
+    public static CrashDetector create(Quarantine quarantine, Consumer<LostAttempt> crashListener) {
+        return new CrashDetector(quarantine, crashListener);
     }
 
     /**
@@ -63,6 +75,7 @@
                     && nowMillis - attempt.lostAtMillis() <= DETECTION_WINDOW_MILLIS;
             if (matches) {
                 quarantine.onCrash(attempt.fingerprint(), upstream, attempt.sentAtMillis(), nowMillis);
+                crashListener.accept(attempt);
             }
             return matches;
         });
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -114,6 +114,8 @@
                 .with("configVersion", configVersion)
                 .with("promptTokens", request.promptTokens())
                 .with("remainingMillis", remaining)
+                .with("fingerprint", Long.toHexString(request.fingerprint()))
+                .with("crashes", context.quarantine().crashCount(request.fingerprint(), nowMillis()))
                 .write();
         if (context.quarantine().verdict(request.fingerprint(), nowMillis()) == Quarantine.Verdict.REFUSED) {
             refuse("the request crashed several upstreams", request.route().timeoutMillis());
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -141,7 +141,7 @@
         this.directory = UpstreamDirectory.create(
                 this::kvCapacityTokens,
                 Math.round(EXPIRED_ENTRY_GRACE_SHARE * settings.timing().drainMillis()));
-        CrashDetector crashDetector = CrashDetector.create(quarantine);
+        CrashDetector crashDetector = CrashDetector.create(quarantine, this::logCrash);
         this.follower = SiteStateFollower.create(
                 new SiteStateFollower.Dependencies(
                         protocol.store(),
@@ -218,6 +218,17 @@
                 random);
     }
 
+    private void logCrash(CrashDetector.LostAttempt attempt) {
+        long now = runtime.clock().monotonicMillis();
+        runtime.log()
+                .event("upstream.crashed")
+                .with("upstream", attempt.upstream().value())
+                .with("fingerprint", Long.toHexString(attempt.fingerprint()))
+                .with("lostMillisAgo", now - attempt.lostAtMillis())
+                .with("crashes", quarantine.crashCount(attempt.fingerprint(), now))
+                .write();
+    }
+
     private Optional<ServedService> service(ServiceId id) {
         return follower.config().map(config -> config.services().get(id));
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/CrashDetectorTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/CrashDetectorTest.java
@@ -8,7 +8,7 @@
 
 class CrashDetectorTest {
     private final Quarantine quarantine = Quarantine.create(60_000);
-    private final CrashDetector detector = CrashDetector.create(quarantine);
+    private final CrashDetector detector = CrashDetector.create(quarantine, crash -> {});
 
     @Test
     void lostConnectionsAloneAreNotCrashes() {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/DutyDriverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/DutyDriverTest.java
@@ -33,7 +33,7 @@
                     store,
                     FakeDecoder.of(),
                     UpstreamDirectory.create(service -> 1, 1),
-                    CrashDetector.create(Quarantine.create(1)),
+                    CrashDetector.create(Quarantine.create(1), crash -> {}),
                     eventLoop,
                     clock,
                     (event, fields) -> {},
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
@@ -56,7 +56,7 @@
                     store,
                     FakeDecoder.of(new ServedService(MODEL, "/healthz", 10, Optional.empty(), Optional.of(RULE))),
                     directory,
-                    CrashDetector.create(Quarantine.create(1)),
+                    CrashDetector.create(Quarantine.create(1), crash -> {}),
                     eventLoop,
                     clock,
                     (event, fields) -> {},
