--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/Quarantine.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/Quarantine.java
@@ -98,6 +98,18 @@
         return crashRecord == null || isExpired(crashRecord, nowMillis) ? 0 : crashRecord.totalCrashes();
     }
 
+    /**
+     * Returns the number of fingerprints that are refused.
+     *
+     * @param nowMillis the current monotonic time, in milliseconds
+     * @return the number of fingerprints
+     */
+    public long refusedCount(long nowMillis) {
+        return crashRecordByFingerprint.keySet().stream()
+                .filter(fingerprint -> verdict(fingerprint, nowMillis) == Verdict.REFUSED)
+                .count();
+    }
+
     /**
      * Returns the time until the quarantine of a fingerprint ends.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -37,6 +37,10 @@
             .name("cactusshift_relay_config_version")
             .help("The version of the configuration in force.")
             .register(registry);
+    private final Gauge refusedSuspects = Gauge.builder()
+            .name("cactusshift_relay_refused_crash_suspects")
+            .help("Fingerprints of requests that are refused because they crashed upstreams.")
+            .register(registry);
 
     /**
      * Counts a request that has ended.
@@ -87,6 +91,15 @@
         configVersion.set(version);
     }
 
+    /**
+     * Records how many fingerprints are refused because of the crashes of upstreams.
+     *
+     * @param count the number of fingerprints
+     */
+    public void onRefusedSuspects(long count) {
+        refusedSuspects.set(count);
+    }
+
     /**
      * Returns all metrics.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -282,6 +282,7 @@
     }
 
     private void respondWithMetrics(CallerExchange exchange) {
+        metrics.onRefusedSuspects(quarantine.refusedCount(runtime.clock().monotonicMillis()));
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
         exchange.respond(HttpResponseStatus.OK, headers, metrics.toText());
