Add up the crashes that different nodes observed

Cause: each node reported the crashes that it had observed itself, and the receiver kept the largest count of any peer in place of their sum. Peers that had observed one crash each counted as one, below the limit of two, so a node without a crash of its own went on. Class of fault: partial observations that are merged by maximum.

Change: CrashHistory keeps the crashes themselves in place of counts. Nodes pass on all crashes that they know, with ages; the same crash merges to its earliest times, and crashes count one after another, so that upstreams that crash together, or one that several nodes see crash, count once. Reports are limited to 64 a message: 500 suspects in two minutes would otherwise exceed the datagram of 32 KB and hide all other gossip.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/Quarantine.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/Quarantine.java
@@ -79,35 +79,11 @@
      * @return the verdict
      */
     public Verdict verdict(long fingerprint, long nowMillis) {
-        int crashes = crashCount(fingerprint, nowMillis);
-        if (crashes == 0) {
+        CrashRecord crashRecord = crashRecordByFingerprint.get(fingerprint);
+        if (crashRecord == null || isExpired(crashRecord, nowMillis)) {
             return Verdict.CLEAR;
         }
-        return crashes >= REFUSAL_CRASH_COUNT ? Verdict.REFUSED : Verdict.SUSPECT;
-    }
-
-    /**
-     * Returns the number of crashes that are known for a fingerprint.
-     *
-     * @param fingerprint the fingerprint
-     * @param nowMillis the current monotonic time, in milliseconds
-     * @return the number of crashes, 0 after the retention time
-     */
-    public int crashCount(long fingerprint, long nowMillis) {
-        CrashRecord crashRecord = crashRecordByFingerprint.get(fingerprint);
-        return crashRecord == null || isExpired(crashRecord, nowMillis) ? 0 : crashRecord.totalCrashes();
-    }
-
-    /**
-     * Returns the number of fingerprints that are refused.
-     *
-     * @param nowMillis the current monotonic time, in milliseconds
-     * @return the number of fingerprints
-     */
-    public long refusedCount(long nowMillis) {
-        return crashRecordByFingerprint.keySet().stream()
-                .filter(fingerprint -> verdict(fingerprint, nowMillis) == Verdict.REFUSED)
-                .count();
+        return crashRecord.totalCrashes() >= REFUSAL_CRASH_COUNT ? Verdict.REFUSED : Verdict.SUSPECT;
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
@@ -3,7 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import org.cactusshift.id.UpstreamId;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
+import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 
 /**
  * Distinguishes upstream crashes from lost connections: a request becomes a suspect only if its upstream is observed to
@@ -16,46 +17,46 @@
     /** The maximum number of recent lost attempts that are remembered; the oldest are dropped. */
     private static final int MAXIMUM_LOST_ATTEMPTS = 1_024;
 
-    private final Quarantine quarantine;
+    private final CrashHistory history;
     private final Consumer<LostAttempt> crashListener;
     private final ArrayDeque<LostAttempt> lostAttempts = new ArrayDeque<>();
 
-    private CrashDetector(Quarantine quarantine, Consumer<LostAttempt> crashListener) {
-        this.quarantine = quarantine;
+    private CrashDetector(CrashHistory history, Consumer<LostAttempt> crashListener) {
+        this.history = history;
         this.crashListener = crashListener;
     }
 
     /**
      * An attempt that ended without a complete response.
      *
-     * @param fingerprint the fingerprint of the request
+     * @param suspect what may have crashed the upstream
      * @param upstream the upstream that the request was sent to
      * @param sentAtMillis when the request was sent
      * @param lostAtMillis when the attempt ended
      */
-    public record LostAttempt(long fingerprint, UpstreamId upstream, long sentAtMillis, long lostAtMillis) {}
+    public record LostAttempt(CrashSuspect suspect, UpstreamId upstream, long sentAtMillis, long lostAtMillis) {}
 
     /**
      * Returns a detector without recorded lost attempts.
      *
-     * @param quarantine receives the detected crashes
+     * @param history receives the detected crashes
      * @param crashListener receives each attempt that was lost in a crash
      * @return the detector
      */
-    public static CrashDetector create(Quarantine quarantine, Consumer<LostAttempt> crashListener) {
-        return new CrashDetector(quarantine, crashListener);
+    public static CrashDetector create(CrashHistory history, Consumer<LostAttempt> crashListener) {
+        return new CrashDetector(history, crashListener);
     }
 
     /**
      * Records a request whose attempt ended without a complete response, for example because its connection was lost.
      *
-     * @param fingerprint the fingerprint of the request
+     * @param suspect what may have crashed the upstream
      * @param upstream the upstream that the request was sent to
      * @param sentAtMillis when the request was sent
      * @param nowMillis the current time
      */
-    public void onAttemptLost(long fingerprint, UpstreamId upstream, long sentAtMillis, long nowMillis) {
-        lostAttempts.addLast(new LostAttempt(fingerprint, upstream, sentAtMillis, nowMillis));
+    public void onAttemptLost(CrashSuspect suspect, UpstreamId upstream, long sentAtMillis, long nowMillis) {
+        lostAttempts.addLast(new LostAttempt(suspect, upstream, sentAtMillis, nowMillis));
         while (lostAttempts.size() > MAXIMUM_LOST_ATTEMPTS
                 || (!lostAttempts.isEmpty()
                         && nowMillis - lostAttempts.peekFirst().lostAtMillis() > DETECTION_WINDOW_MILLIS)) {
@@ -74,7 +75,7 @@
             boolean matches = attempt.upstream().equals(upstream)
                     && nowMillis - attempt.lostAtMillis() <= DETECTION_WINDOW_MILLIS;
             if (matches) {
-                quarantine.onCrash(attempt.fingerprint(), upstream, attempt.sentAtMillis(), nowMillis);
+                history.onCrash(attempt.suspect(), upstream, attempt.sentAtMillis(), attempt.lostAtMillis(), nowMillis);
                 crashListener.accept(attempt);
             }
             return matches;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
@@ -7,6 +7,7 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.quarantine.CrashReport;
 
 /**
  * The message that a node sends to its peers several times a second. It carries current state, not changes, so that a
@@ -19,7 +20,7 @@
  * @param usage running totals by incarnation, usage window and client account, of the sending node and of nodes that it
  *     no longer receives messages from; sent only to the collector and its backup nodes, empty in other messages
  * @param collector the node that collects usage counts, empty when none is known
- * @param crashes the number of upstream crashes that the sending node observed, by fingerprint of the request
+ * @param crashes the crashes of upstreams that the sending node knows of
  * @param promptPartUses the recent uses of long prompt parts by requests of the sending node
  */
 public record GossipMessage(
@@ -29,13 +30,13 @@
         Map<UpstreamId, OpenWork> workByUpstream,
         Map<IncarnationId, Map<Long, Map<AccountId, Long>>> usage,
         Optional<UsageCollector> collector,
-        Map<Long, Integer> crashes,
+        List<CrashReport> crashes,
         List<PromptPartUse> promptPartUses) {
     /** Makes shallow copies of the collections. */
     public GossipMessage {
         workByUpstream = Map.copyOf(workByUpstream);
         usage = Map.copyOf(usage);
-        crashes = Map.copyOf(crashes);
+        crashes = List.copyOf(crashes);
         promptPartUses = List.copyOf(promptPartUses);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
@@ -8,22 +8,22 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 
 /** Stores the last received gossip message of each peer and passes its content to the components that use it. */
 public final class GossipReceiver {
     private final UpstreamDirectory directory;
     private final SiteClock clock;
     private final UsageCounts usage;
-    private final Quarantine quarantine;
+    private final CrashHistory crashHistory;
     private final Map<InstanceId, Received> receivedByNode = new HashMap<>();
     private Optional<UsageCollector> collector = Optional.empty();
 
-    private GossipReceiver(UpstreamDirectory directory, SiteClock clock, UsageCounts usage, Quarantine quarantine) {
+    private GossipReceiver(UpstreamDirectory directory, SiteClock clock, UsageCounts usage, CrashHistory crashHistory) {
         this.directory = directory;
         this.clock = clock;
         this.usage = usage;
-        this.quarantine = quarantine;
+        this.crashHistory = crashHistory;
     }
 
     private record Received(GossipMessage message, String address, long receivedAtMillis) {}
@@ -34,12 +34,12 @@
      * @param directory receives the open requests of the peers
      * @param clock receives the wall-clock times of the peers
      * @param usage receives the usage counts of the peers
-     * @param quarantine receives the crashes that the peers observed
+     * @param crashHistory receives the crashes that the peers report
      * @return the receiver
      */
     public static GossipReceiver create(
-            UpstreamDirectory directory, SiteClock clock, UsageCounts usage, Quarantine quarantine) {
-        return new GossipReceiver(directory, clock, usage, quarantine);
+            UpstreamDirectory directory, SiteClock clock, UsageCounts usage, CrashHistory crashHistory) {
+        return new GossipReceiver(directory, clock, usage, crashHistory);
     }
 
     /**
@@ -60,7 +60,7 @@
         for (PromptPartUse use : message.promptPartUses()) {
             directory.find(use.upstream()).ifPresent(upstream -> upstream.onRemotePartUse(use.part()));
         }
-        message.crashes().forEach((fingerprint, count) -> quarantine.onRemoteCrashes(fingerprint, count, nowMillis));
+        message.crashes().forEach(report -> crashHistory.onReport(report, nowMillis));
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
@@ -16,6 +16,8 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.quarantine.CrashReport;
+import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
 import org.cactusshift.internal.coordination.serving.OpenWork;
 import org.cactusshift.internal.coordination.serving.PromptPart;
@@ -24,7 +26,8 @@
 
 /**
  * Encodes and decodes gossip messages as JSON. The work at an upstream is an array of the requests and the pending
- * prefill tokens, the use of a prompt part an array of the upstream, the id of the part and its tokens.
+ * prefill tokens, the use of a prompt part an array of the upstream, the id of the part and its tokens, a crash an
+ * array of the suspect, the upstream and the ages.
  */
 final class GossipMessageCodec {
     private static final JsonFactory JSON = new JsonFactory();
@@ -64,11 +67,17 @@
                 json.writeNumberField("fencingNumber", collector.fencingNumber());
                 json.writeEndObject();
             }
-            json.writeObjectFieldStart("crashes");
-            for (Map.Entry<Long, Integer> crash : message.crashes().entrySet()) {
-                json.writeNumberField(Long.toString(crash.getKey()), crash.getValue());
+            json.writeArrayFieldStart("crashes");
+            for (CrashReport crash : message.crashes()) {
+                json.writeStartArray();
+                json.writeString(crash.suspect().kind().name());
+                json.writeNumber(crash.suspect().value());
+                json.writeString(crash.upstream().value());
+                json.writeNumber(crash.sentAgeMillis());
+                json.writeNumber(crash.lostAgeMillis());
+                json.writeEndArray();
             }
-            json.writeEndObject();
+            json.writeEndArray();
             json.writeArrayFieldStart("uses");
             for (PromptPartUse use : message.promptPartUses()) {
                 json.writeStartArray();
@@ -119,6 +128,23 @@
                 node.path("fencingNumber").asLong()));
     }
 
+    /** Reads the crashes; those of a kind that this version does not know are left out. */
+    private static List<CrashReport> readCrashes(JsonNode crashes) {
+        List<CrashReport> reports = new ArrayList<>();
+        for (JsonNode crash : crashes) {
+            for (CrashSuspect.Kind kind : CrashSuspect.Kind.values()) {
+                if (kind.name().equals(crash.path(0).asText())) {
+                    reports.add(new CrashReport(
+                            new CrashSuspect(kind, crash.path(1).asLong()),
+                            UpstreamId.fromString(crash.path(2).asText()),
+                            crash.path(3).asLong(),
+                            crash.path(4).asLong()));
+                }
+            }
+        }
+        return reports;
+    }
+
     /** Decodes a gossip message; returns empty when the bytes are malformed. */
     static Optional<GossipMessage> decode(byte[] bytes) {
         try {
@@ -135,10 +161,6 @@
             for (Map.Entry<String, JsonNode> node : fields(root, "usage")) {
                 usage.put(IncarnationId.fromString(node.getKey()), readWindows(node.getValue()));
             }
-            Map<Long, Integer> crashes = new HashMap<>();
-            for (Map.Entry<String, JsonNode> crash : fields(root, "crashes")) {
-                crashes.put(Long.parseLong(crash.getKey()), crash.getValue().asInt());
-            }
             List<PromptPartUse> uses = new ArrayList<>();
             for (JsonNode use : root.path("uses")) {
                 uses.add(new PromptPartUse(
@@ -152,7 +174,7 @@
                     work,
                     usage,
                     readCollector(root.path("collector")),
-                    crashes,
+                    readCrashes(root.path("crashes")),
                     uses));
         } catch (IOException | IllegalArgumentException e) {
             return Optional.empty();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
@@ -16,7 +16,7 @@
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.RendezvousHash;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
 import org.cactusshift.internal.coordination.serving.OpenWork;
@@ -45,14 +45,14 @@
     /** Number of usage windows before the current one whose counts are sent; older ones have been reported already. */
     private static final int SENT_USAGE_WINDOWS = 3;
 
-    /** Number of rounds in which the use of a prompt part is sent, so that one lost message does not hide it. */
-    private static final int PROMPT_PART_USE_ROUNDS = 3;
+    /** Number of rounds in which recent news is sent, so that one lost message does not hide it. */
+    private static final int RECENT_ROUNDS = 3;
 
     private final DutyHolder self;
     private final PeerDatagramChannel channel;
     private final UpstreamDirectory directory;
     private final UsageCounts usage;
-    private final Quarantine quarantine;
+    private final CrashHistory crashHistory;
     private final long tickMillis;
     private Map<InstanceId, InetSocketAddress> peerAddressByNode = new HashMap<>();
     private final ArrayDeque<RecentUse> recentUses = new ArrayDeque<>();
@@ -65,13 +65,13 @@
             PeerDatagramChannel channel,
             UpstreamDirectory directory,
             UsageCounts usage,
-            Quarantine quarantine,
+            CrashHistory crashHistory,
             long tickMillis) {
         this.self = self;
         this.channel = channel;
         this.directory = directory;
         this.usage = usage;
-        this.quarantine = quarantine;
+        this.crashHistory = crashHistory;
         this.tickMillis = tickMillis;
     }
 
@@ -80,9 +80,9 @@
             PeerDatagramChannel channel,
             UpstreamDirectory directory,
             UsageCounts usage,
-            Quarantine quarantine,
+            CrashHistory crashHistory,
             long tickMillis) {
-        return new GossipSender(self, channel, directory, usage, quarantine, tickMillis);
+        return new GossipSender(self, channel, directory, usage, crashHistory, tickMillis);
     }
 
     /** Records the use of a long prompt part, to be sent for the next rounds. */
@@ -109,7 +109,7 @@
             peerAddressByNode = newPeerAddressByNode;
         }
         ticks++;
-        while (!recentUses.isEmpty() && nowMillis - recentUses.peekFirst().usedAtMillis() > promptPartUseSendMillis()) {
+        while (!recentUses.isEmpty() && nowMillis - recentUses.peekFirst().usedAtMillis() > recentMillis()) {
             recentUses.removeFirst();
         }
         int roundTicks = ticksPerRound();
@@ -153,8 +153,8 @@
         return Math.max(MINIMUM_USAGE_PERIOD_TICKS, ticksPerRound());
     }
 
-    private long promptPartUseSendMillis() {
-        return PROMPT_PART_USE_ROUNDS * ticksPerRound() * tickMillis;
+    private long recentMillis() {
+        return RECENT_ROUNDS * ticksPerRound() * tickMillis;
     }
 
     /** Returns the length of a round: the number of ticks in which each of the other nodes gets one message. */
@@ -184,12 +184,15 @@
                 work.put(upstream.id(), new OpenWork(upstream.openRequests(), upstream.pendingPrefillTokens()));
             }
         }
-        Map<Long, Integer> crashes = new HashMap<>();
-        quarantine
-                .localCrashSuspects(nowMillis)
-                .forEach(suspect -> crashes.put(suspect.fingerprint(), suspect.crashes()));
         List<PromptPartUse> uses = recentUses.stream().map(RecentUse::use).toList();
         return new GossipMessage(
-                self.instance(), self.incarnation(), epochMillis, work, usageCounts, collector, crashes, uses);
+                self.instance(),
+                self.incarnation(),
+                epochMillis,
+                work,
+                usageCounts,
+                collector,
+                crashHistory.reports(recentMillis(), nowMillis),
+                uses);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -7,7 +7,7 @@
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.ServiceId;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
 import org.cactusshift.internal.coordination.serving.LatencyEstimator;
 import org.cactusshift.internal.coordination.serving.Placer;
@@ -24,7 +24,7 @@
  * @param placer chooses upstreams
  * @param latencyEstimator estimates the time to the first part of a response, from past responses
  * @param retryBudgets looks up the retry budget of a service
- * @param quarantine tracks crash-inducing requests
+ * @param crashHistory decides which requests are refused because they crash upstreams
  * @param crashDetector distinguishes crashes of upstreams from lost connections
  * @param usageCounter counts started requests of client accounts
  * @param promptPartUseListener receives each use of a long prompt part at an engine, to be advertised to the peers
@@ -42,7 +42,7 @@
         Placer placer,
         LatencyEstimator latencyEstimator,
         RetryBudgets retryBudgets,
-        Quarantine quarantine,
+        CrashHistory crashHistory,
         CrashDetector crashDetector,
         UsageCounter usageCounter,
         Consumer<PromptPartUse> promptPartUseListener,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -39,7 +39,7 @@
             .register(registry);
     private final Gauge refusedSuspects = Gauge.builder()
             .name("cactusshift_relay_refused_crash_suspects")
-            .help("Fingerprints of requests that are refused because they crashed upstreams.")
+            .help("Suspects that are refused because they crashed upstreams.")
             .register(registry);
 
     /**
@@ -92,9 +92,9 @@
     }
 
     /**
-     * Records how many fingerprints are refused because of the crashes of upstreams.
+     * Records how many suspects are refused because of crashes of upstreams.
      *
-     * @param count the number of fingerprints
+     * @param count the number of suspects
      */
     public void onRefusedSuspects(long count) {
         refusedSuspects.set(count);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.UpstreamId;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 import org.cactusshift.internal.coordination.serving.Admission;
 import org.cactusshift.internal.coordination.serving.Placement;
 import org.cactusshift.internal.coordination.serving.PlacementQuery;
@@ -56,6 +56,7 @@
     private final ServingRequest request;
     private final Optional<AccountId> account;
     private final long configVersion;
+    private final CrashSuspect suspect;
     private final Set<UpstreamId> excludedUpstreams = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
 
@@ -98,6 +99,7 @@
         this.request = request;
         this.account = account;
         this.configVersion = configVersion;
+        this.suspect = CrashSuspect.request(request.fingerprint());
         this.lastEventId = metadata.lastEventId().orElse(Long.MIN_VALUE);
     }
 
@@ -114,10 +116,10 @@
                 .with("configVersion", configVersion)
                 .with("promptTokens", request.promptTokens())
                 .with("remainingMillis", remaining)
-                .with("fingerprint", Long.toHexString(request.fingerprint()))
-                .with("crashes", context.quarantine().crashCount(request.fingerprint(), nowMillis()))
+                .with("suspect", suspect)
+                .with("crashes", context.crashHistory().crashCount(suspect, nowMillis()))
                 .write();
-        if (context.quarantine().verdict(request.fingerprint(), nowMillis()) == Quarantine.Verdict.REFUSED) {
+        if (context.crashHistory().isRefused(suspect, nowMillis())) {
             refuse("the request crashed several upstreams", request.route().timeoutMillis());
             return;
         }
@@ -310,7 +312,7 @@
     private boolean mayRunAgain(int openRuns) {
         return request.route().isRetryable()
                 && possibleExecutions + openRuns < request.route().maximumAttempts()
-                && context.quarantine().verdict(request.fingerprint(), nowMillis()) != Quarantine.Verdict.REFUSED;
+                && !context.crashHistory().isRefused(suspect, nowMillis());
     }
 
     /** Makes an attempt that has responded the only one. */
@@ -359,7 +361,7 @@
         if (attempt.mayHaveRun()) {
             possibleExecutions++;
             context.crashDetector()
-                    .onAttemptLost(request.fingerprint(), attempt.upstream().id(), attempt.sentAtMillis(), nowMillis());
+                    .onAttemptLost(suspect, attempt.upstream().id(), attempt.sentAtMillis(), nowMillis());
         }
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -21,7 +21,7 @@
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CallerLimits;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
@@ -55,8 +55,8 @@
      */
     private static final double EXPIRED_ENTRY_GRACE_SHARE = 0.4;
 
-    /** How long after the last known crash the fingerprint of a request stays suspect or refused. */
-    private static final long QUARANTINE_MILLIS = 120_000;
+    /** How long a crash of an upstream counts against a request. */
+    private static final long CRASH_RETENTION_MILLIS = 120_000;
 
     /**
      * How long a stopping node waits before it closes idle connections: the load balancer sends no new callers after
@@ -95,7 +95,7 @@
     private final Map<ServiceId, WindowedRetryBudget> retryBudgetByService = new HashMap<>();
     private final RelayMetrics metrics = new RelayMetrics();
     private final SiteClock siteClock = new SiteClock();
-    private final Quarantine quarantine = Quarantine.create(QUARANTINE_MILLIS);
+    private final CrashHistory crashHistory = CrashHistory.create(CRASH_RETENTION_MILLIS);
     private final UsageCounts usage;
     private final UpstreamDirectory directory;
     private final SiteStateFollower follower;
@@ -141,7 +141,7 @@
         this.directory = UpstreamDirectory.create(
                 this::kvCapacityTokens,
                 Math.round(EXPIRED_ENTRY_GRACE_SHARE * settings.timing().drainMillis()));
-        CrashDetector crashDetector = CrashDetector.create(quarantine, this::logCrash);
+        CrashDetector crashDetector = CrashDetector.create(crashHistory, this::logCrash);
         this.follower = SiteStateFollower.create(
                 new SiteStateFollower.Dependencies(
                         protocol.store(),
@@ -154,7 +154,7 @@
                         metrics),
                 NODE_KEY_PREFIX,
                 Math.min(settings.timing().configMillis(), settings.timing().drainMillis()));
-        this.gossipReceiver = GossipReceiver.create(directory, siteClock, usage, quarantine);
+        this.gossipReceiver = GossipReceiver.create(directory, siteClock, usage, crashHistory);
         this.gossipChannel = PeerDatagramChannel.create(runtime.group(), runtime.log());
         DutyHolder self = new DutyHolder(settings.instance(), incarnation, addressText(settings.peerAddress()), 0);
         this.registration = NodeRegistration.create(
@@ -173,7 +173,7 @@
         this.fleetController = protocol.fleetOrderClient()
                 .map(client -> FleetController.create(
                         client, protocol.store(), follower, directory, settings.instance(), PLAN_KEY, runtime.log()));
-        this.gossipSender = GossipSender.create(self, gossipChannel, directory, usage, quarantine, TICK_MILLIS);
+        this.gossipSender = GossipSender.create(self, gossipChannel, directory, usage, crashHistory, TICK_MILLIS);
         this.callerServer = CallerServer.create(
                 runtime.group(),
                 runtime.clock(),
@@ -207,7 +207,7 @@
                 Placer.create(directory, this::service, latencyEstimator, random),
                 latencyEstimator,
                 this::retryBudget,
-                quarantine,
+                crashHistory,
                 crashDetector,
                 account -> usage.add(account, siteEpochMillis()),
                 use -> gossipSender.onUse(use, runtime.clock().monotonicMillis()),
@@ -223,9 +223,9 @@
         runtime.log()
                 .event("upstream.crashed")
                 .with("upstream", attempt.upstream().value())
-                .with("fingerprint", Long.toHexString(attempt.fingerprint()))
+                .with("suspect", attempt.suspect())
                 .with("lostMillisAgo", now - attempt.lostAtMillis())
-                .with("crashes", quarantine.crashCount(attempt.fingerprint(), now))
+                .with("crashes", crashHistory.crashCount(attempt.suspect(), now))
                 .write();
     }
 
@@ -282,7 +282,8 @@
     }
 
     private void respondWithMetrics(CallerExchange exchange) {
-        metrics.onRefusedSuspects(quarantine.refusedCount(runtime.clock().monotonicMillis()));
+        metrics.onRefusedSuspects(
+                crashHistory.refused(runtime.clock().monotonicMillis()).size());
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
         exchange.respond(HttpResponseStatus.OK, headers, metrics.toText());
@@ -363,7 +364,7 @@
     private void tick() {
         long now = runtime.clock().monotonicMillis();
         directory.expire(now);
-        quarantine.expire(now);
+        crashHistory.expire(now);
         gossipReceiver.expirePeers(PEER_TIMEOUT_ROUNDS * gossipSender.ticksPerRound() * TICK_MILLIS, now);
         callerServer.closeExpired(now);
         readinessServer.closeExpired(now);
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/quarantine/CrashHistoryTest.java
@@ -0,0 +1,130 @@
+package org.cactusshift.internal.coordination.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.cactusshift.id.UpstreamId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CrashHistoryTest {
+    private static final long RETENTION_MILLIS = 60_000;
+    private static final long RECENT_MILLIS = 1_000;
+    private static final CrashSuspect SUSPECT = CrashSuspect.request(42);
+
+    private final CrashHistory history = CrashHistory.create(RETENTION_MILLIS);
+
+    private static UpstreamId upstream(int number) {
+        return UpstreamId.fromString("engine-" + number);
+    }
+
+    private void crash(int upstream, long sentAtMillis, long lostAtMillis) {
+        history.onCrash(SUSPECT, upstream(upstream), sentAtMillis, lostAtMillis, lostAtMillis);
+    }
+
+    /** The times of two attempts and whether they count as two crashes, at the same upstream or at two. */
+    @ParameterizedTest
+    @CsvSource({
+        // Two attempts at the same upstream, lost in the same crash.
+        "1, 0, 10, 1, 5, 11, 1",
+        // Two upstreams that crashed at the same time.
+        "1, 0, 10, 2, 5, 12, 1",
+        // Sent before the crash of the other upstream, lost long after.
+        "1, 0, 10, 2, 9, 3000, 1",
+        "1, 0, 10, 2, 11, 20, 2",
+        // The upstream is back and crashes again.
+        "1, 0, 10, 1, 6000, 6010, 2"
+    })
+    void countsCrashesOneAfterAnother(
+            int firstUpstream, long firstSent, long firstLost, int secondUpstream, long sent, long lost, int count) {
+        crash(firstUpstream, firstSent, firstLost);
+        crash(secondUpstream, sent, lost);
+        assertEquals(count, history.crashCount(SUSPECT, 7_000));
+        assertEquals(count == 2, history.isRefused(SUSPECT, 7_000));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"60009, true", "60010, false"})
+    void crashCountsForTheRetentionTime(long nowMillis, boolean refused) {
+        crash(1, 0, 10);
+        crash(2, 20, 30);
+        assertEquals(refused, history.isRefused(SUSPECT, nowMillis));
+        history.expire(60_030);
+        assertEquals(List.of(), history.reports(RECENT_MILLIS, 60_030));
+    }
+
+    /** Guards against peers whose crashes, one each, are not added up. */
+    @Test
+    void crashesThatDifferentNodesObservedAddUp() {
+        history.onReport(new CrashReport(SUSPECT, upstream(1), 500, 400), 1_000);
+        assertFalse(history.isRefused(SUSPECT, 1_000));
+        history.onReport(new CrashReport(SUSPECT, upstream(2), 300, 200), 1_000);
+        assertTrue(history.isRefused(SUSPECT, 1_000));
+    }
+
+    @Test
+    void crashThatSeveralNodesObservedCountsOnce() {
+        crash(1, 100, 200);
+        history.onReport(new CrashReport(SUSPECT, upstream(1), 50, 10), 220);
+        history.onReport(new CrashReport(SUSPECT, upstream(1), 400, 25), 225);
+        assertEquals(1, history.crashCount(SUSPECT, 300));
+    }
+
+    /** Any order, repetition and detour of the reports leads to the same count. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void nodesThatExchangeReportsAgree(long seed) {
+        Random random = new Random(seed);
+        List<CrashHistory> nodes = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            nodes.add(CrashHistory.create(RETENTION_MILLIS));
+        }
+        // Each crash is observed by one or two nodes.
+        for (int i = 0; i < 4; i++) {
+            long sentAtMillis = 100L * i;
+            for (int observer = 0; observer <= random.nextInt(2); observer++) {
+                nodes.get(random.nextInt(nodes.size()))
+                        .onCrash(SUSPECT, upstream(i), sentAtMillis, sentAtMillis + 50, sentAtMillis + 60);
+            }
+        }
+        for (long now = 500; now < 3_000; now += 250) {
+            List<Integer> senders = new ArrayList<>(List.of(0, 1, 2, 3, 4, 5));
+            Collections.shuffle(senders, random);
+            for (int sender : senders) {
+                // A ring with one more peer chosen at random: most reports arrive by way of other nodes.
+                for (int peer : new int[] {(sender + 1) % nodes.size(), random.nextInt(nodes.size())}) {
+                    long arrivedAt = now + random.nextInt(20);
+                    nodes.get(sender)
+                            .reports(RECENT_MILLIS, now)
+                            .forEach(report -> nodes.get(peer).onReport(report, arrivedAt));
+                }
+            }
+        }
+        for (CrashHistory node : nodes) {
+            assertEquals(4, node.crashCount(SUSPECT, 3_000));
+        }
+    }
+
+    /** Guards against messages that grow with each crash until no peer can read them. */
+    @Test
+    void reportsAreLimitedAndNameRefusedSuspectsFirst() {
+        crash(1, 0, 10);
+        crash(2, 20, 30);
+        for (int i = 0; i < 500; i++) {
+            history.onCrash(CrashSuspect.request(1_000 + i), upstream(3), 40, 50, 50);
+        }
+        List<CrashReport> reports = history.reports(RECENT_MILLIS, 60);
+        assertEquals(64, reports.size());
+        assertEquals(SUSPECT, reports.get(0).suspect());
+        assertEquals(SUSPECT, reports.get(1).suspect());
+        // Only refused suspects are still reported later, for nodes that have just started.
+        assertEquals(2, history.reports(RECENT_MILLIS, 5_000).size());
+    }
+}
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/CrashDetectorTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/CrashDetectorTest.java
@@ -1,39 +1,43 @@
 package org.cactusshift.internal.coordination.serving;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.cactusshift.id.UpstreamId;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
+import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 import org.junit.jupiter.api.Test;
 
 class CrashDetectorTest {
-    private final Quarantine quarantine = Quarantine.create(60_000);
-    private final CrashDetector detector = CrashDetector.create(quarantine, crash -> {});
+    private static final CrashSuspect SUSPECT = CrashSuspect.request(1);
+
+    private final CrashHistory history = CrashHistory.create(60_000);
+    private final CrashDetector detector = CrashDetector.create(history, crash -> {});
 
     @Test
     void lostConnectionsAloneAreNotCrashes() {
         for (int i = 0; i < 9; i++) {
-            detector.onAttemptLost(1, UpstreamId.fromString("u" + i), i * 100, i * 100 + 50);
+            detector.onAttemptLost(SUSPECT, UpstreamId.fromString("u" + i), i * 100, i * 100 + 50);
         }
-        assertEquals(Quarantine.Verdict.CLEAR, quarantine.verdict(1, 1_000));
+        assertEquals(0, history.crashCount(SUSPECT, 1_000));
     }
 
     @Test
     void requestThatCrashedSeveralUpstreamsIsRefused() {
         for (int i = 0; i < 3; i++) {
             UpstreamId upstream = UpstreamId.fromString("u" + i);
-            detector.onAttemptLost(1, upstream, i * 1_000, i * 1_000 + 50);
+            detector.onAttemptLost(SUSPECT, upstream, i * 1_000, i * 1_000 + 50);
             detector.onUpstreamDown(upstream, i * 1_000 + 300);
         }
-        assertEquals(Quarantine.Verdict.REFUSED, quarantine.verdict(1, 3_000));
-        assertEquals(Quarantine.Verdict.CLEAR, quarantine.verdict(2, 3_000));
+        assertTrue(history.isRefused(SUSPECT, 3_000));
+        assertEquals(0, history.crashCount(CrashSuspect.request(2), 3_000));
     }
 
     @Test
     void connectionLossLongBeforeAFailureIsNotACrash() {
         UpstreamId upstream = UpstreamId.fromString("u");
-        detector.onAttemptLost(1, upstream, 0, 50);
+        detector.onAttemptLost(SUSPECT, upstream, 0, 50);
         detector.onUpstreamDown(upstream, 10_000);
-        assertEquals(Quarantine.Verdict.CLEAR, quarantine.verdict(1, 10_000));
+        assertEquals(0, history.crashCount(SUSPECT, 10_000));
     }
 }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
@@ -9,7 +9,7 @@
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.junit.jupiter.api.Test;
 
 class GossipReceiverTest {
@@ -19,7 +19,7 @@
 
     private final UsageCounts usage = UsageCounts.create(5_000);
     private final GossipReceiver receiver = GossipReceiver.create(
-            UpstreamDirectory.create(service -> 1, 1), new SiteClock(), usage, Quarantine.create(1_000));
+            UpstreamDirectory.create(service -> 1, 1), new SiteClock(), usage, CrashHistory.create(1_000));
 
     private static UsageCollector collector(String node, long fencingNumber) {
         return new UsageCollector(InstanceId.fromString(node), "127.0.0.1:1", fencingNumber);
@@ -27,7 +27,7 @@
 
     private static GossipMessage message(
             Map<IncarnationId, Map<Long, Map<AccountId, Long>>> counts, Optional<UsageCollector> collector) {
-        return new GossipMessage(NODE, INCARNATION, 1, Map.of(), counts, collector, Map.of(), List.of());
+        return new GossipMessage(NODE, INCARNATION, 1, Map.of(), counts, collector, List.of(), List.of());
     }
 
     /** Scenario: a node that is isolated from the store learns of a new collector only from its peers. */
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/DutyDriverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/DutyDriverTest.java
@@ -12,7 +12,7 @@
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.junit.jupiter.api.AfterEach;
@@ -33,7 +33,7 @@
                     store,
                     FakeDecoder.of(),
                     UpstreamDirectory.create(service -> 1, 1),
-                    CrashDetector.create(Quarantine.create(1), crash -> {}),
+                    CrashDetector.create(CrashHistory.create(1), crash -> {}),
                     eventLoop,
                     clock,
                     (event, fields) -> {},
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
@@ -21,7 +21,7 @@
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.Authority;
 import org.cactusshift.internal.coordination.lease.DutyId;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CapacityRule;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
 import org.cactusshift.internal.coordination.serving.EngineStage;
@@ -56,7 +56,7 @@
                     store,
                     FakeDecoder.of(new ServedService(MODEL, "/healthz", 10, Optional.empty(), Optional.of(RULE))),
                     directory,
-                    CrashDetector.create(Quarantine.create(1), crash -> {}),
+                    CrashDetector.create(CrashHistory.create(1), crash -> {}),
                     eventLoop,
                     clock,
                     (event, fields) -> {},
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
@@ -17,7 +17,7 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
-import org.cactusshift.internal.coordination.quarantine.Quarantine;
+import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
 import org.cactusshift.internal.coordination.serving.SiteClock;
@@ -37,7 +37,7 @@
 
     private static GossipReceiver receiver(UsageCounts usage) {
         return GossipReceiver.create(
-                UpstreamDirectory.create(service -> 1, 1), new SiteClock(), usage, Quarantine.create(1_000));
+                UpstreamDirectory.create(service -> 1, 1), new SiteClock(), usage, CrashHistory.create(1_000));
     }
 
     @Test
@@ -68,7 +68,7 @@
                     channels.get(0),
                     UpstreamDirectory.create(service -> 1, 1),
                     usage,
-                    Quarantine.create(1_000),
+                    CrashHistory.create(1_000),
                     250);
             GossipReceiver receiver = receiver(usage);
             receiver.onCollector(new UsageCollector(InstanceId.fromString("n5"), "127.0.0.1:1", 3));
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
@@ -52,7 +52,7 @@
                     Map.of(),
                     Map.of(),
                     Optional.empty(),
-                    Map.of(),
+                    List.of(),
                     partUses);
             sender.send(List.of(receiver.address()), message);
             GossipMessage arrived = received.poll(LONGEST_WAIT_SECONDS, TimeUnit.SECONDS);
