Check an upstream with a new connection when an attempt is lost

Cause: a lost attempt counts as a crash only when its upstream is found down. The node learned that from its next request to the upstream or, about 3 s later, from the store. Until then neither it nor its peers knew of the crash. Class of fault: evidence that is collected only as a by-product of traffic.

Change: UpstreamCheck opens one connection to the upstream of a lost attempt; a refused one reports the crash within milliseconds. It costs one connection for each loss, which the next request uses if the upstream is up. A connection that an upstream refuses because it has left, as announced, no longer makes the requests that it cut suspects; the request path had that fault as well.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
@@ -80,7 +80,14 @@
         connect(address, receiver);
     }
 
-    private void connect(String address, Consumer<Either<Failure, HttpClientConnection>> receiver) {
+    /**
+     * Opens a new connection, whatever connections are idle.
+     *
+     * @param address the address, as {@code ADDRESS:PORT}
+     * @param receiver receives the connection, or the failure to connect; called on the event loop, possibly before
+     *     this method returns
+     */
+    void connect(String address, Consumer<Either<Failure, HttpClientConnection>> receiver) {
         int colon = address.lastIndexOf(':');
         InetSocketAddress peer;
         try {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -26,6 +26,7 @@
  * @param retryBudgets looks up the retry budget of a service
  * @param crashHistory decides which requests are refused because they crash upstreams
  * @param crashDetector distinguishes crashes of upstreams from lost connections
+ * @param upstreamCheck finds out whether an upstream at which an attempt was lost is down
  * @param usageCounter counts started requests of client accounts
  * @param promptPartUseListener receives each use of a long prompt part at an engine, to be advertised to the peers
  * @param nodeCount supplies the number of live nodes of the site
@@ -44,6 +45,7 @@
         RetryBudgets retryBudgets,
         CrashHistory crashHistory,
         CrashDetector crashDetector,
+        UpstreamCheck upstreamCheck,
         UsageCounter usageCounter,
         Consumer<PromptPartUse> promptPartUseListener,
         IntSupplier nodeCount,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -362,6 +362,7 @@
             possibleExecutions++;
             context.crashDetector()
                     .onAttemptLost(suspect, attempt.upstream().id(), attempt.sentAtMillis(), nowMillis());
+            context.upstreamCheck().afterLostAttempt(attempt.upstream());
         }
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -164,8 +164,7 @@
         }
         if (acquired.isLeft()) {
             end("not-reached", acquired.getLeft().message());
-            upstream.onUnreachable(nowMillis(), context().random());
-            context().crashDetector().onUpstreamDown(upstream.id(), nowMillis());
+            context().upstreamCheck().onConnectFailed(upstream);
             releaseRetainedKv();
             relayedRequest.onNotExecuted(this);
             return;
