Clear a request of earlier crashes when an attempt of it is completed

What callers would see: a sound request that is repeated, such as an enquiry, was refused for two minutes once two upstreams had crashed while it was open there, even if it had been completed in between. Adding up the crashes of all nodes makes that likelier.

Cause: the relay never used the evidence of a completed attempt. A request that induces crashes crashes every upstream that runs it, so a completed attempt shows that the crashes before it had another cause. Class of fault: suspicion that only grows.

Change: a completed attempt clears its suspect of the crashes before the attempt was sent.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashHistory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashHistory.java
@@ -16,6 +16,9 @@
  * upstreams that crash at the same time, for whatever reason, count once, and so does a crash that several nodes
  * observed.
  *
+ * <p>A crash-inducing request crashes each upstream that runs it. So an attempt that is completed clears its suspect of
+ * the crashes before the attempt was sent.
+ *
  * <p>Nodes report all that they know, not only what they observed themselves, so that a report reaches a node that has
  * no contact with the observer or started after it was lost. The earliest times of a crash are kept, so reports may
  * arrive in any order, several times and by any way.
@@ -32,7 +35,7 @@
     /** The maximum number of suspects; those without a new crash for longest are dropped. */
     private static final int MAXIMUM_SUSPECTS = 4_096;
 
-    /** The maximum number of crashes in one set of reports, so that it fits into a datagram. */
+    /** The maximum number of reports of a kind in one message, so that it fits into a datagram. */
     private static final int MAXIMUM_REPORTS = 64;
 
     private final long retentionMillis;
@@ -59,8 +62,17 @@
         /** In ascending order of the time of the loss. */
         final List<Crash> crashes = new ArrayList<>();
 
+        /** When the latest completed attempt was sent. */
+        long completedSentAtMillis = Long.MIN_VALUE;
+
         long changedAtMillis;
 
+        /** Records a completed attempt; returns whether it clears the suspect of a crash. */
+        boolean onCompleted(long sentAtMillis) {
+            completedSentAtMillis = Math.max(completedSentAtMillis, sentAtMillis);
+            return crashes.removeIf(crash -> crash.lostAtMillis() <= completedSentAtMillis);
+        }
+
         /** Adds a crash or merges it with the same one; returns whether it is new. */
         boolean add(Crash crash) {
             boolean isNew = true;
@@ -130,6 +142,30 @@
         add(report.suspect(), crash, nowMillis);
     }
 
+    /**
+     * Records that an attempt was completed, by this node.
+     *
+     * @param suspect the suspect
+     * @param sentAtMillis when the attempt was sent
+     * @param nowMillis the current monotonic time, in milliseconds
+     */
+    public void onCompleted(CrashSuspect suspect, long sentAtMillis, long nowMillis) {
+        Entry entry = entryBySuspect.get(suspect);
+        if (entry != null && entry.onCompleted(sentAtMillis)) {
+            entry.changedAtMillis = nowMillis;
+        }
+    }
+
+    /**
+     * Records that an attempt was completed, as another node reported.
+     *
+     * @param report the report
+     * @param nowMillis the current monotonic time, in milliseconds
+     */
+    public void onReport(CompletionReport report, long nowMillis) {
+        onCompleted(report.suspect(), nowMillis - report.sentAgeMillis(), nowMillis);
+    }
+
     private void add(CrashSuspect suspect, Crash crash, long nowMillis) {
         if (isExpired(crash, nowMillis)) {
             return;
@@ -139,7 +175,10 @@
             entry = new Entry();
             entryBySuspect.put(suspect, entry);
         }
-        if (entry.add(crash)) {
+        if (crash.lostAtMillis() <= entry.completedSentAtMillis) {
+            // The reporting node does not know of the completed attempt yet.
+            entry.changedAtMillis = nowMillis;
+        } else if (entry.add(crash)) {
             entry.changedAtMillis = nowMillis;
             entryBySuspect.remove(suspect);
             entryBySuspect.put(suspect, entry);
@@ -219,14 +258,32 @@
     }
 
     /**
-     * Removes suspects without a crash within the retention time.
+     * Returns the completed attempts to be reported to other nodes, the newest first.
+     *
+     * @param recentMillis how long a completed attempt is reported after it cleared its suspect of a crash, in
+     *     milliseconds
+     * @param nowMillis the current monotonic time, in milliseconds
+     * @return a limited number of reports
+     */
+    public List<CompletionReport> completionReports(long recentMillis, long nowMillis) {
+        List<CompletionReport> reports = new ArrayList<>();
+        entryBySuspect.forEach((suspect, entry) -> {
+            if (entry.completedSentAtMillis != Long.MIN_VALUE && nowMillis - entry.changedAtMillis <= recentMillis) {
+                reports.add(0, new CompletionReport(suspect, nowMillis - entry.completedSentAtMillis));
+            }
+        });
+        return reports.stream().limit(MAXIMUM_REPORTS).toList();
+    }
+
+    /**
+     * Removes suspects without a crash and without a completed attempt within the retention time.
      *
      * @param nowMillis the current monotonic time, in milliseconds
      */
     public void expire(long nowMillis) {
         entryBySuspect.values().removeIf(entry -> {
             entry.crashes.removeIf(crash -> isExpired(crash, nowMillis));
-            return entry.crashes.isEmpty();
+            return entry.crashes.isEmpty() && nowMillis - entry.changedAtMillis >= retentionMillis;
         });
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
@@ -7,6 +7,7 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 
 /**
@@ -21,6 +22,7 @@
  *     no longer receives messages from; sent only to the collector and its backup nodes, empty in other messages
  * @param collector the node that collects usage counts, empty when none is known
  * @param crashes the crashes of upstreams that the sending node knows of
+ * @param completions the recent completed attempts that clear suspects of crashes
  * @param promptPartUses the recent uses of long prompt parts by requests of the sending node
  */
 public record GossipMessage(
@@ -31,12 +33,14 @@
         Map<IncarnationId, Map<Long, Map<AccountId, Long>>> usage,
         Optional<UsageCollector> collector,
         List<CrashReport> crashes,
+        List<CompletionReport> completions,
         List<PromptPartUse> promptPartUses) {
     /** Makes shallow copies of the collections. */
     public GossipMessage {
         workByUpstream = Map.copyOf(workByUpstream);
         usage = Map.copyOf(usage);
         crashes = List.copyOf(crashes);
+        completions = List.copyOf(completions);
         promptPartUses = List.copyOf(promptPartUses);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
@@ -61,6 +61,7 @@
             directory.find(use.upstream()).ifPresent(upstream -> upstream.onRemotePartUse(use.part()));
         }
         message.crashes().forEach(report -> crashHistory.onReport(report, nowMillis));
+        message.completions().forEach(report -> crashHistory.onReport(report, nowMillis));
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
@@ -16,6 +16,7 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
@@ -27,7 +28,7 @@
 /**
  * Encodes and decodes gossip messages as JSON. The work at an upstream is an array of the requests and the pending
  * prefill tokens, the use of a prompt part an array of the upstream, the id of the part and its tokens, a crash an
- * array of the suspect, the upstream and the ages.
+ * array of the suspect, the upstream and the ages, a completed attempt an array of the suspect and the age.
  */
 final class GossipMessageCodec {
     private static final JsonFactory JSON = new JsonFactory();
@@ -70,14 +71,21 @@
             json.writeArrayFieldStart("crashes");
             for (CrashReport crash : message.crashes()) {
                 json.writeStartArray();
-                json.writeString(crash.suspect().kind().name());
-                json.writeNumber(crash.suspect().value());
+                writeSuspect(json, crash.suspect());
                 json.writeString(crash.upstream().value());
                 json.writeNumber(crash.sentAgeMillis());
                 json.writeNumber(crash.lostAgeMillis());
                 json.writeEndArray();
             }
             json.writeEndArray();
+            json.writeArrayFieldStart("completions");
+            for (CompletionReport completion : message.completions()) {
+                json.writeStartArray();
+                writeSuspect(json, completion.suspect());
+                json.writeNumber(completion.sentAgeMillis());
+                json.writeEndArray();
+            }
+            json.writeEndArray();
             json.writeArrayFieldStart("uses");
             for (PromptPartUse use : message.promptPartUses()) {
                 json.writeStartArray();
@@ -94,6 +102,21 @@
         return out.toByteArray();
     }
 
+    private static void writeSuspect(JsonGenerator json, CrashSuspect suspect) throws IOException {
+        json.writeString(suspect.kind().name());
+        json.writeNumber(suspect.value());
+    }
+
+    /** Reads the suspect at the head of an array; returns empty when this version does not know its kind. */
+    private static Optional<CrashSuspect> readSuspect(JsonNode array) {
+        for (CrashSuspect.Kind kind : CrashSuspect.Kind.values()) {
+            if (kind.name().equals(array.path(0).asText())) {
+                return Optional.of(new CrashSuspect(kind, array.path(1).asLong()));
+            }
+        }
+        return Optional.empty();
+    }
+
     private static void writeWindows(JsonGenerator json, Map<Long, Map<AccountId, Long>> windows) throws IOException {
         for (Map.Entry<Long, Map<AccountId, Long>> window : windows.entrySet()) {
             json.writeObjectFieldStart(Long.toString(window.getKey()));
@@ -128,19 +151,25 @@
                 node.path("fencingNumber").asLong()));
     }
 
-    /** Reads the crashes; those of a kind that this version does not know are left out. */
     private static List<CrashReport> readCrashes(JsonNode crashes) {
         List<CrashReport> reports = new ArrayList<>();
         for (JsonNode crash : crashes) {
-            for (CrashSuspect.Kind kind : CrashSuspect.Kind.values()) {
-                if (kind.name().equals(crash.path(0).asText())) {
-                    reports.add(new CrashReport(
-                            new CrashSuspect(kind, crash.path(1).asLong()),
+            readSuspect(crash)
+                    .ifPresent(suspect -> reports.add(new CrashReport(
+                            suspect,
                             UpstreamId.fromString(crash.path(2).asText()),
                             crash.path(3).asLong(),
-                            crash.path(4).asLong()));
-                }
-            }
+                            crash.path(4).asLong())));
+        }
+        return reports;
+    }
+
+    private static List<CompletionReport> readCompletions(JsonNode completions) {
+        List<CompletionReport> reports = new ArrayList<>();
+        for (JsonNode completion : completions) {
+            readSuspect(completion)
+                    .ifPresent(suspect -> reports.add(
+                            new CompletionReport(suspect, completion.path(2).asLong())));
         }
         return reports;
     }
@@ -175,6 +204,7 @@
                     usage,
                     readCollector(root.path("collector")),
                     readCrashes(root.path("crashes")),
+                    readCompletions(root.path("completions")),
                     uses));
         } catch (IOException | IllegalArgumentException e) {
             return Optional.empty();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
@@ -193,6 +193,7 @@
                 usageCounts,
                 collector,
                 crashHistory.reports(recentMillis(), nowMillis),
+                crashHistory.completionReports(recentMillis(), nowMillis),
                 uses);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
@@ -404,6 +405,9 @@
         }
         takeOver(attempt);
         currentAttempt = null;
+        if (response.status().codeClass() == HttpStatusClass.SUCCESS) {
+            context.crashHistory().onCompleted(suspect, attempt.sentAtMillis(), nowMillis());
+        }
         end("answered", "status " + response.status().code());
         exchange.respond(response.status(), response.headers(), response.content());
     }
@@ -449,6 +453,7 @@
     void onStreamEnd(UpstreamAttempt attempt, HttpResponseStatus status, HttpHeaders headers) {
         takeOver(attempt);
         currentAttempt = null;
+        context.crashHistory().onCompleted(suspect, attempt.sentAtMillis(), nowMillis());
         countStartedRequest();
         // A stream without events has not been started yet; otherwise this has no effect.
         exchange.startStream(status, headers);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/quarantine/CrashHistoryTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/quarantine/CrashHistoryTest.java
@@ -77,6 +77,33 @@
         assertEquals(1, history.crashCount(SUSPECT, 300));
     }
 
+    /** An attempt clears its suspect only of the crashes before it was sent. */
+    @ParameterizedTest
+    @CsvSource({"30, 0", "29, 1", "10, 1", "9, 2"})
+    void completedAttemptClearsOfEarlierCrashes(long sentAtMillis, int count) {
+        crash(1, 0, 10);
+        crash(2, 20, 30);
+        history.onCompleted(SUSPECT, sentAtMillis, 40);
+        assertEquals(count, history.crashCount(SUSPECT, 50));
+    }
+
+    /** Guards against a cleared suspect that becomes one again by the reports of a node that has not heard of it. */
+    @Test
+    void clearedSuspectStaysCleared() {
+        crash(1, 0, 10);
+        crash(2, 20, 30);
+        CrashHistory other = CrashHistory.create(RETENTION_MILLIS);
+        history.reports(RECENT_MILLIS, 40).forEach(report -> other.onReport(report, 41));
+        history.onCompleted(SUSPECT, 35, 50);
+
+        // Reported long after the attempt, which answers with the completed attempt again.
+        other.reports(RECENT_MILLIS, 20_000).forEach(report -> history.onReport(report, 20_001));
+        assertEquals(0, history.crashCount(SUSPECT, 20_001));
+        assertTrue(other.isRefused(SUSPECT, 20_001));
+        history.completionReports(RECENT_MILLIS, 20_002).forEach(report -> other.onReport(report, 20_003));
+        assertEquals(0, other.crashCount(SUSPECT, 20_003));
+    }
+
     /** Any order, repetition and detour of the reports leads to the same count. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
@@ -27,7 +27,7 @@
 
     private static GossipMessage message(
             Map<IncarnationId, Map<Long, Map<AccountId, Long>>> counts, Optional<UsageCollector> collector) {
-        return new GossipMessage(NODE, INCARNATION, 1, Map.of(), counts, collector, List.of(), List.of());
+        return new GossipMessage(NODE, INCARNATION, 1, Map.of(), counts, collector, List.of(), List.of(), List.of());
     }
 
     /** Scenario: a node that is isolated from the store learns of a new collector only from its peers. */
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
@@ -11,6 +11,7 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
@@ -33,6 +34,7 @@
                 Map.of(IncarnationId.fromString("i1"), Map.of(7L, Map.of(AccountId.fromString("a"), 9L))),
                 Optional.of(new UsageCollector(InstanceId.fromString("n2"), "127.0.0.1:1", 12)),
                 List.of(new CrashReport(CrashSuspect.request(-5), UpstreamId.fromString("u2"), 300, 200)),
+                List.of(new CompletionReport(CrashSuspect.request(-6), 100)),
                 List.of(new PromptPartUse(UpstreamId.fromString("u1"), new PromptPart(-1, 13_000))));
         assertEquals(
                 message,
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
@@ -53,6 +53,7 @@
                     Map.of(),
                     Optional.empty(),
                     List.of(),
+                    List.of(),
                     partUses);
             sender.send(List.of(receiver.address()), message);
             GossipMessage arrived = received.poll(LONGEST_WAIT_SECONDS, TimeUnit.SECONDS);
