--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
@@ -116,6 +117,11 @@
                 .with("service", request.service().value())
                 .with("configVersion", configVersion)
                 .with("promptTokens", request.promptTokens())
+                .with(
+                        "promptParts",
+                        request.prompt().stream()
+                                .map(part -> Long.toHexString(part.id()))
+                                .collect(Collectors.joining(",")))
                 .with("remainingMillis", remaining)
                 .with("suspect", suspect)
                 .with("crashes", context.crashHistory().crashCount(suspect, nowMillis()))
