Refuse requests with a prompt part that crashes engines

Cause: a suspect was one request, by a fingerprint of its whole body. Requests that differ in anything each began at no crashes. Class of fault: the identity by which a failure is recognised is narrower than its cause.

Change: a lost attempt makes suspects also of the parts of its prompt, except the last. A part is refused after three crashes one after another without a completed attempt in between. Completed attempts of sound requests keep their shared parts clear, also when many engines crash together; a part that is refused explains further crashes, so that rare parts beside it are not counted.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.coordination.serving;
 
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.function.Consumer;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
@@ -29,12 +30,12 @@
     /**
      * An attempt that ended without a complete response.
      *
-     * @param suspect what may have crashed the upstream
+     * @param suspects what may have crashed the upstream
      * @param upstream the upstream that the request was sent to
      * @param sentAtMillis when the request was sent
      * @param lostAtMillis when the attempt ended
      */
-    public record LostAttempt(CrashSuspect suspect, UpstreamId upstream, long sentAtMillis, long lostAtMillis) {}
+    public record LostAttempt(List<CrashSuspect> suspects, UpstreamId upstream, long sentAtMillis, long lostAtMillis) {}
 
     /**
      * Returns a detector without recorded lost attempts.
@@ -50,13 +51,13 @@
     /**
      * Records a request whose attempt ended without a complete response, for example because its connection was lost.
      *
-     * @param suspect what may have crashed the upstream
+     * @param suspects what may crash an upstream by this request
      * @param upstream the upstream that the request was sent to
      * @param sentAtMillis when the request was sent
      * @param nowMillis the current time
      */
-    public void onAttemptLost(CrashSuspect suspect, UpstreamId upstream, long sentAtMillis, long nowMillis) {
-        lostAttempts.addLast(new LostAttempt(suspect, upstream, sentAtMillis, nowMillis));
+    public void onAttemptLost(List<CrashSuspect> suspects, UpstreamId upstream, long sentAtMillis, long nowMillis) {
+        lostAttempts.addLast(new LostAttempt(suspects, upstream, sentAtMillis, nowMillis));
         while (lostAttempts.size() > MAXIMUM_LOST_ATTEMPTS
                 || (!lostAttempts.isEmpty()
                         && nowMillis - lostAttempts.peekFirst().lostAtMillis() > DETECTION_WINDOW_MILLIS)) {
@@ -75,10 +76,23 @@
             boolean matches = attempt.upstream().equals(upstream)
                     && nowMillis - attempt.lostAtMillis() <= DETECTION_WINDOW_MILLIS;
             if (matches) {
-                history.onCrash(attempt.suspect(), upstream, attempt.sentAtMillis(), attempt.lostAtMillis(), nowMillis);
+                suspectsOf(attempt, nowMillis)
+                        .forEach(suspect -> history.onCrash(
+                                suspect, upstream, attempt.sentAtMillis(), attempt.lostAtMillis(), nowMillis));
                 crashListener.accept(attempt);
             }
             return matches;
         });
     }
+
+    /**
+     * Returns the suspects of a lost attempt: those that are refused already if there are any, as they explain the
+     * crash, otherwise all.
+     */
+    private List<CrashSuspect> suspectsOf(LostAttempt attempt, long nowMillis) {
+        List<CrashSuspect> refused = attempt.suspects().stream()
+                .filter(suspect -> history.isRefused(suspect, nowMillis))
+                .toList();
+        return refused.isEmpty() ? attempt.suspects() : refused;
+    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -7,7 +7,9 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -58,7 +60,7 @@
     private final ServingRequest request;
     private final Optional<AccountId> account;
     private final long configVersion;
-    private final CrashSuspect suspect;
+    private final List<CrashSuspect> suspects;
     private final Set<UpstreamId> excludedUpstreams = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
 
@@ -101,10 +103,34 @@
         this.request = request;
         this.account = account;
         this.configVersion = configVersion;
-        this.suspect = CrashSuspect.request(request.fingerprint());
+        this.suspects = suspects(request);
         this.lastEventId = metadata.lastEventId().orElse(Long.MIN_VALUE);
     }
 
+    /** Returns what may crash an upstream by a request; the last part of a prompt is in no other request. */
+    private static List<CrashSuspect> suspects(ServingRequest request) {
+        List<CrashSuspect> suspects = new ArrayList<>();
+        suspects.add(CrashSuspect.request(request.fingerprint()));
+        request.prompt().stream()
+                .limit(Math.max(0, request.prompt().size() - 1))
+                .map(part -> CrashSuspect.promptPart(part.id()))
+                .distinct()
+                .forEach(suspects::add);
+        return suspects;
+    }
+
+    private Optional<CrashSuspect> refusedSuspect() {
+        long now = nowMillis();
+        return suspects.stream()
+                .filter(suspect -> context.crashHistory().isRefused(suspect, now))
+                .findFirst();
+    }
+
+    private void clearSuspects(UpstreamAttempt completedAttempt) {
+        long now = nowMillis();
+        suspects.forEach(suspect -> context.crashHistory().onCompleted(suspect, completedAttempt.sentAtMillis(), now));
+    }
+
     void start() {
         exchange.setDisconnectListener(this::onCallerDisconnected);
         long remaining = request.deadlineMillis() - nowMillis() - DEADLINE_MARGIN_MILLIS;
@@ -123,11 +149,13 @@
                                 .map(part -> Long.toHexString(part.id()))
                                 .collect(Collectors.joining(",")))
                 .with("remainingMillis", remaining)
-                .with("suspect", suspect)
-                .with("crashes", context.crashHistory().crashCount(suspect, nowMillis()))
+                .with("fingerprint", Long.toHexString(request.fingerprint()))
                 .write();
-        if (context.crashHistory().isRefused(suspect, nowMillis())) {
-            refuse("the request crashed several upstreams", request.route().timeoutMillis());
+        Optional<CrashSuspect> refusedSuspect = refusedSuspect();
+        if (refusedSuspect.isPresent()) {
+            refuse(
+                    "the request crashes upstreams by " + refusedSuspect.get(),
+                    request.route().timeoutMillis());
             return;
         }
         placeAndSend();
@@ -319,7 +347,7 @@
     private boolean mayRunAgain(int openRuns) {
         return request.route().isRetryable()
                 && possibleExecutions + openRuns < request.route().maximumAttempts()
-                && !context.crashHistory().isRefused(suspect, nowMillis());
+                && refusedSuspect().isEmpty();
     }
 
     /** Makes an attempt that has responded the only one. */
@@ -368,7 +396,7 @@
         if (attempt.mayHaveRun()) {
             possibleExecutions++;
             context.crashDetector()
-                    .onAttemptLost(suspect, attempt.upstream().id(), attempt.sentAtMillis(), nowMillis());
+                    .onAttemptLost(suspects, attempt.upstream().id(), attempt.sentAtMillis(), nowMillis());
             context.upstreamCheck().afterLostAttempt(attempt.upstream());
         }
     }
@@ -412,7 +440,7 @@
         takeOver(attempt);
         currentAttempt = null;
         if (response.status().codeClass() == HttpStatusClass.SUCCESS) {
-            context.crashHistory().onCompleted(suspect, attempt.sentAtMillis(), nowMillis());
+            clearSuspects(attempt);
         }
         end("answered", "status " + response.status().code());
         exchange.respond(response.status(), response.headers(), response.content());
@@ -459,7 +487,7 @@
     void onStreamEnd(UpstreamAttempt attempt, HttpResponseStatus status, HttpHeaders headers) {
         takeOver(attempt);
         currentAttempt = null;
-        context.crashHistory().onCompleted(suspect, attempt.sentAtMillis(), nowMillis());
+        clearSuspects(attempt);
         countStartedRequest();
         // A stream without events has not been started yet; otherwise this has no effect.
         exchange.startStream(status, headers);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -224,9 +224,13 @@
         runtime.log()
                 .event("upstream.crashed")
                 .with("upstream", attempt.upstream().value())
-                .with("suspect", attempt.suspect())
+                .with("suspects", attempt.suspects())
                 .with("lostMillisAgo", now - attempt.lostAtMillis())
-                .with("crashes", crashHistory.crashCount(attempt.suspect(), now))
+                .with(
+                        "crashes",
+                        attempt.suspects().stream()
+                                .map(suspect -> crashHistory.crashCount(suspect, now))
+                                .toList())
                 .write();
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/quarantine/CrashHistoryTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/quarantine/CrashHistoryTest.java
@@ -77,6 +77,32 @@
         assertEquals(1, history.crashCount(SUSPECT, 300));
     }
 
+    @ParameterizedTest
+    @CsvSource({"REQUEST, 1, false", "REQUEST, 2, true", "PROMPT_PART, 2, false", "PROMPT_PART, 3, true"})
+    void refusesAfterTheNumberOfCrashesOfItsKind(CrashSuspect.Kind kind, int crashes, boolean refused) {
+        CrashSuspect suspect = new CrashSuspect(kind, 7);
+        for (int i = 0; i < crashes; i++) {
+            history.onCrash(suspect, upstream(i), 100L * i, 100L * i + 50, 100L * i + 50);
+        }
+        assertEquals(refused, history.isRefused(suspect, 1_000));
+        assertEquals(refused ? List.of(suspect) : List.of(), history.refused(1_000));
+        // It is released when it has crashed nothing for the retention time.
+        assertFalse(history.isRefused(suspect, 1_000 + RETENTION_MILLIS));
+    }
+
+    /** Guards against refusing a part that most requests share when many engines crash again and again. */
+    @Test
+    void partOfSoundRequestsIsNotRefusedWhileEnginesCrash() {
+        CrashSuspect shared = CrashSuspect.promptPart(7);
+        for (long now = 0; now < 30_000; now += 1_000) {
+            for (int i = 0; i < 8; i++) {
+                history.onCrash(shared, upstream(i), now + 10 * i, now + 300, now + 300);
+            }
+            assertFalse(history.isRefused(shared, now + 301));
+            history.onCompleted(shared, now + 310, now + 600);
+        }
+    }
+
     /** An attempt clears its suspect only of the crashes before it was sent. */
     @ParameterizedTest
     @CsvSource({"30, 0", "29, 1", "10, 1", "9, 2"})
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/CrashDetectorTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/CrashDetectorTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
@@ -17,7 +18,7 @@
     @Test
     void lostConnectionsAloneAreNotCrashes() {
         for (int i = 0; i < 9; i++) {
-            detector.onAttemptLost(SUSPECT, UpstreamId.fromString("u" + i), i * 100, i * 100 + 50);
+            detector.onAttemptLost(List.of(SUSPECT), UpstreamId.fromString("u" + i), i * 100, i * 100 + 50);
         }
         assertEquals(0, history.crashCount(SUSPECT, 1_000));
     }
@@ -26,7 +27,7 @@
     void requestThatCrashedSeveralUpstreamsIsRefused() {
         for (int i = 0; i < 3; i++) {
             UpstreamId upstream = UpstreamId.fromString("u" + i);
-            detector.onAttemptLost(SUSPECT, upstream, i * 1_000, i * 1_000 + 50);
+            detector.onAttemptLost(List.of(SUSPECT), upstream, i * 1_000, i * 1_000 + 50);
             detector.onUpstreamDown(upstream, i * 1_000 + 300);
         }
         assertTrue(history.isRefused(SUSPECT, 3_000));
@@ -36,8 +37,23 @@
     @Test
     void connectionLossLongBeforeAFailureIsNotACrash() {
         UpstreamId upstream = UpstreamId.fromString("u");
-        detector.onAttemptLost(SUSPECT, upstream, 0, 50);
+        detector.onAttemptLost(List.of(SUSPECT), upstream, 0, 50);
         detector.onUpstreamDown(upstream, 10_000);
         assertEquals(0, history.crashCount(SUSPECT, 10_000));
     }
+
+    /** Guards against refusing a rare sound part because it occurs beside a part that is refused already. */
+    @Test
+    void crashOfARefusedPartIsNotCountedAgainstTheOtherParts() {
+        CrashSuspect crashing = CrashSuspect.promptPart(1);
+        CrashSuspect beside = CrashSuspect.promptPart(2);
+        for (int i = 0; i < 8; i++) {
+            UpstreamId upstream = UpstreamId.fromString("u" + i);
+            List<CrashSuspect> suspects = i < 3 ? List.of(crashing) : List.of(crashing, beside);
+            detector.onAttemptLost(suspects, upstream, i * 1_000, i * 1_000 + 50);
+            detector.onUpstreamDown(upstream, i * 1_000 + 60);
+        }
+        assertTrue(history.isRefused(crashing, 9_000));
+        assertEquals(0, history.crashCount(beside, 9_000));
+    }
 }
