End a stream without a signature at its first byte

What a caller would see: an upstream that writes events without a signature and without end held its request until the deadline.

Cause: such a stream failed only when it was complete. Its events are never passed on, so nothing is gained by reading them.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -56,6 +56,8 @@
      */
     private static final int TARGET_GAP_FACTOR = 3;
 
+    private static final String UNSIGNED_RESPONSE = "the answer carries no signature";
+
     private final RelayedRequest relayedRequest;
     private final Placement placement;
     private final boolean isPrefill;
@@ -331,6 +333,11 @@
             addContent(bytes);
             return;
         }
+        if (!metadata.signed()) {
+            // No event of it is passed on, and it may never end.
+            fail(UNSIGNED_RESPONSE);
+            return;
+        }
         List<SseEventSplitter.Event> completeEvents;
         try {
             completeEvents = events.append(bytes);
@@ -338,8 +345,7 @@
             fail(e.getMessage());
             return;
         }
-        // Events of an unsigned response are not passed on; the attempt fails when the response is complete.
-        if (completeEvents.isEmpty() || !metadata.signed()) {
+        if (completeEvents.isEmpty()) {
             return;
         }
         if (!firstResponsePartRecorded) {
@@ -391,7 +397,7 @@
         } else if (isPrefill) {
             onPrefilled();
         } else if (!metadata.signed()) {
-            onFailure("the answer carries no signature");
+            onFailure(UNSIGNED_RESPONSE);
         } else if (!isStreaming) {
             end("answered", "status " + status.code());
             recordResult(status.code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
