Send no waiting request that was found to crash upstreams

What callers saw: nothing of its own; a request that may have run waits for a usable upstream until its deadline, up to five seconds, and was then sent although enough crashes were known meanwhile.

Cause: whether a request is refused was decided when it arrived and when an attempt failed, not when it is sent.

Evidence: requestThatWaitsForAnUpstreamIsNotSentOnceItIsKnownToCrashThem reached a third upstream before and reaches two now.

Change: placeAndSend decides it for each send. The number of suspects becomes a metric, on which the test waits.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashHistory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashHistory.java
@@ -227,6 +227,17 @@
                 .toList();
     }
 
+    /**
+     * Returns the number of suspects with at least one crash.
+     *
+     * @return the number of suspects, refused or not
+     */
+    public long suspectCount() {
+        return entryBySuspect.values().stream()
+                .filter(entry -> !entry.crashes.isEmpty())
+                .count();
+    }
+
     /**
      * Returns the crashes to be reported to other nodes: those of refused suspects, then those of suspects that changed
      * recently, the newest first.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -37,6 +37,10 @@
             .name("cactusshift_relay_config_version")
             .help("The version of the configuration in force.")
             .register(registry);
+    private final Gauge suspects = Gauge.builder()
+            .name("cactusshift_relay_crash_suspects")
+            .help("What may have crashed upstreams: requests and prompt parts that were there.")
+            .register(registry);
     private final Gauge refusedSuspects = Gauge.builder()
             .name("cactusshift_relay_refused_crash_suspects")
             .help("Suspects that are refused because they crashed upstreams.")
@@ -92,12 +96,14 @@
     }
 
     /**
-     * Records how many suspects are refused because of crashes of upstreams.
+     * Records how many suspects there are because of crashes of upstreams.
      *
      * @param count the number of suspects
+     * @param refusedCount the number of those that are refused
      */
-    public void onRefusedSuspects(long count) {
-        refusedSuspects.set(count);
+    public void onCrashSuspects(long count, long refusedCount) {
+        suspects.set(count);
+        refusedSuspects.set(refusedCount);
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -151,13 +151,6 @@
                 .with("remainingMillis", remaining)
                 .with("fingerprint", Long.toHexString(request.fingerprint()))
                 .write();
-        Optional<CrashSuspect> refusedSuspect = refusedSuspect();
-        if (refusedSuspect.isPresent()) {
-            refuse(
-                    "the request crashes upstreams by " + refusedSuspect.get(),
-                    request.route().timeoutMillis());
-            return;
-        }
         placeAndSend();
     }
 
@@ -190,6 +183,13 @@
         if (isEnded()) {
             return;
         }
+        Optional<CrashSuspect> refusedSuspect = refusedSuspect();
+        if (refusedSuspect.isPresent()) {
+            endWithoutSuccess(
+                    "the request crashes upstreams by " + refusedSuspect.get(),
+                    request.route().timeoutMillis());
+            return;
+        }
         long now = nowMillis();
         Optional<Placement> found = place(now);
         if (found.isEmpty()) {
@@ -524,6 +524,11 @@
 
     /** Ends the request without success; states that it was not run only if no upstream may have run it. */
     private void endWithoutSuccess(String reason) {
+        endWithoutSuccess(reason, request.route().targetLatencyMillis());
+    }
+
+    /** Ends the request likewise; a refusal bases its delay on {@code retryDelayMillis}. */
+    private void endWithoutSuccess(String reason, long retryDelayMillis) {
         if (exchange.isStreaming()) {
             end("broken", reason);
             exchange.abort();
@@ -531,7 +536,7 @@
             end("failed-upstream", reason);
             exchange.respond(lastErrorResponse.status(), lastErrorResponse.headers(), lastErrorResponse.content());
         } else if (possibleExecutions == 0) {
-            refuse(reason, request.route().targetLatencyMillis());
+            refuse(reason, retryDelayMillis);
         } else {
             // Within twice the margin before the deadline, the deadline is taken to be the cause.
             boolean atDeadline = nowMillis() + 2 * DEADLINE_MARGIN_MILLIS >= request.deadlineMillis();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -287,8 +287,9 @@
     }
 
     private void respondWithMetrics(CallerExchange exchange) {
-        metrics.onRefusedSuspects(
-                crashHistory.refused(runtime.clock().monotonicMillis()).size());
+        long now = runtime.clock().monotonicMillis();
+        metrics.onCrashSuspects(
+                crashHistory.suspectCount(), crashHistory.refused(now).size());
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
         exchange.respond(HttpResponseStatus.OK, headers, metrics.toText());
