Confirm an upstream that accepts a connection after a lost attempt

What callers saw: nothing of its own; a crash that is not noticed counts against no request.

Cause: a crashing process may accept a connection after it has dropped others, until its last socket is closed. UpstreamCheck took the upstream for a sound one then and dropped the evidence.

Evidence: CrashInducingPromptPartTest failed once of about ten runs; the report had no upstream.crashed for the second crash within 20 s. The stand-in closes its listening socket while a thread accepts there.

Change: the connection has to be open still after 300 ms, otherwise the upstream is checked again, with three connections at most.

--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/ScriptedUpstream.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/ScriptedUpstream.java
@@ -230,12 +230,21 @@
         return line.toString(StandardCharsets.ISO_8859_1);
     }
 
+    /**
+     * Closes all connections and goes on listening.
+     *
+     * @throws IOException if one cannot be closed
+     */
+    public void closeConnections() throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
     /** Stops listening and closes all connections. */
     @Override
     public void close() throws IOException {
         listening.close();
-        for (Socket socket : sockets) {
-            socket.close();
-        }
+        closeConnections();
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -72,6 +72,10 @@
         return channel.isActive() && nowMillis - idleSinceMillis < idleLimitMillis - marginMillis;
     }
 
+    boolean isOpen() {
+        return channel.isActive();
+    }
+
     boolean hasBeenIdleFor(long nowMillis, long idleMillis) {
         return nowMillis - idleSinceMillis >= idleMillis;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -209,7 +209,7 @@
                 this::retryBudget,
                 crashHistory,
                 crashDetector,
-                UpstreamCheck.create(runtime.pool(), runtime.clock(), crashDetector, random),
+                UpstreamCheck.create(eventLoop, runtime.pool(), runtime.clock(), crashDetector, random),
                 account -> usage.add(account, siteEpochMillis()),
                 use -> gossipSender.onUse(use, runtime.clock().monotonicMillis()),
                 this::nodeCount,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamCheck.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamCheck.java
@@ -1,7 +1,9 @@
 package org.cactusshift.internal.transport.relay;
 
+import io.netty.channel.EventLoop;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
@@ -14,16 +16,31 @@
  * the store.
  */
 final class UpstreamCheck {
+    /**
+     * Time after which the connection of a check must still be open; a crashing process may accept connections until
+     * its last socket is closed.
+     */
+    private static final long CONFIRMATION_MILLIS = 300;
+
+    /** Maximum number of connections that are opened after a lost attempt. */
+    private static final int MAXIMUM_CONNECTIONS = 3;
+
+    private final EventLoop eventLoop;
     private final HttpConnectionPool pool;
     private final RelayClock clock;
     private final CrashDetector crashDetector;
     private final RandomGenerator random;
 
-    /** The upstreams to which a connection is being opened. */
-    private final Set<UpstreamId> open = new HashSet<>();
+    /** The upstreams that are being checked. */
+    private final Set<UpstreamId> checked = new HashSet<>();
 
     private UpstreamCheck(
-            HttpConnectionPool pool, RelayClock clock, CrashDetector crashDetector, RandomGenerator random) {
+            EventLoop eventLoop,
+            HttpConnectionPool pool,
+            RelayClock clock,
+            CrashDetector crashDetector,
+            RandomGenerator random) {
+        this.eventLoop = eventLoop;
         this.pool = pool;
         this.clock = clock;
         this.crashDetector = crashDetector;
@@ -31,21 +48,44 @@
     }
 
     static UpstreamCheck create(
-            HttpConnectionPool pool, RelayClock clock, CrashDetector crashDetector, RandomGenerator random) {
-        return new UpstreamCheck(pool, clock, crashDetector, random);
+            EventLoop eventLoop,
+            HttpConnectionPool pool,
+            RelayClock clock,
+            CrashDetector crashDetector,
+            RandomGenerator random) {
+        return new UpstreamCheck(eventLoop, pool, clock, crashDetector, random);
     }
 
-    /** Opens a connection to an upstream at which an attempt was lost; one at a time for each upstream. */
+    /** Checks an upstream at which an attempt was lost, unless it is being checked. */
     void afterLostAttempt(Upstream upstream) {
-        if (!open.add(upstream.id())) {
-            return;
+        if (checked.add(upstream.id())) {
+            connect(upstream, MAXIMUM_CONNECTIONS);
         }
+    }
+
+    private void connect(Upstream upstream, int remainingConnections) {
         pool.connect(upstream.entry().address(), connected -> {
-            open.remove(upstream.id());
-            connected.peek(pool::release).peekLeft(failure -> onConnectFailed(upstream));
+            if (connected.isLeft()) {
+                checked.remove(upstream.id());
+                onConnectFailed(upstream);
+                return;
+            }
+            pool.release(connected.get());
+            eventLoop.schedule(
+                    () -> confirm(upstream, connected.get(), remainingConnections - 1),
+                    CONFIRMATION_MILLIS,
+                    TimeUnit.MILLISECONDS);
         });
     }
 
+    private void confirm(Upstream upstream, HttpClientConnection connection, int remainingConnections) {
+        if (connection.isOpen() || remainingConnections == 0) {
+            checked.remove(upstream.id());
+        } else {
+            connect(upstream, remainingConnections);
+        }
+    }
+
     /** Records that no connection to an upstream could be opened. */
     void onConnectFailed(Upstream upstream) {
         long now = clock.monotonicMillis();
