Close a connection that a scripted upstream accepts while it is closed

The reports show that the upstream answered four requests after it had been closed: it had accepted a connection while it closed the others, and went on serving it.

--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/ScriptedUpstream.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/ScriptedUpstream.java
@@ -169,6 +169,10 @@
             try {
                 Socket socket = listening.accept();
                 sockets.add(socket);
+                if (listening.isClosed()) {
+                    // Accepted while close() ran, which may have missed it.
+                    socket.close();
+                }
                 Thread worker = new Thread(() -> serve(socket), "scripted-upstream-connection");
                 worker.setDaemon(true);
                 worker.start();
