Refuse the first part of prompts later than the parts after it

What callers would see: with little traffic, sound requests were refused for two minutes because they share the first part of a prompt with a crash-inducing request.

Cause: both parts are in the same crashed requests, and only a completed request between the crashes tells them apart.

Change: the first part of a prompt is a suspect of its own kind and refused after five crashes. A part after it is refused after three, and from then on its crashes count against it alone, so the first part gets to five only if it crashes engines whatever follows it. CrashHistory decides what explains a crash, for the relay and the dispatcher.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashHistory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashHistory.java
@@ -117,17 +117,22 @@
     }
 
     /**
-     * Records a crash that this node observed.
+     * Records a crash that this node observed: against those suspects that are refused already if there are any, as
+     * they explain it, otherwise against all.
      *
-     * @param suspect a suspect whose attempt was lost
+     * @param suspects the suspects of the attempt that was lost
      * @param upstream the upstream that crashed
      * @param sentAtMillis when the attempt was sent
      * @param lostAtMillis when the attempt was lost
      * @param nowMillis the current monotonic time, in milliseconds
      */
     public void onCrash(
-            CrashSuspect suspect, UpstreamId upstream, long sentAtMillis, long lostAtMillis, long nowMillis) {
-        add(suspect, new Crash(upstream, sentAtMillis, lostAtMillis), nowMillis);
+            List<CrashSuspect> suspects, UpstreamId upstream, long sentAtMillis, long lostAtMillis, long nowMillis) {
+        List<CrashSuspect> refused = suspects.stream()
+                .filter(suspect -> isRefused(suspect, nowMillis))
+                .toList();
+        Crash crash = new Crash(upstream, sentAtMillis, lostAtMillis);
+        (refused.isEmpty() ? suspects : refused).forEach(suspect -> add(suspect, crash, nowMillis));
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashSuspect.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashSuspect.java
@@ -1,5 +1,8 @@
 package org.cactusshift.internal.coordination.quarantine;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * What may have caused the crash of an upstream.
  *
@@ -13,10 +16,16 @@
         REQUEST(2),
 
         /**
-         * All requests with the same prompt part, whatever else they contain. More crashes are needed than for a
-         * request, because a part that sound requests share must not be refused.
+         * All requests with the same prompt part after the first one, whatever else they contain. More crashes are
+         * needed than for a request, because a part that sound requests share must not be refused.
+         */
+        PROMPT_PART(3),
+
+        /**
+         * All requests whose prompts begin with the same part. Most requests share it, so a part that follows it is
+         * refused first; from then on crashes count against that one alone.
          */
-        PROMPT_PART(3);
+        FIRST_PROMPT_PART(5);
 
         private final int refusalCrashCount;
 
@@ -40,13 +49,18 @@
     }
 
     /**
-     * Returns the suspect that stands for all requests with a prompt part.
+     * Returns the suspects that stand for the parts of a prompt that other requests may have too.
      *
-     * @param partId the id of the part
-     * @return the suspect
+     * @param partIds the ids of the parts, in the order of the prompt
+     * @return the suspects
      */
-    public static CrashSuspect promptPart(long partId) {
-        return new CrashSuspect(Kind.PROMPT_PART, partId);
+    public static List<CrashSuspect> promptParts(List<Long> partIds) {
+        List<CrashSuspect> suspects = new ArrayList<>();
+        for (long partId : partIds) {
+            Kind kind = suspects.isEmpty() ? Kind.FIRST_PROMPT_PART : Kind.PROMPT_PART;
+            suspects.add(new CrashSuspect(kind, partId));
+        }
+        return suspects;
     }
 
     /** Returns the kind and the value in hexadecimal digits, as in the log. */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
@@ -76,23 +76,11 @@
             boolean matches = attempt.upstream().equals(upstream)
                     && nowMillis - attempt.lostAtMillis() <= DETECTION_WINDOW_MILLIS;
             if (matches) {
-                suspectsOf(attempt, nowMillis)
-                        .forEach(suspect -> history.onCrash(
-                                suspect, upstream, attempt.sentAtMillis(), attempt.lostAtMillis(), nowMillis));
+                history.onCrash(
+                        attempt.suspects(), upstream, attempt.sentAtMillis(), attempt.lostAtMillis(), nowMillis);
                 crashListener.accept(attempt);
             }
             return matches;
         });
     }
-
-    /**
-     * Returns the suspects of a lost attempt: those that are refused already if there are any, as they explain the
-     * crash, otherwise all.
-     */
-    private List<CrashSuspect> suspectsOf(LostAttempt attempt, long nowMillis) {
-        List<CrashSuspect> refused = attempt.suspects().stream()
-                .filter(suspect -> history.isRefused(suspect, nowMillis))
-                .toList();
-        return refused.isEmpty() ? attempt.suspects() : refused;
-    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -21,6 +21,7 @@
 import org.cactusshift.internal.coordination.serving.Admission;
 import org.cactusshift.internal.coordination.serving.Placement;
 import org.cactusshift.internal.coordination.serving.PlacementQuery;
+import org.cactusshift.internal.coordination.serving.PromptPart;
 import org.cactusshift.internal.coordination.serving.RequestKind;
 import org.cactusshift.internal.coordination.serving.RetryAfterPolicy;
 import org.cactusshift.internal.coordination.serving.ServingRequest;
@@ -111,11 +112,11 @@
     private static List<CrashSuspect> suspects(ServingRequest request) {
         List<CrashSuspect> suspects = new ArrayList<>();
         suspects.add(CrashSuspect.request(request.fingerprint()));
-        request.prompt().stream()
+        suspects.addAll(CrashSuspect.promptParts(request.prompt().stream()
                 .limit(Math.max(0, request.prompt().size() - 1))
-                .map(part -> CrashSuspect.promptPart(part.id()))
+                .map(PromptPart::id)
                 .distinct()
-                .forEach(suspects::add);
+                .toList()));
         return suspects;
     }
 
