--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/HeartbeatRequest.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/HeartbeatRequest.java
@@ -31,6 +31,8 @@
     loads_ = java.util.Collections.emptyList();
     accounts_ = java.util.Collections.emptyList();
     suspects_ = java.util.Collections.emptyList();
+    partCrashes_ = java.util.Collections.emptyList();
+    partCompletions_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -249,6 +251,88 @@
     return leaving_;
   }
 
+  public static final int PART_CRASHES_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cactusshift.messages.PartCrash> partCrashes_;
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cactusshift.messages.PartCrash> getPartCrashesList() {
+    return partCrashes_;
+  }
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cactusshift.messages.PartCrashOrBuilder> 
+      getPartCrashesOrBuilderList() {
+    return partCrashes_;
+  }
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  @java.lang.Override
+  public int getPartCrashesCount() {
+    return partCrashes_.size();
+  }
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  @java.lang.Override
+  public org.cactusshift.messages.PartCrash getPartCrashes(int index) {
+    return partCrashes_.get(index);
+  }
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  @java.lang.Override
+  public org.cactusshift.messages.PartCrashOrBuilder getPartCrashesOrBuilder(
+      int index) {
+    return partCrashes_.get(index);
+  }
+
+  public static final int PART_COMPLETIONS_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cactusshift.messages.PartCompletion> partCompletions_;
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cactusshift.messages.PartCompletion> getPartCompletionsList() {
+    return partCompletions_;
+  }
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cactusshift.messages.PartCompletionOrBuilder> 
+      getPartCompletionsOrBuilderList() {
+    return partCompletions_;
+  }
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  @java.lang.Override
+  public int getPartCompletionsCount() {
+    return partCompletions_.size();
+  }
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  @java.lang.Override
+  public org.cactusshift.messages.PartCompletion getPartCompletions(int index) {
+    return partCompletions_.get(index);
+  }
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  @java.lang.Override
+  public org.cactusshift.messages.PartCompletionOrBuilder getPartCompletionsOrBuilder(
+      int index) {
+    return partCompletions_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -287,6 +371,12 @@
     if (leaving_ != false) {
       output.writeBool(8, leaving_);
     }
+    for (int i = 0; i < partCrashes_.size(); i++) {
+      output.writeMessage(9, partCrashes_.get(i));
+    }
+    for (int i = 0; i < partCompletions_.size(); i++) {
+      output.writeMessage(10, partCompletions_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -343,6 +433,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(8, leaving_);
     }
+
+        {
+          final int count = partCrashes_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(partCrashes_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = partCompletions_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(partCompletions_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -377,6 +485,10 @@
         .equals(other.getSuspectsList())) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (!getPartCrashesList()
+        .equals(other.getPartCrashesList())) return false;
+    if (!getPartCompletionsList()
+        .equals(other.getPartCompletionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -416,6 +528,14 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    if (getPartCrashesCount() > 0) {
+      hash = (37 * hash) + PART_CRASHES_FIELD_NUMBER;
+      hash = (53 * hash) + getPartCrashesList().hashCode();
+    }
+    if (getPartCompletionsCount() > 0) {
+      hash = (37 * hash) + PART_COMPLETIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getPartCompletionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -550,6 +670,8 @@
         internalGetLoadsFieldBuilder();
         internalGetAccountsFieldBuilder();
         internalGetSuspectsFieldBuilder();
+        internalGetPartCrashesFieldBuilder();
+        internalGetPartCompletionsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -586,6 +708,20 @@
       }
       bitField0_ = (bitField0_ & ~0x00000040);
       leaving_ = false;
+      if (partCrashesBuilder_ == null) {
+        partCrashes_ = java.util.Collections.emptyList();
+      } else {
+        partCrashes_ = null;
+        partCrashesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
+      if (partCompletionsBuilder_ == null) {
+        partCompletions_ = java.util.Collections.emptyList();
+      } else {
+        partCompletions_ = null;
+        partCompletionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
       return this;
     }
 
@@ -646,6 +782,24 @@
       } else {
         result.suspects_ = suspectsBuilder_.build();
       }
+      if (partCrashesBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          partCrashes_ = java.util.Collections.unmodifiableList(partCrashes_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.partCrashes_ = partCrashes_;
+      } else {
+        result.partCrashes_ = partCrashesBuilder_.build();
+      }
+      if (partCompletionsBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          partCompletions_ = java.util.Collections.unmodifiableList(partCompletions_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.partCompletions_ = partCompletions_;
+      } else {
+        result.partCompletions_ = partCompletionsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cactusshift.messages.HeartbeatRequest result) {
@@ -777,6 +931,58 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (partCrashesBuilder_ == null) {
+        if (!other.partCrashes_.isEmpty()) {
+          if (partCrashes_.isEmpty()) {
+            partCrashes_ = other.partCrashes_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensurePartCrashesIsMutable();
+            partCrashes_.addAll(other.partCrashes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.partCrashes_.isEmpty()) {
+          if (partCrashesBuilder_.isEmpty()) {
+            partCrashesBuilder_.dispose();
+            partCrashesBuilder_ = null;
+            partCrashes_ = other.partCrashes_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            partCrashesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPartCrashesFieldBuilder() : null;
+          } else {
+            partCrashesBuilder_.addAllMessages(other.partCrashes_);
+          }
+        }
+      }
+      if (partCompletionsBuilder_ == null) {
+        if (!other.partCompletions_.isEmpty()) {
+          if (partCompletions_.isEmpty()) {
+            partCompletions_ = other.partCompletions_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensurePartCompletionsIsMutable();
+            partCompletions_.addAll(other.partCompletions_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.partCompletions_.isEmpty()) {
+          if (partCompletionsBuilder_.isEmpty()) {
+            partCompletionsBuilder_.dispose();
+            partCompletionsBuilder_ = null;
+            partCompletions_ = other.partCompletions_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            partCompletionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPartCompletionsFieldBuilder() : null;
+          } else {
+            partCompletionsBuilder_.addAllMessages(other.partCompletions_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -869,6 +1075,32 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 74: {
+              org.cactusshift.messages.PartCrash m =
+                  input.readMessage(
+                      org.cactusshift.messages.PartCrash.parser(),
+                      extensionRegistry);
+              if (partCrashesBuilder_ == null) {
+                ensurePartCrashesIsMutable();
+                partCrashes_.add(m);
+              } else {
+                partCrashesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
+            case 82: {
+              org.cactusshift.messages.PartCompletion m =
+                  input.readMessage(
+                      org.cactusshift.messages.PartCompletion.parser(),
+                      extensionRegistry);
+              if (partCompletionsBuilder_ == null) {
+                ensurePartCompletionsIsMutable();
+                partCompletions_.add(m);
+              } else {
+                partCompletionsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1867,6 +2099,486 @@
       return this;
     }
 
+    private java.util.List<org.cactusshift.messages.PartCrash> partCrashes_ =
+      java.util.Collections.emptyList();
+    private void ensurePartCrashesIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        partCrashes_ = new java.util.ArrayList<org.cactusshift.messages.PartCrash>(partCrashes_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cactusshift.messages.PartCrash, org.cactusshift.messages.PartCrash.Builder, org.cactusshift.messages.PartCrashOrBuilder> partCrashesBuilder_;
+
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public java.util.List<org.cactusshift.messages.PartCrash> getPartCrashesList() {
+      if (partCrashesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(partCrashes_);
+      } else {
+        return partCrashesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public int getPartCrashesCount() {
+      if (partCrashesBuilder_ == null) {
+        return partCrashes_.size();
+      } else {
+        return partCrashesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public org.cactusshift.messages.PartCrash getPartCrashes(int index) {
+      if (partCrashesBuilder_ == null) {
+        return partCrashes_.get(index);
+      } else {
+        return partCrashesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public Builder setPartCrashes(
+        int index, org.cactusshift.messages.PartCrash value) {
+      if (partCrashesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartCrashesIsMutable();
+        partCrashes_.set(index, value);
+        onChanged();
+      } else {
+        partCrashesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public Builder setPartCrashes(
+        int index, org.cactusshift.messages.PartCrash.Builder builderForValue) {
+      if (partCrashesBuilder_ == null) {
+        ensurePartCrashesIsMutable();
+        partCrashes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        partCrashesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public Builder addPartCrashes(org.cactusshift.messages.PartCrash value) {
+      if (partCrashesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartCrashesIsMutable();
+        partCrashes_.add(value);
+        onChanged();
+      } else {
+        partCrashesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public Builder addPartCrashes(
+        int index, org.cactusshift.messages.PartCrash value) {
+      if (partCrashesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartCrashesIsMutable();
+        partCrashes_.add(index, value);
+        onChanged();
+      } else {
+        partCrashesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public Builder addPartCrashes(
+        org.cactusshift.messages.PartCrash.Builder builderForValue) {
+      if (partCrashesBuilder_ == null) {
+        ensurePartCrashesIsMutable();
+        partCrashes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        partCrashesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public Builder addPartCrashes(
+        int index, org.cactusshift.messages.PartCrash.Builder builderForValue) {
+      if (partCrashesBuilder_ == null) {
+        ensurePartCrashesIsMutable();
+        partCrashes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        partCrashesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public Builder addAllPartCrashes(
+        java.lang.Iterable<? extends org.cactusshift.messages.PartCrash> values) {
+      if (partCrashesBuilder_ == null) {
+        ensurePartCrashesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, partCrashes_);
+        onChanged();
+      } else {
+        partCrashesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public Builder clearPartCrashes() {
+      if (partCrashesBuilder_ == null) {
+        partCrashes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        partCrashesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public Builder removePartCrashes(int index) {
+      if (partCrashesBuilder_ == null) {
+        ensurePartCrashesIsMutable();
+        partCrashes_.remove(index);
+        onChanged();
+      } else {
+        partCrashesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public org.cactusshift.messages.PartCrash.Builder getPartCrashesBuilder(
+        int index) {
+      return internalGetPartCrashesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public org.cactusshift.messages.PartCrashOrBuilder getPartCrashesOrBuilder(
+        int index) {
+      if (partCrashesBuilder_ == null) {
+        return partCrashes_.get(index);  } else {
+        return partCrashesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public java.util.List<? extends org.cactusshift.messages.PartCrashOrBuilder> 
+         getPartCrashesOrBuilderList() {
+      if (partCrashesBuilder_ != null) {
+        return partCrashesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(partCrashes_);
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public org.cactusshift.messages.PartCrash.Builder addPartCrashesBuilder() {
+      return internalGetPartCrashesFieldBuilder().addBuilder(
+          org.cactusshift.messages.PartCrash.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public org.cactusshift.messages.PartCrash.Builder addPartCrashesBuilder(
+        int index) {
+      return internalGetPartCrashesFieldBuilder().addBuilder(
+          index, org.cactusshift.messages.PartCrash.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+     */
+    public java.util.List<org.cactusshift.messages.PartCrash.Builder> 
+         getPartCrashesBuilderList() {
+      return internalGetPartCrashesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cactusshift.messages.PartCrash, org.cactusshift.messages.PartCrash.Builder, org.cactusshift.messages.PartCrashOrBuilder> 
+        internalGetPartCrashesFieldBuilder() {
+      if (partCrashesBuilder_ == null) {
+        partCrashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cactusshift.messages.PartCrash, org.cactusshift.messages.PartCrash.Builder, org.cactusshift.messages.PartCrashOrBuilder>(
+                partCrashes_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        partCrashes_ = null;
+      }
+      return partCrashesBuilder_;
+    }
+
+    private java.util.List<org.cactusshift.messages.PartCompletion> partCompletions_ =
+      java.util.Collections.emptyList();
+    private void ensurePartCompletionsIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        partCompletions_ = new java.util.ArrayList<org.cactusshift.messages.PartCompletion>(partCompletions_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cactusshift.messages.PartCompletion, org.cactusshift.messages.PartCompletion.Builder, org.cactusshift.messages.PartCompletionOrBuilder> partCompletionsBuilder_;
+
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public java.util.List<org.cactusshift.messages.PartCompletion> getPartCompletionsList() {
+      if (partCompletionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(partCompletions_);
+      } else {
+        return partCompletionsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public int getPartCompletionsCount() {
+      if (partCompletionsBuilder_ == null) {
+        return partCompletions_.size();
+      } else {
+        return partCompletionsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public org.cactusshift.messages.PartCompletion getPartCompletions(int index) {
+      if (partCompletionsBuilder_ == null) {
+        return partCompletions_.get(index);
+      } else {
+        return partCompletionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public Builder setPartCompletions(
+        int index, org.cactusshift.messages.PartCompletion value) {
+      if (partCompletionsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartCompletionsIsMutable();
+        partCompletions_.set(index, value);
+        onChanged();
+      } else {
+        partCompletionsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public Builder setPartCompletions(
+        int index, org.cactusshift.messages.PartCompletion.Builder builderForValue) {
+      if (partCompletionsBuilder_ == null) {
+        ensurePartCompletionsIsMutable();
+        partCompletions_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        partCompletionsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public Builder addPartCompletions(org.cactusshift.messages.PartCompletion value) {
+      if (partCompletionsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartCompletionsIsMutable();
+        partCompletions_.add(value);
+        onChanged();
+      } else {
+        partCompletionsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public Builder addPartCompletions(
+        int index, org.cactusshift.messages.PartCompletion value) {
+      if (partCompletionsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartCompletionsIsMutable();
+        partCompletions_.add(index, value);
+        onChanged();
+      } else {
+        partCompletionsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public Builder addPartCompletions(
+        org.cactusshift.messages.PartCompletion.Builder builderForValue) {
+      if (partCompletionsBuilder_ == null) {
+        ensurePartCompletionsIsMutable();
+        partCompletions_.add(builderForValue.build());
+        onChanged();
+      } else {
+        partCompletionsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public Builder addPartCompletions(
+        int index, org.cactusshift.messages.PartCompletion.Builder builderForValue) {
+      if (partCompletionsBuilder_ == null) {
+        ensurePartCompletionsIsMutable();
+        partCompletions_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        partCompletionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public Builder addAllPartCompletions(
+        java.lang.Iterable<? extends org.cactusshift.messages.PartCompletion> values) {
+      if (partCompletionsBuilder_ == null) {
+        ensurePartCompletionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, partCompletions_);
+        onChanged();
+      } else {
+        partCompletionsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public Builder clearPartCompletions() {
+      if (partCompletionsBuilder_ == null) {
+        partCompletions_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        partCompletionsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public Builder removePartCompletions(int index) {
+      if (partCompletionsBuilder_ == null) {
+        ensurePartCompletionsIsMutable();
+        partCompletions_.remove(index);
+        onChanged();
+      } else {
+        partCompletionsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public org.cactusshift.messages.PartCompletion.Builder getPartCompletionsBuilder(
+        int index) {
+      return internalGetPartCompletionsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public org.cactusshift.messages.PartCompletionOrBuilder getPartCompletionsOrBuilder(
+        int index) {
+      if (partCompletionsBuilder_ == null) {
+        return partCompletions_.get(index);  } else {
+        return partCompletionsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public java.util.List<? extends org.cactusshift.messages.PartCompletionOrBuilder> 
+         getPartCompletionsOrBuilderList() {
+      if (partCompletionsBuilder_ != null) {
+        return partCompletionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(partCompletions_);
+      }
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public org.cactusshift.messages.PartCompletion.Builder addPartCompletionsBuilder() {
+      return internalGetPartCompletionsFieldBuilder().addBuilder(
+          org.cactusshift.messages.PartCompletion.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public org.cactusshift.messages.PartCompletion.Builder addPartCompletionsBuilder(
+        int index) {
+      return internalGetPartCompletionsFieldBuilder().addBuilder(
+          index, org.cactusshift.messages.PartCompletion.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+     */
+    public java.util.List<org.cactusshift.messages.PartCompletion.Builder> 
+         getPartCompletionsBuilderList() {
+      return internalGetPartCompletionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cactusshift.messages.PartCompletion, org.cactusshift.messages.PartCompletion.Builder, org.cactusshift.messages.PartCompletionOrBuilder> 
+        internalGetPartCompletionsFieldBuilder() {
+      if (partCompletionsBuilder_ == null) {
+        partCompletionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cactusshift.messages.PartCompletion, org.cactusshift.messages.PartCompletion.Builder, org.cactusshift.messages.PartCompletionOrBuilder>(
+                partCompletions_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        partCompletions_ = null;
+      }
+      return partCompletionsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cactusshift.peer.v1.HeartbeatRequest)
   }
 
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/HeartbeatRequestOrBuilder.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/HeartbeatRequestOrBuilder.java
@@ -124,4 +124,52 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  java.util.List<org.cactusshift.messages.PartCrash> 
+      getPartCrashesList();
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  org.cactusshift.messages.PartCrash getPartCrashes(int index);
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  int getPartCrashesCount();
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  java.util.List<? extends org.cactusshift.messages.PartCrashOrBuilder> 
+      getPartCrashesOrBuilderList();
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCrash part_crashes = 9;</code>
+   */
+  org.cactusshift.messages.PartCrashOrBuilder getPartCrashesOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  java.util.List<org.cactusshift.messages.PartCompletion> 
+      getPartCompletionsList();
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  org.cactusshift.messages.PartCompletion getPartCompletions(int index);
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  int getPartCompletionsCount();
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  java.util.List<? extends org.cactusshift.messages.PartCompletionOrBuilder> 
+      getPartCompletionsOrBuilderList();
+  /**
+   * <code>repeated .cactusshift.peer.v1.PartCompletion part_completions = 10;</code>
+   */
+  org.cactusshift.messages.PartCompletionOrBuilder getPartCompletionsOrBuilder(
+      int index);
 }
--- a/org.cactusshift.messages/src/main/java/org/cactusshift/messages/PeerOuterClass.java
+++ b/org.cactusshift.messages/src/main/java/org/cactusshift/messages/PeerOuterClass.java
@@ -61,6 +61,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cactusshift_peer_v1_SuspectFingerprint_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cactusshift_peer_v1_PartCrash_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cactusshift_peer_v1_PartCrash_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cactusshift_peer_v1_PartCompletion_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cactusshift_peer_v1_PartCompletion_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cactusshift_peer_v1_FetchConfigRequest_descriptor;
   static final 
@@ -163,7 +173,7 @@
       "\n\npeer.proto\022\023cactusshift.peer.v1\"c\n\006Sen" +
       "der\022\023\n\013instance_id\030\001 \001(\t\022\026\n\016incarnation_" +
       "id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\024\n\014peer" +
-      "_address\030\004 \001(\t\"\300\002\n\020HeartbeatRequest\022+\n\006s" +
+      "_address\030\004 \001(\t\"\265\003\n\020HeartbeatRequest\022+\n\006s" +
       "ender\030\001 \001(\0132\033.cactusshift.peer.v1.Sender" +
       "\022\020\n\010sequence\030\002 \001(\004\022\026\n\016config_version\030\003 \001" +
       "(\003\022 \n\030store_contact_age_millis\030\004 \001(\003\0220\n\005" +
@@ -171,92 +181,100 @@
       "amLoad\0225\n\010accounts\030\006 \003(\0132#.cactusshift.p" +
       "eer.v1.AccountService\0229\n\010suspects\030\007 \003(\0132" +
       "\'.cactusshift.peer.v1.SuspectFingerprint" +
-      "\022\017\n\007leaving\030\010 \001(\010\"\366\002\n\021HeartbeatResponse\022" +
-      "+\n\006sender\030\001 \001(\0132\033.cactusshift.peer.v1.Se" +
-      "nder\022\020\n\010sequence\030\002 \001(\004\022\026\n\016config_version" +
-      "\030\003 \001(\003\022 \n\030store_contact_age_millis\030\004 \001(\003" +
-      "\0220\n\005loads\030\005 \003(\0132!.cactusshift.peer.v1.Up" +
-      "streamLoad\0225\n\010accounts\030\006 \003(\0132#.cactusshi" +
-      "ft.peer.v1.AccountService\0229\n\010suspects\030\007 " +
-      "\003(\0132\'.cactusshift.peer.v1.SuspectFingerp" +
-      "rint\022\017\n\007leaving\030\010 \001(\010\0223\n\010absences\030\t \003(\0132" +
-      "!.cactusshift.peer.v1.StoreAbsence\":\n\014St" +
-      "oreAbsence\022\026\n\016failure_domain\030\001 \001(\t\022\022\n\nag" +
-      "e_millis\030\002 \001(\003\"l\n\014UpstreamLoad\022\023\n\013upstre" +
-      "am_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\022\035\n\025queued" +
-      "_prefill_tokens\030\003 \001(\004\022\025\n\rdecode_tokens\030\004" +
-      " \001(\004\"z\n\016AccountService\022\022\n\naccount_id\030\001 \001" +
-      "(\t\022\026\n\016prefill_tokens\030\002 \001(\004\022\025\n\rdecode_tok" +
-      "ens\030\003 \001(\004\022\021\n\tin_flight\030\004 \001(\r\022\022\n\nservice_" +
-      "id\030\005 \001(\t\"N\n\022SuspectFingerprint\022\023\n\013finger" +
-      "print\030\001 \001(\006\022\017\n\007crashes\030\002 \001(\r\022\022\n\nage_mill" +
-      "is\030\003 \001(\003\"W\n\022FetchConfigRequest\022+\n\006sender" +
-      "\030\001 \001(\0132\033.cactusshift.peer.v1.Sender\022\024\n\014h" +
-      "ave_version\030\002 \001(\003\"x\n\023FetchConfigResponse" +
-      "\022\017\n\007version\030\001 \001(\003\022.\n\005parts\030\002 \003(\0132\037.cactu" +
-      "sshift.peer.v1.ConfigPart\022 \n\030store_conta" +
-      "ct_age_millis\030\003 \001(\003\";\n\nConfigPart\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\003" +
-      "\"A\n\022WatchConfigRequest\022+\n\006sender\030\001 \001(\0132\033" +
-      ".cactusshift.peer.v1.Sender\"B\n\rConfigVer" +
-      "sion\022\017\n\007version\030\001 \001(\003\022 \n\030store_contact_a" +
-      "ge_millis\030\002 \001(\003\"k\n\014ClaimRequest\022+\n\006sende" +
-      "r\030\001 \001(\0132\033.cactusshift.peer.v1.Sender\022.\n\006" +
-      "claims\030\002 \003(\0132\036.cactusshift.peer.v1.CallC" +
-      "laim\"u\n\tCallClaim\022\022\n\naccount_id\030\001 \001(\t\022\022\n" +
-      "\nservice_id\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001" +
-      "(\t\022\023\n\013body_digest\030\004 \001(\014\022\022\n\nattempt_id\030\005 " +
-      "\001(\t\"B\n\rClaimResponse\0221\n\007results\030\001 \003(\0132 ." +
-      "cactusshift.peer.v1.ClaimResult\"\240\002\n\013Clai" +
-      "mResult\0229\n\007verdict\030\001 \001(\0162(.cactusshift.p" +
-      "eer.v1.ClaimResult.Verdict\0221\n\007outcome\030\002 " +
-      "\001(\0132 .cactusshift.peer.v1.CallOutcome\022\031\n" +
-      "\021owner_instance_id\030\003 \001(\t\"\207\001\n\007Verdict\022\027\n\023" +
-      "VERDICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\014\n\010RE" +
-      "PEATED\020\002\022\010\n\004OPEN\020\003\022\021\n\rBODY_MISMATCH\020\004\022\r\n" +
-      "\tNOT_OWNER\020\005\022\017\n\013UNAVAILABLE\020\006\022\013\n\007UNKNOWN" +
-      "\020\007\"R\n\013CallOutcome\022\016\n\006status\030\001 \001(\r\022\024\n\014con" +
-      "tent_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\017\n\007unknown" +
-      "\030\004 \001(\010\"{\n\024RecordOutcomeRequest\022+\n\006sender" +
-      "\030\001 \001(\0132\033.cactusshift.peer.v1.Sender\0226\n\010o" +
-      "utcomes\030\002 \003(\0132$.cactusshift.peer.v1.Reco" +
-      "rdedOutcome\"\231\001\n\017RecordedOutcome\022\022\n\naccou" +
-      "nt_id\030\001 \001(\t\022\022\n\nservice_id\030\002 \001(\t\022\027\n\017idemp" +
-      "otency_key\030\003 \001(\t\022\022\n\nattempt_id\030\004 \001(\t\0221\n\007" +
-      "outcome\030\005 \001(\0132 .cactusshift.peer.v1.Call" +
-      "Outcome\")\n\025RecordOutcomeResponse\022\020\n\010reco" +
-      "rded\030\001 \001(\r\"\213\001\n\nUsageBatch\022+\n\006sender\030\001 \001(" +
-      "\0132\033.cactusshift.peer.v1.Sender\022\020\n\010sequen" +
-      "ce\030\002 \001(\004\022\r\n\005shard\030\003 \001(\r\022/\n\006counts\030\004 \003(\0132" +
-      "\037.cactusshift.peer.v1.UsageCount\"\232\001\n\nUsa" +
-      "geCount\022\022\n\naccount_id\030\001 \001(\t\022\022\n\nservice_i" +
-      "d\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\004\022\031\n\021comple" +
-      "tion_tokens\030\004 \001(\004\022\020\n\010requests\030\005 \001(\004\022 \n\030f" +
-      "inished_at_epoch_millis\030\006 \001(\003\"I\n\010UsageAc" +
-      "k\022\020\n\010accepted\030\001 \001(\010\022\020\n\010sequence\030\002 \001(\004\022\031\n" +
-      "\021owner_instance_id\030\003 \001(\t\"w\n\014DrainRequest" +
-      "\022+\n\006sender\030\001 \001(\0132\033.cactusshift.peer.v1.S" +
-      "ender\022\023\n\013upstream_id\030\002 \001(\t\022\026\n\016config_ver" +
-      "sion\030\003 \001(\003\022\r\n\005ended\030\004 \001(\010\"H\n\013DrainStatus" +
-      "\022\024\n\014acknowledged\030\001 \001(\010\022\021\n\tin_flight\030\002 \001(" +
-      "\r\022\020\n\010held_for\030\003 \001(\t2\204\005\n\004Peer\022Z\n\tHeartbea" +
-      "t\022%.cactusshift.peer.v1.HeartbeatRequest" +
-      "\032&.cactusshift.peer.v1.HeartbeatResponse" +
-      "\022`\n\013FetchConfig\022\'.cactusshift.peer.v1.Fe" +
-      "tchConfigRequest\032(.cactusshift.peer.v1.F" +
-      "etchConfigResponse\022\\\n\013WatchConfig\022\'.cact" +
-      "usshift.peer.v1.WatchConfigRequest\032\".cac" +
-      "tusshift.peer.v1.ConfigVersion0\001\022N\n\005Clai" +
-      "m\022!.cactusshift.peer.v1.ClaimRequest\032\".c" +
-      "actusshift.peer.v1.ClaimResponse\022f\n\rReco" +
-      "rdOutcome\022).cactusshift.peer.v1.RecordOu" +
-      "tcomeRequest\032*.cactusshift.peer.v1.Recor" +
-      "dOutcomeResponse\022O\n\rHandOverUsage\022\037.cact" +
-      "usshift.peer.v1.UsageBatch\032\035.cactusshift" +
-      ".peer.v1.UsageAck\022W\n\020AcknowledgeDrain\022!." +
-      "cactusshift.peer.v1.DrainRequest\032 .cactu" +
-      "sshift.peer.v1.DrainStatusB\034\n\030org.cactus" +
-      "shift.messagesP\001b\006proto3"
+      "\022\017\n\007leaving\030\010 \001(\010\0224\n\014part_crashes\030\t \003(\0132" +
+      "\036.cactusshift.peer.v1.PartCrash\022=\n\020part_" +
+      "completions\030\n \003(\0132#.cactusshift.peer.v1." +
+      "PartCompletion\"\366\002\n\021HeartbeatResponse\022+\n\006" +
+      "sender\030\001 \001(\0132\033.cactusshift.peer.v1.Sende" +
+      "r\022\020\n\010sequence\030\002 \001(\004\022\026\n\016config_version\030\003 " +
+      "\001(\003\022 \n\030store_contact_age_millis\030\004 \001(\003\0220\n" +
+      "\005loads\030\005 \003(\0132!.cactusshift.peer.v1.Upstr" +
+      "eamLoad\0225\n\010accounts\030\006 \003(\0132#.cactusshift." +
+      "peer.v1.AccountService\0229\n\010suspects\030\007 \003(\013" +
+      "2\'.cactusshift.peer.v1.SuspectFingerprin" +
+      "t\022\017\n\007leaving\030\010 \001(\010\0223\n\010absences\030\t \003(\0132!.c" +
+      "actusshift.peer.v1.StoreAbsence\":\n\014Store" +
+      "Absence\022\026\n\016failure_domain\030\001 \001(\t\022\022\n\nage_m" +
+      "illis\030\002 \001(\003\"l\n\014UpstreamLoad\022\023\n\013upstream_" +
+      "id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\r\022\035\n\025queued_pr" +
+      "efill_tokens\030\003 \001(\004\022\025\n\rdecode_tokens\030\004 \001(" +
+      "\004\"z\n\016AccountService\022\022\n\naccount_id\030\001 \001(\t\022" +
+      "\026\n\016prefill_tokens\030\002 \001(\004\022\025\n\rdecode_tokens" +
+      "\030\003 \001(\004\022\021\n\tin_flight\030\004 \001(\r\022\022\n\nservice_id\030" +
+      "\005 \001(\t\"N\n\022SuspectFingerprint\022\023\n\013fingerpri" +
+      "nt\030\001 \001(\006\022\017\n\007crashes\030\002 \001(\r\022\022\n\nage_millis\030" +
+      "\003 \001(\003\"o\n\tPartCrash\022\014\n\004part\030\001 \001(\006\022\023\n\013upst" +
+      "ream_id\030\002 \001(\t\022\027\n\017sent_age_millis\030\003 \001(\003\022\027" +
+      "\n\017lost_age_millis\030\004 \001(\003\022\r\n\005first\030\005 \001(\010\"F" +
+      "\n\016PartCompletion\022\014\n\004part\030\001 \001(\006\022\027\n\017sent_a" +
+      "ge_millis\030\002 \001(\003\022\r\n\005first\030\003 \001(\010\"W\n\022FetchC" +
+      "onfigRequest\022+\n\006sender\030\001 \001(\0132\033.cactusshi" +
+      "ft.peer.v1.Sender\022\024\n\014have_version\030\002 \001(\003\"" +
+      "x\n\023FetchConfigResponse\022\017\n\007version\030\001 \001(\003\022" +
+      ".\n\005parts\030\002 \003(\0132\037.cactusshift.peer.v1.Con" +
+      "figPart\022 \n\030store_contact_age_millis\030\003 \001(" +
+      "\003\";\n\nConfigPart\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002" +
+      " \001(\014\022\020\n\010revision\030\003 \001(\003\"A\n\022WatchConfigReq" +
+      "uest\022+\n\006sender\030\001 \001(\0132\033.cactusshift.peer." +
+      "v1.Sender\"B\n\rConfigVersion\022\017\n\007version\030\001 " +
+      "\001(\003\022 \n\030store_contact_age_millis\030\002 \001(\003\"k\n" +
+      "\014ClaimRequest\022+\n\006sender\030\001 \001(\0132\033.cactussh" +
+      "ift.peer.v1.Sender\022.\n\006claims\030\002 \003(\0132\036.cac" +
+      "tusshift.peer.v1.CallClaim\"u\n\tCallClaim\022" +
+      "\022\n\naccount_id\030\001 \001(\t\022\022\n\nservice_id\030\002 \001(\t\022" +
+      "\027\n\017idempotency_key\030\003 \001(\t\022\023\n\013body_digest\030" +
+      "\004 \001(\014\022\022\n\nattempt_id\030\005 \001(\t\"B\n\rClaimRespon" +
+      "se\0221\n\007results\030\001 \003(\0132 .cactusshift.peer.v" +
+      "1.ClaimResult\"\240\002\n\013ClaimResult\0229\n\007verdict" +
+      "\030\001 \001(\0162(.cactusshift.peer.v1.ClaimResult" +
+      ".Verdict\0221\n\007outcome\030\002 \001(\0132 .cactusshift." +
+      "peer.v1.CallOutcome\022\031\n\021owner_instance_id" +
+      "\030\003 \001(\t\"\207\001\n\007Verdict\022\027\n\023VERDICT_UNSPECIFIE" +
+      "D\020\000\022\013\n\007GRANTED\020\001\022\014\n\010REPEATED\020\002\022\010\n\004OPEN\020\003" +
+      "\022\021\n\rBODY_MISMATCH\020\004\022\r\n\tNOT_OWNER\020\005\022\017\n\013UN" +
+      "AVAILABLE\020\006\022\013\n\007UNKNOWN\020\007\"R\n\013CallOutcome\022" +
+      "\016\n\006status\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n" +
+      "\004body\030\003 \001(\014\022\017\n\007unknown\030\004 \001(\010\"{\n\024RecordOu" +
+      "tcomeRequest\022+\n\006sender\030\001 \001(\0132\033.cactusshi" +
+      "ft.peer.v1.Sender\0226\n\010outcomes\030\002 \003(\0132$.ca" +
+      "ctusshift.peer.v1.RecordedOutcome\"\231\001\n\017Re" +
+      "cordedOutcome\022\022\n\naccount_id\030\001 \001(\t\022\022\n\nser" +
+      "vice_id\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\022" +
+      "\n\nattempt_id\030\004 \001(\t\0221\n\007outcome\030\005 \001(\0132 .ca" +
+      "ctusshift.peer.v1.CallOutcome\")\n\025RecordO" +
+      "utcomeResponse\022\020\n\010recorded\030\001 \001(\r\"\213\001\n\nUsa" +
+      "geBatch\022+\n\006sender\030\001 \001(\0132\033.cactusshift.pe" +
+      "er.v1.Sender\022\020\n\010sequence\030\002 \001(\004\022\r\n\005shard\030" +
+      "\003 \001(\r\022/\n\006counts\030\004 \003(\0132\037.cactusshift.peer" +
+      ".v1.UsageCount\"\232\001\n\nUsageCount\022\022\n\naccount" +
+      "_id\030\001 \001(\t\022\022\n\nservice_id\030\002 \001(\t\022\025\n\rprompt_" +
+      "tokens\030\003 \001(\004\022\031\n\021completion_tokens\030\004 \001(\004\022" +
+      "\020\n\010requests\030\005 \001(\004\022 \n\030finished_at_epoch_m" +
+      "illis\030\006 \001(\003\"I\n\010UsageAck\022\020\n\010accepted\030\001 \001(" +
+      "\010\022\020\n\010sequence\030\002 \001(\004\022\031\n\021owner_instance_id" +
+      "\030\003 \001(\t\"w\n\014DrainRequest\022+\n\006sender\030\001 \001(\0132\033" +
+      ".cactusshift.peer.v1.Sender\022\023\n\013upstream_" +
+      "id\030\002 \001(\t\022\026\n\016config_version\030\003 \001(\003\022\r\n\005ende" +
+      "d\030\004 \001(\010\"H\n\013DrainStatus\022\024\n\014acknowledged\030\001" +
+      " \001(\010\022\021\n\tin_flight\030\002 \001(\r\022\020\n\010held_for\030\003 \001(" +
+      "\t2\204\005\n\004Peer\022Z\n\tHeartbeat\022%.cactusshift.pe" +
+      "er.v1.HeartbeatRequest\032&.cactusshift.pee" +
+      "r.v1.HeartbeatResponse\022`\n\013FetchConfig\022\'." +
+      "cactusshift.peer.v1.FetchConfigRequest\032(" +
+      ".cactusshift.peer.v1.FetchConfigResponse" +
+      "\022\\\n\013WatchConfig\022\'.cactusshift.peer.v1.Wa" +
+      "tchConfigRequest\032\".cactusshift.peer.v1.C" +
+      "onfigVersion0\001\022N\n\005Claim\022!.cactusshift.pe" +
+      "er.v1.ClaimRequest\032\".cactusshift.peer.v1" +
+      ".ClaimResponse\022f\n\rRecordOutcome\022).cactus" +
+      "shift.peer.v1.RecordOutcomeRequest\032*.cac" +
+      "tusshift.peer.v1.RecordOutcomeResponse\022O" +
+      "\n\rHandOverUsage\022\037.cactusshift.peer.v1.Us" +
+      "ageBatch\032\035.cactusshift.peer.v1.UsageAck\022" +
+      "W\n\020AcknowledgeDrain\022!.cactusshift.peer.v" +
+      "1.DrainRequest\032 .cactusshift.peer.v1.Dra" +
+      "inStatusB\034\n\030org.cactusshift.messagesP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -273,7 +291,7 @@
     internal_static_cactusshift_peer_v1_HeartbeatRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_HeartbeatRequest_descriptor,
-        new java.lang.String[] { "Sender", "Sequence", "ConfigVersion", "StoreContactAgeMillis", "Loads", "Accounts", "Suspects", "Leaving", });
+        new java.lang.String[] { "Sender", "Sequence", "ConfigVersion", "StoreContactAgeMillis", "Loads", "Accounts", "Suspects", "Leaving", "PartCrashes", "PartCompletions", });
     internal_static_cactusshift_peer_v1_HeartbeatResponse_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_cactusshift_peer_v1_HeartbeatResponse_fieldAccessorTable = new
@@ -304,110 +322,122 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_SuspectFingerprint_descriptor,
         new java.lang.String[] { "Fingerprint", "Crashes", "AgeMillis", });
-    internal_static_cactusshift_peer_v1_FetchConfigRequest_descriptor =
+    internal_static_cactusshift_peer_v1_PartCrash_descriptor =
       getDescriptor().getMessageType(7);
+    internal_static_cactusshift_peer_v1_PartCrash_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cactusshift_peer_v1_PartCrash_descriptor,
+        new java.lang.String[] { "Part", "UpstreamId", "SentAgeMillis", "LostAgeMillis", "First", });
+    internal_static_cactusshift_peer_v1_PartCompletion_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_cactusshift_peer_v1_PartCompletion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cactusshift_peer_v1_PartCompletion_descriptor,
+        new java.lang.String[] { "Part", "SentAgeMillis", "First", });
+    internal_static_cactusshift_peer_v1_FetchConfigRequest_descriptor =
+      getDescriptor().getMessageType(9);
     internal_static_cactusshift_peer_v1_FetchConfigRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_FetchConfigRequest_descriptor,
         new java.lang.String[] { "Sender", "HaveVersion", });
     internal_static_cactusshift_peer_v1_FetchConfigResponse_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(10);
     internal_static_cactusshift_peer_v1_FetchConfigResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_FetchConfigResponse_descriptor,
         new java.lang.String[] { "Version", "Parts", "StoreContactAgeMillis", });
     internal_static_cactusshift_peer_v1_ConfigPart_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_cactusshift_peer_v1_ConfigPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_ConfigPart_descriptor,
         new java.lang.String[] { "Name", "Value", "Revision", });
     internal_static_cactusshift_peer_v1_WatchConfigRequest_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_cactusshift_peer_v1_WatchConfigRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_WatchConfigRequest_descriptor,
         new java.lang.String[] { "Sender", });
     internal_static_cactusshift_peer_v1_ConfigVersion_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_cactusshift_peer_v1_ConfigVersion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_ConfigVersion_descriptor,
         new java.lang.String[] { "Version", "StoreContactAgeMillis", });
     internal_static_cactusshift_peer_v1_ClaimRequest_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_cactusshift_peer_v1_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_ClaimRequest_descriptor,
         new java.lang.String[] { "Sender", "Claims", });
     internal_static_cactusshift_peer_v1_CallClaim_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_cactusshift_peer_v1_CallClaim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_CallClaim_descriptor,
         new java.lang.String[] { "AccountId", "ServiceId", "IdempotencyKey", "BodyDigest", "AttemptId", });
     internal_static_cactusshift_peer_v1_ClaimResponse_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_cactusshift_peer_v1_ClaimResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_ClaimResponse_descriptor,
         new java.lang.String[] { "Results", });
     internal_static_cactusshift_peer_v1_ClaimResult_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_cactusshift_peer_v1_ClaimResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_ClaimResult_descriptor,
         new java.lang.String[] { "Verdict", "Outcome", "OwnerInstanceId", });
     internal_static_cactusshift_peer_v1_CallOutcome_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_cactusshift_peer_v1_CallOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_CallOutcome_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", "Unknown", });
     internal_static_cactusshift_peer_v1_RecordOutcomeRequest_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_cactusshift_peer_v1_RecordOutcomeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_RecordOutcomeRequest_descriptor,
         new java.lang.String[] { "Sender", "Outcomes", });
     internal_static_cactusshift_peer_v1_RecordedOutcome_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_cactusshift_peer_v1_RecordedOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_RecordedOutcome_descriptor,
         new java.lang.String[] { "AccountId", "ServiceId", "IdempotencyKey", "AttemptId", "Outcome", });
     internal_static_cactusshift_peer_v1_RecordOutcomeResponse_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_cactusshift_peer_v1_RecordOutcomeResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_RecordOutcomeResponse_descriptor,
         new java.lang.String[] { "Recorded", });
     internal_static_cactusshift_peer_v1_UsageBatch_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_cactusshift_peer_v1_UsageBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_UsageBatch_descriptor,
         new java.lang.String[] { "Sender", "Sequence", "Shard", "Counts", });
     internal_static_cactusshift_peer_v1_UsageCount_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_cactusshift_peer_v1_UsageCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_UsageCount_descriptor,
         new java.lang.String[] { "AccountId", "ServiceId", "PromptTokens", "CompletionTokens", "Requests", "FinishedAtEpochMillis", });
     internal_static_cactusshift_peer_v1_UsageAck_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_cactusshift_peer_v1_UsageAck_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_UsageAck_descriptor,
         new java.lang.String[] { "Accepted", "Sequence", "OwnerInstanceId", });
     internal_static_cactusshift_peer_v1_DrainRequest_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_cactusshift_peer_v1_DrainRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_DrainRequest_descriptor,
         new java.lang.String[] { "Sender", "UpstreamId", "ConfigVersion", "Ended", });
     internal_static_cactusshift_peer_v1_DrainStatus_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_cactusshift_peer_v1_DrainStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cactusshift_peer_v1_DrainStatus_descriptor,
--- a/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/HeartbeatExchange.java
+++ b/org.cactusshift.node/src/main/java/org/cactusshift/node/internal/HeartbeatExchange.java
@@ -13,6 +13,7 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.configsync.ConfigDistributor;
 import org.cactusshift.internal.coordination.dispatch.DispatchService;
 import org.cactusshift.internal.coordination.key.KeyFreshness;
@@ -20,6 +21,10 @@
 import org.cactusshift.internal.coordination.membership.Member;
 import org.cactusshift.internal.coordination.membership.MembershipTable;
 import org.cactusshift.internal.coordination.membership.PeerHeartbeat;
+import org.cactusshift.internal.coordination.quarantine.CompletionReport;
+import org.cactusshift.internal.coordination.quarantine.CrashReport;
+import org.cactusshift.internal.coordination.quarantine.CrashReports;
+import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 import org.cactusshift.internal.state.summary.AccountServicePair;
 import org.cactusshift.internal.state.summary.HeartbeatTotalsSelector;
 import org.cactusshift.internal.state.summary.PeerTotalsTracker;
@@ -27,6 +32,8 @@
 import org.cactusshift.messages.AccountService;
 import org.cactusshift.messages.HeartbeatRequest;
 import org.cactusshift.messages.HeartbeatResponse;
+import org.cactusshift.messages.PartCompletion;
+import org.cactusshift.messages.PartCrash;
 import org.cactusshift.messages.Sender;
 import org.cactusshift.messages.StoreAbsence;
 import org.cactusshift.messages.SuspectFingerprint;
@@ -100,9 +107,47 @@
                         .setFingerprint(suspect.fingerprint())
                         .setCrashes(suspect.crashes())
                         .setAgeMillis(suspect.ageMillis())));
+        CrashReports partReports = dispatch.partReports();
+        partReports
+                .crashes()
+                .forEach(crash -> request.addPartCrashes(PartCrash.newBuilder()
+                        .setPart(crash.suspect().value())
+                        .setFirst(isFirst(crash.suspect()))
+                        .setUpstreamId(crash.upstream().value())
+                        .setSentAgeMillis(crash.sentAgeMillis())
+                        .setLostAgeMillis(crash.lostAgeMillis())));
+        partReports
+                .completions()
+                .forEach(completion -> request.addPartCompletions(PartCompletion.newBuilder()
+                        .setPart(completion.suspect().value())
+                        .setFirst(isFirst(completion.suspect()))
+                        .setSentAgeMillis(completion.sentAgeMillis())));
         return request.build();
     }
 
+    private static boolean isFirst(CrashSuspect part) {
+        return part.kind() == CrashSuspect.Kind.FIRST_PROMPT_PART;
+    }
+
+    private static CrashSuspect part(long id, boolean first) {
+        return new CrashSuspect(first ? CrashSuspect.Kind.FIRST_PROMPT_PART : CrashSuspect.Kind.PROMPT_PART, id);
+    }
+
+    private static CrashReports partReports(HeartbeatRequest request) {
+        return new CrashReports(
+                request.getPartCrashesList().stream()
+                        .map(crash -> new CrashReport(
+                                part(crash.getPart(), crash.getFirst()),
+                                UpstreamId.fromString(crash.getUpstreamId()),
+                                crash.getSentAgeMillis(),
+                                crash.getLostAgeMillis()))
+                        .toList(),
+                request.getPartCompletionsList().stream()
+                        .map(completion -> new CompletionReport(
+                                part(completion.getPart(), completion.getFirst()), completion.getSentAgeMillis()))
+                        .toList());
+    }
+
     /**
      * Handles a heartbeat of a peer.
      *
@@ -120,6 +165,7 @@
             remoteCrashSuspects
                     .recordReport(incarnation, request.getSuspectsList())
                     .forEach(dispatch::onRemoteCrashSuspect);
+            dispatch.onRemotePartReports(partReports(request));
         }
         KeyFreshness.Report report = freshness.report(nowMillis);
         return HeartbeatResponse.newBuilder()
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchRequest.java
@@ -16,6 +16,8 @@
  * @param prefixHashes hashes of the prompt's prefixes of 1, 2, ... blocks of 2,048 tokens; empty when unknown
  * @param deadlineMillis the time by which the caller expects the complete response, monotonic
  * @param repeatable whether a further attempt is allowed after one that an upstream may have received
+ * @param sharedPartHashes hashes of the parts of the prompt that other requests may have too, wherever they are in it;
+ *     empty when unknown. The quarantine counts crashes per part
  * @param fingerprint the hash of account, service and body, which identifies equal requests; the quarantine counts
  *     crashes per fingerprint
  */
@@ -28,9 +30,35 @@
         List<Long> prefixHashes,
         long deadlineMillis,
         boolean repeatable,
+        List<Long> sharedPartHashes,
         long fingerprint) {
     /** Makes defensive copies. */
     public DispatchRequest {
         prefixHashes = List.copyOf(prefixHashes);
+        sharedPartHashes = List.copyOf(sharedPartHashes);
+    }
+
+    /** Creates a request whose prompt has no parts that are known to be shared. */
+    public DispatchRequest(
+            RequestId id,
+            AccountId account,
+            ServiceId service,
+            long promptTokens,
+            long maximumOutputTokens,
+            List<Long> prefixHashes,
+            long deadlineMillis,
+            boolean repeatable,
+            long fingerprint) {
+        this(
+                id,
+                account,
+                service,
+                promptTokens,
+                maximumOutputTokens,
+                prefixHashes,
+                deadlineMillis,
+                repeatable,
+                List.of(),
+                fingerprint);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/DispatchService.java
@@ -1,5 +1,6 @@
 package org.cactusshift.internal.coordination.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,9 @@
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.configsync.VersionedConfig;
+import org.cactusshift.internal.coordination.quarantine.CompletionReport;
+import org.cactusshift.internal.coordination.quarantine.CrashReport;
+import org.cactusshift.internal.coordination.quarantine.CrashReports;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspectReport;
 import org.cactusshift.internal.coordination.routing.PrefixIndex;
 import org.cactusshift.internal.state.summary.AccountServicePair;
@@ -170,6 +174,16 @@
         dispatcherByService.values().forEach(dispatcher -> dispatcher.onRemoteCrashSuspect(fingerprint, crashes));
     }
 
+    /**
+     * Records what another node reports of prompt parts and the crashes of upstreams, at every service, because the
+     * reports name none.
+     *
+     * @param reports the reports
+     */
+    public void onRemotePartReports(CrashReports reports) {
+        dispatcherByService.values().forEach(dispatcher -> dispatcher.onRemotePartReports(reports));
+    }
+
     /**
      * Returns the number of open attempts of this node at an upstream, for the acknowledgement of a drain.
      *
@@ -241,6 +255,22 @@
                 .toList();
     }
 
+    /**
+     * Returns what this node knows of prompt parts and the crashes of upstreams, which is sent to other nodes.
+     *
+     * @return the reports of all configured services
+     */
+    public CrashReports partReports() {
+        List<CrashReport> crashes = new ArrayList<>();
+        List<CompletionReport> completions = new ArrayList<>();
+        for (SynchronizedDispatcher dispatcher : dispatcherByService.values()) {
+            CrashReports reports = dispatcher.partReports();
+            crashes.addAll(reports.crashes());
+            completions.addAll(reports.completions());
+        }
+        return new CrashReports(crashes, completions);
+    }
+
     /**
      * Returns the recorded decisions of the configured services about a request.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Dispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/Dispatcher.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.coordination.dispatch;
 
 import java.util.List;
+import java.util.Optional;
 import org.cactusshift.config.AccountConfig;
 import org.cactusshift.config.UpstreamConfig;
 import org.cactusshift.id.AccountId;
@@ -168,6 +169,15 @@
         return List.of();
     }
 
+    /**
+     * Returns the quarantine of prompt parts, whose reports nodes exchange.
+     *
+     * @return the quarantine; empty for a dispatcher that refuses no parts
+     */
+    default Optional<PromptPartQuarantine> promptPartQuarantine() {
+        return Optional.empty();
+    }
+
     /**
      * Returns the most recent decisions with the candidates that were compared.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/ServiceDispatcher.java
@@ -21,7 +21,6 @@
 import org.cactusshift.internal.coordination.quarantine.CrashSuspectReport;
 import org.cactusshift.internal.coordination.quarantine.Quarantine;
 import org.cactusshift.internal.coordination.retry.RetryBudget;
-import org.cactusshift.internal.coordination.routing.Candidate;
 import org.cactusshift.internal.coordination.routing.FleetView;
 import org.cactusshift.internal.coordination.routing.PrefixIndex;
 import org.cactusshift.internal.coordination.routing.RouteQuery;
@@ -54,6 +53,7 @@
     private final RequestQueue<PendingRequest> queue;
     private final ArrayDeque<PendingRequest> retries = new ArrayDeque<>();
     private final Quarantine quarantine = Quarantine.create(QUARANTINE_RETENTION_MILLIS);
+    private final PromptPartQuarantine partQuarantine = new PromptPartQuarantine();
     private final SuspectScheduler suspectScheduler = new SuspectScheduler(quarantine);
     private final AccountLimiter limiter = AccountLimiter.create();
     private final RetryBudget retryBudget;
@@ -173,6 +173,9 @@
     }
 
     private Quarantine.Verdict verdict(DispatchRequest request, long nowMillis) {
+        if (policy.quarantines() && partQuarantine.isRefused(request, nowMillis)) {
+            return Quarantine.Verdict.REFUSED;
+        }
         return policy.quarantines() ? quarantine.verdict(request.fingerprint(), nowMillis) : Quarantine.Verdict.CLEAR;
     }
 
@@ -262,7 +265,7 @@
         UpstreamHealth health = attempt.upstream.health();
         switch (outcome) {
             case COMPLETED:
-                complete(attempt);
+                complete(attempt, nowMillis);
                 return List.of();
             case CANCELLED:
                 health.onInconclusiveProbe(nowMillis);
@@ -291,17 +294,19 @@
     /** Counts a crash against the request, unless the upstream took no new requests, as its loss is then expected. */
     private void recordCrash(Attempt attempt, long nowMillis) {
         if (attempt.upstream.isOpen()) {
-            quarantine.onCrash(
-                    attempt.pending.request.fingerprint(), attempt.upstream.id(), attempt.sentAtMillis, nowMillis);
+            DispatchRequest request = attempt.pending.request;
+            quarantine.onCrash(request.fingerprint(), attempt.upstream.id(), attempt.sentAtMillis, nowMillis);
+            partQuarantine.onCrash(request, attempt.upstream.id(), attempt.sentAtMillis, nowMillis);
         }
     }
 
-    private void complete(Attempt attempt) {
+    private void complete(Attempt attempt, long nowMillis) {
         PendingRequest pending = attempt.pending;
         attempt.upstream.health().onSuccess(attempt.sentAtMillis);
         if (attempt.runsAlone) {
             quarantine.onCompletedAlone(pending.request.fingerprint());
         }
+        partQuarantine.onCompleted(pending.request, attempt.sentAtMillis, nowMillis);
         estimator.onCompleted(pending.request, pending.deliveredTokens);
         double outputDifferenceTokens = pending.deliveredTokens - pending.expectedOutputTokens;
         queue.charge(pending.request.account(), WorkEstimator.DECODE_WEIGHT * outputDifferenceTokens);
@@ -394,9 +399,15 @@
         quarantine.onRemoteCrashes(fingerprint, crashes, nowMillis);
     }
 
+    @Override
+    public Optional<PromptPartQuarantine> promptPartQuarantine() {
+        return Optional.of(partQuarantine);
+    }
+
     @Override
     public List<DispatchDecision> onTick(long nowMillis) {
         quarantine.expire(nowMillis);
+        partQuarantine.expire(nowMillis);
         return processQueues(nowMillis);
     }
 
@@ -521,7 +532,8 @@
     }
 
     private DispatchDecision sendOrRefuse(PendingRequest pending, RoutingDecision route, long nowMillis) {
-        if (policy.refusesEarly() && wouldMissDeadline(pending, route.chosen(), nowMillis)) {
+        double completionMillis = route.chosen().completionMillis();
+        if (policy.refusesEarly() && nowMillis + completionMillis > pending.request.deadlineMillis()) {
             queue.remove(pending.request.account(), pending);
             return refuse(pending, DispatchDecision.Reason.DEADLINE, nowMillis);
         }
@@ -531,10 +543,6 @@
         return send(pending, route, false, nowMillis);
     }
 
-    private static boolean wouldMissDeadline(PendingRequest pending, Candidate chosen, long nowMillis) {
-        return nowMillis + chosen.completionMillis() > pending.request.deadlineMillis();
-    }
-
     private DispatchDecision send(PendingRequest pending, RoutingDecision route, boolean alone, long nowMillis) {
         RouteQuery query = router.query(pending, nowMillis);
         long uncachedTokens = Math.max(0, query.prefillTokens() - route.chosen().cachedTokens());
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/SynchronizedDispatcher.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/dispatch/SynchronizedDispatcher.java
@@ -13,6 +13,7 @@
 import org.cactusshift.id.AttemptId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.quarantine.CrashReports;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspectReport;
 import org.cactusshift.internal.coordination.routing.PrefixIndex;
 
@@ -133,6 +134,12 @@
         dispatcher.onRemoteCrashSuspect(fingerprint, crashes, clockMillis.getAsLong());
     }
 
+    synchronized void onRemotePartReports(CrashReports reports) {
+        dispatcher
+                .promptPartQuarantine()
+                .ifPresent(quarantine -> quarantine.onReports(reports, clockMillis.getAsLong()));
+    }
+
     synchronized void onTick() {
         deliver(dispatcher.onTick(clockMillis.getAsLong()));
     }
@@ -163,6 +170,13 @@
         return dispatcher.crashSuspects(clockMillis.getAsLong());
     }
 
+    synchronized CrashReports partReports() {
+        return dispatcher
+                .promptPartQuarantine()
+                .map(quarantine -> quarantine.reports(clockMillis.getAsLong()))
+                .orElse(CrashReports.NONE);
+    }
+
     synchronized List<Explanation> explanations() {
         return dispatcher.explanations();
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/CompletionRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/openai/CompletionRequest.java
@@ -1,6 +1,10 @@
 package org.cactusshift.internal.protocol.openai;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 
 /** A validated request for a chat or text completion. Immutable; the JSON tree is never exposed. */
@@ -150,6 +154,21 @@
         return PromptPrefixes.hashes(canonicalPrompt);
     }
 
+    /**
+     * Returns the hashes of the parts of the prompt that other requests may have too.
+     *
+     * @return one hash for each message of a chat but the last; empty for a text completion
+     */
+    public List<Long> sharedPartHashes() {
+        List<Long> hashes = new ArrayList<>();
+        JsonNode messages = root.path("messages");
+        for (int i = 0; i < messages.size() - 1; i++) {
+            byte[] message = messages.get(i).toString().getBytes(StandardCharsets.UTF_8);
+            hashes.add(ByteBuffer.wrap(PromptPrefixes.sha256().digest(message)).getLong());
+        }
+        return hashes;
+    }
+
     ObjectNode copyOfRoot() {
         return root.deepCopy();
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/CompletionHandler.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/CompletionHandler.java
@@ -101,6 +101,7 @@
                 completion.prefixHashes(),
                 checked.deadline().atMillis(),
                 true,
+                completion.sharedPartHashes(),
                 Fingerprints.crashFingerprint(
                         checked.caller().account(),
                         checked.service().id(),
