Play a crash-inducing prompt part in the soak

No run of ours had engines that crash on a part of a prompt, and none sent requests, no two alike, that share one. SoakCrashingPart starts six engines that do and come back under another id, and callers at each node; faults of nodes, store and other upstreams come at random as before. SoakCrashJudge counts late requests with the part and the share of sound requests served, with the bounds of the stated rules, at nodes that were in touch.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
@@ -30,6 +30,7 @@
     private int incarnation;
     private long lastInterruptionNanos = System.nanoTime();
     private int newestVisibleRoute;
+    private long startedAtNanos;
 
     private SoakNode(
             Path settings,
@@ -83,6 +84,7 @@
     synchronized void startProcess() throws IOException {
         process = NodeProcess.start(MAIN_CLASS, output, Map.of("CACTUSSHIFT_NODE_FILE", settings.toString()));
         incarnation++;
+        startedAtNanos = System.nanoTime();
         newestVisibleRoute = 0;
     }
 
@@ -105,6 +107,15 @@
         return lastInterruptionNanos - sentAtNanos > -TimeUnit.MILLISECONDS.toNanos(INTERRUPTION_GRACE_MILLIS);
     }
 
+    /**
+     * Returns whether the process had run for 3 s at the given System.nanoTime() value, with no unplanned interruption
+     * since.
+     */
+    synchronized boolean wasInTouch(long sentAtNanos) {
+        return !hadRecentInterruption(sentAtNanos)
+                && sentAtNanos - startedAtNanos > TimeUnit.MILLISECONDS.toNanos(INTERRUPTION_GRACE_MILLIS);
+    }
+
     /** Returns whether the process reports itself ready for callers. */
     boolean isReady() throws InterruptedException {
         return process.awaitOk(StandInClient.create(), readinessAddress, "/-/ready", READINESS_PROBE_TIMEOUT_MILLIS);
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakSite.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakSite.java
@@ -64,7 +64,8 @@
         StringBuilder routes = new StringBuilder();
         routes.append(route("once", "non_idempotent", "app", false)).append(',');
         routes.append(route("again", "idempotent", "app", false)).append(',');
-        routes.append(route("stream", "stream", "lm", true));
+        routes.append(route("stream", "stream", "lm", true)).append(',');
+        routes.append(route("crashing", "stream", SoakCrashingPart.SERVICE, false));
         for (int i = 1; i <= version; i++) {
             routes.append(',').append(route("v" + i, "idempotent", "app", false));
         }
@@ -72,7 +73,9 @@
                 "op/config",
                 "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[{\"name\":\"app\"},"
                         + "{\"name\":\"lm\",\"engine\":{\"slots\":16,\"kv_capacity\":100000,"
-                        + "\"kv_token_bytes\":18432}}],"
+                        + "\"kv_token_bytes\":18432}},"
+                        + "{\"name\":\"" + SoakCrashingPart.SERVICE + "\",\"engine\":{\"slots\":16,"
+                        + "\"kv_capacity\":100000,\"kv_token_bytes\":18432}}],"
                         + "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
                         + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
                         + "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"" + KEY + "\"]}]}");
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
@@ -33,6 +33,7 @@
     private static final int NODE_COUNT = Integer.getInteger("soak.nodes", 3);
     private static final int CALLER_COUNT = Integer.getInteger("soak.callers", 12);
     private static final long RECOVERY_TIMEOUT_MILLIS = 60_000;
+    private static final long SOUND_REQUESTS_ONLY_MILLIS = 6_000;
 
     static Stream<Long> seeds() {
         String seeds = System.getProperty("soak.seeds", "");
@@ -69,6 +70,30 @@
         }
     }
 
+    /** Guards against a prompt part that crashes engine after engine, and against refusing the requests beside it. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void crashingPromptPartIsRefusedUnderFaults(long seed, @TempDir Path directory) throws Exception {
+        try (SoakSite site = SoakSite.start(NODE_COUNT, seed, directory)) {
+            awaitAllReady(site);
+            SoakFaultInjector faults = new SoakFaultInjector(site, seed);
+            SoakCrashingPart crashingPart = SoakCrashingPart.start(site);
+            try (crashingPart) {
+                // The nodes count as in touch some seconds after their start.
+                TimeUnit.MILLISECONDS.sleep(SOUND_REQUESTS_ONLY_MILLIS);
+                crashingPart.startCrashing();
+                faults.run(TimeUnit.SECONDS.toMillis(FAULT_SECONDS));
+                faults.close();
+                awaitAllReady(site);
+            }
+            String summary = "seed " + seed + ", crashing part: " + crashingPart.judge()
+                    + ", chosen faults (kind, node, upstream, milliseconds): " + faults;
+            System.out.println(summary);
+            assertEquals(List.of(), crashingPart.judge().violations(), summary);
+            assertTrue(crashingPart.judge().crashCount() > 0, summary);
+        }
+    }
+
     private static void awaitAllReady(SoakSite site) throws InterruptedException {
         StandInClient client = StandInClient.create();
         for (SoakNode node : site.nodes()) {
