Log the request limits that upstreams state

The relay now logs upstream.limit when a limit is stated, changed or ended, with the request that brought it, and serves the number of limited upstreams as a metric. No decision depends on it yet.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 import org.cactusshift.internal.coordination.routing.UpstreamHealth;
 
 /**
@@ -72,6 +73,15 @@
         return entry.id();
     }
 
+    /**
+     * Returns the incarnation of the upstream that this state is about.
+     *
+     * @return the incarnation
+     */
+    public UpstreamIncarnation incarnation() {
+        return new UpstreamIncarnation(entry.id(), entry.startedAtEpochMillis());
+    }
+
     /**
      * Returns the stage whose prefill speed applies to this upstream: an engine without a stage prefills as fast as a
      * prefill engine.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -7,6 +7,7 @@
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
 import org.cactusshift.internal.coordination.serving.LatencyEstimator;
@@ -27,6 +28,7 @@
  * @param crashHistory decides which requests are refused because they crash upstreams
  * @param crashDetector distinguishes crashes of upstreams from lost connections
  * @param upstreamCheck finds out whether an upstream at which an attempt was lost is down
+ * @param upstreamLimits the request limits that upstreams state
  * @param usageCounter counts started requests of client accounts
  * @param promptPartUseListener receives each use of a long prompt part at an engine, to be advertised to the peers
  * @param nodeCount supplies the number of live nodes of the site
@@ -46,6 +48,7 @@
         CrashHistory crashHistory,
         CrashDetector crashDetector,
         UpstreamCheck upstreamCheck,
+        UpstreamRequestLimits upstreamLimits,
         UsageCounter usageCounter,
         Consumer<PromptPartUse> promptPartUseListener,
         IntSupplier nodeCount,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -46,6 +46,11 @@
             .help("Suspects that are refused because they crashed upstreams.")
             .register(registry);
 
+    private final Gauge limitedUpstreams = Gauge.builder()
+            .name("cactusshift_relay_limited_upstreams")
+            .help("Upstreams that state a limit on requests per second.")
+            .register(registry);
+
     /**
      * Counts a request that has ended.
      *
@@ -106,6 +111,15 @@
         refusedSuspects.set(refusedCount);
     }
 
+    /**
+     * Records how many upstreams state a limit on requests per second.
+     *
+     * @param count the number of upstreams
+     */
+    public void onLimitedUpstreams(int count) {
+        limitedUpstreams.set(count);
+    }
+
     /**
      * Returns all metrics.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMetadata.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.transport.relay;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -12,6 +13,8 @@
  * @param misdirected whether the upstream states that the request was addressed to another one; implies {@code
  *     notExecuted}
  * @param load the load that the upstream reports, empty when missing or malformed
+ * @param requestsPerSecondLimit the requests per second that the upstream accepts from all nodes together, for
+ *     as long as its responses state so; empty when it states no limit
  * @param idleTimeoutMillis how long the upstream keeps an idle connection open, empty when not stated
  */
 public record ResponseMetadata(
@@ -20,6 +23,7 @@
         boolean notExecuted,
         boolean misdirected,
         Optional<ReportedLoad> load,
+        OptionalDouble requestsPerSecondLimit,
         OptionalLong idleTimeoutMillis) {
     /**
      * The load that an upstream reports.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -21,6 +21,7 @@
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CallerLimits;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
@@ -96,6 +97,7 @@
     private final RelayMetrics metrics = new RelayMetrics();
     private final SiteClock siteClock = new SiteClock();
     private final CrashHistory crashHistory = CrashHistory.create(CRASH_RETENTION_MILLIS);
+    private final UpstreamRequestLimits upstreamLimits = UpstreamRequestLimits.create();
     private final UsageCounts usage;
     private final UpstreamDirectory directory;
     private final SiteStateFollower follower;
@@ -210,6 +212,7 @@
                 crashHistory,
                 crashDetector,
                 UpstreamCheck.create(eventLoop, runtime.pool(), runtime.clock(), crashDetector, random),
+                upstreamLimits,
                 account -> usage.add(account, siteEpochMillis()),
                 use -> gossipSender.onUse(use, runtime.clock().monotonicMillis()),
                 this::nodeCount,
@@ -290,6 +293,7 @@
         long now = runtime.clock().monotonicMillis();
         metrics.onCrashSuspects(
                 crashHistory.suspectCount(), crashHistory.refused(now).size());
+        metrics.onLimitedUpstreams(upstreamLimits.limitedCount());
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
         exchange.respond(HttpResponseStatus.OK, headers, metrics.toText());
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -15,8 +15,10 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.serving.EngineStage;
 import org.cactusshift.internal.coordination.serving.Placement;
 import org.cactusshift.internal.coordination.serving.PromptPart;
@@ -273,6 +275,7 @@
                 && request().route().kind() == RequestKind.STREAM;
         stallDetector.onProgress(nowMillis());
         metadata.load().ifPresent(load -> upstream.onLoad(load.running(), load.waiting(), nowMillis()));
+        recordRequestLimit();
         metadata.idleTimeoutMillis().ifPresent(connection::setIdleLimitMillis);
         if (!isStreaming) {
             recordFirstResponsePart();
@@ -282,6 +285,26 @@
         return true;
     }
 
+    private void recordRequestLimit() {
+        if (metadata.misdirected()) {
+            // The response of another upstream, which now listens at this address.
+            return;
+        }
+        UpstreamRequestLimits.Change change =
+                context().upstreamLimits().onResponse(upstream.incarnation(), metadata.requestsPerSecondLimit());
+        if (change != UpstreamRequestLimits.Change.NONE) {
+            OptionalDouble limit = metadata.requestsPerSecondLimit();
+            context()
+                    .log()
+                    .event("upstream.limit")
+                    .with("request", request().id().value())
+                    .with("upstream", upstream.id().value())
+                    .with("change", change)
+                    .with("perSecond", limit.isPresent() ? limit.getAsDouble() : "-")
+                    .write();
+        }
+    }
+
     private void recordFirstResponsePart() {
         if (firstResponsePartRecorded) {
             return;
