Keep the requests of all nodes within the limits that upstreams state

UpstreamRequestLimits gives a limited upstream to a few senders that all nodes agree on, by rendezvous hash, each at even intervals; limits and their ends go through gossip. All that reaches an upstream is counted. A request for which no upstream may be used in time is refused at once.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
@@ -7,6 +7,7 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 
@@ -23,6 +24,7 @@
  * @param collector the node that collects usage counts, empty when none is known
  * @param crashes the crashes of upstreams that the sending node knows of
  * @param completions the recent completed attempts that clear suspects of crashes
+ * @param limits the request limits of upstreams: recent changes and some others in turn
  * @param promptPartUses the recent uses of long prompt parts by requests of the sending node
  */
 public record GossipMessage(
@@ -34,6 +36,7 @@
         Optional<UsageCollector> collector,
         List<CrashReport> crashes,
         List<CompletionReport> completions,
+        List<UpstreamLimitReport> limits,
         List<PromptPartUse> promptPartUses) {
     /** Makes shallow copies of the collections. */
     public GossipMessage {
@@ -41,6 +44,7 @@
         usage = Map.copyOf(usage);
         crashes = List.copyOf(crashes);
         completions = List.copyOf(completions);
+        limits = List.copyOf(limits);
         promptPartUses = List.copyOf(promptPartUses);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
@@ -5,9 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 
 /** Stores the last received gossip message of each peer and passes its content to the components that use it. */
@@ -16,14 +18,21 @@
     private final SiteClock clock;
     private final UsageCounts usage;
     private final CrashHistory crashHistory;
+    private final Consumer<UpstreamLimitReport> limitReceiver;
     private final Map<InstanceId, Received> receivedByNode = new HashMap<>();
     private Optional<UsageCollector> collector = Optional.empty();
 
-    private GossipReceiver(UpstreamDirectory directory, SiteClock clock, UsageCounts usage, CrashHistory crashHistory) {
+    private GossipReceiver(
+            UpstreamDirectory directory,
+            SiteClock clock,
+            UsageCounts usage,
+            CrashHistory crashHistory,
+            Consumer<UpstreamLimitReport> limitReceiver) {
         this.directory = directory;
         this.clock = clock;
         this.usage = usage;
         this.crashHistory = crashHistory;
+        this.limitReceiver = limitReceiver;
     }
 
     private record Received(GossipMessage message, String address, long receivedAtMillis) {}
@@ -35,11 +44,16 @@
      * @param clock receives the wall-clock times of the peers
      * @param usage receives the usage counts of the peers
      * @param crashHistory receives the crashes that the peers report
+     * @param limitReceiver receives the request limits that the peers report of listed upstreams
      * @return the receiver
      */
     public static GossipReceiver create(
-            UpstreamDirectory directory, SiteClock clock, UsageCounts usage, CrashHistory crashHistory) {
-        return new GossipReceiver(directory, clock, usage, crashHistory);
+            UpstreamDirectory directory,
+            SiteClock clock,
+            UsageCounts usage,
+            CrashHistory crashHistory,
+            Consumer<UpstreamLimitReport> limitReceiver) {
+        return new GossipReceiver(directory, clock, usage, crashHistory, limitReceiver);
     }
 
     /**
@@ -62,6 +76,11 @@
         }
         message.crashes().forEach(report -> crashHistory.onReport(report, nowMillis));
         message.completions().forEach(report -> crashHistory.onReport(report, nowMillis));
+        for (UpstreamLimitReport limit : message.limits()) {
+            if (directory.lists(limit.upstream())) {
+                limitReceiver.accept(limit);
+            }
+        }
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -4,10 +4,12 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.internal.coordination.lease.RendezvousHash;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.routing.UpstreamHealth;
 
 /**
@@ -82,16 +84,19 @@
     private static final double TIE_BREAK_JITTER_MILLIS = 2;
 
     private final UpstreamDirectory directory;
+    private final UpstreamRequestLimits limits;
     private final Function<ServiceId, Optional<ServedService>> serviceLookup;
     private final LatencyEstimator latency;
     private final RandomGenerator random;
 
     private Placer(
             UpstreamDirectory directory,
+            UpstreamRequestLimits limits,
             Function<ServiceId, Optional<ServedService>> serviceLookup,
             LatencyEstimator latency,
             RandomGenerator random) {
         this.directory = directory;
+        this.limits = limits;
         this.serviceLookup = serviceLookup;
         this.latency = latency;
         this.random = random;
@@ -101,6 +106,7 @@
      * Creates a placer.
      *
      * @param directory the upstreams
+     * @param limits the request limits of the upstreams
      * @param serviceLookup looks up a service of the active configuration
      * @param latency the latency estimates of the upstreams
      * @param random the source of the random tie-breaking
@@ -108,10 +114,11 @@
      */
     public static Placer create(
             UpstreamDirectory directory,
+            UpstreamRequestLimits limits,
             Function<ServiceId, Optional<ServedService>> serviceLookup,
             LatencyEstimator latency,
             RandomGenerator random) {
-        return new Placer(directory, serviceLookup, latency, random);
+        return new Placer(directory, limits, serviceLookup, latency, random);
     }
 
     /**
@@ -119,7 +126,8 @@
      *
      * @param query the request
      * @param nowMillis the current time
-     * @return the placement; empty when every upstream is leaving or excluded, or only prefill engines are left
+     * @return the placement; empty when every upstream is leaving, excluded or at its request limit, or only prefill
+     *     engines are left
      */
     public Optional<Placement> place(PlacementQuery query, long nowMillis) {
         List<Upstream> usable = usable(query, nowMillis);
@@ -136,12 +144,34 @@
     }
 
     /**
-     * Returns the healthy upstreams that were not excluded; when there are none, all that accept new requests and were
-     * not excluded, as an attempt is better than no attempt.
+     * Returns when the request limits of the upstreams allow a placement, if nothing but these limits prevents it.
+     *
+     * @param query the request
+     * @param nowMillis the current time
+     * @return the current time, a later time or {@link UpstreamRequestLimits#NEVER}; empty when every upstream is
+     *     leaving or excluded, or only prefill engines are left
      */
-    private List<Upstream> usable(PlacementQuery query, long nowMillis) {
+    public OptionalLong earliestPlacementMillis(PlacementQuery query, long nowMillis) {
+        return accepting(query).stream()
+                .filter(upstream -> upstream.entry().stage() != EngineStage.PREFILL)
+                .mapToLong(upstream -> limits.earliestSendMillis(upstream.incarnation(), nowMillis))
+                .min();
+    }
+
+    private List<Upstream> accepting(PlacementQuery query) {
         List<Upstream> accepting = directory.acceptingWork(query.request().service());
         accepting.removeIf(upstream -> query.excluded().contains(upstream.id()));
+        return accepting;
+    }
+
+    /**
+     * Returns the healthy upstreams that were not excluded and are within their request limits; when there are none,
+     * all that accept new requests, were not excluded and are within their limits, as an attempt is better than no
+     * attempt.
+     */
+    private List<Upstream> usable(PlacementQuery query, long nowMillis) {
+        List<Upstream> accepting = accepting(query);
+        accepting.removeIf(upstream -> limits.earliestSendMillis(upstream.incarnation(), nowMillis) > nowMillis);
         List<Upstream> healthy = new ArrayList<>();
         for (Upstream upstream : accepting) {
             UpstreamHealth.State state = upstream.healthState(nowMillis);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServingRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServingRequest.java
@@ -1,9 +1,11 @@
 package org.cactusshift.internal.coordination.serving;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 
 /**
  * The properties of a request that the decision logic uses.
@@ -46,4 +48,21 @@
     public int promptTokens() {
         return prompt.stream().mapToInt(PromptPart::tokens).sum();
     }
+
+    /**
+     * Returns what may crash an upstream by this request: the request itself and the parts of its prompt, but not the
+     * last part, which is in no other request.
+     *
+     * @return the suspects
+     */
+    public List<CrashSuspect> crashSuspects() {
+        List<CrashSuspect> suspects = new ArrayList<>();
+        suspects.add(CrashSuspect.request(fingerprint));
+        suspects.addAll(CrashSuspect.promptParts(prompt.stream()
+                .limit(Math.max(0, prompt.size() - 1))
+                .map(PromptPart::id)
+                .distinct()
+                .toList()));
+        return suspects;
+    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
@@ -11,6 +11,7 @@
 import java.util.function.ToLongFunction;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 
 /**
  * The registered upstreams, according to the entries that they maintain in the platform's store.
@@ -181,6 +182,17 @@
         return upstreamById.values();
     }
 
+    /**
+     * Returns whether an upstream is listed in an incarnation.
+     *
+     * @param incarnation the incarnation
+     * @return whether it is listed, leaving or not
+     */
+    public boolean lists(UpstreamIncarnation incarnation) {
+        Upstream upstream = upstreamById.get(incarnation.upstream());
+        return upstream != null && upstream.incarnation().equals(incarnation);
+    }
+
     /**
      * Sets the open requests of other nodes at the upstreams.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
@@ -13,6 +13,7 @@
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.Authority;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.serving.CapacityRule;
 import org.cactusshift.internal.coordination.serving.EngineStage;
 import org.cactusshift.internal.coordination.serving.FleetPlan;
@@ -59,6 +60,7 @@
     private final AsyncKeyValueStore store;
     private final SiteStateFollower follower;
     private final UpstreamDirectory directory;
+    private final UpstreamRequestLimits limits;
     private final InstanceId self;
     private final String planKey;
     private final EventLog log;
@@ -85,6 +87,7 @@
             AsyncKeyValueStore store,
             SiteStateFollower follower,
             UpstreamDirectory directory,
+            UpstreamRequestLimits limits,
             InstanceId self,
             String planKey,
             EventLog log) {
@@ -92,6 +95,7 @@
         this.store = store;
         this.follower = follower;
         this.directory = directory;
+        this.limits = limits;
         this.self = self;
         this.planKey = planKey;
         this.log = log;
@@ -104,6 +108,7 @@
      * @param store stores the plans
      * @param follower provides the configuration and the stored plans
      * @param directory provides the registered engines
+     * @param limits the request limits of the engines
      * @param self this node
      * @param planKey the store key of the plans
      * @param log records plans and orders
@@ -114,10 +119,11 @@
             AsyncKeyValueStore store,
             SiteStateFollower follower,
             UpstreamDirectory directory,
+            UpstreamRequestLimits limits,
             InstanceId self,
             String planKey,
             EventLog log) {
-        return new FleetController(client, store, follower, directory, self, planKey, log);
+        return new FleetController(client, store, follower, directory, limits, self, planKey, log);
     }
 
     /**
@@ -327,6 +333,10 @@
         List<StagePlanner.Change> changes = StagePlanner.plan(engines, pendingStages);
         changes = changes.subList(0, Math.min(maximumChanges, changes.size()));
         for (StagePlanner.Change change : changes) {
+            if (limits.isLimited(change.engine().incarnation())) {
+                // The calls would count against the limit of an engine that needs relief.
+                continue;
+            }
             pendingStageByEngine.put(
                     change.engine().id(), new OrderedStage(change.stage(), nowMillis + orderIntervalMillis));
             client.readAcceptedOrderCount(change.engine(), accepted -> onAcceptedOrders(holder, change, accepted));
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
@@ -12,10 +12,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
+import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
@@ -28,7 +31,8 @@
 /**
  * Encodes and decodes gossip messages as JSON. The work at an upstream is an array of the requests and the pending
  * prefill tokens, the use of a prompt part an array of the upstream, the id of the part and its tokens, a crash an
- * array of the suspect, the upstream and the ages, a completed attempt an array of the suspect and the age.
+ * array of the suspect, the upstream and the ages, a completed attempt an array of the suspect and the age, a request
+ * limit an array of the upstream, its start, the revision, the limit or null, and the age.
  */
 final class GossipMessageCodec {
     private static final JsonFactory JSON = new JsonFactory();
@@ -86,6 +90,21 @@
                 json.writeEndArray();
             }
             json.writeEndArray();
+            json.writeArrayFieldStart("limits");
+            for (UpstreamLimitReport limit : message.limits()) {
+                json.writeStartArray();
+                json.writeString(limit.upstream().upstream().value());
+                json.writeNumber(limit.upstream().startedAtEpochMillis());
+                json.writeNumber(limit.revision());
+                if (limit.requestsPerSecond().isPresent()) {
+                    json.writeNumber(limit.requestsPerSecond().getAsDouble());
+                } else {
+                    json.writeNull();
+                }
+                json.writeNumber(limit.ageMillis());
+                json.writeEndArray();
+            }
+            json.writeEndArray();
             json.writeArrayFieldStart("uses");
             for (PromptPartUse use : message.promptPartUses()) {
                 json.writeStartArray();
@@ -174,6 +193,20 @@
         return reports;
     }
 
+    private static List<UpstreamLimitReport> readLimits(JsonNode limits) {
+        List<UpstreamLimitReport> reports = new ArrayList<>();
+        for (JsonNode limit : limits) {
+            reports.add(new UpstreamLimitReport(
+                    new UpstreamIncarnation(
+                            UpstreamId.fromString(limit.path(0).asText()),
+                            limit.path(1).asLong()),
+                    limit.path(2).asLong(),
+                    limit.path(3).isNumber() ? OptionalDouble.of(limit.path(3).asDouble()) : OptionalDouble.empty(),
+                    limit.path(4).asLong()));
+        }
+        return reports;
+    }
+
     /** Decodes a gossip message; returns empty when the bytes are malformed. */
     static Optional<GossipMessage> decode(byte[] bytes) {
         try {
@@ -205,6 +238,7 @@
                     readCollector(root.path("collector")),
                     readCrashes(root.path("crashes")),
                     readCompletions(root.path("completions")),
+                    readLimits(root.path("limits")),
                     uses));
         } catch (IOException | IllegalArgumentException e) {
             return Optional.empty();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
@@ -16,6 +16,7 @@
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.RendezvousHash;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
@@ -53,6 +54,7 @@
     private final UpstreamDirectory directory;
     private final UsageCounts usage;
     private final CrashHistory crashHistory;
+    private final UpstreamRequestLimits limits;
     private final long tickMillis;
     private Map<InstanceId, InetSocketAddress> peerAddressByNode = new HashMap<>();
     private final ArrayDeque<RecentUse> recentUses = new ArrayDeque<>();
@@ -66,12 +68,14 @@
             UpstreamDirectory directory,
             UsageCounts usage,
             CrashHistory crashHistory,
+            UpstreamRequestLimits limits,
             long tickMillis) {
         this.self = self;
         this.channel = channel;
         this.directory = directory;
         this.usage = usage;
         this.crashHistory = crashHistory;
+        this.limits = limits;
         this.tickMillis = tickMillis;
     }
 
@@ -81,8 +85,9 @@
             UpstreamDirectory directory,
             UsageCounts usage,
             CrashHistory crashHistory,
+            UpstreamRequestLimits limits,
             long tickMillis) {
-        return new GossipSender(self, channel, directory, usage, crashHistory, tickMillis);
+        return new GossipSender(self, channel, directory, usage, crashHistory, limits, tickMillis);
     }
 
     /** Records the use of a long prompt part, to be sent for the next rounds. */
@@ -194,6 +199,7 @@
                 collector,
                 crashHistory.reports(recentMillis(), nowMillis),
                 crashHistory.completionReports(recentMillis(), nowMillis),
+                limits.nextReports(nowMillis),
                 uses);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -21,7 +20,6 @@
 import org.cactusshift.internal.coordination.serving.Admission;
 import org.cactusshift.internal.coordination.serving.Placement;
 import org.cactusshift.internal.coordination.serving.PlacementQuery;
-import org.cactusshift.internal.coordination.serving.PromptPart;
 import org.cactusshift.internal.coordination.serving.RequestKind;
 import org.cactusshift.internal.coordination.serving.RetryAfterPolicy;
 import org.cactusshift.internal.coordination.serving.ServingRequest;
@@ -104,22 +102,10 @@
         this.request = request;
         this.account = account;
         this.configVersion = configVersion;
-        this.suspects = suspects(request);
+        this.suspects = request.crashSuspects();
         this.lastEventId = metadata.lastEventId().orElse(Long.MIN_VALUE);
     }
 
-    /** Returns what may crash an upstream by a request; the last part of a prompt is in no other request. */
-    private static List<CrashSuspect> suspects(ServingRequest request) {
-        List<CrashSuspect> suspects = new ArrayList<>();
-        suspects.add(CrashSuspect.request(request.fingerprint()));
-        suspects.addAll(CrashSuspect.promptParts(request.prompt().stream()
-                .limit(Math.max(0, request.prompt().size() - 1))
-                .map(PromptPart::id)
-                .distinct()
-                .toList()));
-        return suspects;
-    }
-
     private Optional<CrashSuspect> refusedSuspect() {
         long now = nowMillis();
         return suspects.stream()
@@ -207,9 +193,12 @@
     }
 
     private Optional<Placement> place(long now) {
-        PlacementQuery query = new PlacementQuery(
+        return context.placer().place(placementQuery(), now);
+    }
+
+    private PlacementQuery placementQuery() {
+        return new PlacementQuery(
                 request, context.domain(), excludedUpstreams, prefillAttempts < MAXIMUM_PREFILL_ATTEMPTS);
-        return context.placer().place(query, now);
     }
 
     /** Returns the first of the one or two attempts that a placement takes. */
@@ -221,14 +210,17 @@
 
     /**
      * Places the request again after a delay, or ends it when its waiting time is over; once an attempt may have run
-     * it, it waits until its deadline.
+     * it, it waits until its deadline. It is ended at once if the request limits of all upstreams last for longer.
      */
     private void waitForUpstream(long now) {
         long waitUntil = request.arrivedAtMillis() + request.route().targetLatencyMillis() / UPSTREAM_WAIT_DIVISOR;
         if (possibleExecutions > 0) {
             waitUntil = request.deadlineMillis();
         }
-        if (now + PLACEMENT_RETRY_MILLIS <= waitUntil) {
+        OptionalLong earliest = context.placer().earliestPlacementMillis(placementQuery(), now);
+        if (earliest.isPresent() && earliest.getAsLong() > waitUntil) {
+            endWithoutSuccess("all upstreams are at their request limits");
+        } else if (now + PLACEMENT_RETRY_MILLIS <= waitUntil) {
             schedule(this::placeAndSend, PLACEMENT_RETRY_MILLIS);
         } else {
             endWithoutSuccess("no upstream takes the request");
@@ -305,8 +297,13 @@
         currentAttempt = null;
         String source = prefillAttempt.upstream().entry().address() + "/" + kvHandle;
         UpstreamAttempt runAttempt = UpstreamAttempt.run(this, prefillAttempt.placement(), Optional.of(source));
+        boolean limitedMeanwhile = context.upstreamLimits()
+                .isLimitedSince(runAttempt.upstream().incarnation(), prefillAttempt.startedAtMillis());
         if (isEnded()) {
             runAttempt.discard();
+        } else if (limitedMeanwhile) {
+            runAttempt.discard();
+            placeAndSend();
         } else {
             send(runAttempt);
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.UUID;
@@ -21,6 +22,7 @@
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
+import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CallerLimits;
@@ -97,7 +99,7 @@
     private final RelayMetrics metrics = new RelayMetrics();
     private final SiteClock siteClock = new SiteClock();
     private final CrashHistory crashHistory = CrashHistory.create(CRASH_RETENTION_MILLIS);
-    private final UpstreamRequestLimits upstreamLimits = UpstreamRequestLimits.create();
+    private final UpstreamRequestLimits upstreamLimits;
     private final UsageCounts usage;
     private final UpstreamDirectory directory;
     private final SiteStateFollower follower;
@@ -139,6 +141,7 @@
         this.retries = settings.retries();
         this.eventLoop = runtime.eventLoop();
         this.startedAtMillis = runtime.clock().monotonicMillis();
+        this.upstreamLimits = UpstreamRequestLimits.create(settings.instance());
         this.usage = UsageCounts.create(settings.timing().usageWindowMillis());
         this.directory = UpstreamDirectory.create(
                 this::kvCapacityTokens,
@@ -156,7 +159,7 @@
                         metrics),
                 NODE_KEY_PREFIX,
                 Math.min(settings.timing().configMillis(), settings.timing().drainMillis()));
-        this.gossipReceiver = GossipReceiver.create(directory, siteClock, usage, crashHistory);
+        this.gossipReceiver = GossipReceiver.create(directory, siteClock, usage, crashHistory, this::onLimitReport);
         this.gossipChannel = PeerDatagramChannel.create(runtime.group(), runtime.log());
         DutyHolder self = new DutyHolder(settings.instance(), incarnation, addressText(settings.peerAddress()), 0);
         this.registration = NodeRegistration.create(
@@ -174,8 +177,16 @@
                         usage, client, protocol.store(), follower, settings.instance(), USAGE_PREFIX, runtime.log()));
         this.fleetController = protocol.fleetOrderClient()
                 .map(client -> FleetController.create(
-                        client, protocol.store(), follower, directory, settings.instance(), PLAN_KEY, runtime.log()));
-        this.gossipSender = GossipSender.create(self, gossipChannel, directory, usage, crashHistory, TICK_MILLIS);
+                        client,
+                        protocol.store(),
+                        follower,
+                        directory,
+                        upstreamLimits,
+                        settings.instance(),
+                        PLAN_KEY,
+                        runtime.log()));
+        this.gossipSender =
+                GossipSender.create(self, gossipChannel, directory, usage, crashHistory, upstreamLimits, TICK_MILLIS);
         this.callerServer = CallerServer.create(
                 runtime.group(),
                 runtime.clock(),
@@ -206,12 +217,12 @@
                 runtime.clock(),
                 protocol.codec(),
                 runtime.pool(),
-                Placer.create(directory, this::service, latencyEstimator, random),
+                Placer.create(directory, upstreamLimits, this::service, latencyEstimator, random),
                 latencyEstimator,
                 this::retryBudget,
                 crashHistory,
                 crashDetector,
-                UpstreamCheck.create(eventLoop, runtime.pool(), runtime.clock(), crashDetector, random),
+                UpstreamCheck.create(eventLoop, runtime.pool(), runtime.clock(), crashDetector, upstreamLimits, random),
                 upstreamLimits,
                 account -> usage.add(account, siteEpochMillis()),
                 use -> gossipSender.onUse(use, runtime.clock().monotonicMillis()),
@@ -237,6 +248,21 @@
                 .write();
     }
 
+    private void onLimitReport(UpstreamLimitReport report) {
+        UpstreamRequestLimits.Change change =
+                upstreamLimits.onReport(report, runtime.clock().monotonicMillis());
+        if (change != UpstreamRequestLimits.Change.NONE) {
+            OptionalDouble limit = report.requestsPerSecond();
+            runtime.log()
+                    .event("upstream.limitReported")
+                    .with("upstream", report.upstream().upstream().value())
+                    .with("change", change)
+                    .with("perSecond", limit.isPresent() ? limit.getAsDouble() : "-")
+                    .with("ageMillis", report.ageMillis())
+                    .write();
+        }
+    }
+
     private Optional<ServedService> service(ServiceId id) {
         return follower.config().map(config -> config.services().get(id));
     }
@@ -375,6 +401,7 @@
         long now = runtime.clock().monotonicMillis();
         directory.expire(now);
         crashHistory.expire(now);
+        upstreamLimits.expire(directory::lists, now);
         gossipReceiver.expirePeers(PEER_TIMEOUT_ROUNDS * gossipSender.ticksPerRound() * TICK_MILLIS, now);
         callerServer.closeExpired(now);
         readinessServer.closeExpired(now);
@@ -392,7 +419,11 @@
         usageReportDriver.ifPresent(driver ->
                 driver.tick(dutyDriver.authority(usageDuty), gossipSender.usagePeriodMillis(), siteEpochMillis()));
         fleetController.ifPresent(controller -> controller.tick(dutyDriver.authority(fleetDuty), now));
-        gossipSender.tick(peerAddressByNode(), gossipReceiver, runtime.clock().epochMillis(), now);
+        Map<InstanceId, InetSocketAddress> peerAddresses = peerAddressByNode();
+        if (follower.isReady()) {
+            upstreamLimits.setNodes(peerAddresses.keySet(), now);
+        }
+        gossipSender.tick(peerAddresses, gossipReceiver, runtime.clock().epochMillis(), now);
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -85,6 +85,8 @@
 
     private boolean ended;
 
+    private long startedAtMillis;
+
     /** 0 until the request is sent. */
     private long sentAtMillis;
 
@@ -132,6 +134,10 @@
         return !isPrefill && connection != null;
     }
 
+    long startedAtMillis() {
+        return startedAtMillis;
+    }
+
     long sentAtMillis() {
         return sentAtMillis;
     }
@@ -153,6 +159,14 @@
         boolean nonRepeatable = request().route().kind() == RequestKind.NOT_REPEATABLE;
         long maximumIdleMillis = nonRepeatable ? MAXIMUM_IDLE_FOR_NON_REPEATABLE_MILLIS : Long.MAX_VALUE;
         pendingPrefillTokens = upstream.totalPendingPrefillTokens() + uncachedTokens();
+        startedAtMillis = nowMillis();
+        if (isPrefill) {
+            // Counted now, so that it is within the limit when the prefill is done.
+            context().upstreamLimits().onSend(placement.target().incarnation(), startedAtMillis);
+        }
+        if (kvSource.isEmpty()) {
+            context().upstreamLimits().onSend(upstream.incarnation(), startedAtMillis);
+        }
         upstream.onSend(uncachedTokens(), nowMillis());
         context().pool().acquire(upstream.entry().address(), maximumIdleMillis, this::onConnection);
     }
@@ -290,8 +304,9 @@
             // The response of another upstream, which now listens at this address.
             return;
         }
-        UpstreamRequestLimits.Change change =
-                context().upstreamLimits().onResponse(upstream.incarnation(), metadata.requestsPerSecondLimit());
+        UpstreamRequestLimits.Change change = context()
+                .upstreamLimits()
+                .onResponse(upstream.incarnation(), metadata.requestsPerSecondLimit(), sentAtMillis, nowMillis());
         if (change != UpstreamRequestLimits.Change.NONE) {
             OptionalDouble limit = metadata.requestsPerSecondLimit();
             context()
@@ -537,6 +552,9 @@
         }
         int slash = kvSource.get().indexOf('/');
         String address = kvSource.get().substring(0, slash);
+        placement
+                .prefillEngine()
+                .ifPresent(engine -> context().upstreamLimits().onSend(engine.incarnation(), nowMillis()));
         String path = context().codec().kvReleasePath(kvSource.get().substring(slash + 1));
         context()
                 .pool()
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamCheck.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamCheck.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
 import org.cactusshift.internal.coordination.serving.Upstream;
 
@@ -29,6 +30,7 @@
     private final HttpConnectionPool pool;
     private final RelayClock clock;
     private final CrashDetector crashDetector;
+    private final UpstreamRequestLimits limits;
     private final RandomGenerator random;
 
     /** The upstreams that are being checked. */
@@ -39,11 +41,13 @@
             HttpConnectionPool pool,
             RelayClock clock,
             CrashDetector crashDetector,
+            UpstreamRequestLimits limits,
             RandomGenerator random) {
         this.eventLoop = eventLoop;
         this.pool = pool;
         this.clock = clock;
         this.crashDetector = crashDetector;
+        this.limits = limits;
         this.random = random;
     }
 
@@ -52,8 +56,9 @@
             HttpConnectionPool pool,
             RelayClock clock,
             CrashDetector crashDetector,
+            UpstreamRequestLimits limits,
             RandomGenerator random) {
-        return new UpstreamCheck(eventLoop, pool, clock, crashDetector, random);
+        return new UpstreamCheck(eventLoop, pool, clock, crashDetector, limits, random);
     }
 
     /** Checks an upstream at which an attempt was lost, unless it is being checked. */
@@ -64,6 +69,7 @@
     }
 
     private void connect(Upstream upstream, int remainingConnections) {
+        limits.onSend(upstream.incarnation(), clock.monotonicMillis());
         pool.connect(upstream.entry().address(), connected -> {
             if (connected.isLeft()) {
                 checked.remove(upstream.id());
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.junit.jupiter.api.Test;
 
@@ -17,9 +19,10 @@
     private static final IncarnationId INCARNATION = IncarnationId.fromString("i1");
     private static final String ADDRESS = "127.0.0.1:7";
 
+    private final List<UpstreamLimitReport> limits = new ArrayList<>();
     private final UsageCounts usage = UsageCounts.create(5_000);
     private final GossipReceiver receiver = GossipReceiver.create(
-            UpstreamDirectory.create(service -> 1, 1), new SiteClock(), usage, CrashHistory.create(1_000));
+            UpstreamDirectory.create(service -> 1, 1), new SiteClock(), usage, CrashHistory.create(1_000), limits::add);
 
     private static UsageCollector collector(String node, long fencingNumber) {
         return new UsageCollector(InstanceId.fromString(node), "127.0.0.1:1", fencingNumber);
@@ -27,7 +30,8 @@
 
     private static GossipMessage message(
             Map<IncarnationId, Map<Long, Map<AccountId, Long>>> counts, Optional<UsageCollector> collector) {
-        return new GossipMessage(NODE, INCARNATION, 1, Map.of(), counts, collector, List.of(), List.of(), List.of());
+        return new GossipMessage(
+                NODE, INCARNATION, 1, Map.of(), counts, collector, List.of(), List.of(), List.of(), List.of());
     }
 
     /** Scenario: a node that is isolated from the store learns of a new collector only from its peers. */
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
@@ -8,9 +8,11 @@
 import java.util.SplittableRandom;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 
 /** Upstreams, routes and requests for the tests of this package. */
 final class ServingFixture {
@@ -24,7 +26,8 @@
     final UpstreamDirectory directory = UpstreamDirectory.create(service -> KV_CAPACITY_TOKENS, 1_000);
 
     final LatencyEstimator latency = new LatencyEstimator();
-    final Placer placer = Placer.create(directory, ServingFixture::service, latency, new SplittableRandom(7));
+    final UpstreamRequestLimits limits = UpstreamRequestLimits.create(InstanceId.fromString("self"));
+    final Placer placer = Placer.create(directory, limits, ServingFixture::service, latency, new SplittableRandom(7));
 
     static Optional<ServedService> service(ServiceId id) {
         // Arbitrary values: placement only checks whether a service has engine capabilities.
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
@@ -21,6 +21,7 @@
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.Authority;
 import org.cactusshift.internal.coordination.lease.DutyId;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CapacityRule;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
@@ -64,11 +65,13 @@
             "/cactusshift/",
             NEVER_MILLIS);
     private final FakeOrderClient orderClient = new FakeOrderClient();
+    private final UpstreamRequestLimits limits = UpstreamRequestLimits.create(InstanceId.fromString("n1"));
     private final FleetController controller = FleetController.create(
             orderClient,
             store,
             follower,
             directory,
+            limits,
             InstanceId.fromString("n1"),
             "/cactusshift/fleet",
             (event, fields) -> {});
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
@@ -7,10 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
+import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
@@ -35,6 +38,14 @@
                 Optional.of(new UsageCollector(InstanceId.fromString("n2"), "127.0.0.1:1", 12)),
                 List.of(new CrashReport(CrashSuspect.request(-5), UpstreamId.fromString("u2"), 300, 200)),
                 List.of(new CompletionReport(CrashSuspect.request(-6), 100)),
+                List.of(
+                        new UpstreamLimitReport(
+                                new UpstreamIncarnation(UpstreamId.fromString("u1"), 5), 1, OptionalDouble.of(4.7), 30),
+                        new UpstreamLimitReport(
+                                new UpstreamIncarnation(UpstreamId.fromString("u2"), 6),
+                                2,
+                                OptionalDouble.empty(),
+                                40)),
                 List.of(new PromptPartUse(UpstreamId.fromString("u1"), new PromptPart(-1, 13_000))));
         assertEquals(
                 message,
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
@@ -17,6 +17,7 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
@@ -37,7 +38,11 @@
 
     private static GossipReceiver receiver(UsageCounts usage) {
         return GossipReceiver.create(
-                UpstreamDirectory.create(service -> 1, 1), new SiteClock(), usage, CrashHistory.create(1_000));
+                UpstreamDirectory.create(service -> 1, 1),
+                new SiteClock(),
+                usage,
+                CrashHistory.create(1_000),
+                limit -> {});
     }
 
     @Test
@@ -69,6 +74,7 @@
                     UpstreamDirectory.create(service -> 1, 1),
                     usage,
                     CrashHistory.create(1_000),
+                    UpstreamRequestLimits.create(InstanceId.fromString("n0")),
                     250);
             GossipReceiver receiver = receiver(usage);
             receiver.onCollector(new UsageCollector(InstanceId.fromString("n5"), "127.0.0.1:1", 3));
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
@@ -54,6 +54,7 @@
                     Optional.empty(),
                     List.of(),
                     List.of(),
+                    List.of(),
                     partUses);
             sender.send(List.of(receiver.address()), message);
             GossipMessage arrived = received.poll(LONGEST_WAIT_SECONDS, TimeUnit.SECONDS);
