--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamEntry.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamEntry.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 
 /**
@@ -16,6 +17,7 @@
  * @param leaving whether it accepts no new requests
  * @param stage the stage that it performs
  * @param reclaimable whether it runs on capacity that the platform may reclaim
+ * @param softwareVersion the version of its software
  * @param startedAtEpochMillis when it started, 0 when not published; a change under the same id means a new
  *     incarnation, as does a change of the address or the service
  * @param leavesInMillis the time until it terminates, as of the publication of the entry; empty when unknown
@@ -29,5 +31,6 @@
         boolean leaving,
         EngineStage stage,
         boolean reclaimable,
+        SoftwareVersion softwareVersion,
         long startedAtEpochMillis,
         OptionalLong leavesInMillis) {}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.cactusshift.id.AccountId;
+import org.cactusshift.id.RequestId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 import org.cactusshift.internal.coordination.serving.Admission;
@@ -60,6 +61,10 @@
     private final Optional<AccountId> account;
     private final long configVersion;
     private final List<CrashSuspect> suspects;
+
+    /** The request whose response began the stream that the caller takes up again. */
+    private final Optional<RequestId> resumedRequest;
+
     private final Set<UpstreamId> excludedUpstreams = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
 
@@ -103,6 +108,7 @@
         this.account = account;
         this.configVersion = configVersion;
         this.suspects = request.crashSuspects();
+        this.resumedRequest = metadata.resumedRequest();
         this.lastEventId = metadata.lastEventId().orElse(Long.MIN_VALUE);
     }
 
@@ -136,6 +142,7 @@
                                 .map(part -> Long.toHexString(part.id()))
                                 .collect(Collectors.joining(",")))
                 .with("remainingMillis", remaining)
+                .with("resumes", resumedRequest.map(RequestId::value).orElse("-"))
                 .with("fingerprint", Long.toHexString(request.fingerprint()))
                 .write();
         placeAndSend();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RequestMetadata.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RequestMetadata.java
@@ -17,6 +17,8 @@
  * @param expectedOutputTokens the number of output tokens that the caller expects, 0 when not stated
  * @param lastEventId the last event that the caller has received of the stream that it resumes, empty when it
  *     resumes none
+ * @param resumedRequest the id of the request whose response brought the first event of that stream, empty when not
+ *     stated
  */
 public record RequestMetadata(
         RequestId requestId,
@@ -24,7 +26,8 @@
         Optional<String> apiKey,
         List<PromptPart> prompt,
         int expectedOutputTokens,
-        OptionalLong lastEventId) {
+        OptionalLong lastEventId,
+        Optional<RequestId> resumedRequest) {
     /** Copies the list of prompt parts. */
     public RequestMetadata {
         prompt = List.copyOf(prompt);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -327,6 +327,7 @@
                     .with("upstream", entry.id().value())
                     .with("service", entry.service().value())
                     .with("stage", entry.stage())
+                    .with("softwareVersion", entry.softwareVersion().value())
                     .with("leaving", entry.leaving())
                     .with("restarted", wasListed && isNew)
                     .write();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -216,6 +216,7 @@
                 .event("attempt.sent")
                 .with("request", request().id().value())
                 .with("upstream", upstream.id().value())
+                .with("softwareVersion", upstream.entry().softwareVersion().value())
                 .with("reading", isPrefill)
                 .with("freshTokens", uncachedTokens())
                 .with(
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
@@ -11,6 +11,7 @@
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 
@@ -48,6 +49,7 @@
                 false,
                 stage,
                 false,
+                SoftwareVersion.UNSTATED,
                 1,
                 OptionalLong.empty());
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/StagePlannerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/StagePlannerTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +28,7 @@
                 false,
                 stage,
                 reclaimable,
+                SoftwareVersion.UNSTATED,
                 1,
                 OptionalLong.empty()));
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UpstreamDirectoryTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UpstreamDirectoryTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +28,7 @@
                 leaving,
                 EngineStage.ANY,
                 false,
+                SoftwareVersion.UNSTATED,
                 startedAt,
                 OptionalLong.empty());
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
@@ -18,6 +18,7 @@
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.Authority;
 import org.cactusshift.internal.coordination.lease.DutyId;
@@ -133,6 +134,7 @@
                 false,
                 EngineStage.ANY,
                 reclaimable,
+                SoftwareVersion.UNSTATED,
                 1,
                 OptionalLong.empty()));
     }
