--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -46,6 +46,10 @@
             .help("Suspects that are refused because they crashed upstreams.")
             .register(registry);
 
+    private final Gauge livePeers = Gauge.builder()
+            .name("cactusshift_relay_live_peers")
+            .help("Other nodes of the site from which messages arrive.")
+            .register(registry);
     private final Gauge limitedUpstreams = Gauge.builder()
             .name("cactusshift_relay_limited_upstreams")
             .help("Upstreams that state a limit on requests per second.")
@@ -120,6 +124,15 @@
         limitedUpstreams.set(count);
     }
 
+    /**
+     * Records how many other nodes send messages to this one.
+     *
+     * @param count the number of nodes
+     */
+    public void onLivePeers(int count) {
+        livePeers.set(count);
+    }
+
     /**
      * Returns all metrics.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -320,6 +320,7 @@
         metrics.onCrashSuspects(
                 crashHistory.suspectCount(), crashHistory.refused(now).size());
         metrics.onLimitedUpstreams(upstreamLimits.limitedCount());
+        metrics.onLivePeers(gossipReceiver.livePeerCount());
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
         exchange.respond(HttpResponseStatus.OK, headers, metrics.toText());
