Continue a stream only at the software version that began it

Cause: the version of an upstream's software was not read. A node resumed a stream at any upstream of the service (H1), and a node at which a caller took up a stream could not know what had begun it (H2).

The placement of a stream that has begun is restricted to its version. The node that begins one tells its version to two others before the first event is passed on, chosen by a hash of the request, so that any node knows whom to ask, also when the first one is gone. A stream of unknown version is refused, truly, and one that no upstream can continue ends at once. Where the entry of an upstream may be outdated, the node neither resumes there nor tells a version.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/RendezvousHash.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/RendezvousHash.java
@@ -48,9 +48,24 @@
         for (int i = 0; i < text.length(); i++) {
             hash = (hash ^ text.charAt(i)) * FNV_PRIME;
         }
-        hash = (hash ^ (hash >>> MIX_SHIFT_BITS)) * MIX_FIRST;
-        hash = (hash ^ (hash >>> MIX_SHIFT_BITS)) * MIX_SECOND;
-        return hash ^ (hash >>> MIX_SHIFT_BITS);
+        return mix(hash);
+    }
+
+    /**
+     * Returns a hash of two texts from their hashes, at much lower cost than of the joined text.
+     *
+     * @param first the hash of the first text
+     * @param second the hash of the second text
+     * @return the hash, the same on every node
+     */
+    public static long combine(long first, long second) {
+        return mix(first * FNV_PRIME ^ second);
+    }
+
+    private static long mix(long hash) {
+        long mixed = (hash ^ (hash >>> MIX_SHIFT_BITS)) * MIX_FIRST;
+        mixed = (mixed ^ (mixed >>> MIX_SHIFT_BITS)) * MIX_SECOND;
+        return mixed ^ (mixed >>> MIX_SHIFT_BITS);
     }
 
     private static boolean isRankedBefore(long weight, InstanceId node, long ownWeight, InstanceId self) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PlacementQuery.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PlacementQuery.java
@@ -1,7 +1,9 @@
 package org.cactusshift.internal.coordination.serving;
 
+import java.util.Optional;
 import java.util.Set;
 import org.cactusshift.id.FailureDomainId;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 
 /**
@@ -10,7 +12,12 @@
  * @param request the request
  * @param localDomain the failure domain of this node
  * @param excluded the upstreams that must not be chosen, such as those already tried for this request
+ * @param softwareVersion the version to which the choice is restricted, empty when any will do
  * @param maySplitPrefill whether prefill and decode may run on different engines
  */
 public record PlacementQuery(
-        ServingRequest request, FailureDomainId localDomain, Set<UpstreamId> excluded, boolean maySplitPrefill) {}
+        ServingRequest request,
+        FailureDomainId localDomain,
+        Set<UpstreamId> excluded,
+        Optional<SoftwareVersion> softwareVersion,
+        boolean maySplitPrefill) {}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -149,7 +149,7 @@
      * @param query the request
      * @param nowMillis the current time
      * @return the current time, a later time or {@link UpstreamRequestLimits#NEVER}; empty when every upstream is
-     *     leaving or excluded, or only prefill engines are left
+     *     leaving, excluded or of another version, or only prefill engines are left
      */
     public OptionalLong earliestPlacementMillis(PlacementQuery query, long nowMillis) {
         return accepting(query).stream()
@@ -160,7 +160,10 @@
 
     private List<Upstream> accepting(PlacementQuery query) {
         List<Upstream> accepting = directory.acceptingWork(query.request().service());
-        accepting.removeIf(upstream -> query.excluded().contains(upstream.id()));
+        accepting.removeIf(upstream -> query.excluded().contains(upstream.id())
+                || query.softwareVersion()
+                        .filter(version -> !version.equals(upstream.entry().softwareVersion()))
+                        .isPresent());
         return accepting;
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.ToLongFunction;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 
@@ -23,6 +24,10 @@
 public final class UpstreamDirectory {
     private final Map<UpstreamId, Upstream> upstreamById = new HashMap<>();
     private final Map<UpstreamId, Long> graceEndMillisById = new HashMap<>();
+
+    /** All versions that were ever listed. */
+    private final Map<ServiceId, Set<SoftwareVersion>> versionsByService = new HashMap<>();
+
     private final ToLongFunction<ServiceId> kvCapacityTokens;
     private final long graceMillis;
 
@@ -50,6 +55,9 @@
      */
     public Optional<Upstream> put(UpstreamEntry entry) {
         graceEndMillisById.remove(entry.id());
+        versionsByService
+                .computeIfAbsent(entry.service(), service -> new HashSet<>())
+                .add(entry.softwareVersion());
         Upstream known = upstreamById.get(entry.id());
         if (known != null && isSameIncarnation(known.entry(), entry)) {
             known.update(entry);
@@ -66,6 +74,7 @@
     private static boolean isSameIncarnation(UpstreamEntry known, UpstreamEntry entry) {
         return known.startedAtEpochMillis() == entry.startedAtEpochMillis()
                 && known.address().equals(entry.address())
+                && known.softwareVersion().equals(entry.softwareVersion())
                 && known.service().equals(entry.service());
     }
 
@@ -182,6 +191,16 @@
         return upstreamById.values();
     }
 
+    /**
+     * Returns the software versions that upstreams of a service have or had since this node started.
+     *
+     * @param service the service
+     * @return a live view of the versions; it must not be modified
+     */
+    public Set<SoftwareVersion> versions(ServiceId service) {
+        return versionsByService.getOrDefault(service, Set.of());
+    }
+
     /**
      * Returns whether an upstream is listed in an incarnation.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -42,6 +42,7 @@
 
     private boolean delimitedByClose;
     private boolean closed;
+    private long openedAtMillis;
     private long idleSinceMillis;
     private long idleLimitMillis = Long.MAX_VALUE;
 
@@ -54,6 +55,14 @@
         return address;
     }
 
+    void setOpenedAtMillis(long nowMillis) {
+        openedAtMillis = nowMillis;
+    }
+
+    long openedAtMillis() {
+        return openedAtMillis;
+    }
+
     void setIdleSinceMillis(long nowMillis) {
         idleSinceMillis = nowMillis;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
@@ -110,6 +110,7 @@
                 .connect(peer);
         connecting.addListener(done -> {
             if (done.isSuccess()) {
+                connection.setOpenedAtMillis(clock.monotonicMillis());
                 receiver.accept(Either.right(connection));
             } else {
                 String reason = String.valueOf(done.cause().getMessage());
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerDatagramChannel.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerDatagramChannel.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
 
@@ -48,10 +49,15 @@
      * Binds the channel.
      *
      * @param address the local address
-     * @param receiver receives the messages of other nodes and the address of the sender; called on the event loop
+     * @param receiver receives the gossip messages of other nodes and the address of the sender; called on the event
+     *     loop
+     * @param originReceiver receives the messages about the origins of streams likewise
      * @throws InterruptedException if the thread is interrupted while it waits
      */
-    public void bind(InetSocketAddress address, BiConsumer<GossipMessage, InetSocketAddress> receiver)
+    void bind(
+            InetSocketAddress address,
+            BiConsumer<GossipMessage, InetSocketAddress> receiver,
+            BiConsumer<StreamOriginMessage, InetSocketAddress> originReceiver)
             throws InterruptedException {
         channel = new Bootstrap()
                 .group(eventLoopGroup)
@@ -62,6 +68,11 @@
                     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
                         byte[] bytes = new byte[packet.content().readableBytes()];
                         packet.content().readBytes(bytes);
+                        Optional<StreamOriginMessage> origin = StreamOriginMessage.decode(bytes);
+                        if (origin.isPresent()) {
+                            originReceiver.accept(origin.get(), packet.sender());
+                            return;
+                        }
                         GossipMessageCodec.decode(bytes)
                                 .ifPresentOrElse(
                                         message -> receiver.accept(message, packet.sender()),
@@ -103,10 +114,24 @@
      * @param message the message
      */
     void send(List<InetSocketAddress> peers, GossipMessage message) {
-        if (peers.isEmpty()) {
-            return;
+        if (!peers.isEmpty()) {
+            send(peers, GossipMessageCodec.encode(message));
         }
-        byte[] bytes = GossipMessageCodec.encode(message);
+    }
+
+    /**
+     * Sends a message about the origin of a stream; it may be lost. The channel must be bound.
+     *
+     * @param peers the addresses of the recipients
+     * @param message the message
+     */
+    void send(List<InetSocketAddress> peers, StreamOriginMessage message) {
+        if (!peers.isEmpty()) {
+            send(peers, message.encode());
+        }
+    }
+
+    private void send(List<InetSocketAddress> peers, byte[] bytes) {
         peers.forEach(peer -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
         channel.flush();
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.zip.CRC32C;
@@ -139,7 +138,6 @@
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
             context.codec().writeRetryAfter(headers, UNAVAILABLE_RETRY_AFTER_MILLIS);
         }
-        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
         context.log()
                 .event("request.refused")
                 .with("request", id)
@@ -148,6 +146,6 @@
                 .with("configVersion", version)
                 .write();
         context.metrics().onRequestEnded("-", "refused");
-        exchange.respond(status, headers, (reason + "\n").getBytes(StandardCharsets.UTF_8));
+        PlainTextResponse.send(exchange, status, headers, reason);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -1,12 +1,14 @@
 package org.cactusshift.internal.transport.relay;
 
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
@@ -29,6 +31,8 @@
  * @param crashDetector distinguishes crashes of upstreams from lost connections
  * @param upstreamCheck finds out whether an upstream at which an attempt was lost is down
  * @param upstreamLimits the request limits that upstreams state
+ * @param streamOrigins tells other nodes which software version began a stream, and asks them
+ * @param versions what is known about the software versions of upstreams
  * @param usageCounter counts started requests of client accounts
  * @param promptPartUseListener receives each use of a long prompt part at an engine, to be advertised to the peers
  * @param nodeCount supplies the number of live nodes of the site
@@ -49,6 +53,8 @@
         CrashDetector crashDetector,
         UpstreamCheck upstreamCheck,
         UpstreamRequestLimits upstreamLimits,
+        StreamOriginExchange streamOrigins,
+        VersionView versions,
         UsageCounter usageCounter,
         Consumer<PromptPartUse> promptPartUseListener,
         IntSupplier nodeCount,
@@ -67,6 +73,24 @@
         WindowedRetryBudget of(ServiceId service);
     }
 
+    /** What this node knows about the software versions of upstreams. */
+    public interface VersionView {
+        /**
+         * Returns the version of all upstreams of a service, if no stream can have begun at another one.
+         *
+         * @param service the service
+         * @return the version, empty when there were others or may have been
+         */
+        Optional<SoftwareVersion> sole(ServiceId service);
+
+        /**
+         * Returns when the entries of the upstreams were last known to be current.
+         *
+         * @return the monotonic time, in milliseconds
+         */
+        long readAtMillis();
+    }
+
     /** Counts started requests for the usage reports. */
     public interface UsageCounter {
         /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -1,14 +1,11 @@
 package org.cactusshift.internal.transport.relay;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -16,6 +13,7 @@
 import java.util.stream.Collectors;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.RequestId;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 import org.cactusshift.internal.coordination.serving.Admission;
@@ -24,7 +22,6 @@
 import org.cactusshift.internal.coordination.serving.RequestKind;
 import org.cactusshift.internal.coordination.serving.RetryAfterPolicy;
 import org.cactusshift.internal.coordination.serving.ServingRequest;
-import org.cactusshift.internal.coordination.serving.WindowedRetryBudget;
 import org.cactusshift.internal.protocol.stream.SseEventSplitter;
 
 /**
@@ -60,7 +57,7 @@
     private final ServingRequest request;
     private final Optional<AccountId> account;
     private final long configVersion;
-    private final List<CrashSuspect> suspects;
+    private final RequestSuspects suspects;
 
     /** The request whose response began the stream that the caller takes up again. */
     private final Optional<RequestId> resumedRequest;
@@ -87,8 +84,7 @@
     /** Number of ended attempts that may have executed the request. */
     private int possibleExecutions;
 
-    /** The id of the last event that the caller has received, {@link Long#MIN_VALUE} when there is none. */
-    private long lastEventId;
+    private final StreamProgress stream;
 
     /** The last error response of an upstream, passed on when no retry succeeds; null when there is none. */
     private BufferedResponse lastErrorResponse;
@@ -107,21 +103,10 @@
         this.request = request;
         this.account = account;
         this.configVersion = configVersion;
-        this.suspects = request.crashSuspects();
+        this.suspects = RequestSuspects.create(context, request);
         this.resumedRequest = metadata.resumedRequest();
-        this.lastEventId = metadata.lastEventId().orElse(Long.MIN_VALUE);
-    }
-
-    private Optional<CrashSuspect> refusedSuspect() {
-        long now = nowMillis();
-        return suspects.stream()
-                .filter(suspect -> context.crashHistory().isRefused(suspect, now))
-                .findFirst();
-    }
-
-    private void clearSuspects(UpstreamAttempt completedAttempt) {
-        long now = nowMillis();
-        suspects.forEach(suspect -> context.crashHistory().onCompleted(suspect, completedAttempt.sentAtMillis(), now));
+        this.stream = StreamProgress.after(
+                request.route().kind() == RequestKind.STREAM ? metadata.lastEventId() : OptionalLong.empty());
     }
 
     void start() {
@@ -145,7 +130,28 @@
                 .with("resumes", resumedRequest.map(RequestId::value).orElse("-"))
                 .with("fingerprint", Long.toHexString(request.fingerprint()))
                 .write();
-        placeAndSend();
+        if (stream.lastEventId().isEmpty()) {
+            placeAndSend();
+        } else if (resumedRequest.isPresent()) {
+            context.streamOrigins().find(resumedRequest.get(), this::onOriginFound);
+        } else {
+            onOriginFound(Optional.empty());
+        }
+    }
+
+    /** Goes on with a stream that the caller takes up again, at the software version that began it. */
+    private void onOriginFound(Optional<SoftwareVersion> version) {
+        stream.onBegun(version.or(() -> context.versions().sole(request.service())));
+        if (stream.isOfUnknownVersion() && !isEnded()) {
+            endWithoutSuccess("the software version that began the stream is not known");
+        } else {
+            placeAndSend();
+        }
+    }
+
+    /** Returns whether the caller has events of the stream, so that not any upstream may send more. */
+    boolean continuesStream() {
+        return stream.version().isPresent();
     }
 
     private ScheduledFuture<?> schedule(Runnable task, long delayMillis) {
@@ -177,7 +183,7 @@
         if (isEnded()) {
             return;
         }
-        Optional<CrashSuspect> refusedSuspect = refusedSuspect();
+        Optional<CrashSuspect> refusedSuspect = suspects.refused();
         if (refusedSuspect.isPresent()) {
             endWithoutSuccess(
                     "the request crashes upstreams by " + refusedSuspect.get(),
@@ -205,7 +211,11 @@
 
     private PlacementQuery placementQuery() {
         return new PlacementQuery(
-                request, context.domain(), excludedUpstreams, prefillAttempts < MAXIMUM_PREFILL_ATTEMPTS);
+                request,
+                context.domain(),
+                excludedUpstreams,
+                stream.version(),
+                prefillAttempts < MAXIMUM_PREFILL_ATTEMPTS);
     }
 
     /** Returns the first of the one or two attempts that a placement takes. */
@@ -227,6 +237,9 @@
         OptionalLong earliest = context.placer().earliestPlacementMillis(placementQuery(), now);
         if (earliest.isPresent() && earliest.getAsLong() > waitUntil) {
             endWithoutSuccess("all upstreams are at their request limits");
+        } else if (earliest.isEmpty() && stream.version().isPresent()) {
+            endWithoutSuccess("no other upstream has the software version "
+                    + stream.version().get());
         } else if (now + PLACEMENT_RETRY_MILLIS <= waitUntil) {
             schedule(this::placeAndSend, PLACEMENT_RETRY_MILLIS);
         } else {
@@ -251,27 +264,7 @@
     /** Returns whether an attempt may be sent, for which a retry is taken from the budget if it is one. */
     private boolean isAllowed(UpstreamAttempt next) {
         boolean isRetry = next.isPrefill() ? prefillAttempts > 0 : sentRunAttempts > 0;
-        return !isRetry || tryRetry();
-    }
-
-    /** Takes a retry from the budget of the service; returns false if none is left. */
-    private boolean tryRetry() {
-        WindowedRetryBudget budget = context.retryBudgets().of(request.service());
-        int nodes = context.nodeCount().getAsInt();
-        long now = nowMillis();
-        if (budget.tryRetry(nodes, now)) {
-            return true;
-        }
-        context.metrics().onRetryDenied(request.service().value());
-        context.log()
-                .event("retry.denied")
-                .with("request", request.id().value())
-                .with("service", request.service().value())
-                .with("taken", budget.takenRetries(now))
-                .with("allowed", budget.allowedRetries(nodes, now))
-                .with("nodes", nodes)
-                .write();
-        return false;
+        return !isRetry || RetryPermit.take(context, request);
     }
 
     /** Counts an attempt that is about to be sent to its upstream. */
@@ -284,7 +277,6 @@
     }
 
     AttemptDirectives directives(UpstreamAttempt attempt) {
-        OptionalLong resumeAfter = lastEventId == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(lastEventId);
         Placement placement = attempt.placement();
         return new AttemptDirectives(
                 attempt.upstream().id(),
@@ -295,7 +287,7 @@
                 attempt.kvSource().isPresent()
                         ? Optional.empty()
                         : placement.fetchFrom().map(engine -> engine.entry().address()),
-                attempt.isPrefill() ? OptionalLong.empty() : resumeAfter,
+                attempt.isPrefill() ? OptionalLong.empty() : stream.lastEventId(),
                 request.priority());
     }
 
@@ -351,8 +343,9 @@
     /** Returns whether the request may be run once more, beside the given number of runs that are still open. */
     private boolean mayRunAgain(int openRuns) {
         return request.route().isRetryable()
+                && !stream.isOfUnknownVersion()
                 && possibleExecutions + openRuns < request.route().maximumAttempts()
-                && refusedSuspect().isEmpty();
+                && suspects.refused().isEmpty();
     }
 
     /** Makes an attempt that has responded the only one. */
@@ -400,9 +393,7 @@
     private void countLostRun(UpstreamAttempt attempt) {
         if (attempt.mayHaveRun()) {
             possibleExecutions++;
-            context.crashDetector()
-                    .onAttemptLost(suspects, attempt.upstream().id(), attempt.sentAtMillis(), nowMillis());
-            context.upstreamCheck().afterLostAttempt(attempt.upstream());
+            suspects.onLost(attempt);
         }
     }
 
@@ -445,7 +436,7 @@
         takeOver(attempt);
         currentAttempt = null;
         if (response.status().codeClass() == HttpStatusClass.SUCCESS) {
-            clearSuspects(attempt);
+            suspects.onCompleted(attempt);
         }
         end("answered", "status " + response.status().code());
         exchange.respond(response.status(), response.headers(), response.content());
@@ -473,14 +464,14 @@
     void onEvent(
             UpstreamAttempt attempt, HttpResponseStatus status, HttpHeaders headers, SseEventSplitter.Event event) {
         takeOver(attempt);
-        if (event.id().isPresent()) {
-            if (event.id().getAsLong() <= lastEventId) {
-                return;
-            }
-            lastEventId = event.id().getAsLong();
+        if (!stream.isNew(event.id())) {
+            return;
         }
         if (!exchange.isStreaming()) {
             countStartedRequest();
+            if (!continuesStream()) {
+                beginStream(attempt);
+            }
             context.metrics()
                     .onFirstResponsePart(request.route().kind().name(), nowMillis() - request.arrivedAtMillis());
             exchange.startStream(status, headers);
@@ -488,11 +479,25 @@
         exchange.send(event.bytes());
     }
 
+    private void beginStream(UpstreamAttempt attempt) {
+        Optional<SoftwareVersion> version = attempt.softwareVersion();
+        stream.onBegun(version);
+        if (request.route().isRetryable()) {
+            version.ifPresent(known -> context.streamOrigins().record(request.id(), known));
+        }
+        context.log()
+                .event("stream.begun")
+                .with("request", request.id().value())
+                .with("upstream", attempt.upstream().id().value())
+                .with("softwareVersion", version.map(SoftwareVersion::value).orElse("?"))
+                .write();
+    }
+
     /** Handles the end of a stream. */
     void onStreamEnd(UpstreamAttempt attempt, HttpResponseStatus status, HttpHeaders headers) {
         takeOver(attempt);
         currentAttempt = null;
-        clearSuspects(attempt);
+        suspects.onCompleted(attempt);
         countStartedRequest();
         // A stream without events has not been started yet; otherwise this has no effect.
         exchange.startStream(status, headers);
@@ -548,7 +553,7 @@
             HttpResponseStatus status =
                     atDeadline ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY;
             end("unknown", reason);
-            exchange.respond(status, textHeaders(), (reason + "\n").getBytes(StandardCharsets.UTF_8));
+            PlainTextResponse.send(exchange, status, new DefaultHttpHeaders(), reason);
         }
     }
 
@@ -556,17 +561,8 @@
     private void refuse(String reason, long baseDelayMillis) {
         long remaining = Math.max(0, request.deadlineMillis() - nowMillis());
         long retryAfterMillis = RetryAfterPolicy.retryAfterMillis(baseDelayMillis, remaining, context.random());
-        HttpHeaders headers = textHeaders();
-        context.codec().writeRetryAfter(headers, retryAfterMillis);
         end("refused", reason + "; Retry-After " + retryAfterMillis + " ms");
-        exchange.respond(
-                HttpResponseStatus.SERVICE_UNAVAILABLE, headers, (reason + "\n").getBytes(StandardCharsets.UTF_8));
-    }
-
-    private static HttpHeaders textHeaders() {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
-        return headers;
+        PlainTextResponse.refuse(exchange, context.codec(), reason, retryAfterMillis);
     }
 
     private void end(String outcome, String reason) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -19,6 +19,7 @@
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.SiteId;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
@@ -33,6 +34,7 @@
 import org.cactusshift.internal.coordination.serving.ServedService;
 import org.cactusshift.internal.coordination.serving.ServingConfig;
 import org.cactusshift.internal.coordination.serving.SiteClock;
+import org.cactusshift.internal.coordination.serving.StreamOrigins;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.cactusshift.internal.coordination.serving.UsageCollector;
 import org.cactusshift.internal.coordination.serving.UsageCounts;
@@ -79,6 +81,9 @@
     private static final String USAGE_PREFIX = NODE_KEY_PREFIX + "usage/";
     private static final String PLAN_KEY = NODE_KEY_PREFIX + "fleet";
 
+    /** A node that has not read the store for longer may not know that another version serves. */
+    private static final long MAXIMUM_VERSIONS_AGE_MILLIS = 1_500;
+
     /** The KV-cache capacity, in tokens, that is assumed while the configuration states none for a service. */
     private static final long DEFAULT_KV_CAPACITY_TOKENS = 1L << 20;
 
@@ -105,6 +110,7 @@
     private final SiteStateFollower follower;
     private final GossipReceiver gossipReceiver;
     private final PeerDatagramChannel gossipChannel;
+    private final StreamOriginExchange streamOrigins;
     private final NodeRegistration registration;
     private final DutyDriver dutyDriver;
     private final Optional<UsageReportDriver> usageReportDriver;
@@ -161,6 +167,8 @@
                 Math.min(settings.timing().configMillis(), settings.timing().drainMillis()));
         this.gossipReceiver = GossipReceiver.create(directory, siteClock, usage, crashHistory, this::onLimitReport);
         this.gossipChannel = PeerDatagramChannel.create(runtime.group(), runtime.log());
+        this.streamOrigins =
+                StreamOriginExchange.create(settings.instance(), gossipChannel, eventLoop, runtime.clock());
         DutyHolder self = new DutyHolder(settings.instance(), incarnation, addressText(settings.peerAddress()), 0);
         this.registration = NodeRegistration.create(
                 self, NODE_KEY_PREFIX, protocol.store(), follower, runtime.clock(), runtime.log());
@@ -224,6 +232,8 @@
                 crashDetector,
                 UpstreamCheck.create(eventLoop, runtime.pool(), runtime.clock(), crashDetector, upstreamLimits, random),
                 upstreamLimits,
+                streamOrigins,
+                versionView(),
                 account -> usage.add(account, siteEpochMillis()),
                 use -> gossipSender.onUse(use, runtime.clock().monotonicMillis()),
                 this::nodeCount,
@@ -233,6 +243,27 @@
                 random);
     }
 
+    private RelayContext.VersionView versionView() {
+        return new RelayContext.VersionView() {
+            @Override
+            public Optional<SoftwareVersion> sole(ServiceId service) {
+                Set<SoftwareVersion> versions = directory.versions(service);
+                long now = runtime.clock().monotonicMillis();
+                boolean isCurrent = now - follower.lastResponseAtMillis() <= MAXIMUM_VERSIONS_AGE_MILLIS;
+                boolean knowsAll = now - startedAtMillis > StreamOrigins.RETENTION_MILLIS
+                        || versions.equals(Set.of(SoftwareVersion.UNSTATED));
+                return isCurrent && knowsAll && versions.size() == 1
+                        ? Optional.of(versions.iterator().next())
+                        : Optional.empty();
+            }
+
+            @Override
+            public long readAtMillis() {
+                return follower.lastResponseAtMillis();
+            }
+        };
+    }
+
     private void logCrash(CrashDetector.LostAttempt attempt) {
         long now = runtime.clock().monotonicMillis();
         runtime.log()
@@ -343,7 +374,8 @@
         gossipChannel.bind(
                 settings.peerAddress(),
                 (message, sender) -> gossipReceiver.onMessage(
-                        message, addressText(sender), runtime.clock().monotonicMillis()));
+                        message, addressText(sender), runtime.clock().monotonicMillis()),
+                streamOrigins::onMessage);
         eventLoop.execute(() -> {
             follower.start();
             eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -403,6 +435,7 @@
         directory.expire(now);
         crashHistory.expire(now);
         upstreamLimits.expire(directory::lists, now);
+        streamOrigins.expire(now);
         gossipReceiver.expirePeers(PEER_TIMEOUT_ROUNDS * gossipSender.ticksPerRound() * TICK_MILLIS, now);
         callerServer.closeExpired(now);
         readinessServer.closeExpired(now);
@@ -421,6 +454,7 @@
                 driver.tick(dutyDriver.authority(usageDuty), gossipSender.usagePeriodMillis(), siteEpochMillis()));
         fleetController.ifPresent(controller -> controller.tick(dutyDriver.authority(fleetDuty), now));
         Map<InstanceId, InetSocketAddress> peerAddresses = peerAddressByNode();
+        streamOrigins.setNodes(peerAddresses);
         if (follower.isReady()) {
             upstreamLimits.setNodes(peerAddresses.keySet(), now);
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -185,6 +185,15 @@
         return storeUnavailable;
     }
 
+    /**
+     * Returns when the last read of the store succeeded.
+     *
+     * @return the monotonic time, in milliseconds
+     */
+    public long lastResponseAtMillis() {
+        return lastResponseAtMillis;
+    }
+
     /**
      * Returns the values that nodes wrote.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -2,11 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -18,6 +15,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.serving.EngineStage;
 import org.cactusshift.internal.coordination.serving.Placement;
@@ -58,6 +56,9 @@
      */
     private static final int TARGET_GAP_FACTOR = 3;
 
+    /** An upstream cannot be replaced by one with another software version, under its id, within this time. */
+    private static final long MAXIMUM_ENTRY_AGE_MILLIS = 1_500;
+
     private static final String UNSIGNED_RESPONSE = "the answer carries no signature";
 
     private final RelayedRequest relayedRequest;
@@ -195,6 +196,13 @@
             relayedRequest.onNotExecuted(this);
             return;
         }
+        if (relayedRequest.continuesStream() && !isVersionCertain(acquired.get())) {
+            context().pool().release(acquired.get());
+            end("left", "the upstream may run another software version by now");
+            releaseRetainedKv();
+            relayedRequest.onNotExecuted(this);
+            return;
+        }
         connection = acquired.get();
         sentAtMillis = nowMillis();
         relayedRequest.onSending(this);
@@ -227,6 +235,20 @@
                 .write();
     }
 
+    /** Returns the software version of the upstream that responds, empty when its entry may be outdated. */
+    Optional<SoftwareVersion> softwareVersion() {
+        return isVersionCertain(connection) ? Optional.of(upstream.entry().softwareVersion()) : Optional.empty();
+    }
+
+    /**
+     * Returns whether the entry of the upstream is that of the process at the other end of a connection: it was read
+     * recently, or after the connection was opened.
+     */
+    private boolean isVersionCertain(HttpClientConnection candidate) {
+        long readAtMillis = context().versions().readAtMillis();
+        return nowMillis() - readAtMillis <= MAXIMUM_ENTRY_AGE_MILLIS || candidate.openedAtMillis() <= readAtMillis;
+    }
+
     private void scheduleProgressCheck(long delayMillis) {
         progressTimer = context().eventLoop().schedule(this::checkProgress, delayMillis, TimeUnit.MILLISECONDS);
     }
@@ -551,43 +573,6 @@
         if (kvSource.isEmpty() || fetched) {
             return;
         }
-        int slash = kvSource.get().indexOf('/');
-        String address = kvSource.get().substring(0, slash);
-        placement
-                .prefillEngine()
-                .ifPresent(engine -> context().upstreamLimits().onSend(engine.incarnation(), nowMillis()));
-        String path = context().codec().kvReleasePath(kvSource.get().substring(slash + 1));
-        context()
-                .pool()
-                .acquire(
-                        address,
-                        Long.MAX_VALUE,
-                        acquired -> acquired.forEach(pooled -> {
-                            HttpHeaders host = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, address);
-                            pooled.send(HttpMethod.DELETE, path, host, Unpooled.EMPTY_BUFFER, new IgnoringListener());
-                        }));
-    }
-
-    /** Ignores the response to a release; KV cache that is not released here expires at the engine. */
-    private static final class IgnoringListener implements HttpResponseListener {
-        @Override
-        public boolean onHead(HttpResponse response) {
-            return true;
-        }
-
-        @Override
-        public void onContent(ByteBuf bytes) {
-            // Ignored.
-        }
-
-        @Override
-        public void onComplete() {
-            // Ignored.
-        }
-
-        @Override
-        public void onFailure(String reason) {
-            // Ignored.
-        }
+        placement.prefillEngine().ifPresent(engine -> KvRelease.send(context(), engine, kvSource.get()));
     }
 }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
@@ -108,6 +108,6 @@
 
     Optional<Placement> place(ServingRequest request, Set<UpstreamId> excluded, long nowMillis) {
         // Prefill and decode may run on different engines.
-        return placer.place(new PlacementQuery(request, LOCAL_DOMAIN, excluded, true), nowMillis);
+        return placer.place(new PlacementQuery(request, LOCAL_DOMAIN, excluded, Optional.empty(), true), nowMillis);
     }
 }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
@@ -57,12 +57,15 @@
             for (int node = 0; node < NODES; node++) {
                 InstanceId id = InstanceId.fromString("n" + node);
                 PeerDatagramChannel channel = PeerDatagramChannel.create(group, log);
-                channel.bind(ANY_PORT, (message, sender) -> {
-                    messageByNode.put(id, message);
-                    if (!message.usage().isEmpty()) {
-                        messageWithCountsByNode.put(id, message);
-                    }
-                });
+                channel.bind(
+                        ANY_PORT,
+                        (message, sender) -> {
+                            messageByNode.put(id, message);
+                            if (!message.usage().isEmpty()) {
+                                messageWithCountsByNode.put(id, message);
+                            }
+                        },
+                        (message, sender) -> {});
                 channels.add(channel);
                 addressByNode.put(id, channel.address());
             }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
@@ -38,8 +38,8 @@
         try {
             PeerDatagramChannel sender = PeerDatagramChannel.create(group, log);
             PeerDatagramChannel receiver = PeerDatagramChannel.create(group, log);
-            sender.bind(ANY_PORT, (message, from) -> {});
-            receiver.bind(ANY_PORT, (message, from) -> received.add(message));
+            sender.bind(ANY_PORT, (message, from) -> {}, (message, from) -> {});
+            receiver.bind(ANY_PORT, (message, from) -> received.add(message), (message, from) -> {});
             List<PromptPartUse> partUses = new ArrayList<>();
             for (int i = 0; i < partUseCount; i++) {
                 partUses.add(new PromptPartUse(
