Play limits of upstreams in the soak

Now and then an upstream states a limit for 9 s, drawn apart from the other faults, so that seeds choose those as before.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
@@ -70,7 +70,7 @@
                 : List.of("/once/x", "/again/x", "/stream/x").get(number % 3);
         String id = "r" + number;
         boolean nonRepeatable = path.startsWith("/once/");
-        site.invariants().onSent(id, path);
+        site.invariants().onSent(id, path, node);
         long sentAtNanos = System.nanoTime();
         long sentAtEpochMillis = System.currentTimeMillis();
         String ending = "end of the stream before a response";
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
@@ -21,8 +21,23 @@
     private static final int MAXIMUM_FAULT_MILLIS = 4_000;
     private static final long STORE_DELAY_MILLIS = 120;
 
+    /** The kinds that a seed chooses from; those after them are injected in addition. */
+    private static final int SCHEDULED_KINDS = SoakFaultKind.UPSTREAM_LIMITED.ordinal();
+
+    private static final int FAULTS_PER_LIMIT = 5;
+
+    /** Longer than nodes may take to keep to a limit, and the window in which it is judged. */
+    private static final long LIMIT_MILLIS = 9_000;
+
+    private static final double MAXIMUM_LIMIT_PER_SECOND = 20;
+
     private final SoakSite site;
     private final Random random;
+    private final Random limitRandom;
+
+    /** Each upstream states a limit at most once. */
+    private final Set<Integer> limitedUpstreams = new HashSet<>();
+
     private final ExecutorService executor = Executors.newCachedThreadPool();
     private final List<Future<?>> activeFaults = new ArrayList<>();
     private final Set<SoakNode> nodesWithSignalFault = new HashSet<>();
@@ -31,6 +46,7 @@
     SoakFaultInjector(SoakSite site, long seed) {
         this.site = site;
         this.random = new Random(seed);
+        this.limitRandom = new Random(~seed);
     }
 
     private interface Step {
@@ -41,18 +57,31 @@
     void run(long durationMillis) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(durationMillis);
         while (System.nanoTime() < endNanos) {
-            SoakFaultKind kind = SoakFaultKind.values()[random.nextInt(SoakFaultKind.values().length)];
+            SoakFaultKind kind = SoakFaultKind.values()[random.nextInt(SCHEDULED_KINDS)];
             int nodeIndex = random.nextInt(site.nodes().size());
-            int upstreamIndex = random.nextInt(site.upstreams().relays().size());
+            int upstreamIndex = random.nextInt(SoakUpstreams.FAULT_TARGETS);
             long faultMillis = 1 + random.nextInt(MAXIMUM_FAULT_MILLIS);
             SoakFault fault = SoakFault.create(kind, nodeIndex, upstreamIndex, faultMillis, System.currentTimeMillis());
             history.add(fault);
             inject(fault);
+            injectLimit();
             TimeUnit.MILLISECONDS.sleep(
                     MINIMUM_INTERVAL_MILLIS + random.nextInt(MAXIMUM_INTERVAL_MILLIS - MINIMUM_INTERVAL_MILLIS));
         }
     }
 
+    /** Starts a limit at one upstream now and then; drawn apart, so that seeds choose the other faults as ever. */
+    private void injectLimit() {
+        int upstreamIndex = limitRandom.nextInt(SoakUpstreams.FAULT_TARGETS);
+        boolean isDue = limitRandom.nextInt(FAULTS_PER_LIMIT) == 0;
+        if (isDue && limitedUpstreams.add(upstreamIndex)) {
+            SoakFault fault = SoakFault.create(
+                    SoakFaultKind.UPSTREAM_LIMITED, 0, upstreamIndex, LIMIT_MILLIS, System.currentTimeMillis());
+            history.add(fault);
+            inject(fault);
+        }
+    }
+
     /** Starts a fault; returns when its node knows of it, if it is an unplanned interruption. */
     void inject(SoakFault fault) {
         SoakNode node = site.nodes().get(fault.nodeIndex());
@@ -109,6 +138,12 @@
                         fault,
                         () -> site.upstreams().setListed(fault.upstreamIndex(), false),
                         () -> site.upstreams().setListed(fault.upstreamIndex(), true));
+            case UPSTREAM_LIMITED ->
+                startTimedFault(
+                        fault,
+                        () -> site.upstreams()
+                                .stateLimit(fault.upstreamIndex(), limitRandom.nextDouble() * MAXIMUM_LIMIT_PER_SECOND),
+                        () -> site.upstreams().endLimit(fault.upstreamIndex()));
             case CONFIG_CHANGE -> injectImmediateFault(fault, site::publishNextConfig);
             default -> throw new IllegalStateException("unknown fault: " + fault.kind());
         }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultKind.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultKind.java
@@ -40,7 +40,9 @@
     /** Removes the store entry of an upstream. */
     UPSTREAM_UNLISTED,
     /** Publishes the next configuration. */
-    CONFIG_CHANGE;
+    CONFIG_CHANGE,
+    /** Makes an upstream state a limit on requests per second. */
+    UPSTREAM_LIMITED;
 
     private static final Set<SoakFaultKind> INTERRUPTING = EnumSet.of(PAUSE, KILL, CALLERS_CUT, CALLERS_STALLED);
 
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
@@ -21,7 +21,8 @@
  *       node or of its connections to callers;
  *   <li>CONFIG: a node no longer served a route that it had served before;
  *   <li>MIXED: a non-streamed response had other content than expected;
- *   <li>ORDER: a stream had other events than expected.
+ *   <li>ORDER: a stream had other events than expected;
+ *   <li>LIMIT: see {@link SoakLimitJudge}.
  * </ul>
  */
 final class SoakInvariants {
@@ -32,6 +33,7 @@
     private static final Set<Integer> DENIED_STATUSES = Set.of(400, 401, 403, 404, 413, 431);
 
     private final Map<String, String> pathById = new HashMap<>();
+    private final Map<String, SoakNode> nodeById = new HashMap<>();
     private final Map<String, Integer> runsById = new HashMap<>();
     private final Set<String> refusedIds = new HashSet<>();
     private final Map<Long, String> usageByWindow = new HashMap<>();
@@ -42,8 +44,14 @@
     private long highestFencingNumber;
     private int cutRequests;
 
-    synchronized void onSent(String id, String path) {
+    synchronized void onSent(String id, String path, SoakNode node) {
         pathById.put(id, path);
+        nodeById.put(id, node);
+    }
+
+    /** Returns whether a request was sent to a node that has been in touch until now. */
+    synchronized boolean isFromNodeInTouch(String id) {
+        return nodeById.containsKey(id) && nodeById.get(id).wasInTouch(System.nanoTime());
     }
 
     /** Records that an upstream starts to run a request. */
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
@@ -66,6 +66,7 @@
                 System.out.println(SoakEvidence.of(lost, site.nodes().get(lost.nodeIndex()), faults.history()));
             }
             assertEquals(List.of(), site.invariants().violations(), summary);
+            assertEquals(List.of(), site.upstreams().limitViolations(), summary);
             assertTrue(site.invariants().responseCount(200) > 0, summary);
         }
     }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
@@ -17,6 +17,9 @@
     static final int EVENTS_PER_STREAM = 6;
     private static final int UPSTREAMS_PER_SERVICE = 2;
 
+    /** The number of upstreams that faults are injected at. */
+    static final int FAULT_TARGETS = 2 * UPSTREAMS_PER_SERVICE;
+
     /** Requests that are refused as not run. */
     private static final int REFUSED_PERCENT = 6;
 
@@ -34,13 +37,14 @@
     /** Delay of other responses, and pause after each event of a stream. */
     private static final long RESPONSE_DELAY_MILLIS = 15;
 
-    private static final String NOT_RUN_RESPONSE = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String NOT_RUN_HEAD = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
 
     private final SiteStore store;
     private final SoakInvariants invariants;
     private final Random random;
     private final List<ScriptedUpstream> upstreams = new ArrayList<>();
     private final List<TcpRelay> relays = new ArrayList<>();
+    private final List<Upstream> selves = new ArrayList<>();
     /** For each upstream: the store key, a space, and the store entry with %s for the state. */
     private final List<String> entries = new ArrayList<>();
 
@@ -59,13 +63,31 @@
         return all;
     }
 
-    private void add(String id, String service, ScriptedUpstream.Script script) throws IOException {
+    /** Writes a response in the manner of one upstream. */
+    private interface Script {
+        void respond(Upstream upstream, ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
+                throws IOException;
+    }
+
+    /** What an upstream states about itself. */
+    private static final class Upstream {
+        final SoakLimitJudge limitJudge = new SoakLimitJudge();
+
+        /** The header with the limit, empty text when it has none. */
+        volatile String limitHeader = "";
+    }
+
+    private void add(String id, String service, Script script) throws IOException {
+        Upstream self = new Upstream();
+        selves.add(self);
         ScriptedUpstream upstream = ScriptedUpstream.start((request, connection) -> {
             String expected = request.header("Expect-Instance");
             if (!expected.equals(id)) {
                 connection.write("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
             } else {
-                script.respond(request, connection);
+                self.limitJudge.onArrival(
+                        invariants.isFromNodeInTouch(request.header("Request-Id")), SoakLimitJudge.nowMillis());
+                script.respond(self, request, connection);
             }
         });
         TcpRelay relay = TcpRelay.start(upstream.address());
@@ -77,6 +99,25 @@
         store.put("servers/" + id, entry.formatted("ready"));
     }
 
+    /** Makes an upstream state a limit on requests per second from now on. */
+    void stateLimit(int index, double limitPerSecond) {
+        selves.get(index).limitHeader = "Server-Limit: " + limitPerSecond + "\r\n";
+        selves.get(index).limitJudge.onStated(limitPerSecond, SoakLimitJudge.nowMillis());
+    }
+
+    /** Makes an upstream state no limit any more. */
+    void endLimit(int index) {
+        selves.get(index).limitHeader = "";
+        selves.get(index).limitJudge.onEnded();
+    }
+
+    /** Returns the violations of limits at all upstreams. */
+    List<String> limitViolations() {
+        return selves.stream()
+                .flatMap(self -> self.limitJudge.violations().stream())
+                .toList();
+    }
+
     List<TcpRelay> relays() {
         return relays;
     }
@@ -115,10 +156,11 @@
         pause(withProbability(SLOW_PERCENT) ? SLOW_RESPONSE_DELAY_MILLIS : RESPONSE_DELAY_MILLIS);
     }
 
-    private void respondNonStreamed(ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
+    private void respondNonStreamed(
+            Upstream self, ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
             throws IOException {
         if (withProbability(REFUSED_PERCENT)) {
-            connection.write(NOT_RUN_RESPONSE);
+            connection.write(NOT_RUN_HEAD + self.limitHeader + "\r\n");
             return;
         }
         recordRunAndDelay(request);
@@ -128,19 +170,20 @@
         }
         String id = request.header("Request-Id");
         String body = "done " + id + " " + new String(request.body(), StandardCharsets.ISO_8859_1);
-        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s\r\nContent-Length: "
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s\r\n" + self.limitHeader
+                + "Content-Length: "
                 + body.length() + "\r\n\r\n" + body);
     }
 
-    private void respondStream(ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
+    private void respondStream(Upstream self, ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
             throws IOException {
         if (withProbability(REFUSED_PERCENT)) {
-            connection.write(NOT_RUN_RESPONSE);
+            connection.write(NOT_RUN_HEAD + self.limitHeader + "\r\n");
             return;
         }
         recordRunAndDelay(request);
         String id = request.header("Request-Id");
-        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s\r\n"
+        connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s\r\n" + self.limitHeader
                 + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         String last = request.header("Last-Event-Id");
         for (int event = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; event <= EVENTS_PER_STREAM; event++) {
