Play software versions of upstreams in the soak

The trouble was played nowhere: the soak's engines had one version, and no caller took up a stream. They have two now, and callers take up broken streams at another node.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
@@ -96,8 +96,10 @@
         } else {
             site.invariants().onResponse(id, response.status(), nonRepeatable);
         }
-        if (response.status() == 200) {
-            checkContent(path, id, number, response);
+        if (path.startsWith("/stream/")) {
+            checkStream(node, id, sentAtNanos, response);
+        } else if (response.status() == 200) {
+            checkContent(id, number, response);
         }
         return response.complete() && !"close".equals(response.headers().get("connection"));
     }
@@ -109,29 +111,59 @@
         }
     }
 
-    private void checkContent(String path, String id, int number, RawHttpCaller.Response response) {
-        if (!path.startsWith("/stream/")) {
-            String expected = "done " + id + " b" + number;
-            if (response.complete() && !response.body().equals(expected)) {
-                site.invariants().addViolation("MIXED: " + id + " got " + response.body());
-            }
-            return;
+    private void checkContent(String id, int number, RawHttpCaller.Response response) {
+        String expected = "done " + id + " b" + number;
+        if (response.complete() && !response.body().equals(expected)) {
+            site.invariants().addViolation("MIXED: " + id + " got " + response.body());
+        }
+    }
+
+    /** Checks the events of a stream, and takes it up at another node if it was broken off. */
+    private void checkStream(SoakNode node, String id, long sentAtNanos, RawHttpCaller.Response response) {
+        SoakStreamJudge judge = site.streamJudge();
+        SoakStreamJudge.Position position = judge.onEvents(id, response.body(), SoakStreamJudge.Position.START);
+        if (node.wasInTouch(sentAtNanos)) {
+            judge.onNew(position.lastEvent() > 0);
         }
-        StringBuilder expected = new StringBuilder();
-        for (int event = 1; event <= SoakUpstreams.EVENTS_PER_STREAM; event++) {
-            expected.append("id: ")
-                    .append(event)
-                    .append("\ndata: ")
-                    .append(id)
-                    .append('-')
-                    .append(event)
-                    .append("\n\n");
+        if (position.lastEvent() > 0 && position.lastEvent() < SoakUpstreams.EVENTS_PER_STREAM) {
+            takeUp(otherNode(node), id, position);
+        }
+        boolean endsEarly = response.complete()
+                && response.status() == 200
+                && position.lastEvent() < SoakUpstreams.EVENTS_PER_STREAM;
+        if (endsEarly) {
+            site.invariants().addViolation("ORDER: " + id + " ended after " + position);
+        }
+    }
+
+    private SoakNode otherNode(SoakNode node) {
+        return site.nodes().get((site.nodes().indexOf(node) + 1) % site.nodes().size());
+    }
+
+    private void takeUp(SoakNode node, String resumedId, SoakStreamJudge.Position position) {
+        String id = "t" + lastRequestNumber.incrementAndGet();
+        String address = node.callerRelay().address();
+        long sentAtNanos = System.nanoTime();
+        site.invariants().onSent(id, "/stream/x", node);
+        Map<String, String> headers = Map.of(
+                "Credential",
+                SoakSite.KEY,
+                "Last-Event-Id",
+                Integer.toString(position.lastEvent()),
+                "Resumes",
+                resumedId);
+        RawHttpCaller.Response response = new RawHttpCaller.Response(0, Map.of(), "", false);
+        try (Socket socket = RawHttpCaller.connect(Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)))) {
+            socket.getOutputStream()
+                    .write(RawHttpCaller.request("/stream/x", id, headers, "b").getBytes(StandardCharsets.ISO_8859_1));
+            response = RawHttpCaller.read(socket.getInputStream());
+        } catch (IOException e) {
+            // The node or the relay in front of it is down; it counts as not gone on if the node was in touch.
+            Thread.onSpinWait();
         }
-        boolean valid = response.complete()
-                ? expected.toString().equals(response.body())
-                : expected.toString().startsWith(response.body());
-        if (!valid) {
-            site.invariants().addViolation("ORDER: " + id + " got " + response.body());
+        SoakStreamJudge.Position now = site.streamJudge().onEvents(id, response.body(), position);
+        if (node.wasInTouch(sentAtNanos)) {
+            site.streamJudge().onTakenUp(now.lastEvent() > position.lastEvent());
         }
     }
 
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
@@ -21,8 +21,7 @@
  *       node or of its connections to callers;
  *   <li>CONFIG: a node no longer served a route that it had served before;
  *   <li>MIXED: a non-streamed response had other content than expected;
- *   <li>ORDER: a stream had other events than expected;
- *   <li>LIMIT: see {@link SoakLimitJudge}.
+ *   <li>ORDER, LIMIT and LOST: see {@link SoakStreamJudge} and {@link SoakLimitJudge}.
  * </ul>
  */
 final class SoakInvariants {
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakSite.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakSite.java
@@ -16,6 +16,7 @@
     private static final int LOST_RESPONSE_INTERVAL = 7;
 
     private final SoakInvariants invariants = new SoakInvariants();
+    private final SoakStreamJudge streamJudge = new SoakStreamJudge();
     private final SiteStore store = SiteStore.create();
     private final List<SoakNode> nodes = new ArrayList<>();
     private ScriptedUpstream usageEndpoint;
@@ -41,6 +42,10 @@
         return invariants;
     }
 
+    SoakStreamJudge streamJudge() {
+        return streamJudge;
+    }
+
     SiteStore store() {
         return store;
     }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
@@ -59,7 +59,7 @@
                 faults.close();
                 awaitAllReady(site);
             }
-            String summary = "seed " + seed + ": " + site.invariants()
+            String summary = "seed " + seed + ": " + site.invariants() + ", streams: " + site.streamJudge()
                     + ", chosen faults (kind, node, upstream, milliseconds): " + faults;
             System.out.println(summary);
             for (SoakLostRequest lost : site.invariants().lostRequests()) {
@@ -67,6 +67,7 @@
             }
             assertEquals(List.of(), site.invariants().violations(), summary);
             assertEquals(List.of(), site.upstreams().limitViolations(), summary);
+            assertEquals(List.of(), site.streamJudge().violations(), summary);
             assertTrue(site.invariants().responseCount(200) > 0, summary);
         }
     }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
@@ -10,14 +10,15 @@
 import org.cactusshift.standin.site.SiteStore;
 
 /**
- * The upstreams of a soak test: two of a plain service and two model engines. They refuse some requests and delay, drop
+ * The upstreams of a soak test: two of a plain service and two model engines of each of two versions. They refuse
+ * refuse some requests and delay, drop
  * or truncate some responses. Nodes reach each upstream through a relay.
  */
 final class SoakUpstreams implements AutoCloseable {
     static final int EVENTS_PER_STREAM = 6;
     private static final int UPSTREAMS_PER_SERVICE = 2;
 
-    /** The number of upstreams that faults are injected at. */
+    /** The number of upstreams, the first ones, that faults are injected at; those of the second version have none. */
     static final int FAULT_TARGETS = 2 * UPSTREAMS_PER_SERVICE;
 
     /** Requests that are refused as not run. */
@@ -57,8 +58,11 @@
     static SoakUpstreams start(SiteStore store, SoakInvariants invariants, long seed) throws IOException {
         SoakUpstreams all = new SoakUpstreams(store, invariants, seed);
         for (int i = 0; i < UPSTREAMS_PER_SERVICE; i++) {
-            all.add("app-" + i, "app", all::respondNonStreamed);
-            all.add("lm-" + i, "lm", all::respondStream);
+            all.add("app-" + i, "app", "v1", all::respondNonStreamed);
+            all.add("lm-" + i, "lm", "v1", all::respondStream);
+        }
+        for (int i = UPSTREAMS_PER_SERVICE; i < 2 * UPSTREAMS_PER_SERVICE; i++) {
+            all.add("lm-" + i, "lm", "v2", all::respondStream);
         }
         return all;
     }
@@ -71,14 +75,19 @@
 
     /** What an upstream states about itself. */
     private static final class Upstream {
+        final String softwareVersion;
         final SoakLimitJudge limitJudge = new SoakLimitJudge();
 
         /** The header with the limit, empty text when it has none. */
         volatile String limitHeader = "";
+
+        Upstream(String softwareVersion) {
+            this.softwareVersion = softwareVersion;
+        }
     }
 
-    private void add(String id, String service, Script script) throws IOException {
-        Upstream self = new Upstream();
+    private void add(String id, String service, String softwareVersion, Script script) throws IOException {
+        Upstream self = new Upstream(softwareVersion);
         selves.add(self);
         ScriptedUpstream upstream = ScriptedUpstream.start((request, connection) -> {
             String expected = request.header("Expect-Instance");
@@ -94,7 +103,7 @@
         upstreams.add(upstream);
         relays.add(relay);
         String entry = "{\"service\":\"" + service + "\",\"address\":\"" + relay.address()
-                + "\",\"zone\":\"a\",\"slots\":16,\"state\":\"%s\",\"seq\":1}";
+                + "\",\"zone\":\"a\",\"slots\":16,\"state\":\"%s\",\"version\":\"" + softwareVersion + "\",\"seq\":1}";
         entries.add("servers/" + id + " " + entry);
         store.put("servers/" + id, entry.formatted("ready"));
     }
@@ -187,7 +196,7 @@
                 + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         String last = request.header("Last-Event-Id");
         for (int event = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; event <= EVENTS_PER_STREAM; event++) {
-            String text = "id: " + event + "\ndata: " + id + "-" + event + "\n\n";
+            String text = "id: " + event + "\ndata: " + id + "-" + event + "-" + self.softwareVersion + "\n\n";
             if (withProbability(TRUNCATED_EVENT_PERCENT)) {
                 connection.write(Integer.toHexString(text.length()) + "\r\n" + text.substring(0, text.length() / 2));
                 connection.reset();
