Take the state of the site for current for as long as two reads take

The time follows the period of the reads now: 1.6 s where a change must be seen in 2 s, 8.8 s where in 11 s.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -83,6 +83,13 @@
          */
         Optional<SoftwareVersion> sole(ServiceId service);
 
+        /**
+         * Returns whether the entries of the upstreams were read recently.
+         *
+         * @return whether they are current
+         */
+        boolean isCurrent();
+
         /**
          * Returns when the entries of the upstreams were last known to be current.
          *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -81,9 +81,6 @@
     private static final String USAGE_PREFIX = NODE_KEY_PREFIX + "usage/";
     private static final String PLAN_KEY = NODE_KEY_PREFIX + "fleet";
 
-    /** A node that has not read the store for longer may not know that another version serves. */
-    private static final long MAXIMUM_VERSIONS_AGE_MILLIS = 1_500;
-
     /** The KV-cache capacity, in tokens, that is assumed while the configuration states none for a service. */
     private static final long DEFAULT_KV_CAPACITY_TOKENS = 1L << 20;
 
@@ -249,14 +246,18 @@
             public Optional<SoftwareVersion> sole(ServiceId service) {
                 Set<SoftwareVersion> versions = directory.versions(service);
                 long now = runtime.clock().monotonicMillis();
-                boolean isCurrent = now - follower.lastResponseAtMillis() <= MAXIMUM_VERSIONS_AGE_MILLIS;
                 boolean knowsAll = now - startedAtMillis > StreamOrigins.RETENTION_MILLIS
                         || versions.equals(Set.of(SoftwareVersion.UNSTATED));
-                return isCurrent && knowsAll && versions.size() == 1
+                return isCurrent() && knowsAll && versions.size() == 1
                         ? Optional.of(versions.iterator().next())
                         : Optional.empty();
             }
 
+            @Override
+            public boolean isCurrent() {
+                return follower.isCurrent(runtime.clock().monotonicMillis());
+            }
+
             @Override
             public long readAtMillis() {
                 return follower.lastResponseAtMillis();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -44,6 +44,9 @@
     /** The store counts as unavailable when a read fails this long after the last successful one. */
     private static final long UNAVAILABLE_AFTER_MILLIS = 1_500;
 
+    /** The state is current while it is not older than the time that this many reads take. */
+    private static final int CURRENT_READS = 2;
+
     /**
      * How long after the store has recovered a missing entry may be one that expired during the outage; upstreams
      * register again within this time.
@@ -185,6 +188,17 @@
         return storeUnavailable;
     }
 
+    /**
+     * Returns whether this node knows the state of the site as it was a short time ago.
+     *
+     * @param nowMillis the current monotonic time, in milliseconds
+     * @return whether a read of the store succeeded within the time of about two reads
+     */
+    public boolean isCurrent(long nowMillis) {
+        long maximumAgeMillis = Math.max(UNAVAILABLE_AFTER_MILLIS, CURRENT_READS * (readPeriodMillis + longPollMillis));
+        return nowMillis - lastResponseAtMillis <= maximumAgeMillis;
+    }
+
     /**
      * Returns when the last read of the store succeeded.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -56,9 +56,6 @@
      */
     private static final int TARGET_GAP_FACTOR = 3;
 
-    /** An upstream cannot be replaced by one with another software version, under its id, within this time. */
-    private static final long MAXIMUM_ENTRY_AGE_MILLIS = 1_500;
-
     private static final String UNSIGNED_RESPONSE = "the answer carries no signature";
 
     private final RelayedRequest relayedRequest;
@@ -245,8 +242,8 @@
      * recently, or after the connection was opened.
      */
     private boolean isVersionCertain(HttpClientConnection candidate) {
-        long readAtMillis = context().versions().readAtMillis();
-        return nowMillis() - readAtMillis <= MAXIMUM_ENTRY_AGE_MILLIS || candidate.openedAtMillis() <= readAtMillis;
+        return context().versions().isCurrent()
+                || candidate.openedAtMillis() <= context().versions().readAtMillis();
     }
 
     private void scheduleProgressCheck(long delayMillis) {
