--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInResponse.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/StandInResponse.java
@@ -109,7 +109,12 @@
         return this;
     }
 
-    int status() {
+    /**
+     * Returns the status.
+     *
+     * @return the HTTP status
+     */
+    public int status() {
         return status;
     }
 
@@ -121,7 +126,12 @@
         return contentType;
     }
 
-    byte[] body() {
+    /**
+     * Returns the complete body.
+     *
+     * @return the bytes; null when the body is streamed
+     */
+    public byte[] body() {
         return body;
     }
 
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/Direction.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/link/Direction.java
@@ -1,4 +1,4 @@
-package org.cactusshift.systemtest;
+package org.cactusshift.standin.link;
 
 /** Direction of the bytes that a {@link TcpRelay} forwards. */
 public enum Direction {
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/RelayLink.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/link/RelayLink.java
@@ -1,4 +1,4 @@
-package org.cactusshift.systemtest;
+package org.cactusshift.standin.link;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/TcpRelay.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/link/TcpRelay.java
@@ -1,4 +1,4 @@
-package org.cactusshift.systemtest;
+package org.cactusshift.standin.link;
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
@@ -7,10 +7,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -23,6 +26,8 @@
  *
  * <ul>
  *   <li>{@link #cut()}: resets all connections and refuses new ones;
+ *   <li>{@link #refuseNewConnections()}: refuses new connections, while those that are open now work;
+ *   <li>{@link #hangNewConnections()}: new connections are not established, while those that are open now work;
  *   <li>{@link #resetOpenConnections()}: resets the connections that are open now, while new ones work;
  *   <li>{@link #hold}: bytes of one direction are held back until {@link #restore()}, as in a network partition;
  *   <li>{@link #stallOpenConnections()}: the connections that are open now deliver nothing any more, not even the end
@@ -30,9 +35,14 @@
  *   <li>{@link #setDelayMillis}: every byte is delayed.
  * </ul>
  */
-final class TcpRelay implements AutoCloseable {
+public final class TcpRelay implements AutoCloseable {
     private static final int BACKLOG = 256;
 
+    private static final int SHORTEST_BACKLOG = 1;
+
+    /** A connection that is not established within this time found the accept queue full. */
+    private static final int QUEUE_FULL_MILLIS = 200;
+
     private static final int CONNECT_TIMEOUT_MILLIS = 2000;
 
     private final String target;
@@ -58,6 +68,9 @@
 
     private long delayMillis;
 
+    /** Connections that occupy the accept queue while new connections hang. */
+    private final List<Socket> queueOccupants = new ArrayList<>();
+
     private TcpRelay(String target, ServerSocket listener) {
         this.target = target;
         this.listener = listener;
@@ -71,8 +84,8 @@
      * @return the relay, without any fault
      * @throws IOException if no port can be opened
      */
-    static TcpRelay start(String target) throws IOException {
-        TcpRelay relay = new TcpRelay(target, listen(0));
+    public static TcpRelay start(String target) throws IOException {
+        TcpRelay relay = new TcpRelay(target, listen(0, BACKLOG));
         relay.acceptor = relay.startAccepting(relay.listener);
         return relay;
     }
@@ -82,7 +95,7 @@
      *
      * @return the address as {@code ADDRESS:PORT}
      */
-    String address() {
+    public String address() {
         return InetAddress.getLoopbackAddress().getHostAddress() + ":" + port;
     }
 
@@ -91,7 +104,7 @@
      *
      * @return the number
      */
-    int openConnections() {
+    public int openConnections() {
         synchronized (lock) {
             return links.size();
         }
@@ -102,21 +115,59 @@
      *
      * @throws IOException if the listening socket can't be closed
      */
-    void cut() throws IOException {
-        List<RelayLink> openLinks;
+    public void cut() throws IOException {
+        refuseNewConnections();
+        resetOpenConnections();
+    }
+
+    /**
+     * Refuses new connections until {@link #restore()}; those that are open now work.
+     *
+     * @throws IOException if the listening socket can't be closed
+     */
+    public void refuseNewConnections() throws IOException {
         Future<?> closedAcceptor;
         synchronized (lock) {
             listener.close();
+            releaseQueue();
             closedAcceptor = acceptor;
-            openLinks = List.copyOf(links);
             lock.notifyAll();
         }
-        openLinks.forEach(RelayLink::reset);
         awaitAcceptorEnd(closedAcceptor);
     }
 
+    /**
+     * Lets new connections hang until {@link #restore()}, as behind a partition; those that are open now work.
+     *
+     * @throws IOException if the relay can't listen on its port again
+     */
+    public void hangNewConnections() throws IOException {
+        refuseNewConnections();
+        synchronized (lock) {
+            listener = listen(port, SHORTEST_BACKLOG);
+            acceptor = CompletableFuture.completedFuture(null);
+            boolean isFull = false;
+            while (!isFull) {
+                Socket occupant = new Socket();
+                queueOccupants.add(occupant);
+                try {
+                    occupant.connect(listener.getLocalSocketAddress(), QUEUE_FULL_MILLIS);
+                } catch (SocketTimeoutException e) {
+                    isFull = true;
+                }
+            }
+        }
+    }
+
+    private void releaseQueue() throws IOException {
+        for (Socket occupant : queueOccupants) {
+            occupant.close();
+        }
+        queueOccupants.clear();
+    }
+
     /** Resets the connections that are open now; new ones work. */
-    void resetOpenConnections() {
+    public void resetOpenConnections() {
         List<RelayLink> openLinks;
         synchronized (lock) {
             openLinks = List.copyOf(links);
@@ -129,20 +180,20 @@
      *
      * @param direction the direction
      */
-    void hold(Direction direction) {
+    public void hold(Direction direction) {
         synchronized (lock) {
             heldDirections.add(direction);
         }
     }
 
     /** Holds back the bytes of both directions until {@link #restore()}. */
-    void holdBoth() {
+    public void holdBoth() {
         hold(Direction.TO_TARGET);
         hold(Direction.FROM_TARGET);
     }
 
     /** Stalls the connections that are open now until they are closed; new connections work. */
-    void stallOpenConnections() {
+    public void stallOpenConnections() {
         synchronized (lock) {
             links.forEach(RelayLink::stall);
             lock.notifyAll();
@@ -154,7 +205,7 @@
      *
      * @param delayMillis the delay of each direction, in milliseconds
      */
-    void setDelayMillis(long delayMillis) {
+    public void setDelayMillis(long delayMillis) {
         synchronized (lock) {
             this.delayMillis = delayMillis;
         }
@@ -165,11 +216,15 @@
      *
      * @throws IOException if the relay can't listen on its port again
      */
-    void restore() throws IOException {
+    public void restore() throws IOException {
         synchronized (lock) {
             heldDirections.clear();
+            if (!queueOccupants.isEmpty()) {
+                listener.close();
+                releaseQueue();
+            }
             if (listener.isClosed()) {
-                listener = listen(port);
+                listener = listen(port, BACKLOG);
                 acceptor = startAccepting(listener);
             }
             lock.notifyAll();
@@ -260,10 +315,10 @@
         }
     }
 
-    private static ServerSocket listen(int port) throws IOException {
+    private static ServerSocket listen(int port, int backlog) throws IOException {
         ServerSocket socket = new ServerSocket();
         socket.setReuseAddress(true);
-        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
         return socket;
     }
 }
--- /dev/null
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/link/package-info.java
@@ -0,0 +1,2 @@
+/** Links between processes that tests cut, hold, stall or slow down. */
+package org.cactusshift.standin.link;
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/FaultTestSite.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/FaultTestSite.java
@@ -31,6 +31,7 @@
 import org.cactusshift.standin.InstanceEntry;
 import org.cactusshift.standin.StandInClient;
 import org.cactusshift.standin.engine.EngineTiming;
+import org.cactusshift.standin.link.TcpRelay;
 import org.cactusshift.standin.platform.PlatformSettings;
 import org.cactusshift.standin.platform.StandInPlatform;
 
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/KeyRevocationTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/KeyRevocationTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.id.AccountId;
+import org.cactusshift.standin.link.TcpRelay;
 import org.cactusshift.systemtest.CallResult.Outcome;
 import org.junit.jupiter.api.Test;
 
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/NodeSite.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/NodeSite.java
@@ -17,6 +17,7 @@
 import org.cactusshift.standin.InstanceEntry;
 import org.cactusshift.standin.StandInClient;
 import org.cactusshift.standin.engine.EngineTiming;
+import org.cactusshift.standin.link.TcpRelay;
 import org.cactusshift.standin.platform.PlatformSettings;
 import org.cactusshift.standin.platform.StandInPlatform;
 
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCrashingPart.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCrashingPart.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.cactusshift.standin.link.TcpRelay;
 import org.cactusshift.standin.site.RawHttpCaller;
 import org.cactusshift.standin.site.ScriptedUpstream;
 
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.cactusshift.standin.link.Direction;
+import org.cactusshift.standin.link.TcpRelay;
 
 /**
  * Injects random faults from outside the processes: signals, faults of the relays and faults of the store. Faults may
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakLostCheckTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakLostCheckTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.file.Path;
 import org.cactusshift.standin.StandInClient;
+import org.cactusshift.standin.link.Direction;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.standin.StandInClient;
+import org.cactusshift.standin.link.TcpRelay;
 
 /**
  * A node process of a soak test, {@code org.cactusshift.platform.PlatformNode}, with the relays that connect it to its
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.cactusshift.standin.link.TcpRelay;
 import org.cactusshift.standin.site.ScriptedUpstream;
 import org.cactusshift.standin.site.SiteStore;
 
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/TcpRelayTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/TcpRelayTest.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.cactusshift.standin.link.Direction;
+import org.cactusshift.standin.link.TcpRelay;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
