Pass requests to a peer when no upstream is reachable

A node now tells lost links from lost upstreams, passes requests that no upstream may have run to a peer over an authenticated connection, and probes for the return of its links. Lost links no longer count as crashes.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/CrashDetector.java
@@ -15,6 +15,10 @@
     /** A crashed upstream refuses connections or reports a new incarnation within this time. */
     private static final long DETECTION_WINDOW_MILLIS = 4_000;
 
+    private static final long SAME_TIME_MILLIS = 500;
+
+    private static final int MANY_UPSTREAMS = 3;
+
     /** The maximum number of recent lost attempts that are remembered; the oldest are dropped. */
     private static final int MAXIMUM_LOST_ATTEMPTS = 1_024;
 
@@ -65,6 +69,35 @@
         }
     }
 
+    /**
+     * Returns whether attempts were lost at an upstream that would count as crashes if it went down now.
+     *
+     * @param upstream the upstream
+     * @param nowMillis the current time
+     * @return whether there are any
+     */
+    public boolean hasLostAttempts(UpstreamId upstream, long nowMillis) {
+        return lostAttempts.stream()
+                .anyMatch(attempt -> attempt.upstream().equals(upstream)
+                        && nowMillis - attempt.lostAtMillis() <= DETECTION_WINDOW_MILLIS);
+    }
+
+    /**
+     * Returns whether attempts were lost at several upstreams at about the same time, which a request that crashes its
+     * upstream does not cause, but a lost link of this node does.
+     *
+     * @param nowMillis the current time
+     * @return whether upstreams that are down now tell nothing about the requests that were there
+     */
+    public boolean lostAttemptsAtManyUpstreams(long nowMillis) {
+        return lostAttempts.stream()
+                        .filter(attempt -> nowMillis - attempt.lostAtMillis() <= SAME_TIME_MILLIS)
+                        .map(LostAttempt::upstream)
+                        .distinct()
+                        .count()
+                >= MANY_UPSTREAMS;
+    }
+
     /**
      * Reports as crashes the attempts that were lost shortly before an upstream went down or restarted.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -303,6 +303,16 @@
         return averageRelativeLatency;
     }
 
+    /**
+     * Returns whether no failure of the upstream is known from which it has not recovered.
+     *
+     * @param nowMillis the current time
+     * @return whether any request may be sent to it
+     */
+    public boolean isUp(long nowMillis) {
+        return health.state(nowMillis) == UpstreamHealth.State.UP;
+    }
+
     UpstreamHealth.State healthState(long nowMillis) {
         return health.state(nowMillis);
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/AttemptDirectives.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/AttemptDirectives.java
@@ -28,4 +28,26 @@
         Optional<String> kvSource,
         Optional<String> fetchFrom,
         OptionalLong resumeAfter,
-        int priority) {}
+        int priority) {
+    static AttemptDirectives of(
+            UpstreamAttempt attempt,
+            Optional<AccountId> account,
+            long remainingMillis,
+            OptionalLong lastEventId,
+            int priority) {
+        boolean prefillsHere = attempt.kvSource().isEmpty();
+        return new AttemptDirectives(
+                attempt.upstream().id(),
+                account,
+                remainingMillis,
+                attempt.isPrefill(),
+                attempt.kvSource(),
+                prefillsHere
+                        ? attempt.placement()
+                                .fetchFrom()
+                                .map(engine -> engine.entry().address())
+                        : Optional.empty(),
+                attempt.isPrefill() ? OptionalLong.empty() : lastEventId,
+                priority);
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
@@ -182,6 +182,15 @@
         return connections.size();
     }
 
+    /**
+     * Returns whether no request is in progress and no connection is open.
+     *
+     * @return whether nothing is lost when the process exits
+     */
+    boolean isUnused() {
+        return openRequests == 0 && connections.isEmpty();
+    }
+
     /** Starts draining: from now on each response asks the caller to close its connection. */
     public void startDraining() {
         draining = true;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
@@ -22,6 +22,7 @@
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
 import org.cactusshift.internal.coordination.serving.OpenWork;
 import org.cactusshift.internal.coordination.serving.PromptPartUse;
+import org.cactusshift.internal.coordination.serving.ServiceReachability;
 import org.cactusshift.internal.coordination.serving.Upstream;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.cactusshift.internal.coordination.serving.UsageCollector;
@@ -55,6 +56,7 @@
     private final UsageCounts usage;
     private final CrashHistory crashHistory;
     private final UpstreamRequestLimits limits;
+    private final ServiceReachability reachability;
     private final long tickMillis;
     private final GossipRound round;
     private Map<InstanceId, InetSocketAddress> peerAddressByNode = new HashMap<>();
@@ -70,6 +72,7 @@
             UsageCounts usage,
             CrashHistory crashHistory,
             UpstreamRequestLimits limits,
+            ServiceReachability reachability,
             long tickMillis) {
         this.self = self;
         this.channel = channel;
@@ -77,6 +80,7 @@
         this.usage = usage;
         this.crashHistory = crashHistory;
         this.limits = limits;
+        this.reachability = reachability;
         this.tickMillis = tickMillis;
         this.round = GossipRound.create(self.instance());
     }
@@ -88,8 +92,9 @@
             UsageCounts usage,
             CrashHistory crashHistory,
             UpstreamRequestLimits limits,
+            ServiceReachability reachability,
             long tickMillis) {
-        return new GossipSender(self, channel, directory, usage, crashHistory, limits, tickMillis);
+        return new GossipSender(self, channel, directory, usage, crashHistory, limits, reachability, tickMillis);
     }
 
     /** Records the use of a long prompt part, to be sent for the next rounds. */
@@ -187,7 +192,9 @@
             long nowMillis) {
         Map<UpstreamId, OpenWork> work = new HashMap<>();
         for (Upstream upstream : directory.all()) {
-            if (upstream.openRequests() > 0) {
+            // Requests behind a lost link do not load the upstream.
+            if (upstream.openRequests() > 0
+                    && !reachability.isUnreachable(upstream.entry().service())) {
                 work.put(upstream.id(), new OpenWork(upstream.openRequests(), upstream.pendingPrefillTokens()));
             }
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeRegistration.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeRegistration.java
@@ -2,15 +2,20 @@
 
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
+import org.cactusshift.internal.coordination.serving.PeerEndpoint;
+import org.cactusshift.internal.coordination.serving.PeerToken;
 import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
 import org.cactusshift.internal.coordination.store.LeaseGrant;
 import org.cactusshift.internal.coordination.store.SwapResult;
@@ -33,11 +38,14 @@
 
     private final DutyHolder self;
     private final String registrationKeyPrefix;
+    private final String endpointKeyPrefix;
+    private final PeerToken token;
     private final AsyncKeyValueStore store;
     private final SiteStateFollower follower;
     private final RelayClock clock;
     private final EventLog log;
     private Map<InstanceId, InetSocketAddress> peerAddressByNode = Map.of();
+    private List<PeerEndpoint> peerEndpoints = List.of();
 
     /** The version of the follower's node values from which the peer addresses were derived. */
     private long peerAddressesVersion = -1;
@@ -50,13 +58,16 @@
 
     private NodeRegistration(
             DutyHolder self,
-            String registrationKeyPrefix,
+            PeerToken token,
+            String nodeKeyPrefix,
             AsyncKeyValueStore store,
             SiteStateFollower follower,
             RelayClock clock,
             EventLog log) {
         this.self = self;
-        this.registrationKeyPrefix = registrationKeyPrefix;
+        this.token = token;
+        this.registrationKeyPrefix = nodeKeyPrefix + "node/";
+        this.endpointKeyPrefix = nodeKeyPrefix + "endpoint/";
         this.store = store;
         this.follower = follower;
         this.clock = clock;
@@ -67,6 +78,7 @@
      * Returns a registration that has not been written yet.
      *
      * @param self this node; its lease id is replaced
+     * @param token the token that this node expects with requests of its peers
      * @param nodeKeyPrefix the prefix of the keys that nodes write
      * @param store the store
      * @param follower provides the registrations of all nodes
@@ -76,12 +88,13 @@
      */
     public static NodeRegistration create(
             DutyHolder self,
+            PeerToken token,
             String nodeKeyPrefix,
             AsyncKeyValueStore store,
             SiteStateFollower follower,
             RelayClock clock,
             EventLog log) {
-        return new NodeRegistration(self, nodeKeyPrefix + "node/", store, follower, clock, log);
+        return new NodeRegistration(self, token, nodeKeyPrefix, store, follower, clock, log);
     }
 
     /**
@@ -90,19 +103,40 @@
      * @return the peer addresses by node
      */
     public Map<InstanceId, InetSocketAddress> peerAddressByNode() {
+        readNodes();
+        return peerAddressByNode;
+    }
+
+    /**
+     * Returns where the registered nodes take requests of their peers, this one included once it is registered.
+     *
+     * @return the endpoints; the same list as long as no node registers or leaves
+     */
+    List<PeerEndpoint> peerEndpoints() {
+        readNodes();
+        return peerEndpoints;
+    }
+
+    private void readNodes() {
         if (peerAddressesVersion == follower.nodeValuesVersion()) {
-            return peerAddressByNode;
+            return;
         }
         peerAddressesVersion = follower.nodeValuesVersion();
         peerAddressByNode = new HashMap<>();
+        List<PeerEndpoint> endpoints = new ArrayList<>();
         for (VersionedValue value : follower.nodeValueByKey().values()) {
             if (value.key().startsWith(registrationKeyPrefix)) {
                 Optional<DutyHolder> holder = DutyHolder.fromBytes(value.value());
                 holder.flatMap(node -> parseAddress(node.peerAddress()))
                         .ifPresent(address -> peerAddressByNode.put(holder.get().instance(), address));
+            } else if (value.key().startsWith(endpointKeyPrefix)) {
+                PeerEndpoint.fromBytes(value.value()).ifPresent(endpoints::add);
             }
         }
-        return peerAddressByNode;
+        endpoints.sort(Comparator.comparing(PeerEndpoint::node));
+        if (!endpoints.equals(peerEndpoints)) {
+            peerEndpoints = List.copyOf(endpoints);
+        }
     }
 
     /**
@@ -165,17 +199,30 @@
 
     private void register() {
         callPending = true;
-        // The lease id makes the key unique to this registration.
-        String key = registrationKeyPrefix + self.instance().value() + "+"
-                + self.incarnation().value() + "+" + lease.leaseId();
         byte[] value = self.withLease(lease.leaseId()).toBytes();
-        store.compareAndSwap(new AsyncKeyValueStore.Write(key, 0, value, lease, List.of()), this::onWritten);
+        write(registrationKeyPrefix, value, done -> {
+            // A conflict means that an earlier write of this very key succeeded although its response was lost.
+            if (done.isRight() && !stopped) {
+                registerEndpoint();
+            } else {
+                callPending = false;
+            }
+        });
     }
 
-    private void onWritten(Either<Failure, SwapResult> swap) {
-        callPending = false;
-        // A conflict means that an earlier write of this very key succeeded although its response was lost.
-        registered = swap.isRight();
+    private void registerEndpoint() {
+        byte[] value = new PeerEndpoint(self.instance(), self.peerAddress(), token).toBytes();
+        write(endpointKeyPrefix, value, done -> {
+            callPending = false;
+            registered = done.isRight();
+        });
+    }
+
+    private void write(String keyPrefix, byte[] value, Consumer<Either<Failure, SwapResult>> receiver) {
+        // The lease id makes the key unique to this registration.
+        String key =
+                keyPrefix + self.instance().value() + "+" + self.incarnation().value() + "+" + lease.leaseId();
+        store.compareAndSwap(new AsyncKeyValueStore.Write(key, 0, value, lease, List.of()), receiver);
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
@@ -80,10 +80,17 @@
             refuse(exchange, id, HttpResponseStatus.SERVICE_UNAVAILABLE, "the route has no service", serving.version());
             return;
         }
-        ServingRequest request = request(exchange, route, service.get(), owner, metadata);
+        int priority = owner.filter(keyOwner -> keyOwner.priority().isPresent())
+                .map(keyOwner -> keyOwner.priority().getAsInt())
+                .orElse(route.priority());
+        long budgetMillis =
+                Math.min(route.timeoutMillis(), metadata.timeBudgetMillis().orElse(Long.MAX_VALUE));
+        TimeSpan time = new TimeSpan(exchange.receivedAtMillis(), exchange.receivedAtMillis() + budgetMillis);
+        Optional<AccountId> account = owner.map(KeyOwner::account);
+        ServingRequest request = request(exchange, route, service.get(), account, priority, metadata, time);
         context.retryBudgets().of(service.get()).onRequest(exchange.receivedAtMillis());
-        new RelayedRequest(context, exchange, metadata, request, owner.map(KeyOwner::account), serving.version())
-                .start();
+        RequestOrigin origin = new RequestOrigin(account, serving.version(), false);
+        new RelayedRequest(context, exchange, metadata, request, origin).start();
     }
 
     private static boolean needsKey(ServingConfig serving, ServedRoute route) {
@@ -98,18 +105,24 @@
         return serving.keyOwners().flatMap(owners -> metadata.apiKey().map(owners::get));
     }
 
-    private static ServingRequest request(
+    /**
+     * When a request arrived and when its response is due, in monotonic time.
+     *
+     * @param arrivedAtMillis when it had been received completely
+     * @param deadlineMillis when the response must have ended
+     */
+    record TimeSpan(long arrivedAtMillis, long deadlineMillis) {}
+
+    /** Returns the properties of a request on which its placement depends. */
+    static ServingRequest request(
             CallerExchange exchange,
             ServedRoute route,
             ServiceId service,
-            Optional<KeyOwner> owner,
-            RequestMetadata metadata) {
-        AccountId account = owner.map(KeyOwner::account).orElse(ANONYMOUS_ACCOUNT);
-        int priority = owner.filter(keyOwner -> keyOwner.priority().isPresent())
-                .map(keyOwner -> keyOwner.priority().getAsInt())
-                .orElse(route.priority());
-        long budgetMillis =
-                Math.min(route.timeoutMillis(), metadata.timeBudgetMillis().orElse(Long.MAX_VALUE));
+            Optional<AccountId> knownAccount,
+            int priority,
+            RequestMetadata metadata,
+            TimeSpan time) {
+        AccountId account = knownAccount.orElse(ANONYMOUS_ACCOUNT);
         return new ServingRequest(
                 metadata.requestId(),
                 account,
@@ -119,8 +132,8 @@
                 metadata.prompt(),
                 metadata.expectedOutputTokens(),
                 exchange.body().readableBytes(),
-                exchange.receivedAtMillis(),
-                exchange.receivedAtMillis() + budgetMillis,
+                time.arrivedAtMillis(),
+                time.deadlineMillis(),
                 fingerprint(exchange, account));
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -15,6 +15,7 @@
 import org.cactusshift.internal.coordination.serving.LatencyEstimator;
 import org.cactusshift.internal.coordination.serving.Placer;
 import org.cactusshift.internal.coordination.serving.PromptPartUse;
+import org.cactusshift.internal.coordination.serving.ServiceReachability;
 import org.cactusshift.internal.coordination.serving.WindowedRetryBudget;
 
 /**
@@ -29,6 +30,8 @@
  * @param retryBudgets looks up the retry budget of a service
  * @param crashHistory decides which requests are refused because they crash upstreams
  * @param crashDetector distinguishes crashes of upstreams from lost connections
+ * @param reachability which services this node has lost its links to
+ * @param peers chooses the peers that serve requests in place of this node
  * @param upstreamCheck finds out whether an upstream at which an attempt was lost is down
  * @param upstreamLimits the request limits that upstreams state
  * @param streamOrigins tells other nodes which software version began a stream, and asks them
@@ -51,6 +54,8 @@
         RetryBudgets retryBudgets,
         CrashHistory crashHistory,
         CrashDetector crashDetector,
+        ServiceReachability reachability,
+        RequestPassing peers,
         UpstreamCheck upstreamCheck,
         UpstreamRequestLimits upstreamLimits,
         StreamOriginExchange streamOrigins,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -46,6 +46,10 @@
             .help("Suspects that are refused because they crashed upstreams.")
             .register(registry);
 
+    private final Gauge unreachableServices = Gauge.builder()
+            .name("cactusshift_relay_unreachable_services")
+            .help("Services of which this node reaches no upstream, so that it passes their requests to peers.")
+            .register(registry);
     private final Gauge livePeers = Gauge.builder()
             .name("cactusshift_relay_live_peers")
             .help("Other nodes of the site from which messages arrive.")
@@ -115,6 +119,15 @@
         refusedSuspects.set(refusedCount);
     }
 
+    /**
+     * Records how many services this node does not reach.
+     *
+     * @param count the number of services
+     */
+    public void onUnreachableServices(int count) {
+        unreachableServices.set(count);
+    }
+
     /**
      * Records how many upstreams state a limit on requests per second.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -10,8 +10,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
-import org.cactusshift.id.AccountId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
@@ -52,16 +50,20 @@
      */
     private static final int UPSTREAM_WAIT_DIVISOR = 2;
 
+    /** Number of upstreams that could not be reached after which a peer is asked. */
+    private static final int UNREACHED_UPSTREAMS_BEFORE_PASSING = 2;
+
     private final RelayContext context;
     private final CallerExchange exchange;
     private final ServingRequest request;
-    private final Optional<AccountId> account;
-    private final long configVersion;
+    private final RequestOrigin origin;
     private final RequestSuspects suspects;
 
     /** The request whose response began the stream that the caller takes up again. */
     private final Optional<RequestId> resumedRequest;
 
+    private final RequestLog log;
+    private final PeerPass peerPass;
     private final Set<UpstreamId> excludedUpstreams = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
 
@@ -74,6 +76,9 @@
      */
     private UpstreamAttempt stalledAttempt;
 
+    /** Number of upstreams to which no connection could be opened. */
+    private int unreachedUpstreams;
+
     private boolean usageCounted;
 
     /** Number of attempts to run the request, other than prefills, that were sent. */
@@ -96,13 +101,13 @@
             CallerExchange exchange,
             RequestMetadata metadata,
             ServingRequest request,
-            Optional<AccountId> account,
-            long configVersion) {
+            RequestOrigin origin) {
         this.context = context;
         this.exchange = exchange;
         this.request = request;
-        this.account = account;
-        this.configVersion = configVersion;
+        this.origin = origin;
+        this.log = new RequestLog(context, request);
+        this.peerPass = new PeerPass(this, origin);
         this.suspects = RequestSuspects.create(context, request);
         this.resumedRequest = metadata.resumedRequest();
         this.stream = StreamProgress.after(
@@ -113,23 +118,7 @@
         exchange.setDisconnectListener(this::onCallerDisconnected);
         long remaining = request.deadlineMillis() - nowMillis() - DEADLINE_MARGIN_MILLIS;
         deadlineTimer = schedule(this::onDeadline, Math.max(0, remaining));
-        context.log()
-                .event("request.taken")
-                .with("request", request.id().value())
-                .with("account", request.account().value())
-                .with("route", request.route().name())
-                .with("service", request.service().value())
-                .with("configVersion", configVersion)
-                .with("promptTokens", request.promptTokens())
-                .with(
-                        "promptParts",
-                        request.prompt().stream()
-                                .map(part -> Long.toHexString(part.id()))
-                                .collect(Collectors.joining(",")))
-                .with("remainingMillis", remaining)
-                .with("resumes", resumedRequest.map(RequestId::value).orElse("-"))
-                .with("fingerprint", Long.toHexString(request.fingerprint()))
-                .write();
+        log.taken(origin, remaining, resumedRequest);
         if (stream.lastEventId().isEmpty()) {
             placeAndSend();
         } else if (resumedRequest.isPresent()) {
@@ -190,7 +179,18 @@
                     request.route().timeoutMillis());
             return;
         }
+        boolean unreachable = context.reachability().isUnreachable(request.service());
+        if ((unreachable || unreachedUpstreams >= UNREACHED_UPSTREAMS_BEFORE_PASSING) && passToPeer()) {
+            return;
+        }
         long now = nowMillis();
+        if (unreachable && possibleExecutions > 0 && !exchange.isStreaming()) {
+            waitForUpstream(now);
+            return;
+        } else if (unreachable) {
+            endWithoutSuccess("no upstream of the service is reachable");
+            return;
+        }
         Optional<Placement> found = place(now);
         if (found.isEmpty()) {
             waitForUpstream(now);
@@ -202,7 +202,37 @@
             refuse("the first answer would come " + excess + " ms too late", excess);
             return;
         }
-        send(firstAttempt(placement));
+        send(UpstreamAttempt.first(this, placement));
+    }
+
+    /** Passes the request, if no upstream may have run it, to a peer that may take it; returns whether it did. */
+    private boolean passToPeer() {
+        return !origin.isPeer()
+                && possibleExecutions == 0
+                && !exchange.isStreaming()
+                && peerPass.start(
+                        request.deadlineMillis() - DEADLINE_MARGIN_MILLIS, sentRunAttempts > 0 || prefillAttempts > 0);
+    }
+
+    /** Continues after an attempt at a peer has ended. */
+    void onPassEnded(PeerAttempt attempt, PeerAttempt.Result result, String reason) {
+        switch (result) {
+            case ANSWERED -> {
+                end("passed", reason);
+                attempt.respond();
+            }
+            case NOT_TAKEN -> placeAndSend();
+            case REFUSED -> {
+                end("refused", "a peer refused: " + reason);
+                attempt.respond();
+            }
+            case LOST -> {
+                sentRunAttempts++;
+                possibleExecutions++;
+                endWithoutSuccess(reason);
+            }
+            default -> throw new IllegalStateException("unknown result: " + result);
+        }
     }
 
     private Optional<Placement> place(long now) {
@@ -218,13 +248,6 @@
                 prefillAttempts < MAXIMUM_PREFILL_ATTEMPTS);
     }
 
-    /** Returns the first of the one or two attempts that a placement takes. */
-    private UpstreamAttempt firstAttempt(Placement placement) {
-        return placement.prefillEngine().isPresent()
-                ? UpstreamAttempt.prefill(this, placement)
-                : UpstreamAttempt.run(this, placement, Optional.empty());
-    }
-
     /**
      * Places the request again after a delay, or ends it when its waiting time is over; once an attempt may have run
      * it, it waits until its deadline. It is ended at once if the request limits of all upstreams last for longer.
@@ -277,18 +300,9 @@
     }
 
     AttemptDirectives directives(UpstreamAttempt attempt) {
-        Placement placement = attempt.placement();
-        return new AttemptDirectives(
-                attempt.upstream().id(),
-                account,
-                Math.max(1, request.deadlineMillis() - nowMillis() - DEADLINE_MARGIN_MILLIS),
-                attempt.isPrefill(),
-                attempt.kvSource(),
-                attempt.kvSource().isPresent()
-                        ? Optional.empty()
-                        : placement.fetchFrom().map(engine -> engine.entry().address()),
-                attempt.isPrefill() ? OptionalLong.empty() : stream.lastEventId(),
-                request.priority());
+        long remainingMillis = Math.max(1, request.deadlineMillis() - nowMillis() - DEADLINE_MARGIN_MILLIS);
+        return AttemptDirectives.of(
+                attempt, origin.account(), remainingMillis, stream.lastEventId(), request.priority());
     }
 
     /** Continues after a separate engine has done the prefill. */
@@ -320,7 +334,7 @@
             return false;
         }
         excludedUpstreams.add(stalled.upstream().id());
-        Optional<UpstreamAttempt> next = place(nowMillis()).map(this::firstAttempt);
+        Optional<UpstreamAttempt> next = place(nowMillis()).map(placement -> UpstreamAttempt.first(this, placement));
         if (next.isEmpty() || !isAllowed(next.get())) {
             return false;
         }
@@ -397,6 +411,12 @@
         }
     }
 
+    /** Continues after an attempt for which no connection to the upstream could be opened. */
+    void onNotReached(UpstreamAttempt attempt) {
+        unreachedUpstreams++;
+        onNotExecuted(attempt);
+    }
+
     /** Continues after an attempt that did not run the request. */
     void onNotExecuted(UpstreamAttempt attempt) {
         if (attempt.kvSource().isPresent()) {
@@ -485,12 +505,7 @@
         if (request.route().isRetryable()) {
             version.ifPresent(known -> context.streamOrigins().record(request.id(), known));
         }
-        context.log()
-                .event("stream.begun")
-                .with("request", request.id().value())
-                .with("upstream", attempt.upstream().id().value())
-                .with("softwareVersion", version.map(SoftwareVersion::value).orElse("?"))
-                .write();
+        log.streamBegun(attempt.upstream().id(), version);
     }
 
     /** Handles the end of a stream. */
@@ -507,9 +522,9 @@
 
     /** Counts the request for its client account, once, when a response shows that it was started. */
     private void countStartedRequest() {
-        if (!usageCounted && account.isPresent()) {
+        if (!usageCounted && origin.account().isPresent()) {
             usageCounted = true;
-            context.usageCounter().countStartedRequest(account.get());
+            context.usageCounter().countStartedRequest(origin.account().get());
         }
     }
 
@@ -530,6 +545,7 @@
         }
         currentAttempt = null;
         stalledAttempt = null;
+        possibleExecutions += peerPass.abandon() ? 1 : 0;
     }
 
     /** Ends the request without success; states that it was not run only if no upstream may have run it. */
@@ -568,21 +584,7 @@
     private void end(String outcome, String reason) {
         ended = true;
         deadlineTimer.cancel(false);
-        RequestKind kind = request.route().kind();
-        long tookMillis = nowMillis() - request.arrivedAtMillis();
-        if (kind != RequestKind.STREAM) {
-            context.metrics().onFirstResponsePart(kind.name(), tookMillis);
-        }
-        context.metrics().onRequestEnded(kind.name(), outcome);
-        context.log()
-                .event("request.ended")
-                .with("request", request.id().value())
-                .with("outcome", outcome)
-                .with("reason", reason)
-                .with("sends", sentRunAttempts)
-                .with("runs", possibleExecutions)
-                .with("tookMillis", tookMillis)
-                .write();
+        log.ended(outcome, reason, sentRunAttempts, possibleExecutions);
     }
 
     private void onCallerDisconnected() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +15,7 @@
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
@@ -30,8 +32,10 @@
 import org.cactusshift.internal.coordination.serving.CrashDetector;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
 import org.cactusshift.internal.coordination.serving.LatencyEstimator;
+import org.cactusshift.internal.coordination.serving.PeerToken;
 import org.cactusshift.internal.coordination.serving.Placer;
 import org.cactusshift.internal.coordination.serving.ServedService;
+import org.cactusshift.internal.coordination.serving.ServiceReachability;
 import org.cactusshift.internal.coordination.serving.ServingConfig;
 import org.cactusshift.internal.coordination.serving.SiteClock;
 import org.cactusshift.internal.coordination.serving.StreamOrigins;
@@ -81,6 +85,12 @@
     private static final String USAGE_PREFIX = NODE_KEY_PREFIX + "usage/";
     private static final String PLAN_KEY = NODE_KEY_PREFIX + "fleet";
 
+    /**
+     * Limits for requests that peers pass on: these carry headers of their own, and the body was within the limits of
+     * the node that the caller chose. Idle connections are kept longer than a peer keeps them.
+     */
+    private static final CallerLimits PEER_LIMITS = new CallerLimits(65_536, 64 * 1_024 * 1_024, 3_000, 25_000);
+
     /** The KV-cache capacity, in tokens, that is assumed while the configuration states none for a service. */
     private static final long DEFAULT_KV_CAPACITY_TOKENS = 1L << 20;
 
@@ -113,7 +123,11 @@
     private final Optional<UsageReportDriver> usageReportDriver;
     private final Optional<FleetController> fleetController;
     private final GossipSender gossipSender;
+    private final ServiceReachability reachability = ServiceReachability.create(
+            service -> directory().acceptingWork(service).size());
+    private final UpstreamCheck upstreamCheck;
     private final CallerServer callerServer;
+    private final CallerServer peerServer;
     private final CallerServer readinessServer;
     private final CallerServer metricsServer;
     private final long startedAtMillis;
@@ -167,8 +181,9 @@
         this.streamOrigins =
                 StreamOriginExchange.create(settings.instance(), gossipChannel, eventLoop, runtime.clock());
         DutyHolder self = new DutyHolder(settings.instance(), incarnation, addressText(settings.peerAddress()), 0);
+        PeerToken peerToken = PeerToken.random(new SecureRandom());
         this.registration = NodeRegistration.create(
-                self, NODE_KEY_PREFIX, protocol.store(), follower, runtime.clock(), runtime.log());
+                self, peerToken, NODE_KEY_PREFIX, protocol.store(), follower, runtime.clock(), runtime.log());
         this.dutyDriver = DutyDriver.create(
                 self,
                 LeaseTiming.ofTtl(settings.timing().leaseMillis()),
@@ -190,13 +205,27 @@
                         settings.instance(),
                         PLAN_KEY,
                         runtime.log()));
-        this.gossipSender =
-                GossipSender.create(self, gossipChannel, directory, usage, crashHistory, upstreamLimits, TICK_MILLIS);
+        this.gossipSender = GossipSender.create(
+                self, gossipChannel, directory, usage, crashHistory, upstreamLimits, reachability, TICK_MILLIS);
+        SplittableRandom random = new SplittableRandom();
+        this.upstreamCheck = UpstreamCheck.create(new UpstreamCheck.Dependencies(
+                eventLoop,
+                runtime.pool(),
+                runtime.clock(),
+                crashDetector,
+                upstreamLimits,
+                directory,
+                reachability,
+                runtime.log(),
+                random));
+        RelayContext context = context(protocol, crashDetector, random);
         this.callerServer = CallerServer.create(
+                runtime.group(), runtime.clock(), this::limits, Relay.create(context, follower::config), runtime.log());
+        this.peerServer = CallerServer.create(
                 runtime.group(),
                 runtime.clock(),
-                this::limits,
-                Relay.create(context(protocol, crashDetector), follower::config),
+                () -> PEER_LIMITS,
+                PeerRequestHandler.create(context, peerToken, this::openPeerRequestCount),
                 runtime.log());
         this.readinessServer = singlePathServer(protocol.readinessPath(), this::respondToReadinessCheck);
         this.metricsServer = singlePathServer("/metrics", this::respondWithMetrics);
@@ -214,8 +243,15 @@
         return new ServingNode(runtime, settings, protocol);
     }
 
-    private RelayContext context(Protocol protocol, CrashDetector crashDetector) {
-        SplittableRandom random = new SplittableRandom();
+    private UpstreamDirectory directory() {
+        return directory;
+    }
+
+    private int openPeerRequestCount() {
+        return peerServer.openRequestCount();
+    }
+
+    private RelayContext context(Protocol protocol, CrashDetector crashDetector, RandomGenerator random) {
         LatencyEstimator latencyEstimator = new LatencyEstimator();
         return new RelayContext(
                 eventLoop,
@@ -227,7 +263,9 @@
                 this::retryBudget,
                 crashHistory,
                 crashDetector,
-                UpstreamCheck.create(eventLoop, runtime.pool(), runtime.clock(), crashDetector, upstreamLimits, random),
+                reachability,
+                RequestPassing.create(settings.instance(), registration::peerEndpoints, runtime.clock(), random),
+                upstreamCheck,
                 upstreamLimits,
                 streamOrigins,
                 versionView(),
@@ -352,6 +390,7 @@
         metrics.onCrashSuspects(
                 crashHistory.suspectCount(), crashHistory.refused(now).size());
         metrics.onLimitedUpstreams(upstreamLimits.limitedCount());
+        metrics.onUnreachableServices(reachability.unreachableCount());
         metrics.onLivePeers(gossipReceiver.livePeerCount());
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
@@ -372,6 +411,8 @@
         callerServer.listen(settings.callerAddress());
         readinessServer.listen(settings.readinessAddress());
         metricsServer.listen(settings.metricsAddress());
+        // Datagrams and passed requests of peers arrive at the same address.
+        peerServer.listen(settings.peerAddress());
         gossipChannel.bind(
                 settings.peerAddress(),
                 (message, sender) -> gossipReceiver.onMessage(
@@ -438,7 +479,9 @@
         upstreamLimits.expire(directory::lists, now);
         streamOrigins.expire(now);
         gossipReceiver.expirePeers(PEER_TIMEOUT_ROUNDS * gossipSender.ticksPerRound() * TICK_MILLIS, now);
+        upstreamCheck.probeUnreachableServices(now);
         callerServer.closeExpired(now);
+        peerServer.closeExpired(now);
         readinessServer.closeExpired(now);
         metricsServer.closeExpired(now);
         runtime.pool().closeExpired(now);
@@ -492,11 +535,13 @@
             stopping = true;
             stopRequestedAtMillis = runtime.clock().monotonicMillis();
             callerServer.startDraining();
+            peerServer.startDraining();
             dutyDriver.stop();
             registration.stop();
             runtime.log()
                     .event("node.stopping")
                     .with("openRequests", callerServer.openRequestCount())
+                    .with("openPeerRequests", peerServer.openRequestCount())
                     .write();
             eventLoop.scheduleAtFixedRate(
                     () -> closeIdleAndCheckDrained(done), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -516,9 +561,10 @@
         }
         // A connection that is accepted while the process exits would be lost with its request; the last one accepted
         // is counted by the next check.
-        boolean wasListening = callerServer.close();
+        boolean wasListening = callerServer.close() | peerServer.close();
         callerServer.closeIdle(now, TICK_MILLIS);
-        if (!wasListening && callerServer.openRequestCount() == 0 && callerServer.connectionCount() == 0) {
+        peerServer.closeIdle(now, TICK_MILLIS);
+        if (!wasListening && callerServer.isUnused() && peerServer.isUnused()) {
             done.countDown();
         }
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -33,13 +33,13 @@
      * The maximum idle time of a connection that a non-repeatable request may use. Connections that were used recently
      * are least likely to be stale; a request that was sent on a stale one may have run and could not be sent again.
      */
-    private static final long MAXIMUM_IDLE_FOR_NON_REPEATABLE_MILLIS = 2_000;
+    static final long MAXIMUM_IDLE_FOR_NON_REPEATABLE_MILLIS = 2_000;
 
     /** The maximum body of a response that is not a stream; a longer one fails the attempt. */
-    private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1_024 * 1_024;
+    static final int MAXIMUM_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
     /** The maximum length of one event of a stream; a longer one fails the attempt. */
-    private static final int MAXIMUM_EVENT_BYTES = 1_024 * 1_024;
+    static final int MAXIMUM_EVENT_BYTES = 1_024 * 1_024;
 
     /** Minimum time without progress after which an upstream is abandoned where a retry is allowed. */
     private static final long MINIMUM_PROGRESS_TIMEOUT_MILLIS = 700;
@@ -103,7 +103,14 @@
         this.upstream = isPrefill ? placement.prefillEngine().orElseThrow() : placement.target();
     }
 
-    static UpstreamAttempt prefill(RelayedRequest relayedRequest, Placement placement) {
+    /** Returns the first of the one or two attempts that a placement takes. */
+    static UpstreamAttempt first(RelayedRequest relayedRequest, Placement placement) {
+        return placement.prefillEngine().isPresent()
+                ? prefill(relayedRequest, placement)
+                : run(relayedRequest, placement, Optional.empty());
+    }
+
+    private static UpstreamAttempt prefill(RelayedRequest relayedRequest, Placement placement) {
         return new UpstreamAttempt(relayedRequest, placement, true, Optional.empty());
     }
 
@@ -182,9 +189,12 @@
             end("not-reached", acquired.getLeft().message());
             context().upstreamCheck().onConnectFailed(upstream);
             releaseRetainedKv();
-            relayedRequest.onNotExecuted(this);
+            relayedRequest.onNotReached(this);
             return;
         }
+        if (acquired.get().openedAtMillis() >= startedAtMillis) {
+            context().upstreamCheck().onConnected(upstream);
+        }
         if (upstream.isLeaving()) {
             // The upstream started to leave while the prefill ran elsewhere or the connection was being opened.
             context().pool().release(acquired.get());
@@ -269,6 +279,7 @@
             scheduleProgressCheck(remainingMillis);
             return;
         }
+        context().upstreamCheck().afterStall(upstream);
         boolean replaced = relayedRequest.replace(this);
         context()
                 .log()
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
@@ -21,6 +21,7 @@
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
+import org.cactusshift.internal.coordination.serving.ServiceReachability;
 import org.cactusshift.internal.coordination.serving.SiteClock;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.cactusshift.internal.coordination.serving.UsageCollector;
@@ -78,6 +79,7 @@
                     usage,
                     CrashHistory.create(1_000),
                     UpstreamRequestLimits.create(InstanceId.fromString("n0")),
+                    ServiceReachability.create(service -> 0),
                     250);
             GossipReceiver receiver = receiver(usage);
             receiver.onCollector(new UsageCollector(InstanceId.fromString("n5"), "127.0.0.1:1", 3));
