--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMetadata.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMetadata.java
@@ -15,6 +15,8 @@
  * @param load the load that the upstream reports, empty when missing or malformed
  * @param requestsPerSecondLimit the requests per second that the upstream accepts from all nodes together, for
  *     as long as its responses state so; empty when it states no limit
+ * @param rest for how long the upstream, which refused the request, asks this node to send it nothing
+ * @param leaving whether the upstream states that it leaves
  * @param idleTimeoutMillis how long the upstream keeps an idle connection open, empty when not stated
  */
 public record ResponseMetadata(
@@ -24,7 +26,20 @@
         boolean misdirected,
         Optional<ReportedLoad> load,
         OptionalDouble requestsPerSecondLimit,
+        RequestedRest rest,
+        boolean leaving,
         OptionalLong idleTimeoutMillis) {
+    /**
+     * The time for which an upstream asks to be sent nothing.
+     *
+     * @param millis the time in milliseconds, 0 when it asks for none
+     * @param malformed the value that it stated but that is no time, empty when there is none
+     */
+    public record RequestedRest(long millis, Optional<String> malformed) {
+        /** No rest is asked for. */
+        public static final RequestedRest NONE = new RequestedRest(0, Optional.empty());
+    }
+
     /**
      * The load that an upstream reports.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -12,11 +12,9 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.SoftwareVersion;
-import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.serving.EngineStage;
 import org.cactusshift.internal.coordination.serving.Placement;
 import org.cactusshift.internal.coordination.serving.PromptPart;
@@ -319,8 +317,7 @@
                 && status.codeClass() == HttpStatusClass.SUCCESS
                 && request().route().kind() == RequestKind.STREAM;
         stallDetector.onProgress(nowMillis());
-        metadata.load().ifPresent(load -> upstream.onLoad(load.running(), load.waiting(), nowMillis()));
-        recordRequestLimit();
+        new UpstreamStatements(context(), upstream, request().id().value()).record(metadata, sentAtMillis, nowMillis());
         metadata.idleTimeoutMillis().ifPresent(connection::setIdleLimitMillis);
         if (!isStreaming) {
             recordFirstResponsePart();
@@ -330,27 +327,6 @@
         return true;
     }
 
-    private void recordRequestLimit() {
-        if (metadata.misdirected()) {
-            // The response of another upstream, which now listens at this address.
-            return;
-        }
-        UpstreamRequestLimits.Change change = context()
-                .upstreamLimits()
-                .onResponse(upstream.incarnation(), metadata.requestsPerSecondLimit(), sentAtMillis, nowMillis());
-        if (change != UpstreamRequestLimits.Change.NONE) {
-            OptionalDouble limit = metadata.requestsPerSecondLimit();
-            context()
-                    .log()
-                    .event("upstream.limit")
-                    .with("request", request().id().value())
-                    .with("upstream", upstream.id().value())
-                    .with("change", change)
-                    .with("perSecond", limit.isPresent() ? limit.getAsDouble() : "-")
-                    .write();
-        }
-    }
-
     private void recordFirstResponsePart() {
         if (firstResponsePartRecorded) {
             return;
