Send nothing to an upstream until the rest that it asked for has ended

With all engines paused it tried each of them.

A rest now holds for all that reaches the upstream from this node, and after it one request at a time, doubling. When all rest, requests are refused at once with the time until the first rest ends. An upstream that states in a response that it leaves gets no more, also where a peer passed that response.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -144,7 +144,7 @@
     }
 
     /**
-     * Returns when the request limits of the upstreams allow a placement, if nothing but these limits prevents it.
+     * Returns when the request limits and the rests of the upstreams allow a placement, if nothing else prevents it.
      *
      * @param query the request
      * @param nowMillis the current time
@@ -154,7 +154,9 @@
     public OptionalLong earliestPlacementMillis(PlacementQuery query, long nowMillis) {
         return accepting(query).stream()
                 .filter(upstream -> upstream.entry().stage() != EngineStage.PREFILL)
-                .mapToLong(upstream -> limits.earliestSendMillis(upstream.incarnation(), nowMillis))
+                .mapToLong(upstream -> Math.max(
+                        limits.earliestSendMillis(upstream.incarnation(), nowMillis),
+                        upstream.rest().endMillis()))
                 .min();
     }
 
@@ -168,13 +170,14 @@
     }
 
     /**
-     * Returns the healthy upstreams that were not excluded and are within their request limits; when there are none,
-     * all that accept new requests, were not excluded and are within their limits, as an attempt is better than no
-     * attempt.
+     * Returns the healthy upstreams that were not excluded, are within their request limits and do not rest; when there
+     * are none, all that accept new requests, were not excluded, are within their limits and do not rest, as an attempt
+     * is better than no attempt.
      */
     private List<Upstream> usable(PlacementQuery query, long nowMillis) {
         List<Upstream> accepting = accepting(query);
-        accepting.removeIf(upstream -> limits.earliestSendMillis(upstream.incarnation(), nowMillis) > nowMillis);
+        accepting.removeIf(upstream -> limits.earliestSendMillis(upstream.incarnation(), nowMillis) > nowMillis
+                || !upstream.rest().allowsRequest(upstream.openRequests(), nowMillis));
         List<Upstream> healthy = new ArrayList<>();
         for (Upstream upstream : accepting) {
             UpstreamHealth.State state = upstream.healthState(nowMillis);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/RetryAfterPolicy.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/RetryAfterPolicy.java
@@ -18,6 +18,18 @@
 
     private RetryAfterPolicy() {}
 
+    /**
+     * Returns the delay before the retry of a request that no upstream accepts before a known time.
+     *
+     * @param waitMillis the time until then
+     * @param random the source of the jitter, which adds at most half of the wait
+     * @return the delay in milliseconds, not shorter than the wait
+     */
+    public static long retryAfterWaitMillis(long waitMillis, RandomGenerator random) {
+        long baseMillis = Math.max(MINIMUM_DELAY_MILLIS, waitMillis);
+        return baseMillis + random.nextLong(baseMillis / 2 + 1);
+    }
+
     /**
      * Returns the delay before the retry.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -48,6 +48,7 @@
     private boolean leaving;
     private int consecutiveRefusals;
     private long pausedUntilMillis = Long.MIN_VALUE;
+    private final UpstreamRest rest = new UpstreamRest();
 
     Upstream(UpstreamEntry entry, long kvCapacityTokens) {
         this.entry = entry;
@@ -98,10 +99,20 @@
         leaving |= newEntry.leaving();
     }
 
-    void markLeaving() {
+    /** Records that the upstream leaves, so that it accepts no new requests in this incarnation. */
+    public void markLeaving() {
         leaving = true;
     }
 
+    /**
+     * Returns for how long the upstream has asked this node to send it nothing.
+     *
+     * @return the rest
+     */
+    public UpstreamRest rest() {
+        return rest;
+    }
+
     /**
      * Returns whether the upstream accepts no new requests.
      *
@@ -172,6 +183,7 @@
      */
     public void onSuccess(long sentAtMillis) {
         health.onSuccess(sentAtMillis);
+        rest.onSuccess(sentAtMillis);
         consecutiveRefusals = 0;
         failureRate -= SAMPLE_WEIGHT * failureRate;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
@@ -333,8 +333,9 @@
         List<StagePlanner.Change> changes = StagePlanner.plan(engines, pendingStages);
         changes = changes.subList(0, Math.min(maximumChanges, changes.size()));
         for (StagePlanner.Change change : changes) {
-            if (limits.isLimited(change.engine().incarnation())) {
-                // The calls would count against the limit of an engine that needs relief.
+            if (limits.isLimited(change.engine().incarnation())
+                    || change.engine().rest().lasts(nowMillis)) {
+                // The calls would count against the limit of an engine that needs relief, or reach one that rests.
                 continue;
             }
             pendingStageByEngine.put(
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/KvRelease.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/KvRelease.java
@@ -11,11 +11,23 @@
 
 /** Releases KV cache that a prefill engine retains for a decode engine; what is not released expires there. */
 final class KvRelease implements HttpResponseListener {
-    private KvRelease() {}
+    private final RelayContext context;
+    private final Upstream engine;
+
+    private KvRelease(RelayContext context, Upstream engine) {
+        this.context = context;
+        this.engine = engine;
+    }
 
     /** Sends a release to an engine; the source has the form {@code ADDRESS:PORT/HANDLE}. */
     static void send(RelayContext context, Upstream engine, String kvSource) {
-        context.upstreamLimits().onSend(engine.incarnation(), context.clock().monotonicMillis());
+        long now = context.clock().monotonicMillis();
+        if (engine.rest().lasts(now)) {
+            // The engine drops the KV cache when its time is over.
+            return;
+        }
+        context.upstreamLimits().onSend(engine.incarnation(), now);
+        KvRelease release = new KvRelease(context, engine);
         int slash = kvSource.indexOf('/');
         String address = kvSource.substring(0, slash);
         String path = context.codec().kvReleasePath(kvSource.substring(slash + 1));
@@ -25,12 +37,14 @@
                         Long.MAX_VALUE,
                         acquired -> acquired.forEach(pooled -> {
                             HttpHeaders host = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, address);
-                            pooled.send(HttpMethod.DELETE, path, host, Unpooled.EMPTY_BUFFER, new KvRelease());
+                            pooled.send(HttpMethod.DELETE, path, host, Unpooled.EMPTY_BUFFER, release);
                         }));
     }
 
     @Override
     public boolean onHead(HttpResponse response) {
+        long now = context.clock().monotonicMillis();
+        new UpstreamStatements(context, engine, "-").record(context.codec().readResponse(response), now, now);
         return true;
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PassedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PassedRequest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.serving.PeerToken;
 import org.cactusshift.internal.coordination.serving.RequestKind;
 import org.cactusshift.internal.coordination.serving.ServedRoute;
@@ -38,6 +39,9 @@
     private static final String TOKEN_HEADER = "Peer-Token";
     private static final String REQUEST_HEADER = "Peer-Request";
 
+    /** Names the upstream in the response to a passed request. */
+    private static final String UPSTREAM_HEADER = "Peer-Upstream";
+
     /** Header values must not contain characters beyond ASCII. */
     private static final ObjectMapper JSON =
             JsonMapper.builder().enable(JsonWriteFeature.ESCAPE_NON_ASCII).build();
@@ -66,7 +70,19 @@
         }
     }
 
-    /** Removes the headers of a passed request; returns the token, null when there is none. */
+    /** Names the upstream whose response these headers belong to. */
+    static void writeUpstream(HttpHeaders headers, UpstreamId upstream) {
+        headers.set(UPSTREAM_HEADER, upstream.value());
+    }
+
+    /** Removes the name of the upstream; empty when a peer responded itself. */
+    static Optional<UpstreamId> removeUpstream(HttpHeaders headers) {
+        String text = headers.get(UPSTREAM_HEADER);
+        headers.remove(UPSTREAM_HEADER);
+        return Optional.ofNullable(text).map(UpstreamId::fromString);
+    }
+
+    /** Removes the token of a passed request; returns the token, null when there is none. */
     static String removeToken(HttpHeaders headers) {
         String token = headers.get(TOKEN_HEADER);
         headers.remove(TOKEN_HEADER);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
@@ -10,7 +10,9 @@
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Optional;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.serving.PeerEndpoint;
 import org.cactusshift.internal.coordination.serving.RequestKind;
 import org.cactusshift.internal.protocol.stream.SseEventSplitter;
@@ -104,6 +106,11 @@
         status = response.status();
         headers = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(response.headers());
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        Optional<UpstreamId> upstream = PassedRequest.removeUpstream(headers);
+        if (metadata.leaving()) {
+            // This node passes on that the upstream leaves, so it is bound by that too.
+            upstream.ifPresent(context().upstreamLeavingListener());
+        }
         return true;
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerPass.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerPass.java
@@ -12,10 +12,15 @@
     /** Maximum number of peers that are asked to serve a request. */
     private static final int MAXIMUM_ASKED_PEERS = 3;
 
+    /** Number of upstreams that could not be reached after which a peer is asked. */
+    private static final int MINIMUM_UNREACHED_UPSTREAMS = 2;
+
     private final RelayedRequest relayedRequest;
     private final RequestOrigin origin;
     private final Set<InstanceId> askedPeers = new HashSet<>();
 
+    private int unreachedUpstreams;
+
     /** The open attempt; null while there is none. */
     private PeerAttempt attempt;
 
@@ -24,6 +29,16 @@
         this.origin = origin;
     }
 
+    /** Records that no connection to an upstream could be opened. */
+    void onUpstreamNotReached() {
+        unreachedUpstreams++;
+    }
+
+    /** Returns whether the request is better passed on than sent to an upstream. */
+    boolean isDue(boolean serviceUnreachable) {
+        return !origin.isPeer() && (serviceUnreachable || unreachedUpstreams >= MINIMUM_UNREACHED_UPSTREAMS);
+    }
+
     /**
      * Passes the request to a peer, if one is left; returns whether it did.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -9,6 +9,7 @@
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.SoftwareVersion;
+import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
@@ -32,6 +33,7 @@
  * @param crashDetector distinguishes crashes of upstreams from lost connections
  * @param reachability which services this node has lost its links to
  * @param peers chooses the peers that serve requests in place of this node
+ * @param upstreamLeavingListener receives the upstreams of which a passed-on response says that they leave
  * @param upstreamCheck finds out whether an upstream at which an attempt was lost is down
  * @param upstreamLimits the request limits that upstreams state
  * @param streamOrigins tells other nodes which software version began a stream, and asks them
@@ -56,6 +58,7 @@
         CrashDetector crashDetector,
         ServiceReachability reachability,
         RequestPassing peers,
+        Consumer<UpstreamId> upstreamLeavingListener,
         UpstreamCheck upstreamCheck,
         UpstreamRequestLimits upstreamLimits,
         StreamOriginExchange streamOrigins,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -13,6 +13,7 @@
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
 import org.cactusshift.internal.coordination.serving.Admission;
 import org.cactusshift.internal.coordination.serving.Placement;
@@ -50,9 +51,6 @@
      */
     private static final int UPSTREAM_WAIT_DIVISOR = 2;
 
-    /** Number of upstreams that could not be reached after which a peer is asked. */
-    private static final int UNREACHED_UPSTREAMS_BEFORE_PASSING = 2;
-
     private final RelayContext context;
     private final CallerExchange exchange;
     private final ServingRequest request;
@@ -76,11 +74,6 @@
      */
     private UpstreamAttempt stalledAttempt;
 
-    /** Number of upstreams to which no connection could be opened. */
-    private int unreachedUpstreams;
-
-    private boolean usageCounted;
-
     /** Number of attempts to run the request, other than prefills, that were sent. */
     private int sentRunAttempts;
 
@@ -155,6 +148,10 @@
         return context;
     }
 
+    RequestOrigin origin() {
+        return origin;
+    }
+
     CallerExchange exchange() {
         return exchange;
     }
@@ -180,7 +177,7 @@
             return;
         }
         boolean unreachable = context.reachability().isUnreachable(request.service());
-        if ((unreachable || unreachedUpstreams >= UNREACHED_UPSTREAMS_BEFORE_PASSING) && passToPeer()) {
+        if (peerPass.isDue(unreachable) && passToPeer()) {
             return;
         }
         long now = nowMillis();
@@ -207,8 +204,7 @@
 
     /** Passes the request, if no upstream may have run it, to a peer that may take it; returns whether it did. */
     private boolean passToPeer() {
-        return !origin.isPeer()
-                && possibleExecutions == 0
+        return possibleExecutions == 0
                 && !exchange.isStreaming()
                 && peerPass.start(
                         request.deadlineMillis() - DEADLINE_MARGIN_MILLIS, sentRunAttempts > 0 || prefillAttempts > 0);
@@ -250,7 +246,7 @@
 
     /**
      * Places the request again after a delay, or ends it when its waiting time is over; once an attempt may have run
-     * it, it waits until its deadline. It is ended at once if the request limits of all upstreams last for longer.
+     * it, it waits until its deadline. It is ended at once if the request limits or rests of all upstreams last longer.
      */
     private void waitForUpstream(long now) {
         long waitUntil = request.arrivedAtMillis() + request.route().targetLatencyMillis() / UPSTREAM_WAIT_DIVISOR;
@@ -259,7 +255,7 @@
         }
         OptionalLong earliest = context.placer().earliestPlacementMillis(placementQuery(), now);
         if (earliest.isPresent() && earliest.getAsLong() > waitUntil) {
-            endWithoutSuccess("all upstreams are at their request limits");
+            endUntil(earliest.getAsLong(), now);
         } else if (earliest.isEmpty() && stream.version().isPresent()) {
             endWithoutSuccess("no other upstream has the software version "
                     + stream.version().get());
@@ -270,6 +266,16 @@
         }
     }
 
+    /** Ends a request that no upstream accepts before a known time. */
+    private void endUntil(long acceptedAtMillis, long now) {
+        String reason = "all upstreams rest or are at their request limits";
+        if (possibleExecutions > 0 || exchange.isStreaming() || acceptedAtMillis == UpstreamRequestLimits.NEVER) {
+            endWithoutSuccess(reason);
+        } else {
+            refuseFor(reason, RetryAfterPolicy.retryAfterWaitMillis(acceptedAtMillis - now, context.random()));
+        }
+    }
+
     private void send(UpstreamAttempt next) {
         if (isAllowed(next)) {
             currentAttempt = next;
@@ -312,9 +318,10 @@
         UpstreamAttempt runAttempt = UpstreamAttempt.run(this, prefillAttempt.placement(), Optional.of(source));
         boolean limitedMeanwhile = context.upstreamLimits()
                 .isLimitedSince(runAttempt.upstream().incarnation(), prefillAttempt.startedAtMillis());
+        boolean restsMeanwhile = runAttempt.upstream().rest().lasts(nowMillis());
         if (isEnded()) {
             runAttempt.discard();
-        } else if (limitedMeanwhile) {
+        } else if (limitedMeanwhile || restsMeanwhile) {
             runAttempt.discard();
             placeAndSend();
         } else {
@@ -330,7 +337,7 @@
      * @return whether another attempt was sent; otherwise the stalled one goes on
      */
     boolean replace(UpstreamAttempt stalled) {
-        if (!mayReplace(stalled)) {
+        if (!stalled.isPrefill() && !mayRunAgain(stalledAttempt == null ? 1 : 2)) {
             return false;
         }
         excludedUpstreams.add(stalled.upstream().id());
@@ -350,10 +357,6 @@
         return true;
     }
 
-    private boolean mayReplace(UpstreamAttempt stalled) {
-        return stalled.isPrefill() || mayRunAgain(stalledAttempt == null ? 1 : 2);
-    }
-
     /** Returns whether the request may be run once more, beside the given number of runs that are still open. */
     private boolean mayRunAgain(int openRuns) {
         return request.route().isRetryable()
@@ -413,7 +416,7 @@
 
     /** Continues after an attempt for which no connection to the upstream could be opened. */
     void onNotReached(UpstreamAttempt attempt) {
-        unreachedUpstreams++;
+        peerPass.onUpstreamNotReached();
         onNotExecuted(attempt);
     }
 
@@ -446,7 +449,7 @@
 
     /** Handles a complete response that is not a stream. */
     void onResponse(UpstreamAttempt attempt, BufferedResponse response) {
-        countStartedRequest();
+        log.started(origin);
         possibleExecutions++;
         boolean isError = response.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         if (isError || exchange.isStreaming()) {
@@ -488,7 +491,7 @@
             return;
         }
         if (!exchange.isStreaming()) {
-            countStartedRequest();
+            log.started(origin);
             if (!continuesStream()) {
                 beginStream(attempt);
             }
@@ -513,21 +516,13 @@
         takeOver(attempt);
         currentAttempt = null;
         suspects.onCompleted(attempt);
-        countStartedRequest();
+        log.started(origin);
         // A stream without events has not been started yet; otherwise this has no effect.
         exchange.startStream(status, headers);
         end("answered", "stream complete");
         exchange.endStream();
     }
 
-    /** Counts the request for its client account, once, when a response shows that it was started. */
-    private void countStartedRequest() {
-        if (!usageCounted && origin.account().isPresent()) {
-            usageCounted = true;
-            context.usageCounter().countStartedRequest(origin.account().get());
-        }
-    }
-
     private void onDeadline() {
         if (isEnded()) {
             return;
@@ -576,7 +571,10 @@
     /** Refuses the request; the delay after which the caller should retry is based on {@code baseDelayMillis}. */
     private void refuse(String reason, long baseDelayMillis) {
         long remaining = Math.max(0, request.deadlineMillis() - nowMillis());
-        long retryAfterMillis = RetryAfterPolicy.retryAfterMillis(baseDelayMillis, remaining, context.random());
+        refuseFor(reason, RetryAfterPolicy.retryAfterMillis(baseDelayMillis, remaining, context.random()));
+    }
+
+    private void refuseFor(String reason, long retryAfterMillis) {
         end("refused", reason + "; Retry-After " + retryAfterMillis + " ms");
         PlainTextResponse.refuse(exchange, context.codec(), reason, retryAfterMillis);
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RequestLog.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RequestLog.java
@@ -12,6 +12,7 @@
 final class RequestLog {
     private final RelayContext context;
     private final ServingRequest request;
+    private boolean usageCounted;
 
     RequestLog(RelayContext context, ServingRequest request) {
         this.context = context;
@@ -39,6 +40,14 @@
                 .write();
     }
 
+    /** Counts the request for its client account, once, when a response shows that it was started. */
+    void started(RequestOrigin origin) {
+        if (!usageCounted && origin.account().isPresent()) {
+            usageCounted = true;
+            context.usageCounter().countStartedRequest(origin.account().get());
+        }
+    }
+
     void streamBegun(UpstreamId upstream, Optional<SoftwareVersion> version) {
         context.log()
                 .event("stream.begun")
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -39,6 +39,7 @@
 import org.cactusshift.internal.coordination.serving.ServingConfig;
 import org.cactusshift.internal.coordination.serving.SiteClock;
 import org.cactusshift.internal.coordination.serving.StreamOrigins;
+import org.cactusshift.internal.coordination.serving.Upstream;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.cactusshift.internal.coordination.serving.UsageCollector;
 import org.cactusshift.internal.coordination.serving.UsageCounts;
@@ -265,6 +266,7 @@
                 crashDetector,
                 reachability,
                 RequestPassing.create(settings.instance(), registration::peerEndpoints, runtime.clock(), random),
+                id -> directory.find(id).ifPresent(Upstream::markLeaving),
                 upstreamCheck,
                 upstreamLimits,
                 streamOrigins,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -201,6 +201,13 @@
             relayedRequest.onNotExecuted(this);
             return;
         }
+        if (upstream.rest().lasts(nowMillis())) {
+            context().pool().release(acquired.get());
+            end("resting", "the upstream has asked for rest meanwhile");
+            releaseRetainedKv();
+            relayedRequest.onNotExecuted(this);
+            return;
+        }
         if (relayedRequest.continuesStream() && !isVersionCertain(acquired.get())) {
             context().pool().release(acquired.get());
             end("left", "the upstream may run another software version by now");
@@ -313,6 +320,9 @@
         status = response.status();
         headers = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(response.headers());
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        if (relayedRequest.origin().isPeer()) {
+            PassedRequest.writeUpstream(headers, upstream.id());
+        }
         isStreaming = !isPrefill
                 && status.codeClass() == HttpStatusClass.SUCCESS
                 && request().route().kind() == RequestKind.STREAM;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamCheck.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamCheck.java
@@ -121,6 +121,10 @@
 
     /** Opens a connection, which the pool keeps; the receiver gets null when that fails. */
     private void connect(Upstream upstream, Consumer<HttpClientConnection> receiver) {
+        if (upstream.rest().lasts(now())) {
+            receiver.accept(null);
+            return;
+        }
         dependencies.limits().onSend(upstream.incarnation(), now());
         dependencies.pool().connect(upstream.entry().address(), connected -> {
             if (connected.isLeft()) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamStatements.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamStatements.java
@@ -25,8 +25,9 @@
         }
         metadata.load().ifPresent(load -> upstream.onLoad(load.running(), load.waiting(), nowMillis));
         recordRequestLimit(metadata, sentAtMillis, nowMillis);
-        recordRest(metadata.rest());
+        recordRest(metadata.rest(), nowMillis);
         if (metadata.leaving() && !upstream.isLeaving()) {
+            upstream.markLeaving();
             event("upstream.statesLeaving").write();
         }
     }
@@ -43,7 +44,10 @@
         }
     }
 
-    private void recordRest(ResponseMetadata.RequestedRest rest) {
+    private void recordRest(ResponseMetadata.RequestedRest rest, long nowMillis) {
+        if (rest.millis() > 0) {
+            upstream.rest().onAsked(rest.millis(), nowMillis);
+        }
         if (rest.millis() > 0 || rest.malformed().isPresent()) {
             event("upstream.rest")
                     .with("restMillis", rest.millis())
