Take a small service for unreachable only if all listed upstreams failed

Found in review: the number of failed upstreams was compared with the number of listed ones, so an upstream that replaced a crashed one counted as failed until the next probe, up to 500 ms later. ServiceReachabilityTest compares the upstreams themselves.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServiceReachability.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServiceReachability.java
@@ -4,7 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.ToIntFunction;
+import java.util.function.Function;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 
@@ -25,7 +25,7 @@
     /** The interval between the connections by which an unreachable service is probed. */
     private static final long PROBE_INTERVAL_MILLIS = 500;
 
-    private final ToIntFunction<ServiceId> upstreamCount;
+    private final Function<ServiceId, Set<UpstreamId>> upstreams;
     private final Map<ServiceId, State> stateByService = new HashMap<>();
 
     private static final class State {
@@ -36,23 +36,26 @@
         long nextProbeMillis;
     }
 
-    private ServiceReachability(ToIntFunction<ServiceId> upstreamCount) {
-        this.upstreamCount = upstreamCount;
+    private ServiceReachability(Function<ServiceId, Set<UpstreamId>> upstreams) {
+        this.upstreams = upstreams;
     }
 
     /**
      * Returns a view in which all services are reachable.
      *
-     * @param upstreamCount returns the number of upstreams of a service that accept requests
+     * @param upstreams returns the upstreams of a service that accept requests
      * @return the view
      */
-    public static ServiceReachability create(ToIntFunction<ServiceId> upstreamCount) {
-        return new ServiceReachability(upstreamCount);
+    public static ServiceReachability create(Function<ServiceId, Set<UpstreamId>> upstreams) {
+        return new ServiceReachability(upstreams);
     }
 
     private boolean isEnough(ServiceId service, State state) {
-        int failed = state.failedAtMillis.size();
-        return failed >= MINIMUM_FAILED_UPSTREAMS || failed >= upstreamCount.applyAsInt(service);
+        if (state.failedAtMillis.size() >= MINIMUM_FAILED_UPSTREAMS) {
+            return true;
+        }
+        Set<UpstreamId> listed = upstreams.apply(service);
+        return !listed.isEmpty() && state.failedAtMillis.keySet().containsAll(listed);
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -16,12 +16,14 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.SiteId;
 import org.cactusshift.id.SoftwareVersion;
+import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
@@ -124,8 +126,7 @@
     private final Optional<UsageReportDriver> usageReportDriver;
     private final Optional<FleetController> fleetController;
     private final GossipSender gossipSender;
-    private final ServiceReachability reachability = ServiceReachability.create(
-            service -> directory().acceptingWork(service).size());
+    private final ServiceReachability reachability = ServiceReachability.create(this::acceptingUpstreams);
     private final UpstreamCheck upstreamCheck;
     private final CallerServer callerServer;
     private final CallerServer peerServer;
@@ -244,8 +245,8 @@
         return new ServingNode(runtime, settings, protocol);
     }
 
-    private UpstreamDirectory directory() {
-        return directory;
+    private Set<UpstreamId> acceptingUpstreams(ServiceId service) {
+        return directory.acceptingWork(service).stream().map(Upstream::id).collect(Collectors.toSet());
     }
 
     private int openPeerRequestCount() {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServiceReachabilityTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServiceReachabilityTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.junit.jupiter.api.Test;
@@ -15,8 +17,12 @@
     private static final ServiceId SERVICE = ServiceId.fromString("s");
     private static final ServiceId OTHER_SERVICE = ServiceId.fromString("t");
 
+    /** The numbers of the upstreams u0, u1 and so on that are listed. */
     private int listed;
-    private final ServiceReachability reachability = ServiceReachability.create(service -> listed);
+
+    private final ServiceReachability reachability = ServiceReachability.create(service -> IntStream.range(0, listed)
+            .mapToObj(i -> UpstreamId.fromString("u" + i))
+            .collect(Collectors.toSet()));
 
     private boolean fail(String upstream, int listedCount) {
         listed = listedCount;
@@ -46,15 +52,15 @@
 
     @Test
     void openedConnectionEndsTheFailures() {
+        fail("u0", 4);
         fail("u1", 4);
         fail("u2", 4);
-        fail("u3", 4);
         assertFalse(reachability.onConnected(SERVICE));
-        fail("u4", 4);
+        fail("u3", 4);
         assertFalse(reachability.isUnreachable(SERVICE));
+        fail("u0", 4);
         fail("u1", 4);
         fail("u2", 4);
-        fail("u3", 4);
         assertTrue(reachability.isUnreachable(SERVICE));
         assertTrue(reachability.onConnected(SERVICE));
         assertFalse(reachability.isUnreachable(SERVICE));
@@ -62,11 +68,11 @@
 
     @Test
     void newUpstreamOfASmallServiceIsTried() {
-        fail("u1", 1);
+        fail("u0", 1);
         assertTrue(reachability.isUnreachable(SERVICE));
         listed = 2;
         assertFalse(reachability.isUnreachable(SERVICE));
-        fail("u2", 2);
+        fail("u1", 2);
         assertTrue(reachability.isUnreachable(SERVICE));
     }
 
@@ -90,7 +96,7 @@
 
     @Test
     void unreachableServiceIsProbedTwiceASecond() {
-        fail("u1", 1);
+        fail("u0", 1);
         int probes = 0;
         for (long now = 1_000; now <= 11_000; now += 50) {
             probes += reachability.takeDueProbes(now).equals(Set.of(SERVICE)) ? 1 : 0;
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
@@ -79,7 +80,7 @@
                     usage,
                     CrashHistory.create(1_000),
                     UpstreamRequestLimits.create(InstanceId.fromString("n0")),
-                    ServiceReachability.create(service -> 0),
+                    ServiceReachability.create(service -> Set.of()),
                     250);
             GossipReceiver receiver = receiver(usage);
             receiver.onCollector(new UsageCollector(InstanceId.fromString("n5"), "127.0.0.1:1", 3));
