Play lost links and rests of upstreams in the soak

Each node reads the store through a view with links of its own to all upstreams, which the schedule cuts at one node or at all but one, hanging or reset, beside all other faults; upstreams turn requests away and ask for rest.

Only a peer that is lost before its response begins is left out now.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
@@ -71,6 +71,8 @@
         String id = "r" + number;
         boolean nonRepeatable = path.startsWith("/once/");
         site.invariants().onSent(id, path, node);
+        boolean linksLost = site.isAnyNodeWithoutLinks();
+        long lostForMillis = node.linksLostForMillis();
         long sentAtNanos = System.nanoTime();
         long sentAtEpochMillis = System.currentTimeMillis();
         String ending = "end of the stream before a response";
@@ -96,6 +98,9 @@
         } else {
             site.invariants().onResponse(id, response.status(), nonRepeatable);
         }
+        if (linksLost && node.wasInTouch(sentAtNanos) && site.isAnyNodeWithLinksInTouch(sentAtNanos)) {
+            site.recoverJudge().onEnded(lostForMillis, response.status() == 200);
+        }
         if (path.startsWith("/stream/")) {
             checkStream(node, id, sentAtNanos, response);
         } else if (response.status() == 200) {
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -28,6 +29,14 @@
 
     private static final int FAULTS_PER_LIMIT = 5;
 
+    /** Of as many faults, two more on average are a rest and lost links. */
+    private static final int FAULTS_PER_LOST_LINKS = 8;
+
+    /** Longer than nodes may take until their callers must be served again. */
+    private static final int MINIMUM_LINK_FAULT_MILLIS = 5_000;
+
+    private static final int REST_SECONDS = 3;
+
     /** Longer than nodes may take to keep to a limit, and the window in which it is judged. */
     private static final long LIMIT_MILLIS = 9_000;
 
@@ -36,6 +45,10 @@
     private final SoakSite site;
     private final Random random;
     private final Random limitRandom;
+    private final Random linkRandom;
+
+    /** The kinds of {@link #injectRestOrLostLinks} that are in effect. */
+    private final Set<SoakFaultKind> activeLinkFaults = ConcurrentHashMap.newKeySet();
 
     /** Each upstream states a limit at most once. */
     private final Set<Integer> limitedUpstreams = new HashSet<>();
@@ -49,6 +62,7 @@
         this.site = site;
         this.random = new Random(seed);
         this.limitRandom = new Random(~seed);
+        this.linkRandom = new Random(31 * seed + 1);
     }
 
     private interface Step {
@@ -67,6 +81,7 @@
             history.add(fault);
             inject(fault);
             injectLimit();
+            injectRestOrLostLinks();
             TimeUnit.MILLISECONDS.sleep(
                     MINIMUM_INTERVAL_MILLIS + random.nextInt(MAXIMUM_INTERVAL_MILLIS - MINIMUM_INTERVAL_MILLIS));
         }
@@ -84,6 +99,45 @@
         }
     }
 
+    /** Lets an upstream rest, or nodes lose their links, now and then; one at a time, drawn apart as limits are. */
+    private void injectRestOrLostLinks() {
+        int choice = linkRandom.nextInt(FAULTS_PER_LOST_LINKS);
+        int nodeIndex = linkRandom.nextInt(site.nodes().size());
+        int upstreamIndex = linkRandom.nextInt(SoakUpstreams.FAULT_TARGETS);
+        SoakFaultKind kind = choice == 0 ? SoakFaultKind.UPSTREAM_LINKS_LOST : SoakFaultKind.UPSTREAM_RESTING;
+        if (choice <= 1 && activeLinkFaults.add(kind)) {
+            SoakFault fault = SoakFault.create(
+                    kind,
+                    nodeIndex,
+                    upstreamIndex,
+                    MINIMUM_LINK_FAULT_MILLIS + linkRandom.nextInt(MAXIMUM_FAULT_MILLIS),
+                    System.currentTimeMillis());
+            history.add(fault);
+            inject(fault);
+        }
+    }
+
+    /** Returns the node of a fault or, for every second choice of it, all other nodes. */
+    private List<SoakNode> nodesWithoutLinks(SoakFault fault) {
+        SoakNode chosen = site.nodes().get(fault.nodeIndex());
+        return fault.faultMillis() % 2 == 0
+                ? List.of(chosen)
+                : site.nodes().stream().filter(node -> node != chosen).toList();
+    }
+
+    private void loseLinks(SoakFault fault) throws IOException {
+        for (SoakNode node : nodesWithoutLinks(fault)) {
+            node.loseUpstreamLinks(fault.upstreamIndex() % 2 == 0);
+        }
+    }
+
+    private void restoreLinks(SoakFault fault) throws IOException {
+        for (SoakNode node : nodesWithoutLinks(fault)) {
+            node.restoreUpstreamLinks();
+        }
+        activeLinkFaults.remove(fault.kind());
+    }
+
     /** Starts a fault; returns when its node knows of it, if it is an unplanned interruption. */
     void inject(SoakFault fault) {
         SoakNode node = site.nodes().get(fault.nodeIndex());
@@ -146,6 +200,12 @@
                         () -> site.upstreams()
                                 .stateLimit(fault.upstreamIndex(), limitRandom.nextDouble() * MAXIMUM_LIMIT_PER_SECOND),
                         () -> site.upstreams().endLimit(fault.upstreamIndex()));
+            case UPSTREAM_RESTING ->
+                startTimedFault(fault, () -> site.upstreams().askForRest(fault.upstreamIndex(), REST_SECONDS), () -> {
+                    site.upstreams().askForRest(fault.upstreamIndex(), 0);
+                    activeLinkFaults.remove(fault.kind());
+                });
+            case UPSTREAM_LINKS_LOST -> startTimedFault(fault, () -> loseLinks(fault), () -> restoreLinks(fault));
             case CONFIG_CHANGE -> injectImmediateFault(fault, site::publishNextConfig);
             default -> throw new IllegalStateException("unknown fault: " + fault.kind());
         }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultKind.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultKind.java
@@ -42,7 +42,11 @@
     /** Publishes the next configuration. */
     CONFIG_CHANGE,
     /** Makes an upstream state a limit on requests per second. */
-    UPSTREAM_LIMITED;
+    UPSTREAM_LIMITED,
+    /** Makes an upstream turn all requests away and ask for rest. */
+    UPSTREAM_RESTING,
+    /** Cuts the links of a node, or of all but one, to all upstreams; the links hang or are reset. */
+    UPSTREAM_LINKS_LOST;
 
     private static final Set<SoakFaultKind> INTERRUPTING = EnumSet.of(PAUSE, KILL, CALLERS_CUT, CALLERS_STALLED);
 
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakInvariants.java
@@ -53,6 +53,11 @@
         return nodeById.containsKey(id) && nodeById.get(id).wasInTouch(System.nanoTime());
     }
 
+    /** Returns a name of the node that a request was sent to. */
+    synchronized String nodeOf(String id) {
+        return String.valueOf(nodeById.get(id));
+    }
+
     /** Records that an upstream starts to run a request. */
     synchronized void onRun(String id, String path, boolean nonRepeatable) {
         if (!path.equals(pathById.get(id))) {
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.standin.StandInClient;
 import org.cactusshift.standin.link.TcpRelay;
+import org.cactusshift.standin.site.SiteStore;
+import org.cactusshift.standin.site.SiteStoreView;
 
 /**
  * A node process of a soak test, {@code org.cactusshift.platform.PlatformNode}, with the relays that connect it to its
@@ -25,6 +27,7 @@
     private final Path output;
     private final String readinessAddress;
     private final TcpRelay callerRelay;
+    private final SiteStoreView storeView;
     private final TcpRelay storeRelay;
     private final TcpRelay platformRelay;
     private NodeProcess process;
@@ -33,26 +36,33 @@
     private int newestVisibleRoute;
     private long startedAtNanos;
 
+    /** When the links to the upstreams were lost; 0 while there are any. */
+    private long linksLostAtNanos;
+
     private SoakNode(
             Path settings,
             Path output,
             String readinessAddress,
             TcpRelay callerRelay,
+            SiteStoreView storeView,
             TcpRelay storeRelay,
             TcpRelay platformRelay) {
         this.settings = settings;
         this.output = output;
         this.readinessAddress = readinessAddress;
         this.callerRelay = callerRelay;
+        this.storeView = storeView;
         this.storeRelay = storeRelay;
         this.platformRelay = platformRelay;
     }
 
-    static SoakNode start(String name, Path directory, String storeAddress, String usageAddress) throws IOException {
+    static SoakNode start(String name, Path directory, SiteStore store, String usageAddress) throws IOException {
         List<String> addresses = FreePorts.addresses(4);
         String callerAddress = addresses.get(0);
         String readinessAddress = addresses.get(1);
-        TcpRelay storeRelay = TcpRelay.start(storeAddress);
+        SiteStoreView storeView = SiteStoreView.of(store);
+        storeView.start();
+        TcpRelay storeRelay = TcpRelay.start(storeView.address());
         TcpRelay platformRelay = TcpRelay.start(usageAddress);
         Path settings = directory.resolve(name + ".json");
         Files.writeString(settings, """
@@ -76,6 +86,7 @@
                 directory.resolve(name + ".log"),
                 readinessAddress,
                 TcpRelay.start(callerAddress),
+                storeView,
                 storeRelay,
                 platformRelay);
         node.startProcess();
@@ -117,6 +128,37 @@
                 && sentAtNanos - startedAtNanos > TimeUnit.MILLISECONDS.toNanos(INTERRUPTION_GRACE_MILLIS);
     }
 
+    /** Cuts the links to all upstreams: they hang, or are reset. */
+    void loseUpstreamLinks(boolean hang) throws IOException {
+        synchronized (this) {
+            linksLostAtNanos = System.nanoTime();
+        }
+        for (TcpRelay link : storeView.upstreamLinks()) {
+            if (hang) {
+                link.holdBoth();
+                link.hangNewConnections();
+            } else {
+                link.cut();
+            }
+        }
+    }
+
+    void restoreUpstreamLinks() throws IOException {
+        synchronized (this) {
+            linksLostAtNanos = 0;
+        }
+        for (TcpRelay link : storeView.upstreamLinks()) {
+            link.restore();
+        }
+    }
+
+    /** Returns for how long the links to all upstreams have been lost, 0 while there are any. */
+    synchronized long linksLostForMillis() {
+        return linksLostAtNanos == 0
+                ? 0
+                : Math.max(1, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - linksLostAtNanos));
+    }
+
     /** Returns whether the process reports itself ready for callers. */
     boolean isReady() throws InterruptedException {
         return process.awaitOk(StandInClient.create(), readinessAddress, "/-/ready", READINESS_PROBE_TIMEOUT_MILLIS);
@@ -166,6 +208,7 @@
         process.close();
         callerRelay.close();
         storeRelay.close();
+        storeView.close();
         platformRelay.close();
     }
 }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakSite.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakSite.java
@@ -17,6 +17,7 @@
 
     private final SoakInvariants invariants = new SoakInvariants();
     private final SoakStreamJudge streamJudge = new SoakStreamJudge();
+    private final SoakRecoverJudge recoverJudge = new SoakRecoverJudge();
     private final SiteStore store = SiteStore.create();
     private final List<SoakNode> nodes = new ArrayList<>();
     private ScriptedUpstream usageEndpoint;
@@ -30,10 +31,10 @@
         SoakSite site = new SoakSite();
         site.store.start();
         site.usageEndpoint = ScriptedUpstream.start(site::receiveUsageReport);
-        site.upstreams = SoakUpstreams.start(site.store, site.invariants, seed);
+        site.upstreams = SoakUpstreams.start(site.store, site.invariants, site::isAnyNodeWithoutLinks, seed);
         site.publishNextConfig();
         for (int i = 0; i < nodes; i++) {
-            site.nodes.add(SoakNode.start("node-" + i, directory, site.store.address(), site.usageEndpoint.address()));
+            site.nodes.add(SoakNode.start("node-" + i, directory, site.store, site.usageEndpoint.address()));
         }
         return site;
     }
@@ -46,6 +47,20 @@
         return streamJudge;
     }
 
+    SoakRecoverJudge recoverJudge() {
+        return recoverJudge;
+    }
+
+    /** Returns whether some node has lost its links to all upstreams, so that its requests come from other nodes. */
+    boolean isAnyNodeWithoutLinks() {
+        return nodes.stream().anyMatch(node -> node.linksLostForMillis() > 0);
+    }
+
+    /** Returns whether some node that has its links was in touch, so that others can pass requests to it. */
+    boolean isAnyNodeWithLinksInTouch(long nanos) {
+        return nodes.stream().anyMatch(node -> node.linksLostForMillis() == 0 && node.wasInTouch(nanos));
+    }
+
     SiteStore store() {
         return store;
     }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakTest.java
@@ -60,6 +60,8 @@
                 awaitAllReady(site);
             }
             String summary = "seed " + seed + ": " + site.invariants() + ", streams: " + site.streamJudge()
+                    + ", lost links: " + site.recoverJudge() + ", rests: "
+                    + site.upstreams().rests()
                     + ", chosen faults (kind, node, upstream, milliseconds): " + faults;
             System.out.println(summary);
             for (SoakLostRequest lost : site.invariants().lostRequests()) {
@@ -67,6 +69,8 @@
             }
             assertEquals(List.of(), site.invariants().violations(), summary);
             assertEquals(List.of(), site.upstreams().limitViolations(), summary);
+            assertEquals(List.of(), site.upstreams().restViolations(), summary);
+            assertEquals(List.of(), site.recoverJudge().violations(), summary);
             assertEquals(List.of(), site.streamJudge().violations(), summary);
             assertTrue(site.invariants().responseCount(200) > 0, summary);
         }
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.cactusshift.standin.link.TcpRelay;
 import org.cactusshift.standin.site.ScriptedUpstream;
 import org.cactusshift.standin.site.SiteStore;
@@ -43,6 +44,10 @@
 
     private final SiteStore store;
     private final SoakInvariants invariants;
+
+    /** Whether requests may come from another node than the one that the caller chose. */
+    private final BooleanSupplier arePassedOn;
+
     private final Random random;
     private final List<ScriptedUpstream> upstreams = new ArrayList<>();
     private final List<TcpRelay> relays = new ArrayList<>();
@@ -50,14 +55,16 @@
     /** For each upstream: the store key, a space, and the store entry with %s for the state. */
     private final List<String> entries = new ArrayList<>();
 
-    private SoakUpstreams(SiteStore store, SoakInvariants invariants, long seed) {
+    private SoakUpstreams(SiteStore store, SoakInvariants invariants, BooleanSupplier arePassedOn, long seed) {
         this.store = store;
         this.invariants = invariants;
+        this.arePassedOn = arePassedOn;
         this.random = new Random(seed);
     }
 
-    static SoakUpstreams start(SiteStore store, SoakInvariants invariants, long seed) throws IOException {
-        SoakUpstreams all = new SoakUpstreams(store, invariants, seed);
+    static SoakUpstreams start(SiteStore store, SoakInvariants invariants, BooleanSupplier arePassedOn, long seed)
+            throws IOException {
+        SoakUpstreams all = new SoakUpstreams(store, invariants, arePassedOn, seed);
         for (int i = 0; i < UPSTREAMS_PER_SERVICE; i++) {
             all.add("app-" + i, "app", "v1", all::respondNonStreamed);
             all.add("lm-" + i, "lm", "v1", all::respondStream);
@@ -79,6 +86,11 @@
         final String softwareVersion;
         final SoakLimitJudge limitJudge = new SoakLimitJudge();
 
+        final SoakRestJudge restJudge = new SoakRestJudge();
+
+        /** The time of rest that it asks for; 0 while it serves. */
+        volatile int restSeconds;
+
         /** The header with the limit, empty text when it has none. */
         volatile String limitHeader = "";
 
@@ -97,7 +109,7 @@
             } else {
                 self.limitJudge.onArrival(
                         invariants.isFromNodeInTouch(request.header("Request-Id")), SoakLimitJudge.nowMillis());
-                script.respond(self, request, connection);
+                turnAwayOrRespond(self, script, request, connection);
             }
         });
         TcpRelay relay = TcpRelay.start(upstream.address());
@@ -109,6 +121,39 @@
         store.put("servers/" + id, entry.formatted("ready"));
     }
 
+    private void turnAwayOrRespond(
+            Upstream self, Script script, ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
+            throws IOException {
+        String id = request.header("Request-Id");
+        String node = invariants.nodeOf(id);
+        boolean counts = invariants.isFromNodeInTouch(id) && !arePassedOn.getAsBoolean();
+        self.restJudge.onArrival(node, counts, SoakLimitJudge.nowMillis());
+        int seconds = self.restSeconds;
+        if (seconds == 0) {
+            script.respond(self, request, connection);
+            return;
+        }
+        self.restJudge.onAsked(node, seconds * 1_000L, SoakLimitJudge.nowMillis());
+        connection.write(NOT_RUN_HEAD + "Retry-After: " + seconds + "\r\n\r\n");
+    }
+
+    /** Makes an upstream turn all requests away and ask for rest, or serve again after 0 seconds. */
+    void askForRest(int index, int seconds) {
+        selves.get(index).restSeconds = seconds;
+    }
+
+    /** Returns the violations of rests at all upstreams. */
+    List<String> restViolations() {
+        return selves.stream()
+                .flatMap(self -> self.restJudge.violations().stream())
+                .toList();
+    }
+
+    /** Returns how often upstreams asked for rest. */
+    int rests() {
+        return selves.stream().mapToInt(self -> self.restJudge.rests()).sum();
+    }
+
     /** Makes an upstream state a limit on requests per second from now on. */
     void stateLimit(int index, double limitPerSecond) {
         selves.get(index).limitHeader = "Server-Limit: " + limitPerSecond + "\r\n";
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
@@ -204,7 +204,9 @@
     private void end(Result result, String reason) {
         ended = true;
         context().peers().onEnded(peer);
-        if (result == Result.NOT_TAKEN || result == Result.LOST) {
+        // A response that the peer breaks off is that of an upstream which was lost there.
+        boolean isPeerLost = result == Result.LOST && status == null;
+        if (result == Result.NOT_TAKEN || isPeerLost) {
             context().peers().onNotTaken(peer);
         } else {
             context().peers().onTaken(peer);
