--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PeerSelector.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PeerSelector.java
@@ -18,7 +18,7 @@
  *
  * <p>So each of many partitioned nodes uses a few peers of its own, to which its connections stay open, and together
  * they load all peers evenly. A peer that took no request is left out for a while, and the next one in the ranking
- * takes its place.
+ * takes its place; if none is left, the one whose turn comes first is asked.
  */
 public final class PeerSelector {
     /** The number of peers that share the requests of this node. */
@@ -29,14 +29,17 @@
 
     private static final int MAXIMUM_DOUBLINGS = 3;
 
+    /** When all peers are left out, the one whose turn comes first is asked after this time all the same. */
+    private static final long MINIMUM_BACK_OFF_MILLIS = 250;
+
     private final InstanceId self;
     private List<PeerEndpoint> ranking = List.of();
     private final Map<InstanceId, Integer> openByNode = new HashMap<>();
     private final Map<InstanceId, BackOff> backOffByNode = new HashMap<>();
 
-    /** How often in a row a peer took no request, and until when it is left out. */
-    private record BackOff(int count, long untilMillis) {
-        static final BackOff NONE = new BackOff(0, Long.MIN_VALUE);
+    /** How often in a row a peer took no request, when it last did so, and until when it is left out. */
+    private record BackOff(int count, long beganAtMillis, long untilMillis) {
+        static final BackOff NONE = new BackOff(0, Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
     }
 
     private PeerSelector(InstanceId self) {
@@ -80,11 +83,21 @@
      */
     public Optional<PeerEndpoint> choose(Set<InstanceId> excluded, long nowMillis, RandomGenerator random) {
         PeerEndpoint best = null;
+        PeerEndpoint firstBack = null;
+        long firstBackMillis = Long.MAX_VALUE;
         double bestLoad = Double.MAX_VALUE;
         int seen = 0;
         for (PeerEndpoint peer : ranking) {
-            if (excluded.contains(peer.node())
-                    || backOffByNode.getOrDefault(peer.node(), BackOff.NONE).untilMillis() > nowMillis) {
+            BackOff backOff = backOffByNode.getOrDefault(peer.node(), BackOff.NONE);
+            if (excluded.contains(peer.node())) {
+                continue;
+            }
+            if (backOff.untilMillis() > nowMillis) {
+                if (nowMillis - backOff.beganAtMillis() >= MINIMUM_BACK_OFF_MILLIS
+                        && backOff.untilMillis() < firstBackMillis) {
+                    firstBack = peer;
+                    firstBackMillis = backOff.untilMillis();
+                }
                 continue;
             }
             double load = openByNode.getOrDefault(peer.node(), 0) + random.nextDouble();
@@ -97,7 +110,7 @@
                 break;
             }
         }
-        return Optional.ofNullable(best);
+        return Optional.ofNullable(best == null ? firstBack : best);
     }
 
     /**
@@ -136,6 +149,6 @@
     public void onNotTaken(InstanceId peer, long nowMillis) {
         int count = backOffByNode.getOrDefault(peer, BackOff.NONE).count();
         long millis = FIRST_BACK_OFF_MILLIS << Math.min(count, MAXIMUM_DOUBLINGS);
-        backOffByNode.put(peer, new BackOff(count + 1, nowMillis + millis));
+        backOffByNode.put(peer, new BackOff(count + 1, nowMillis, nowMillis + millis));
     }
 }
