--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/limits/LimitedSite.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/limits/LimitedSite.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.Random;
@@ -41,6 +42,10 @@
         List<Node> peers = new ArrayList<>();
 
         boolean isPaused;
+
+        /** Whether this node has lost its links to the upstream, and does not send to it therefore. */
+        boolean hasLostLinks;
+
         boolean hasRequests = true;
         private final ArrayDeque<Response> responses = new ArrayDeque<>();
 
@@ -68,7 +73,7 @@
 
         /** Sends one request if it has one and no other is open; half of the nodes do so in a step. */
         private void request() {
-            if (hasRequests && responses.isEmpty() && random.nextBoolean() && mayRequest()) {
+            if (hasRequests && !hasLostLinks && responses.isEmpty() && random.nextBoolean() && mayRequest()) {
                 limits.onSend(upstream, nowMillis);
                 arrivalsMillis.add(nowMillis);
                 responses.addLast(new Response(statedLimit, nowMillis, nowMillis + RESPONSE_MILLIS));
@@ -122,6 +127,15 @@
         }
     }
 
+    /** Takes the links to the upstream from a number of nodes, beginning with those that send to it. */
+    void loseLinks(int count) {
+        nodes.stream()
+                .sorted(Comparator.comparing(
+                        node -> node.limits.earliestSendMillis(upstream, nowMillis) == UpstreamRequestLimits.NEVER))
+                .limit(count)
+                .forEach(node -> node.hasLostLinks = true);
+    }
+
     void stateLimit(OptionalDouble limit) {
         statedLimit = limit;
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/limits/UpstreamRequestLimitsTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/limits/UpstreamRequestLimitsTest.java
@@ -99,6 +99,38 @@
         assertKept(site, 5, statedAtMillis + CONTACT_MILLIS);
     }
 
+    /** Guards against an upstream that no node may send to because its senders have lost their links. */
+    @ParameterizedTest
+    @CsvSource({"2, 1, 5", "4, 3, 5", "8, 7, 0.5", "8, 6, 20", "60, 30, 5", "60, 56, 5", "60, 30, 40"})
+    void nodesWithLinksUseALimitInPlaceOfThoseWithout(int nodeCount, int lostCount, double limit) {
+        LimitedSite site = new LimitedSite(nodeCount, 6);
+        site.stateLimit(OptionalDouble.of(limit));
+        site.run(CONTACT_MILLIS);
+        site.loseLinks(lostCount);
+        site.run(10_000);
+        long usableFromMillis = site.nowMillis();
+        site.run(10_000);
+        assertTrue(
+                site.arrivalsSince(usableFromMillis) >= 0.5 * limit * 10 - 2,
+                site.arrivalsSince(usableFromMillis) + " requests in 10 s");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2, 1, 5", "4, 3, 5", "8, 6, 20", "60, 30, 5", "60, 56, 40", "1800, 82, 5", "1800, 900, 5"})
+    void limitIsKeptWhileNodesLoseTheirLinksAndWhenTheyHaveThemBack(int nodeCount, int lostCount, double limit) {
+        LimitedSite site = new LimitedSite(nodeCount, 7);
+        site.stateLimit(OptionalDouble.of(limit));
+        site.run(CONTACT_MILLIS);
+        long fromMillis = site.nowMillis();
+        for (int i = 0; i < 3; i++) {
+            site.loseLinks(lostCount);
+            site.run(4_000);
+            site.nodes().forEach(node -> node.hasLostLinks = false);
+            site.run(2_000 + 3_000 * i);
+        }
+        assertKept(site, limit, fromMillis);
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {2, 60})
     void limitEndsAtAllNodesWhenTheUpstreamStatesItNoMore(int nodeCount) {
