Let nodes with links take the turns at a limited upstream

Cause: the few nodes that may send to an upstream with a request limit come from a ranking of all nodes that are known. Nodes that have lost their links stay known, kept their ranks and sent nothing, and the others had no turn: requests passed to them were refused with "all upstreams rest or are at their request limits".

Gossip messages name the services that their sender does not reach. Nodes that do not reach the service of an upstream are ranked after the others, and the limit is shared among those that do. A node whose links are back waits 3 s, longer than a round of 60 nodes, before it ranks itself with the others, so that not each returned node takes itself for the first.

UpstreamRequestLimitsTest: 7 of 7 cases in which nodes with links had 0 to 15 requests of a limit pass (at least half of the limit is used); in 7 cases with three losses and returns, up to 1,800 nodes, the limit is kept.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/limits/UpstreamRequestLimits.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/limits/UpstreamRequestLimits.java
@@ -9,8 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.UpstreamId;
 
 /**
  * Keeps the requests of all nodes together within the limits on requests per second that upstreams state in their
@@ -18,7 +22,8 @@
  *
  * <p>An equal part of a limit for each node would be far below one request in the time over which a limit holds, and
  * the first requests of all nodes would exceed it. Therefore only a few nodes, the senders, send to a limited upstream.
- * They are the first ones in a ranking that all nodes agree on, and each sends at even intervals, beginning one
+ * They are the first ones in a ranking that all nodes agree on, where those that do not reach the service of the
+ * upstream come last, and each sends at even intervals, beginning one
  * interval after it learned of the limit. If two halves of the site know different nodes, so that each has its own
  * senders, the requests of both are still within one and a half times the limit.
  *
@@ -61,16 +66,20 @@
     /** The maximum number of other reports in one message, for nodes that started later. */
     private static final int MAXIMUM_REPEATED = 2;
 
+    private static final ServiceId UNKNOWN_SERVICE = ServiceId.fromString("-");
+
     /** How long the end of a limit is remembered, so that older reports do not restore the limit. */
     private static final long ENDED_RETENTION_MILLIS = 60_000;
 
     private final SenderRanking ranking;
+    private final Function<UpstreamId, Optional<ServiceId>> services;
 
     /** In the order in which they were reported, the one reported longest ago at the head. */
     private final LinkedHashMap<UpstreamIncarnation, Entry> entryByUpstream = new LinkedHashMap<>();
 
-    private UpstreamRequestLimits(InstanceId self) {
+    private UpstreamRequestLimits(InstanceId self, Function<UpstreamId, Optional<ServiceId>> services) {
         this.ranking = SenderRanking.create(self);
+        this.services = services;
     }
 
     /** What a response or a report changed. */
@@ -97,9 +106,10 @@
         boolean isSender;
         long nextSendMillis;
 
-        /** The rank of this node, and the version of the ranking that it is from. */
+        /** The rank of this node, the number of nodes that reach the upstream, and the version of both. */
         int rank;
 
+        int reachingNodes;
         long rankVersion = -1;
 
         Entry(UpstreamIncarnation upstream) {
@@ -120,7 +130,8 @@
 
         int senderCount() {
             int wanted = MINIMUM_SENDERS + (int) (SENDERS_PER_LIMIT * limit.orElseThrow());
-            return Math.min(wanted, ranking.nodeCount());
+            updateRank();
+            return Math.min(wanted, reachingNodes);
         }
 
         long intervalMillis() {
@@ -129,11 +140,18 @@
         }
 
         int rank() {
+            updateRank();
+            return rank;
+        }
+
+        private void updateRank() {
             if (rankVersion != ranking.version()) {
-                rank = ranking.rank(upstream.upstream());
+                // An upstream that is not listed has no service that anybody reports.
+                ServiceId service = services.apply(upstream.upstream()).orElse(UNKNOWN_SERVICE);
+                rank = ranking.rank(upstream.upstream(), service);
+                reachingNodes = ranking.reachingNodeCount(service);
                 rankVersion = ranking.version();
             }
-            return rank;
         }
 
         long earliestSendMillis(long nowMillis) {
@@ -172,10 +190,11 @@
      * Returns a registry in which no upstream has a limit.
      *
      * @param self this node
+     * @param services returns the service of a listed upstream
      * @return the registry
      */
-    public static UpstreamRequestLimits create(InstanceId self) {
-        return new UpstreamRequestLimits(self);
+    public static UpstreamRequestLimits create(InstanceId self, Function<UpstreamId, Optional<ServiceId>> services) {
+        return new UpstreamRequestLimits(self, services);
     }
 
     /**
@@ -189,6 +208,17 @@
         ranking.setNodes(nodes, nowMillis);
     }
 
+    /**
+     * Records which services nodes of the site do not reach now. For some seconds longer such a node sends only when no
+     * other may.
+     *
+     * @param servicesByNode the services by node, this one included
+     * @param nowMillis the current time
+     */
+    public void setUnreachableServices(Map<InstanceId, Set<ServiceId>> servicesByNode, long nowMillis) {
+        ranking.setUnreachableServices(servicesByNode, nowMillis);
+    }
+
     /**
      * Records what a response of an upstream states.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.quarantine.CompletionReport;
@@ -26,6 +28,7 @@
  * @param completions the recent completed attempts that clear suspects of crashes
  * @param limits the request limits of upstreams: recent changes and some others in turn
  * @param promptPartUses the recent uses of long prompt parts by requests of the sending node
+ * @param unreachableServices the services of which the sending node reaches no upstream
  */
 public record GossipMessage(
         InstanceId node,
@@ -37,7 +40,8 @@
         List<CrashReport> crashes,
         List<CompletionReport> completions,
         List<UpstreamLimitReport> limits,
-        List<PromptPartUse> promptPartUses) {
+        List<PromptPartUse> promptPartUses,
+        Set<ServiceId> unreachableServices) {
     /** Makes shallow copies of the collections. */
     public GossipMessage {
         workByUpstream = Map.copyOf(workByUpstream);
@@ -46,5 +50,6 @@
         completions = List.copyOf(completions);
         limits = List.copyOf(limits);
         promptPartUses = List.copyOf(promptPartUses);
+        unreachableServices = Set.copyOf(unreachableServices);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
@@ -143,6 +144,21 @@
         return incarnations;
     }
 
+    /**
+     * Returns the services that peers do not reach, by the last message of each.
+     *
+     * @return the services by node, without the nodes that reach all
+     */
+    public Map<InstanceId, Set<ServiceId>> unreachableServices() {
+        Map<InstanceId, Set<ServiceId>> services = new HashMap<>();
+        receivedByNode.forEach((node, received) -> {
+            if (!received.message().unreachableServices().isEmpty()) {
+                services.put(node, received.message().unreachableServices());
+            }
+        });
+        return services;
+    }
+
     /**
      * Returns the number of peers that sent a message recently.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServiceReachability.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServiceReachability.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 
@@ -146,13 +147,11 @@
     }
 
     /**
-     * Returns the number of services that this node does not reach.
+     * Returns the services that this node does not reach.
      *
-     * @return the number of services
+     * @return the services
      */
-    public int unreachableCount() {
-        return (int) stateByService.values().stream()
-                .filter(state -> state.unreachable)
-                .count();
+    public Set<ServiceId> unreachableServices() {
+        return stateByService.keySet().stream().filter(this::isUnreachable).collect(Collectors.toSet());
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
@@ -8,14 +8,17 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
@@ -92,17 +95,7 @@
             json.writeEndArray();
             json.writeArrayFieldStart("limits");
             for (UpstreamLimitReport limit : message.limits()) {
-                json.writeStartArray();
-                json.writeString(limit.upstream().upstream().value());
-                json.writeNumber(limit.upstream().startedAtEpochMillis());
-                json.writeNumber(limit.revision());
-                if (limit.requestsPerSecond().isPresent()) {
-                    json.writeNumber(limit.requestsPerSecond().getAsDouble());
-                } else {
-                    json.writeNull();
-                }
-                json.writeNumber(limit.ageMillis());
-                json.writeEndArray();
+                writeLimit(json, limit);
             }
             json.writeEndArray();
             json.writeArrayFieldStart("uses");
@@ -114,6 +107,11 @@
                 json.writeEndArray();
             }
             json.writeEndArray();
+            json.writeArrayFieldStart("unreachable");
+            for (ServiceId service : message.unreachableServices()) {
+                json.writeString(service.value());
+            }
+            json.writeEndArray();
             json.writeEndObject();
         } catch (IOException e) {
             throw new IllegalStateException("cannot write to a byte array", e);
@@ -121,6 +119,20 @@
         return out.toByteArray();
     }
 
+    private static void writeLimit(JsonGenerator json, UpstreamLimitReport limit) throws IOException {
+        json.writeStartArray();
+        json.writeString(limit.upstream().upstream().value());
+        json.writeNumber(limit.upstream().startedAtEpochMillis());
+        json.writeNumber(limit.revision());
+        if (limit.requestsPerSecond().isPresent()) {
+            json.writeNumber(limit.requestsPerSecond().getAsDouble());
+        } else {
+            json.writeNull();
+        }
+        json.writeNumber(limit.ageMillis());
+        json.writeEndArray();
+    }
+
     private static void writeSuspect(JsonGenerator json, CrashSuspect suspect) throws IOException {
         json.writeString(suspect.kind().name());
         json.writeNumber(suspect.value());
@@ -229,6 +241,8 @@
                         UpstreamId.fromString(use.path(0).asText()),
                         new PromptPart(use.path(1).asLong(), use.path(2).asInt())));
             }
+            Set<ServiceId> unreachable = new HashSet<>();
+            root.path("unreachable").forEach(service -> unreachable.add(ServiceId.fromString(service.asText())));
             return Optional.of(new GossipMessage(
                     InstanceId.fromString(root.path("node").asText()),
                     IncarnationId.fromString(root.path("incarnation").asText()),
@@ -239,7 +253,8 @@
                     readCrashes(root.path("crashes")),
                     readCompletions(root.path("completions")),
                     readLimits(root.path("limits")),
-                    uses));
+                    uses,
+                    unreachable));
         } catch (IOException | IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
@@ -209,6 +209,7 @@
                 crashHistory.reports(recentMillis(), nowMillis),
                 crashHistory.completionReports(recentMillis(), nowMillis),
                 limits.nextReports(nowMillis),
-                uses);
+                uses,
+                reachability.unreachableServices());
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -160,11 +160,13 @@
         this.retries = settings.retries();
         this.eventLoop = runtime.eventLoop();
         this.startedAtMillis = runtime.clock().monotonicMillis();
-        this.upstreamLimits = UpstreamRequestLimits.create(settings.instance());
         this.usage = UsageCounts.create(settings.timing().usageWindowMillis());
         this.directory = UpstreamDirectory.create(
                 this::kvCapacityTokens,
                 Math.round(EXPIRED_ENTRY_GRACE_SHARE * settings.timing().drainMillis()));
+        this.upstreamLimits = UpstreamRequestLimits.create(
+                settings.instance(),
+                id -> directory.find(id).map(upstream -> upstream.entry().service()));
         CrashDetector crashDetector = CrashDetector.create(crashHistory, this::logCrash);
         this.follower = SiteStateFollower.create(
                 new SiteStateFollower.Dependencies(
@@ -393,7 +395,7 @@
         metrics.onCrashSuspects(
                 crashHistory.suspectCount(), crashHistory.refused(now).size());
         metrics.onLimitedUpstreams(upstreamLimits.limitedCount());
-        metrics.onUnreachableServices(reachability.unreachableCount());
+        metrics.onUnreachableServices(reachability.unreachableServices().size());
         metrics.onLivePeers(gossipReceiver.livePeerCount());
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
@@ -504,6 +506,9 @@
         streamOrigins.setNodes(peerAddresses);
         if (follower.isReady()) {
             upstreamLimits.setNodes(peerAddresses.keySet(), now);
+            Map<InstanceId, Set<ServiceId>> unreachable = gossipReceiver.unreachableServices();
+            unreachable.put(settings.instance(), reachability.unreachableServices());
+            upstreamLimits.setUnreachableServices(unreachable, now);
         }
         gossipSender.tick(peerAddresses, gossipReceiver, runtime.clock().epochMillis(), now);
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/limits/LimitedSite.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/limits/LimitedSite.java
@@ -3,10 +3,15 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
+import java.util.Set;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 
 /**
@@ -25,6 +30,7 @@
 
     private static final int PEERS_PER_TICK = 8;
     private static final long RESPONSE_MILLIS = 100;
+    private static final ServiceId SERVICE = ServiceId.fromString("s");
 
     private final Random random;
     private final List<Node> nodes = new ArrayList<>();
@@ -47,16 +53,17 @@
         boolean hasLostLinks;
 
         boolean hasRequests = true;
+        private final Map<InstanceId, Set<ServiceId>> unreachableServices = new HashMap<>();
         private final ArrayDeque<Response> responses = new ArrayDeque<>();
 
         private Node(int number) {
             id = InstanceId.fromString("node-" + number);
-            limits = UpstreamRequestLimits.create(id);
+            limits = UpstreamRequestLimits.create(id, any -> Optional.of(SERVICE));
         }
 
         /** Forgets everything, as a new process does. */
         void restart() {
-            limits = UpstreamRequestLimits.create(id);
+            limits = UpstreamRequestLimits.create(id, any -> Optional.of(SERVICE));
             responses.clear();
         }
 
@@ -71,6 +78,14 @@
             }
         }
 
+        private void setLinks(InstanceId node, boolean areLost) {
+            if (areLost) {
+                unreachableServices.put(node, Set.of(SERVICE));
+            } else {
+                unreachableServices.remove(node);
+            }
+        }
+
         /** Sends one request if it has one and no other is open; half of the nodes do so in a step. */
         private void request() {
             if (hasRequests && !hasLostLinks && responses.isEmpty() && random.nextBoolean() && mayRequest()) {
@@ -91,6 +106,14 @@
                     reports.forEach(report -> recipient.limits.onReport(report, nowMillis));
                 }
             }
+            setLinks(id, hasLostLinks);
+            int ticksPerRound = 1 + (peers.size() - 1) / PEERS_PER_TICK;
+            for (int i = (int) (nowMillis / TICK_MILLIS % ticksPerRound); i < peers.size(); i += ticksPerRound) {
+                if (!peers.get(i).isPaused) {
+                    peers.get(i).setLinks(id, hasLostLinks);
+                }
+            }
+            limits.setUnreachableServices(unreachableServices, nowMillis);
         }
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/limits/UpstreamRequestLimitsTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/limits/UpstreamRequestLimitsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.UpstreamId;
@@ -21,7 +22,8 @@
     private static final OptionalDouble FIVE = OptionalDouble.of(5);
     private static final OptionalDouble NONE = OptionalDouble.empty();
 
-    private final UpstreamRequestLimits limits = UpstreamRequestLimits.create(InstanceId.fromString("n"));
+    private final UpstreamRequestLimits limits =
+            UpstreamRequestLimits.create(InstanceId.fromString("n"), id -> Optional.empty());
 
     private static int allowed(double limitPerSecond) {
         return (int) Math.floor(1.5 * limitPerSecond * LimitedSite.WINDOW_MILLIS / 1_000 + 5);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
@@ -10,6 +10,7 @@
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.ServiceId;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.junit.jupiter.api.Test;
@@ -17,6 +18,7 @@
 class GossipReceiverTest {
     private static final InstanceId NODE = InstanceId.fromString("n1");
     private static final IncarnationId INCARNATION = IncarnationId.fromString("i1");
+    private static final ServiceId SERVICE = ServiceId.fromString("s1");
     private static final String ADDRESS = "127.0.0.1:7";
 
     private final List<UpstreamLimitReport> limits = new ArrayList<>();
@@ -31,7 +33,25 @@
     private static GossipMessage message(
             Map<IncarnationId, Map<Long, Map<AccountId, Long>>> counts, Optional<UsageCollector> collector) {
         return new GossipMessage(
-                NODE, INCARNATION, 1, Map.of(), counts, collector, List.of(), List.of(), List.of(), List.of());
+                NODE,
+                INCARNATION,
+                1,
+                Map.of(),
+                counts,
+                collector,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                Set.of(SERVICE));
+    }
+
+    @Test
+    void servicesThatAPeerDoesNotReachAreKeptAsLongAsItsMessagesArrive() {
+        receiver.onMessage(message(Map.of(), Optional.empty()), ADDRESS, 1);
+        assertEquals(Map.of(NODE, Set.of(SERVICE)), receiver.unreachableServices());
+        receiver.expirePeers(1_000, 1_002);
+        assertEquals(Map.of(), receiver.unreachableServices());
     }
 
     /** Scenario: a node that is isolated from the store learns of a new collector only from its peers. */
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServiceReachabilityTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServiceReachabilityTest.java
@@ -39,7 +39,7 @@
         assertTrue(fail("u0", listedCount));
         assertTrue(reachability.isUnreachable(SERVICE));
         assertFalse(reachability.isUnreachable(OTHER_SERVICE));
-        assertEquals(1, reachability.unreachableCount());
+        assertEquals(1, reachability.unreachableServices().size());
     }
 
     @Test
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
@@ -27,7 +27,8 @@
     final UpstreamDirectory directory = UpstreamDirectory.create(service -> KV_CAPACITY_TOKENS, 1_000);
 
     final LatencyEstimator latency = new LatencyEstimator();
-    final UpstreamRequestLimits limits = UpstreamRequestLimits.create(InstanceId.fromString("self"));
+    final UpstreamRequestLimits limits =
+            UpstreamRequestLimits.create(InstanceId.fromString("self"), id -> Optional.empty());
     final Placer placer = Placer.create(directory, limits, ServingFixture::service, latency, new SplittableRandom(7));
 
     static Optional<ServedService> service(ServiceId id) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
@@ -66,7 +66,8 @@
             "/cactusshift/",
             NEVER_MILLIS);
     private final FakeOrderClient orderClient = new FakeOrderClient();
-    private final UpstreamRequestLimits limits = UpstreamRequestLimits.create(InstanceId.fromString("n1"));
+    private final UpstreamRequestLimits limits =
+            UpstreamRequestLimits.create(InstanceId.fromString("n1"), id -> Optional.empty());
     private final FleetController controller = FleetController.create(
             orderClient,
             store,
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
@@ -8,9 +8,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
+import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
@@ -46,7 +48,8 @@
                                 2,
                                 OptionalDouble.empty(),
                                 40)),
-                List.of(new PromptPartUse(UpstreamId.fromString("u1"), new PromptPart(-1, 13_000))));
+                List.of(new PromptPartUse(UpstreamId.fromString("u1"), new PromptPart(-1, 13_000))),
+                Set.of(ServiceId.fromString("s1"), ServiceId.fromString("s2")));
         assertEquals(
                 message,
                 GossipMessageCodec.decode(GossipMessageCodec.encode(message)).orElseThrow());
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.cactusshift.id.AccountId;
@@ -79,7 +80,7 @@
                     UpstreamDirectory.create(service -> 1, 1),
                     usage,
                     CrashHistory.create(1_000),
-                    UpstreamRequestLimits.create(InstanceId.fromString("n0")),
+                    UpstreamRequestLimits.create(InstanceId.fromString("n0"), id -> Optional.empty()),
                     ServiceReachability.create(service -> Set.of()),
                     250);
             GossipReceiver receiver = receiver(usage);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -55,7 +56,8 @@
                     List.of(),
                     List.of(),
                     List.of(),
-                    partUses);
+                    partUses,
+                    Set.of());
             sender.send(List.of(receiver.address()), message);
             GossipMessage arrived = received.poll(LONGEST_WAIT_SECONDS, TimeUnit.SECONDS);
             assertNotNull(arrived);
