Judge RECOVER in the soak only while a node can serve passed requests

A stopping node refuses new connections, so it can't serve for others. The judge now counts while some node has its links, is in touch and was not told to stop. Its bounds stay.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCallers.java
@@ -98,7 +98,7 @@
         } else {
             site.invariants().onResponse(id, response.status(), nonRepeatable);
         }
-        if (linksLost && node.wasInTouch(sentAtNanos) && site.isAnyNodeWithLinksInTouch(sentAtNanos)) {
+        if (linksLost && node.wasInTouch(sentAtNanos) && site.hasNodeForPassedRequests(sentAtNanos)) {
             site.recoverJudge().onEnded(lostForMillis, response.status() == 200);
         }
         if (path.startsWith("/stream/")) {
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakFaultInjector.java
@@ -157,7 +157,7 @@
                 });
             case TERMINATE ->
                 startSignalFault(fault, node, () -> {
-                    node.process().terminate();
+                    node.terminate();
                     node.restart();
                 });
             case RELOAD_SETTINGS ->
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
@@ -35,6 +35,7 @@
     private long lastInterruptionNanos = System.nanoTime();
     private int newestVisibleRoute;
     private long startedAtNanos;
+    private boolean stopping;
 
     /** When the links to the upstreams were lost; 0 while there are any. */
     private long linksLostAtNanos;
@@ -98,6 +99,15 @@
         incarnation++;
         startedAtNanos = System.nanoTime();
         newestVisibleRoute = 0;
+        stopping = false;
+    }
+
+    /** Stops the process in a planned way. */
+    void terminate() throws IOException {
+        synchronized (this) {
+            stopping = true;
+        }
+        process().terminate();
     }
 
     /** Waits until a terminated or killed process has exited, and starts a new one with the same settings. */
@@ -128,6 +138,11 @@
                 && sentAtNanos - startedAtNanos > TimeUnit.MILLISECONDS.toNanos(INTERRUPTION_GRACE_MILLIS);
     }
 
+    /** Returns whether nodes without links could pass requests to this one, which has its links. */
+    synchronized boolean takesPassedRequests(long sentAtNanos) {
+        return linksLostAtNanos == 0 && !stopping && wasInTouch(sentAtNanos);
+    }
+
     /** Cuts the links to all upstreams: they hang, or are reset. */
     void loseUpstreamLinks(boolean hang) throws IOException {
         synchronized (this) {
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakSite.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakSite.java
@@ -56,9 +56,9 @@
         return nodes.stream().anyMatch(node -> node.linksLostForMillis() > 0);
     }
 
-    /** Returns whether some node that has its links was in touch, so that others can pass requests to it. */
-    boolean isAnyNodeWithLinksInTouch(long nanos) {
-        return nodes.stream().anyMatch(node -> node.linksLostForMillis() == 0 && node.wasInTouch(nanos));
+    /** Returns whether some node could serve a request, sent at the given time, that a node without links passed on. */
+    boolean hasNodeForPassedRequests(long sentAtNanos) {
+        return nodes.stream().anyMatch(node -> node.takesPassedRequests(sentAtNanos));
     }
 
     SiteStore store() {
