Resume a stream of unknown origin only at a version recorded before it began

Cause: a node that nobody could tell the version of a stream took the only version that it had seen for the only one there is, if its view of the store was at most 1.6 s old. So a node that was cut off, or suspended (which stops the monotonic clock, by which the age was measured), went on with a stream of a newer version at the older one. And after a kill of all nodes every stream was refused for 30 s, also while one version served.

Change: a record in the store holds the versions of each service. A node begins resumable streams only at versions that it has read there, any node adds one that an upstream has, and the holder of the usage duty retires one that no upstream has had for 10 s and removes it 60 s later, each write conditional on the revision read. A stream of unknown origin goes on at the sole recorded version, read from the store after the request has arrived, and is refused otherwise. Entries count as current by the wall clock too, and a connection belongs to the process of an entry if it was opened before the read of the entry began, no longer before that read ended.

--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/SiteStore.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/SiteStore.java
@@ -121,6 +121,8 @@
             expireLeases();
             if (path.equals("/-/kv-range")) {
                 return listRange(request.parameter("path_prefix").orElse(""));
+            } else if (path.equals("/-/kv-key")) {
+                return read(request.parameter("key").orElse(""));
             } else if (path.equals("/-/kv-txn")) {
                 return transaction(body);
             } else if (path.equals("/-/kv-lease")) {
@@ -207,6 +209,13 @@
         return StandInResponse.json(StandInResponse.OK, response);
     }
 
+    private StandInResponse read(String key) {
+        Item item = items.get(key);
+        return item == null
+                ? StandInResponse.error(StandInResponse.NOT_FOUND, "not_found")
+                : StandInResponse.json(StandInResponse.OK, toJson(item).put("current_rev", revision));
+    }
+
     private StandInResponse transaction(JsonNode body) {
         ArrayNode found = json.createArrayNode();
         boolean conditionMet = true;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PlacementQuery.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PlacementQuery.java
@@ -1,7 +1,7 @@
 package org.cactusshift.internal.coordination.serving;
 
-import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
@@ -12,12 +12,12 @@
  * @param request the request
  * @param localDomain the failure domain of this node
  * @param excluded the upstreams that must not be chosen, such as those already tried for this request
- * @param softwareVersion the version to which the choice is restricted, empty when any will do
+ * @param softwareVersions the software versions among which is chosen
  * @param maySplitPrefill whether prefill and decode may run on different engines
  */
 public record PlacementQuery(
         ServingRequest request,
         FailureDomainId localDomain,
         Set<UpstreamId> excluded,
-        Optional<SoftwareVersion> softwareVersion,
+        Predicate<SoftwareVersion> softwareVersions,
         boolean maySplitPrefill) {}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -163,9 +163,7 @@
     private List<Upstream> accepting(PlacementQuery query) {
         List<Upstream> accepting = directory.acceptingWork(query.request().service());
         accepting.removeIf(upstream -> query.excluded().contains(upstream.id())
-                || query.softwareVersion()
-                        .filter(version -> !version.equals(upstream.entry().softwareVersion()))
-                        .isPresent());
+                || !query.softwareVersions().test(upstream.entry().softwareVersion()));
         return accepting;
     }
 
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StreamVersionPlanner.java
@@ -0,0 +1,139 @@
+package org.cactusshift.internal.coordination.serving;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusshift.id.ServiceId;
+import org.cactusshift.id.SoftwareVersion;
+
+/**
+ * Decides what a node writes to the record of {@link StreamVersions}, so that the record holds every version at which a
+ * stream that may still be taken up can have begun.
+ *
+ * <p>A node begins streams only at versions that it has read as serving, so a version is recorded before its first
+ * stream. Any node records a version that an upstream has. One node, which holds a duty for that, retires a version
+ * that no upstream has had for a while and removes it after {@link #RETENTION_MILLIS}, unless a node has recorded it
+ * again: each write is conditional on the revision that was read.
+ *
+ * <p>Not thread-safe.
+ */
+public final class StreamVersionPlanner {
+    /**
+     * How long a retired version stays recorded: longer than an upstream goes on serving after its entry is gone, and a
+     * caller then takes up its stream.
+     */
+    public static final long RETENTION_MILLIS = 60_000;
+
+    /** How long no upstream has a version before it is retired, as entries that expired by mistake return. */
+    public static final long UNLISTED_MILLIS = 10_000;
+
+    private StreamVersions recorded = StreamVersions.NONE;
+
+    /** The revision of the record, 0 while none is known. */
+    private long revision;
+
+    private final Map<ServiceVersion, Long> unlistedSinceMillis = new HashMap<>();
+    private final Map<ServiceVersion, Long> retiredSinceMillis = new HashMap<>();
+
+    private record ServiceVersion(ServiceId service, SoftwareVersion version) {}
+
+    private StreamVersionPlanner() {}
+
+    /**
+     * Returns a planner that knows no record.
+     *
+     * @return the planner
+     */
+    public static StreamVersionPlanner create() {
+        return new StreamVersionPlanner();
+    }
+
+    /**
+     * Receives the record as read from the store or written there; an older one is ignored.
+     *
+     * @param versions the record
+     * @param recordRevision its revision
+     */
+    public void onRecorded(StreamVersions versions, long recordRevision) {
+        if (recordRevision > revision) {
+            recorded = versions;
+            revision = recordRevision;
+        }
+    }
+
+    /**
+     * Returns the newest record that was read or written.
+     *
+     * @return the record
+     */
+    public StreamVersions recorded() {
+        return recorded;
+    }
+
+    /**
+     * Returns the revision of the newest record.
+     *
+     * @return the revision, 0 while none is known
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns the record that this node should write in place of the newest one.
+     *
+     * @param listed the versions that upstreams have, by service
+     * @param retires whether this node retires versions
+     * @param nowMillis the current monotonic time, in milliseconds
+     * @return the record, empty when the newest one may stay
+     */
+    public Optional<StreamVersions> next(Map<ServiceId, Set<SoftwareVersion>> listed, boolean retires, long nowMillis) {
+        StreamVersions next = recorded;
+        for (Map.Entry<ServiceId, Set<SoftwareVersion>> service : listed.entrySet()) {
+            for (SoftwareVersion version : service.getValue()) {
+                if (!recorded.mayBegin(service.getKey(), version)) {
+                    next = next.with(service.getKey(), version, Optional.of(StreamVersions.Use.SERVING));
+                }
+            }
+        }
+        if (retires) {
+            next = retireUnlisted(next, listed, nowMillis);
+        } else {
+            unlistedSinceMillis.clear();
+            retiredSinceMillis.clear();
+        }
+        return next.equals(recorded) ? Optional.empty() : Optional.of(next);
+    }
+
+    private StreamVersions retireUnlisted(
+            StreamVersions versions, Map<ServiceId, Set<SoftwareVersion>> listed, long nowMillis) {
+        StreamVersions next = versions;
+        Set<ServiceVersion> unlisted = new HashSet<>();
+        Set<ServiceVersion> retired = new HashSet<>();
+        for (ServiceId service : versions.usesByService().keySet()) {
+            Set<SoftwareVersion> listedVersions = listed.getOrDefault(service, Set.of());
+            for (Map.Entry<SoftwareVersion, StreamVersions.Use> use :
+                    versions.of(service).entrySet()) {
+                ServiceVersion key = new ServiceVersion(service, use.getKey());
+                // Without any upstream nothing is gained by forgetting the versions of the last ones.
+                if (listedVersions.isEmpty() || listedVersions.contains(use.getKey())) {
+                    continue;
+                }
+                unlisted.add(key);
+                if (use.getValue() == StreamVersions.Use.RETIRED) {
+                    retired.add(key);
+                    if (nowMillis - retiredSinceMillis.computeIfAbsent(key, first -> nowMillis) > RETENTION_MILLIS) {
+                        next = next.with(service, use.getKey(), Optional.empty());
+                    }
+                } else if (nowMillis - unlistedSinceMillis.computeIfAbsent(key, first -> nowMillis) > UNLISTED_MILLIS) {
+                    next = next.with(service, use.getKey(), Optional.of(StreamVersions.Use.RETIRED));
+                }
+            }
+        }
+        unlistedSinceMillis.keySet().retainAll(unlisted);
+        retiredSinceMillis.keySet().retainAll(retired);
+        return next;
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
@@ -25,9 +25,6 @@
     private final Map<UpstreamId, Upstream> upstreamById = new HashMap<>();
     private final Map<UpstreamId, Long> graceEndMillisById = new HashMap<>();
 
-    /** All versions that were ever listed. */
-    private final Map<ServiceId, Set<SoftwareVersion>> versionsByService = new HashMap<>();
-
     private final ToLongFunction<ServiceId> kvCapacityTokens;
     private final long graceMillis;
 
@@ -55,9 +52,6 @@
      */
     public Optional<Upstream> put(UpstreamEntry entry) {
         graceEndMillisById.remove(entry.id());
-        versionsByService
-                .computeIfAbsent(entry.service(), service -> new HashSet<>())
-                .add(entry.softwareVersion());
         Upstream known = upstreamById.get(entry.id());
         if (known != null && isSameIncarnation(known.entry(), entry)) {
             known.update(entry);
@@ -192,13 +186,17 @@
     }
 
     /**
-     * Returns the software versions that upstreams of a service have or had since this node started.
+     * Returns the software versions that upstreams have, leaving ones included.
      *
-     * @param service the service
-     * @return a live view of the versions; it must not be modified
+     * @return the versions by service
      */
-    public Set<SoftwareVersion> versions(ServiceId service) {
-        return versionsByService.getOrDefault(service, Set.of());
+    public Map<ServiceId, Set<SoftwareVersion>> versions() {
+        Map<ServiceId, Set<SoftwareVersion>> versions = new HashMap<>();
+        for (Upstream upstream : upstreamById.values()) {
+            versions.computeIfAbsent(upstream.entry().service(), service -> new HashSet<>())
+                    .add(upstream.entry().softwareVersion());
+        }
+        return versions;
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/AsyncKeyValueStore.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/AsyncKeyValueStore.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.cactusshift.errors.Failure;
 
@@ -32,6 +33,14 @@
      */
     void list(String prefix, Consumer<Either<Failure, RangeResult>> receiver);
 
+    /**
+     * Reads one key as it is at some moment during the call, never an older value.
+     *
+     * @param key the key
+     * @param receiver receives the value, empty when the key is absent
+     */
+    void get(String key, Consumer<Either<Failure, Optional<VersionedValue>>> receiver);
+
     /**
      * Writes a key if its mod revision is the expected one, and removes other keys, whatever their revisions, in the
      * same transaction.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -1,14 +1,12 @@
 package org.cactusshift.internal.transport.relay;
 
 import io.netty.channel.EventLoop;
-import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.ServiceId;
-import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
@@ -37,7 +35,8 @@
  * @param upstreamCheck finds out whether an upstream at which an attempt was lost is down
  * @param upstreamLimits the request limits that upstreams state
  * @param streamOrigins tells other nodes which software version began a stream, and asks them
- * @param versions what is known about the software versions of upstreams
+ * @param streamVersions the software versions at which streams can have begun
+ * @param upstreamEntries how recent the entries of the upstreams are
  * @param usageCounter counts started requests of client accounts
  * @param promptPartUseListener receives each use of a long prompt part at an engine, to be advertised to the peers
  * @param nodeCount supplies the number of live nodes of the site
@@ -62,7 +61,8 @@
         UpstreamCheck upstreamCheck,
         UpstreamRequestLimits upstreamLimits,
         StreamOriginExchange streamOrigins,
-        VersionView versions,
+        StreamVersionRepository streamVersions,
+        EntryAge upstreamEntries,
         UsageCounter usageCounter,
         Consumer<PromptPartUse> promptPartUseListener,
         IntSupplier nodeCount,
@@ -81,29 +81,21 @@
         WindowedRetryBudget of(ServiceId service);
     }
 
-    /** What this node knows about the software versions of upstreams. */
-    public interface VersionView {
+    /** How recent the entries of upstreams are that this node has read from the store. */
+    public interface EntryAge {
         /**
-         * Returns the version of all upstreams of a service, if no stream can have begun at another one.
-         *
-         * @param service the service
-         * @return the version, empty when there were others or may have been
-         */
-        Optional<SoftwareVersion> sole(ServiceId service);
-
-        /**
-         * Returns whether the entries of the upstreams were read recently.
+         * Returns whether the entries were read recently.
          *
          * @return whether they are current
          */
         boolean isCurrent();
 
         /**
-         * Returns when the entries of the upstreams were last known to be current.
+         * Returns a time from which on the entries were read.
          *
-         * @return the monotonic time, in milliseconds
+         * @return the monotonic time, in milliseconds, at which the last successful read was started
          */
-        long readAtMillis();
+        long readSinceMillis();
     }
 
     /** Counts started requests for the usage reports. */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -114,16 +114,14 @@
         log.taken(origin, remaining, resumedRequest);
         if (stream.lastEventId().isEmpty()) {
             placeAndSend();
-        } else if (resumedRequest.isPresent()) {
-            context.streamOrigins().find(resumedRequest.get(), this::onOriginFound);
         } else {
-            onOriginFound(Optional.empty());
+            StreamVersionRule.findOrigin(context, request, resumedRequest, this::resumeAt);
         }
     }
 
     /** Goes on with a stream that the caller takes up again, at the software version that began it. */
-    private void onOriginFound(Optional<SoftwareVersion> version) {
-        stream.onBegun(version.or(() -> context.versions().sole(request.service())));
+    private void resumeAt(Optional<SoftwareVersion> version) {
+        stream.onBegun(version);
         if (stream.isOfUnknownVersion() && !isEnded()) {
             endWithoutSuccess("the software version that began the stream is not known");
         } else {
@@ -240,7 +238,7 @@
                 request,
                 context.domain(),
                 excludedUpstreams,
-                stream.version(),
+                StreamVersionRule.allowedVersions(context, request, stream),
                 prefillAttempts < MAXIMUM_PREFILL_ATTEMPTS);
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -22,7 +22,6 @@
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.SiteId;
-import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
@@ -40,7 +39,6 @@
 import org.cactusshift.internal.coordination.serving.ServiceReachability;
 import org.cactusshift.internal.coordination.serving.ServingConfig;
 import org.cactusshift.internal.coordination.serving.SiteClock;
-import org.cactusshift.internal.coordination.serving.StreamOrigins;
 import org.cactusshift.internal.coordination.serving.Upstream;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.cactusshift.internal.coordination.serving.UsageCollector;
@@ -87,6 +85,7 @@
 
     private static final String USAGE_PREFIX = NODE_KEY_PREFIX + "usage/";
     private static final String PLAN_KEY = NODE_KEY_PREFIX + "fleet";
+    private static final String STREAM_VERSIONS_KEY = NODE_KEY_PREFIX + "streamVersions";
 
     /**
      * Limits for requests that peers pass on: these carry headers of their own, and the body was within the limits of
@@ -121,6 +120,7 @@
     private final GossipReceiver gossipReceiver;
     private final PeerDatagramChannel gossipChannel;
     private final StreamOriginExchange streamOrigins;
+    private final StreamVersionRepository streamVersions;
     private final NodeRegistration registration;
     private final DutyDriver dutyDriver;
     private final Optional<UsageReportDriver> usageReportDriver;
@@ -168,22 +168,13 @@
                 settings.instance(),
                 id -> directory.find(id).map(upstream -> upstream.entry().service()));
         CrashDetector crashDetector = CrashDetector.create(crashHistory, this::logCrash);
-        this.follower = SiteStateFollower.create(
-                new SiteStateFollower.Dependencies(
-                        protocol.store(),
-                        protocol.decoder(),
-                        directory,
-                        crashDetector,
-                        eventLoop,
-                        runtime.clock(),
-                        runtime.log(),
-                        metrics),
-                NODE_KEY_PREFIX,
-                Math.min(settings.timing().configMillis(), settings.timing().drainMillis()));
+        this.follower = createFollower(protocol, crashDetector);
         this.gossipReceiver = GossipReceiver.create(directory, siteClock, usage, crashHistory, this::onLimitReport);
         this.gossipChannel = PeerDatagramChannel.create(runtime.group(), runtime.log());
         this.streamOrigins =
                 StreamOriginExchange.create(settings.instance(), gossipChannel, eventLoop, runtime.clock());
+        this.streamVersions =
+                StreamVersionRepository.create(STREAM_VERSIONS_KEY, protocol.store(), follower, runtime.log());
         DutyHolder self = new DutyHolder(settings.instance(), incarnation, addressText(settings.peerAddress()), 0);
         PeerToken peerToken = PeerToken.random(new SecureRandom());
         this.registration = NodeRegistration.create(
@@ -247,6 +238,21 @@
         return new ServingNode(runtime, settings, protocol);
     }
 
+    private SiteStateFollower createFollower(Protocol protocol, CrashDetector crashDetector) {
+        return SiteStateFollower.create(
+                new SiteStateFollower.Dependencies(
+                        protocol.store(),
+                        protocol.decoder(),
+                        directory,
+                        crashDetector,
+                        eventLoop,
+                        runtime.clock(),
+                        runtime.log(),
+                        metrics),
+                NODE_KEY_PREFIX,
+                Math.min(settings.timing().configMillis(), settings.timing().drainMillis()));
+    }
+
     private Set<UpstreamId> acceptingUpstreams(ServiceId service) {
         return directory.acceptingWork(service).stream().map(Upstream::id).collect(Collectors.toSet());
     }
@@ -273,7 +279,8 @@
                 upstreamCheck,
                 upstreamLimits,
                 streamOrigins,
-                versionView(),
+                streamVersions,
+                entryAge(),
                 account -> usage.add(account, siteEpochMillis()),
                 use -> gossipSender.onUse(use, runtime.clock().monotonicMillis()),
                 this::nodeCount,
@@ -283,31 +290,29 @@
                 random);
     }
 
-    private RelayContext.VersionView versionView() {
-        return new RelayContext.VersionView() {
-            @Override
-            public Optional<SoftwareVersion> sole(ServiceId service) {
-                Set<SoftwareVersion> versions = directory.versions(service);
-                long now = runtime.clock().monotonicMillis();
-                boolean knowsAll = now - startedAtMillis > StreamOrigins.RETENTION_MILLIS
-                        || versions.equals(Set.of(SoftwareVersion.UNSTATED));
-                return isCurrent() && knowsAll && versions.size() == 1
-                        ? Optional.of(versions.iterator().next())
-                        : Optional.empty();
-            }
-
+    private RelayContext.EntryAge entryAge() {
+        return new RelayContext.EntryAge() {
             @Override
             public boolean isCurrent() {
-                return follower.isCurrent(runtime.clock().monotonicMillis());
+                return follower.isCurrent(
+                        runtime.clock().monotonicMillis(), runtime.clock().epochMillis());
             }
 
             @Override
-            public long readAtMillis() {
-                return follower.lastResponseAtMillis();
+            public long readSinceMillis() {
+                return follower.readSinceMillis();
             }
         };
     }
 
+    /** Records the software versions of the upstreams that were read before streams begin at them. */
+    private void recordStreamVersions() {
+        streamVersions.update(
+                directory.versions(),
+                dutyDriver.authority(usageDuty).isPresent(),
+                runtime.clock().monotonicMillis());
+    }
+
     private void logCrash(CrashDetector.LostAttempt attempt) {
         long now = runtime.clock().monotonicMillis();
         runtime.log()
@@ -424,6 +429,7 @@
                         message, addressText(sender), runtime.clock().monotonicMillis()),
                 streamOrigins::onMessage);
         eventLoop.execute(() -> {
+            follower.setReadListener(this::recordStreamVersions);
             follower.start();
             eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         });
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -75,12 +75,18 @@
     private boolean hasListedOnce;
     private boolean storeUnavailable;
 
-    /** When the last read succeeded, or when following was started. */
+    /** When the last read succeeded, or when following was started, by the monotonic and the wall clock. */
     private long lastResponseAtMillis;
 
+    private long lastResponseEpochMillis;
+
+    /** When the last read that succeeded was started. */
+    private long lastReadStartedAtMillis = Long.MIN_VALUE;
+
     private long recoveredAtMillis = Long.MIN_VALUE / 2;
     private boolean stopped;
     private long nodeValuesVersion;
+    private Runnable readListener = () -> {};
 
     private SiteStateFollower(Dependencies dependencies, String nodeKeyPrefix, long delayLimitMillis) {
         this.readPeriodMillis = readPeriodMillis(delayLimitMillis);
@@ -150,9 +156,19 @@
         return Math.round(LONG_POLL_SHARE * delayLimitMillis);
     }
 
+    /**
+     * Sets the listener that is called after each read that succeeded.
+     *
+     * @param listener the listener
+     */
+    public void setReadListener(Runnable listener) {
+        readListener = listener;
+    }
+
     /** Starts following. */
     public void start() {
         lastResponseAtMillis = clock.monotonicMillis();
+        lastResponseEpochMillis = clock.epochMillis();
         read();
     }
 
@@ -189,23 +205,26 @@
     }
 
     /**
-     * Returns whether this node knows the state of the site as it was a short time ago.
+     * Returns whether this node knows the state of the site as it was a short time ago. The monotonic clock stops while
+     * the machine is suspended, so the time must be short by the wall clock too.
      *
      * @param nowMillis the current monotonic time, in milliseconds
+     * @param epochMillis the wall-clock time
      * @return whether a read of the store succeeded within the time of about two reads
      */
-    public boolean isCurrent(long nowMillis) {
+    public boolean isCurrent(long nowMillis, long epochMillis) {
         long maximumAgeMillis = Math.max(UNAVAILABLE_AFTER_MILLIS, CURRENT_READS * (readPeriodMillis + longPollMillis));
-        return nowMillis - lastResponseAtMillis <= maximumAgeMillis;
+        return nowMillis - lastResponseAtMillis <= maximumAgeMillis
+                && Math.abs(epochMillis - lastResponseEpochMillis) <= maximumAgeMillis;
     }
 
     /**
-     * Returns when the last read of the store succeeded.
+     * Returns a time from which on the state was read.
      *
-     * @return the monotonic time, in milliseconds
+     * @return the monotonic time, in milliseconds, at which the last successful read was started
      */
-    public long lastResponseAtMillis() {
-        return lastResponseAtMillis;
+    public long readSinceMillis() {
+        return lastReadStartedAtMillis;
     }
 
     /**
@@ -250,7 +269,7 @@
             scheduleRead(startedAtMillis, RETRY_MILLIS);
             return;
         }
-        onReadSucceeded();
+        onReadSucceeded(startedAtMillis);
         long now = clock.monotonicMillis();
         List<UpstreamEntry> entries = new ArrayList<>();
         nodeValueByKey.clear();
@@ -270,6 +289,7 @@
                 .write();
         canFollowChanges = true;
         hasListedOnce = true;
+        readListener.run();
         scheduleRead(startedAtMillis, readPeriodMillis);
     }
 
@@ -287,9 +307,10 @@
             scheduleRead(startedAtMillis, RETRY_MILLIS);
             return;
         }
-        onReadSucceeded();
+        onReadSucceeded(startedAtMillis);
         changes.get().changes().forEach(this::onChange);
         revision = Math.max(revision, changes.get().revision());
+        readListener.run();
         scheduleRead(startedAtMillis, readPeriodMillis);
     }
 
@@ -300,7 +321,7 @@
         }
     }
 
-    private void onReadSucceeded() {
+    private void onReadSucceeded(long startedAtMillis) {
         long now = clock.monotonicMillis();
         if (storeUnavailable) {
             storeUnavailable = false;
@@ -310,6 +331,8 @@
                     .write();
         }
         lastResponseAtMillis = now;
+        lastResponseEpochMillis = clock.epochMillis();
+        lastReadStartedAtMillis = startedAtMillis;
     }
 
     private boolean wasRecentlyUnavailable(long now) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -257,8 +257,8 @@
      * recently, or after the connection was opened.
      */
     private boolean isVersionCertain(HttpClientConnection candidate) {
-        return context().versions().isCurrent()
-                || candidate.openedAtMillis() <= context().versions().readAtMillis();
+        return context().upstreamEntries().isCurrent()
+                || candidate.openedAtMillis() < context().upstreamEntries().readSinceMillis();
     }
 
     private void scheduleProgressCheck(long delayMillis) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
@@ -109,6 +109,6 @@
 
     Optional<Placement> place(ServingRequest request, Set<UpstreamId> excluded, long nowMillis) {
         // Prefill and decode may run on different engines.
-        return placer.place(new PlacementQuery(request, LOCAL_DOMAIN, excluded, Optional.empty(), true), nowMillis);
+        return placer.place(new PlacementQuery(request, LOCAL_DOMAIN, excluded, version -> true, true), nowMillis);
     }
 }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
@@ -40,6 +40,11 @@
         receiver.accept(Either.right(new RangeResult(revision, List.of(config))));
     }
 
+    @Override
+    public void get(String key, Consumer<Either<Failure, Optional<VersionedValue>>> receiver) {
+        receiver.accept(Either.right(Optional.ofNullable(values.get(key))));
+    }
+
     @Override
     public void compareAndSwap(Write write, Consumer<Either<Failure, SwapResult>> receiver) {
         revision++;
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
@@ -24,6 +24,19 @@
     @ParameterizedTest
     @CsvSource({"2000, 1600, true", "2000, 1700, false", "11000, 8800, true", "11000, 8900, false", "100, 1500, true"})
     void stateIsCurrentForTheTimeOfTwoReads(long delayLimitMillis, long ageMillis, boolean current) {
+        SiteStateFollower follower = followerThatReadOnce(delayLimitMillis);
+        assertEquals(current, follower.isCurrent(clock.monotonicMillis + ageMillis, clock.epochMillis + ageMillis));
+    }
+
+    /** Guards against a state that counts as current although the machine was suspended since it was read. */
+    @ParameterizedTest
+    @CsvSource({"0, true", "1600, true", "1700, false", "5000, false", "-5000, false"})
+    void stateIsOutdatedAfterASuspension(long suspendedMillis, boolean current) {
+        SiteStateFollower follower = followerThatReadOnce(2_000);
+        assertEquals(current, follower.isCurrent(clock.monotonicMillis, clock.epochMillis + suspendedMillis));
+    }
+
+    private SiteStateFollower followerThatReadOnce(long delayLimitMillis) {
         SiteStateFollower follower = SiteStateFollower.create(
                 new SiteStateFollower.Dependencies(
                         new FakeStore(),
@@ -36,9 +49,8 @@
                         new RelayMetrics()),
                 "/cactusshift/",
                 delayLimitMillis);
-        // Reads the store once only.
         follower.start();
         follower.stop();
-        assertEquals(current, follower.isCurrent(clock.monotonicMillis + ageMillis));
+        return follower;
     }
 }
