Pass a request on when its only upstream could not be reached

Cause: a node passes a request to a peer after two upstreams were not reached. One for which a single upstream is left, such as a stream that is taken up at its version, was refused after the first one, until the loss of the links was known.

Change: a request for which no upstream is left to try is passed to a peer if one was not reached.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerPass.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerPass.java
@@ -39,6 +39,14 @@
         return !origin.isPeer() && (serviceUnreachable || unreachedUpstreams >= MINIMUM_UNREACHED_UPSTREAMS);
     }
 
+    /**
+     * Returns whether the request, for which no upstream is left to try, is better passed on than refused: an upstream
+     * that was not reached may be reached by a peer.
+     */
+    boolean isDueWithoutUpstream() {
+        return !origin.isPeer() && unreachedUpstreams > 0;
+    }
+
     /**
      * Passes the request to a peer, if one is left; returns whether it did.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -188,7 +188,9 @@
         }
         Optional<Placement> found = place(now);
         if (found.isEmpty()) {
-            waitForUpstream(now);
+            if (!peerPass.isDueWithoutUpstream() || !passToPeer()) {
+                waitForUpstream(now);
+            }
             return;
         }
         Placement placement = found.get();
