--- a/org.cactusshift/src/main/java/org/cactusshift/id/Identifiers.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/Identifiers.java
@@ -14,13 +14,15 @@
         if (value.length() > MAXIMUM_LENGTH_CHARS) {
             throw new IllegalArgumentException(kind + " is longer than " + MAXIMUM_LENGTH_CHARS + " characters");
         }
-        if (!value.chars().allMatch(Identifiers::isAllowed)) {
-            throw new IllegalArgumentException(
-                    kind + " has a character other than letters, digits, '.', '_', ':', '-'");
+        for (int i = 0; i < value.length(); i++) {
+            if (!isAllowed(value.charAt(i))) {
+                throw new IllegalArgumentException(
+                        kind + " has a character other than letters, digits, '.', '_', ':', '-'");
+            }
         }
     }
 
-    private static boolean isAllowed(int c) {
+    private static boolean isAllowed(char c) {
         return (c >= 'a' && c <= 'z')
                 || (c >= 'A' && c <= 'Z')
                 || (c >= '0' && c <= '9')
--- a/org.cactusshift/src/main/java/org/cactusshift/id/InstanceId.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/InstanceId.java
@@ -27,6 +27,17 @@
         return value.compareTo(other.value);
     }
 
+    // The methods that are generated for a record are linked at run time, which is slow at the start of a node.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof InstanceId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/org.cactusshift/src/main/java/org/cactusshift/id/SoftwareVersion.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/id/SoftwareVersion.java
@@ -30,6 +30,17 @@
         return new SoftwareVersion(value);
     }
 
+    // The methods that are generated for a record are linked at run time, which is slow at the start of a node.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof SoftwareVersion that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyId.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyId.java
@@ -131,4 +131,14 @@
     public String toString() {
         return kind.pathSegment() + "/" + shard;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof DutyId that && kind == that.kind && shard.equals(that.shard);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * kind.hashCode() + shard.hashCode();
+    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/limits/UpstreamIncarnation.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/limits/UpstreamIncarnation.java
@@ -8,4 +8,16 @@
  * @param upstream the upstream
  * @param startedAtEpochMillis when it started, 0 when not published
  */
-public record UpstreamIncarnation(UpstreamId upstream, long startedAtEpochMillis) {}
+public record UpstreamIncarnation(UpstreamId upstream, long startedAtEpochMillis) {
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof UpstreamIncarnation that
+                && upstream.equals(that.upstream)
+                && startedAtEpochMillis == that.startedAtEpochMillis;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * upstream.hashCode() + Long.hashCode(startedAtEpochMillis);
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashSuspect.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quarantine/CrashSuspect.java
@@ -68,4 +68,14 @@
     public String toString() {
         return kind + ":" + Long.toHexString(value);
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof CrashSuspect that && kind == that.kind && value == that.value;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * kind.hashCode() + Long.hashCode(value);
+    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PromptPart.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PromptPart.java
@@ -6,4 +6,14 @@
  * @param id identifies the content
  * @param tokens the number of tokens
  */
-public record PromptPart(long id, int tokens) {}
+public record PromptPart(long id, int tokens) {
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof PromptPart that && id == that.id && tokens == that.tokens;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(id) + tokens;
+    }
+}
