Report windows that were sealed before all nodes were lost

Cause: on 95 nodes a node sent its usage counts once a round of messages, each 3 s, so a window was sealed 4 s after its end; whatever was not sealed when all nodes lost power was never reported. A window that was sealed, but not yet sent, was not reported either, as a new holder left out all windows before its own start.

Change: counts are sent every 0.5 s up to 50 nodes and every second on 95, at most 25 messages a tick to a recipient.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
@@ -33,10 +33,14 @@
     /** Maximum number of peers that get a message in one tick; with more peers a round takes several ticks. */
     private static final int MAXIMUM_PEERS_PER_TICK = 8;
 
+    /** Minimum period of the messages with usage counts, in ticks. */
+    private static final int MINIMUM_USAGE_PERIOD_TICKS = 2;
+
     /**
-     * Minimum period of the messages with usage counts, in ticks; when a round is longer, they are sent once a round.
+     * Maximum number of messages with usage counts that a recipient gets in one tick; with more nodes, each sends them
+     * less often.
      */
-    private static final int MINIMUM_USAGE_PERIOD_TICKS = 2;
+    private static final int MAXIMUM_USAGE_MESSAGES_PER_TICK = 25;
 
     /**
      * Number of nodes that receive the usage counts besides the holder of the usage duty, so that the counts survive
@@ -162,7 +166,12 @@
     }
 
     private int usagePeriodTicks() {
-        return Math.max(MINIMUM_USAGE_PERIOD_TICKS, ticksPerRound());
+        return usagePeriodTicks(peerAddressByNode.size());
+    }
+
+    /** Returns the number of ticks between two messages with usage counts of a node, among a number of nodes. */
+    static int usagePeriodTicks(int nodes) {
+        return Math.max(MINIMUM_USAGE_PERIOD_TICKS, 1 + (nodes - 1) / MAXIMUM_USAGE_MESSAGES_PER_TICK);
     }
 
     private long recentMillis() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportDriver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportDriver.java
@@ -42,7 +42,7 @@
     private final EventLog log;
     private final Set<Long> reportedWindows = new HashSet<>();
 
-    /** The window of the first tick; this node does not report earlier ones. */
+    /** The window of the first tick; of earlier ones this node reports only those that another one has sealed. */
     private long oldestOwnWindow = Long.MIN_VALUE;
 
     private boolean callPending;
@@ -117,9 +117,11 @@
                 || authority.get().fencingNumber() == supersededFencingNumber) {
             return;
         }
-        long oldest = Math.max(oldestOwnWindow, current - RETAINED_WINDOWS);
-        for (long window = oldest; window < current; window++) {
-            if (!reportedWindows.contains(window)
+        for (long window = current - RETAINED_WINDOWS; window < current; window++) {
+            boolean isKnown =
+                    window >= oldestOwnWindow || follower.nodeValueByKey().containsKey(key(window));
+            if (isKnown
+                    && !reportedWindows.contains(window)
                     && epochMillis >= counts.endEpochMillis(window) + usagePeriodMillis + TRANSIT_MILLIS) {
                 sealAndSend(window, authority.get());
                 return;
