Let one node of each failure domain read the store for the others

Cause: each node read the changes of the store for itself.

Change: the nodes of a failure domain, ordered by rendezvous hashing, read one for the others and tell them by datagram what has changed, from which revision on. What is told counts like a read if it begins at a revision that the node knows; otherwise, or if nothing is told for 0.3 to 0.4 of the bound, the node reads itself. The bound on the delay of a change stays. Nodes of the soak have failure domains of their own, as each sees other addresses of the upstreams.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakNode.java
@@ -66,11 +66,12 @@
         TcpRelay storeRelay = TcpRelay.start(storeView.address());
         TcpRelay platformRelay = TcpRelay.start(usageAddress);
         Path settings = directory.resolve(name + ".json");
+        // Each node sees other addresses of the upstreams, so it must not share its reads with others of its domain.
         Files.writeString(settings, """
-            {"instance": "%s", "failureDomain": "a",
-             "listen": {"callers": "%s", "readiness": "%s",
-                        "peers": "%s", "metrics": "%s"},
-             "keyValueService": "%s", "platformService": "%s",
+            {"instance": "%1$s", "failureDomain": "%1$s",
+             "listen": {"callers": "%2$s", "readiness": "%3$s",
+                        "peers": "%4$s", "metrics": "%5$s"},
+             "keyValueService": "%6$s", "platformService": "%7$s",
              "retries": {"ratio": 0.2, "extra": 56, "windowSeconds": 10},
              "timing": {"leaseMillis": 3000, "usageWindowSeconds": 5, "configMillis": 2000,
                         "drainMillis": 2000, "graceSeconds": 8}}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PeerEndpoint.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/PeerEndpoint.java
@@ -2,26 +2,29 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.InstanceId;
 
 /**
- * Where a node takes requests that its peers pass on, as it wrote it to the store.
+ * Where a node takes messages of its peers and requests that they pass on, as it wrote it to the store.
  *
  * @param node the node
+ * @param domain its failure domain
  * @param address the address, as {@code ADDRESS:PORT}
  * @param token the token that the node expects
  */
-public record PeerEndpoint(InstanceId node, String address, PeerToken token) {
+public record PeerEndpoint(InstanceId node, FailureDomainId domain, String address, PeerToken token) {
     private static final String SEPARATOR = " ";
-    private static final int PART_COUNT = 3;
+    private static final int PART_COUNT = 4;
 
     /**
-     * Encodes the endpoint as the value of a key: the components as UTF-8 text, in order, separated by a space.
+     * Encodes the endpoint as the value of a key: node, address, token and domain as UTF-8 text, separated by a space.
      *
      * @return the bytes
      */
     public byte[] toBytes() {
-        return String.join(SEPARATOR, node.value(), address, token.value()).getBytes(StandardCharsets.UTF_8);
+        return String.join(SEPARATOR, node.value(), address, token.value(), domain.value())
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     /**
@@ -36,7 +39,11 @@
             return Optional.empty();
         }
         try {
-            return Optional.of(new PeerEndpoint(InstanceId.fromString(parts[0]), parts[1], new PeerToken(parts[2])));
+            return Optional.of(new PeerEndpoint(
+                    InstanceId.fromString(parts[0]),
+                    FailureDomainId.fromString(parts[3]),
+                    parts[1],
+                    new PeerToken(parts[2])));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/RecentChanges.java
@@ -0,0 +1,77 @@
+package org.cactusshift.internal.coordination.serving;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.cactusshift.internal.coordination.store.KeyChange;
+
+/**
+ * Retains the changes of the last few reads of the store, so that a node which missed the message about one of them can
+ * use the next message.
+ *
+ * <p>Not thread-safe.
+ */
+public final class RecentChanges {
+    /** The number of reads whose changes are sent: one lost message in a row does no harm. */
+    private static final int RETAINED_READS = 3;
+
+    /** The maximum length of the values in a message, in bytes; it has to fit into a datagram in base64 encoding. */
+    private static final int MAXIMUM_VALUE_BYTES = 16_384;
+
+    private final ArrayDeque<Read> reads = new ArrayDeque<>();
+
+    /** The revision up to which the last read went. */
+    private long lastRevision;
+
+    private record Read(long fromRevision, List<KeyChange> changes, int valueBytes) {}
+
+    private RecentChanges() {}
+
+    /**
+     * Returns a memory without reads.
+     *
+     * @return the memory
+     */
+    public static RecentChanges create() {
+        return new RecentChanges();
+    }
+
+    /** Forgets the changes, as those that led to the state which was read anew are not known. */
+    public void clear() {
+        reads.clear();
+    }
+
+    /**
+     * Records a read and returns what nodes are to be told of it. Earlier reads are forgotten if this one does not go
+     * on where the last one ended, as changes in between came from another node.
+     *
+     * @param fromRevision the revision after which changes were read
+     * @param toRevision the revision up to which they were read
+     * @param changes the changes that matter, oldest first
+     * @param ageMillis the time since the read was started, in milliseconds
+     * @return the changes of the last reads; none, from the last revision on, if they are too long for a message
+     */
+    public SiteChanges onRead(long fromRevision, long toRevision, List<KeyChange> changes, long ageMillis) {
+        if (fromRevision != lastRevision) {
+            reads.clear();
+        }
+        lastRevision = toRevision;
+        int valueBytes = 0;
+        for (KeyChange change : changes) {
+            valueBytes += change.key().length();
+            valueBytes += change.value().map(value -> value.value().length).orElse(0);
+        }
+        reads.addLast(new Read(fromRevision, changes, valueBytes));
+        while (reads.size() > RETAINED_READS || totalBytes() > MAXIMUM_VALUE_BYTES) {
+            reads.removeFirst();
+        }
+        List<KeyChange> recent = new ArrayList<>();
+        reads.forEach(read -> recent.addAll(read.changes()));
+        long firstRevision = reads.isEmpty() ? toRevision : reads.getFirst().fromRevision();
+        return new SiteChanges(firstRevision, toRevision, ageMillis, recent);
+    }
+
+    private int totalBytes() {
+        return reads.stream().mapToInt(Read::valueBytes).sum();
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
@@ -148,6 +148,19 @@
         return Optional.ofNullable(upstreamById.get(id));
     }
 
+    /**
+     * Returns whether an upstream is listed with an entry, so that the entry brings nothing new.
+     *
+     * @param entry the entry
+     * @return whether it is the one that is known, and will not expire
+     */
+    public boolean isListedAs(UpstreamEntry entry) {
+        Upstream known = upstreamById.get(entry.id());
+        return known != null
+                && !graceEndMillisById.containsKey(entry.id())
+                && known.entry().equals(entry);
+    }
+
     /**
      * Returns the upstreams of a service that accept new requests.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamEntry.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamEntry.java
@@ -33,4 +33,26 @@
         boolean reclaimable,
         SoftwareVersion softwareVersion,
         long startedAtEpochMillis,
-        OptionalLong leavesInMillis) {}
+        OptionalLong leavesInMillis) {
+    // As for identifiers, not generated; a node compares each entry that an upstream writes again.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof UpstreamEntry that
+                && id.equals(that.id)
+                && service.equals(that.service)
+                && address.equals(that.address)
+                && domain.equals(that.domain)
+                && slots == that.slots
+                && leaving == that.leaving
+                && stage == that.stage
+                && reclaimable == that.reclaimable
+                && softwareVersion.equals(that.softwareVersion)
+                && startedAtEpochMillis == that.startedAtEpochMillis
+                && leavesInMillis.equals(that.leavesInMillis);
+    }
+
+    @Override
+    public int hashCode() {
+        return id.hashCode();
+    }
+}
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeRegistration.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeRegistration.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.serving.PeerEndpoint;
@@ -39,6 +40,7 @@
     private final DutyHolder self;
     private final String registrationKeyPrefix;
     private final String endpointKeyPrefix;
+    private final FailureDomainId domain;
     private final PeerToken token;
     private final AsyncKeyValueStore store;
     private final SiteStateFollower follower;
@@ -58,6 +60,7 @@
 
     private NodeRegistration(
             DutyHolder self,
+            FailureDomainId domain,
             PeerToken token,
             String nodeKeyPrefix,
             AsyncKeyValueStore store,
@@ -65,6 +68,7 @@
             RelayClock clock,
             EventLog log) {
         this.self = self;
+        this.domain = domain;
         this.token = token;
         this.registrationKeyPrefix = nodeKeyPrefix + "node/";
         this.endpointKeyPrefix = nodeKeyPrefix + "endpoint/";
@@ -78,6 +82,7 @@
      * Returns a registration that has not been written yet.
      *
      * @param self this node; its lease id is replaced
+     * @param domain the failure domain of this node
      * @param token the token that this node expects with requests of its peers
      * @param nodeKeyPrefix the prefix of the keys that nodes write
      * @param store the store
@@ -88,13 +93,14 @@
      */
     public static NodeRegistration create(
             DutyHolder self,
+            FailureDomainId domain,
             PeerToken token,
             String nodeKeyPrefix,
             AsyncKeyValueStore store,
             SiteStateFollower follower,
             RelayClock clock,
             EventLog log) {
-        return new NodeRegistration(self, token, nodeKeyPrefix, store, follower, clock, log);
+        return new NodeRegistration(self, domain, token, nodeKeyPrefix, store, follower, clock, log);
     }
 
     /**
@@ -211,7 +217,7 @@
     }
 
     private void registerEndpoint() {
-        byte[] value = new PeerEndpoint(self.instance(), self.peerAddress(), token).toBytes();
+        byte[] value = new PeerEndpoint(self.instance(), domain, self.peerAddress(), token).toBytes();
         write(endpointKeyPrefix, value, done -> {
             callPending = false;
             registered = done.isRight();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerDatagramChannel.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerDatagramChannel.java
@@ -14,7 +14,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
+import org.cactusshift.internal.coordination.serving.SiteChanges;
 
 /**
  * Exchanges gossip messages between nodes as UDP datagrams: unlike on a connection, which can stall unnoticed, a lost
@@ -52,12 +54,14 @@
      * @param receiver receives the gossip messages of other nodes and the address of the sender; called on the event
      *     loop
      * @param originReceiver receives the messages about the origins of streams likewise
+     * @param changesReceiver receives the changes of the store that other nodes have read
      * @throws InterruptedException if the thread is interrupted while it waits
      */
     void bind(
             InetSocketAddress address,
             BiConsumer<GossipMessage, InetSocketAddress> receiver,
-            BiConsumer<StreamOriginMessage, InetSocketAddress> originReceiver)
+            BiConsumer<StreamOriginMessage, InetSocketAddress> originReceiver,
+            Consumer<SiteChanges> changesReceiver)
             throws InterruptedException {
         channel = new Bootstrap()
                 .group(eventLoopGroup)
@@ -73,6 +77,11 @@
                             originReceiver.accept(origin.get(), packet.sender());
                             return;
                         }
+                        Optional<SiteChanges> changes = SiteChangesMessage.decode(bytes);
+                        if (changes.isPresent()) {
+                            changesReceiver.accept(changes.get());
+                            return;
+                        }
                         GossipMessageCodec.decode(bytes)
                                 .ifPresentOrElse(
                                         message -> receiver.accept(message, packet.sender()),
@@ -131,6 +140,18 @@
         }
     }
 
+    /**
+     * Sends changes of the store; they may be lost. The channel must be bound.
+     *
+     * @param peers the addresses of the recipients
+     * @param changes the changes
+     */
+    void send(List<InetSocketAddress> peers, SiteChanges changes) {
+        if (!peers.isEmpty()) {
+            send(peers, SiteChangesMessage.encode(changes));
+        }
+    }
+
     private void send(List<InetSocketAddress> peers, byte[] bytes) {
         peers.forEach(peer -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
         channel.flush();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -178,7 +178,14 @@
         DutyHolder self = new DutyHolder(settings.instance(), incarnation, addressText(settings.peerAddress()), 0);
         PeerToken peerToken = PeerToken.random(new SecureRandom());
         this.registration = NodeRegistration.create(
-                self, peerToken, NODE_KEY_PREFIX, protocol.store(), follower, runtime.clock(), runtime.log());
+                self,
+                settings.domain(),
+                peerToken,
+                NODE_KEY_PREFIX,
+                protocol.store(),
+                follower,
+                runtime.clock(),
+                runtime.log());
         this.dutyDriver = DutyDriver.create(
                 self,
                 LeaseTiming.ofTtl(settings.timing().leaseMillis()),
@@ -427,9 +434,13 @@
                 settings.peerAddress(),
                 (message, sender) -> gossipReceiver.onMessage(
                         message, addressText(sender), runtime.clock().monotonicMillis()),
-                streamOrigins::onMessage);
+                streamOrigins::onMessage,
+                follower::onTold);
         eventLoop.execute(() -> {
             follower.setReadListener(this::recordStreamVersions);
+            SharedReads reads = SharedReads.create(
+                    settings.instance(), settings.domain(), registration::peerEndpoints, gossipChannel);
+            follower.shareReads(reads::rank, reads::tell);
             follower.start();
             eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         });
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.transport.relay;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,10 +11,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
+import org.cactusshift.internal.coordination.serving.ReadPacing;
+import org.cactusshift.internal.coordination.serving.RecentChanges;
 import org.cactusshift.internal.coordination.serving.ServingConfig;
+import org.cactusshift.internal.coordination.serving.SiteChanges;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.cactusshift.internal.coordination.serving.UpstreamEntry;
 import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
@@ -25,18 +31,14 @@
  * Keeps the configuration, the upstreams and the values that nodes write, as this node knows them, up to date with the
  * store.
  *
- * <p>One periodic read of all changes serves all three, as each call to the store is charged. While the store is
- * unavailable the last state stays in use.
+ * <p>One periodic read of all changes serves all three, as each call to the store is charged. The nodes of a failure
+ * domain tell each other what they have read, so that mostly one of them reads; see {@link ReadPacing}. What is told
+ * counts like a read if it begins at the revision that this node knows, otherwise this node reads itself. While the
+ * store is unavailable the last state stays in use.
  */
 public final class SiteStateFollower {
-    /**
-     * Period of the reads, as a fraction of the time within which a change must be seen; see {@link
-     * #maximumDelayMillis}.
-     */
-    private static final double READ_PERIOD_SHARE = 0.3;
-
-    /** How long a read waits for a change, as a fraction of the time within which a change must be seen. */
-    private static final double LONG_POLL_SHARE = 0.1;
+    /** A read does not wait for a change: others would take a reader that waits for one that is gone. */
+    private static final long LONG_POLL_MILLIS = 0;
 
     /** Minimum time between the start of a failed read and the next read. */
     private static final long RETRY_MILLIS = 250;
@@ -62,8 +64,11 @@
     private final EventLog log;
     private final RelayMetrics metrics;
     private final String nodeKeyPrefix;
-    private final long readPeriodMillis;
-    private final long longPollMillis;
+    private final ReadPacing pacing;
+    private final long longestPeriodMillis;
+    private final RecentChanges recentChanges = RecentChanges.create();
+    private IntSupplier readerRank = () -> 0;
+    private Consumer<SiteChanges> changesListener = changes -> {};
     private final Map<String, VersionedValue> nodeValueByKey = new HashMap<>();
     private final Set<String> malformedKeys = new HashSet<>();
     private Optional<ServingConfig> config = Optional.empty();
@@ -75,12 +80,18 @@
     private boolean hasListedOnce;
     private boolean storeUnavailable;
 
-    /** When the last read succeeded, or when following was started, by the monotonic and the wall clock. */
+    /**
+     * When the last read that succeeded was started, by this node or another one that told of it, or when following was
+     * started; by the monotonic and the wall clock.
+     */
     private long lastResponseAtMillis;
 
     private long lastResponseEpochMillis;
 
-    /** When the last read that succeeded was started. */
+    /** The timer of the next read; null while a read is pending. */
+    private ScheduledFuture<?> nextRead;
+
+    /** When the last read of this node that succeeded was started. */
     private long lastReadStartedAtMillis = Long.MIN_VALUE;
 
     private long recoveredAtMillis = Long.MIN_VALUE / 2;
@@ -89,8 +100,8 @@
     private Runnable readListener = () -> {};
 
     private SiteStateFollower(Dependencies dependencies, String nodeKeyPrefix, long delayLimitMillis) {
-        this.readPeriodMillis = readPeriodMillis(delayLimitMillis);
-        this.longPollMillis = longPollMillis(delayLimitMillis);
+        this.pacing = ReadPacing.of(delayLimitMillis);
+        this.longestPeriodMillis = longestPeriodMillis(delayLimitMillis);
         this.store = dependencies.store();
         this.decoder = dependencies.decoder();
         this.directory = dependencies.directory();
@@ -141,23 +152,19 @@
      * that a whole period passes, then the lost read times out, and another one follows.
      *
      * @param delayLimitMillis the time within which a change must be seen
-     * @param callTimeoutMillis the call timeout, in addition to the time that the read waits for a change
+     * @param callTimeoutMillis the call timeout
      * @return the delay, without the duration of the read that succeeds
      */
     public static long maximumDelayMillis(long delayLimitMillis, long callTimeoutMillis) {
-        return readPeriodMillis(delayLimitMillis) + longPollMillis(delayLimitMillis) + callTimeoutMillis + RETRY_MILLIS;
+        return longestPeriodMillis(delayLimitMillis) + LONG_POLL_MILLIS + callTimeoutMillis + RETRY_MILLIS;
     }
 
-    private static long readPeriodMillis(long delayLimitMillis) {
-        return Math.round(READ_PERIOD_SHARE * delayLimitMillis);
-    }
-
-    private static long longPollMillis(long delayLimitMillis) {
-        return Math.round(LONG_POLL_SHARE * delayLimitMillis);
+    private static long longestPeriodMillis(long delayLimitMillis) {
+        return Math.round(ReadPacing.LONGEST_PERIOD_SHARE * delayLimitMillis);
     }
 
     /**
-     * Sets the listener that is called after each read that succeeded.
+     * Sets the listener that is called after each read that succeeded, by this node or another one that told of it.
      *
      * @param listener the listener
      */
@@ -165,6 +172,17 @@
         readListener = listener;
     }
 
+    /**
+     * Makes the nodes of a failure domain read in turn.
+     *
+     * @param rank supplies the position of this node among those that read
+     * @param listener receives what other nodes may be told of each read
+     */
+    void shareReads(IntSupplier rank, Consumer<SiteChanges> listener) {
+        readerRank = rank;
+        changesListener = listener;
+    }
+
     /** Starts following. */
     public void start() {
         lastResponseAtMillis = clock.monotonicMillis();
@@ -213,7 +231,7 @@
      * @return whether a read of the store succeeded within the time of about two reads
      */
     public boolean isCurrent(long nowMillis, long epochMillis) {
-        long maximumAgeMillis = Math.max(UNAVAILABLE_AFTER_MILLIS, CURRENT_READS * (readPeriodMillis + longPollMillis));
+        long maximumAgeMillis = Math.max(UNAVAILABLE_AFTER_MILLIS, CURRENT_READS * longestPeriodMillis);
         return nowMillis - lastResponseAtMillis <= maximumAgeMillis
                 && Math.abs(epochMillis - lastResponseEpochMillis) <= maximumAgeMillis;
     }
@@ -246,27 +264,73 @@
         return nodeValuesVersion;
     }
 
+    /** Reads if no other node has told of a read meanwhile. */
+    private void readWhenDue() {
+        if (stopped) {
+            return;
+        }
+        if (lastResponseAtMillis + pacing.periodMillis(readerRank.getAsInt()) > clock.monotonicMillis()) {
+            scheduleNextRead();
+        } else {
+            read();
+        }
+    }
+
+    private void scheduleNextRead() {
+        long dueAtMillis = lastResponseAtMillis + pacing.periodMillis(readerRank.getAsInt());
+        long delayMillis = Math.max(0, dueAtMillis - clock.monotonicMillis());
+        nextRead = eventLoop.schedule(this::readWhenDue, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Receives what another node has read. It is used if it begins at the revision that this node knows, or before;
+     * otherwise this node reads soon.
+     *
+     * @param told the changes
+     */
+    void onTold(SiteChanges told) {
+        if (stopped || !canFollowChanges || told.toRevision() < revision) {
+            return;
+        }
+        if (told.fromRevision() > revision) {
+            readSoon();
+            return;
+        }
+        onReadAt(clock.monotonicMillis() - told.ageMillis());
+        apply(told.changes(), told.toRevision());
+    }
+
+    /** Reads at once, unless a read is pending; the nodes of a failure domain do so one after the other. */
+    private void readSoon() {
+        if (nextRead != null && nextRead.cancel(false)) {
+            int rank = readerRank.getAsInt();
+            long delayMillis = pacing.periodMillis(rank) - pacing.periodMillis(0);
+            nextRead = eventLoop.schedule(this::read, delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void read() {
         if (stopped) {
             return;
         }
+        nextRead = null;
         long startedAtMillis = clock.monotonicMillis();
         if (canFollowChanges) {
-            store.awaitChanges("", revision, longPollMillis, changes -> onChanges(changes, startedAtMillis));
+            store.awaitChanges("", revision, LONG_POLL_MILLIS, changes -> onChanges(changes, startedAtMillis));
         } else {
             store.list("", values -> onList(values, startedAtMillis));
         }
     }
 
-    private void scheduleRead(long startedAtMillis, long periodMillis) {
-        long delayMillis = Math.max(0, startedAtMillis + periodMillis - clock.monotonicMillis());
-        eventLoop.schedule(this::read, delayMillis, TimeUnit.MILLISECONDS);
+    private void scheduleRetry(long startedAtMillis) {
+        long delayMillis = Math.max(0, startedAtMillis + RETRY_MILLIS - clock.monotonicMillis());
+        nextRead = eventLoop.schedule(this::read, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     private void onList(Either<Failure, RangeResult> values, long startedAtMillis) {
         if (values.isLeft()) {
             onReadFailed(values.getLeft());
-            scheduleRead(startedAtMillis, RETRY_MILLIS);
+            scheduleRetry(startedAtMillis);
             return;
         }
         onReadSucceeded(startedAtMillis);
@@ -290,7 +354,8 @@
         canFollowChanges = true;
         hasListedOnce = true;
         readListener.run();
-        scheduleRead(startedAtMillis, readPeriodMillis);
+        recentChanges.clear();
+        scheduleNextRead();
     }
 
     private void onChanges(Either<Failure, AsyncKeyValueStore.Changes> changes, long startedAtMillis) {
@@ -304,14 +369,16 @@
                 return;
             }
             onReadFailed(failure);
-            scheduleRead(startedAtMillis, RETRY_MILLIS);
+            scheduleRetry(startedAtMillis);
             return;
         }
         onReadSucceeded(startedAtMillis);
-        changes.get().changes().forEach(this::onChange);
-        revision = Math.max(revision, changes.get().revision());
-        readListener.run();
-        scheduleRead(startedAtMillis, readPeriodMillis);
+        long fromRevision = revision;
+        List<KeyChange> newChanges =
+                apply(changes.get().changes(), changes.get().revision());
+        long ageMillis = clock.monotonicMillis() - startedAtMillis;
+        changesListener.accept(recentChanges.onRead(fromRevision, revision, newChanges, ageMillis));
+        scheduleNextRead();
     }
 
     private void onReadFailed(Failure failure) {
@@ -321,7 +388,38 @@
         }
     }
 
+    /** Applies changes that this node does not know yet; returns those that change what it knows. */
+    private List<KeyChange> apply(List<KeyChange> changes, long toRevision) {
+        List<KeyChange> newChanges = new ArrayList<>();
+        for (KeyChange change : changes) {
+            if (change.revision() > revision && !repeatsWhatIsKnown(change)) {
+                newChanges.add(change);
+                onChange(change);
+            }
+        }
+        revision = Math.max(revision, toRevision);
+        readListener.run();
+        return newChanges;
+    }
+
+    /** Returns whether an upstream has only written its entry again. */
+    private boolean repeatsWhatIsKnown(KeyChange change) {
+        if (change.value().isEmpty() || !change.key().startsWith(decoder.upstreamPrefix())) {
+            return false;
+        }
+        String id = change.key().substring(decoder.upstreamPrefix().length());
+        Either<String, UpstreamEntry> entry =
+                decoder.decodeUpstream(id, change.value().get().value());
+        return entry.isRight() && directory.isListedAs(entry.get());
+    }
+
     private void onReadSucceeded(long startedAtMillis) {
+        lastReadStartedAtMillis = startedAtMillis;
+        onReadAt(startedAtMillis);
+    }
+
+    /** Records that the store was read at a time, by this node or another one. */
+    private void onReadAt(long readAtMillis) {
         long now = clock.monotonicMillis();
         if (storeUnavailable) {
             storeUnavailable = false;
@@ -330,9 +428,8 @@
                     .with("awayMillis", now - lastResponseAtMillis)
                     .write();
         }
-        lastResponseAtMillis = now;
-        lastResponseEpochMillis = clock.epochMillis();
-        lastReadStartedAtMillis = startedAtMillis;
+        lastResponseAtMillis = Math.max(lastResponseAtMillis, readAtMillis);
+        lastResponseEpochMillis = clock.epochMillis() - (now - lastResponseAtMillis);
     }
 
     private boolean wasRecentlyUnavailable(long now) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/PeerSelectorTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/PeerSelectorTest.java
@@ -32,7 +32,8 @@
     private static List<PeerEndpoint> nodes(int count) {
         List<PeerEndpoint> endpoints = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            endpoints.add(new PeerEndpoint(node(i), "127.0.0.1:" + i, new PeerToken("t" + i)));
+            endpoints.add(
+                    new PeerEndpoint(node(i), ServingFixture.LOCAL_DOMAIN, "127.0.0.1:" + i, new PeerToken("t" + i)));
         }
         return endpoints;
     }
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/RecentChangesTest.java
@@ -0,0 +1,60 @@
+package org.cactusshift.internal.coordination.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import org.cactusshift.internal.coordination.store.KeyChange;
+import org.cactusshift.internal.coordination.store.VersionedValue;
+import org.junit.jupiter.api.Test;
+
+class RecentChangesTest {
+    private final RecentChanges recent = RecentChanges.create();
+
+    private static KeyChange change(String key, long revision, int bytes) {
+        return new KeyChange(key, Optional.of(new VersionedValue(key, new byte[bytes], revision, revision)), revision);
+    }
+
+    private static List<String> keys(SiteChanges changes) {
+        return changes.changes().stream().map(KeyChange::key).toList();
+    }
+
+    /** A node that missed a message can use one of the next two. */
+    @Test
+    void messageHoldsTheChangesOfTheLastThreeReads() {
+        recent.onRead(1, 5, List.of(change("a", 3, 1)), 0);
+        recent.onRead(5, 9, List.of(change("b", 7, 1)), 0);
+        recent.onRead(9, 12, List.of(), 0);
+        SiteChanges told = recent.onRead(12, 14, List.of(change("c", 14, 1)), 20);
+        assertEquals(List.of("b", "c"), keys(told));
+        assertEquals(5, told.fromRevision());
+        assertEquals(14, told.toRevision());
+        assertEquals(20, told.ageMillis());
+    }
+
+    /** Guards against a message that claims to be complete although the changes of another node's read are missing. */
+    @Test
+    void readsBeforeAGapAreForgotten() {
+        recent.onRead(1, 5, List.of(change("a", 3, 1)), 0);
+        SiteChanges told = recent.onRead(8, 9, List.of(change("b", 9, 1)), 0);
+        assertEquals(List.of("b"), keys(told));
+        assertEquals(8, told.fromRevision());
+    }
+
+    @Test
+    void readsBeforeAListAreForgotten() {
+        recent.onRead(1, 5, List.of(change("a", 3, 1)), 0);
+        recent.clear();
+        assertEquals(5, recent.onRead(5, 9, List.of(), 0).fromRevision());
+    }
+
+    /** A configuration may be longer than a datagram: other nodes read it themselves. */
+    @Test
+    void changesThatAreTooLongAreLeftOut() {
+        recent.onRead(1, 5, List.of(change("a", 3, 1)), 0);
+        SiteChanges told = recent.onRead(5, 9, List.of(change("config", 9, 20_000)), 0);
+        assertEquals(List.of(), told.changes());
+        assertEquals(9, told.fromRevision());
+        assertEquals(9, recent.onRead(9, 12, List.of(), 0).fromRevision());
+    }
+}
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipSenderTest.java
@@ -29,6 +29,8 @@
 import org.cactusshift.internal.coordination.serving.UsageCollector;
 import org.cactusshift.internal.coordination.serving.UsageCounts;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class GossipSenderTest {
     private static final int NODES = 8;
@@ -48,6 +50,13 @@
                 limit -> {});
     }
 
+    /** Guards against counts that are lost with all nodes because they were not sent for seconds. */
+    @ParameterizedTest
+    @CsvSource({"1, 2", "8, 2", "60, 3", "95, 4", "300, 12"})
+    void countsAreSentOftenButNotTooManyAtATime(int nodes, int ticks) {
+        assertEquals(ticks, GossipSender.usagePeriodTicks(nodes));
+    }
+
     @Test
     void countsAreSentToTheHolderAndAtMostThreeMoreNodes() throws InterruptedException {
         EventLog log = (event, fields) -> {};
@@ -68,7 +77,8 @@
                                 messageWithCountsByNode.put(id, message);
                             }
                         },
-                        (message, sender) -> {});
+                        (message, sender) -> {},
+                        changes -> {});
                 channels.add(channel);
                 addressByNode.put(id, channel.address());
             }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
@@ -39,8 +39,8 @@
         try {
             PeerDatagramChannel sender = PeerDatagramChannel.create(group, log);
             PeerDatagramChannel receiver = PeerDatagramChannel.create(group, log);
-            sender.bind(ANY_PORT, (message, from) -> {}, (message, from) -> {});
-            receiver.bind(ANY_PORT, (message, from) -> received.add(message), (message, from) -> {});
+            sender.bind(ANY_PORT, (message, from) -> {}, (message, from) -> {}, changes -> {});
+            receiver.bind(ANY_PORT, (message, from) -> received.add(message), (message, from) -> {}, changes -> {});
             List<PromptPartUse> partUses = new ArrayList<>();
             for (int i = 0; i < partUseCount; i++) {
                 partUses.add(new PromptPartUse(
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
@@ -1,17 +1,29 @@
 package org.cactusshift.internal.transport.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
+import org.cactusshift.internal.coordination.serving.SiteChanges;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
+import org.cactusshift.internal.coordination.store.KeyChange;
+import org.cactusshift.internal.coordination.store.VersionedValue;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 class SiteStateFollowerTest {
+    private static final String KEY = "/cactusshift/a";
+    private static final String OTHER_KEY = "/cactusshift/b";
+
     private final SettableClock clock = new SettableClock();
     private final EventLoop eventLoop = new DefaultEventLoop();
 
@@ -36,8 +48,64 @@
         assertEquals(current, follower.isCurrent(clock.monotonicMillis, clock.epochMillis + suspendedMillis));
     }
 
+    private static KeyChange put(String key, long revision) {
+        return new KeyChange(key, Optional.of(new VersionedValue(key, new byte[0], revision, revision)), revision);
+    }
+
+    private static KeyChange removal(String key, long revision) {
+        return new KeyChange(key, Optional.empty(), revision);
+    }
+
+    /** The list that the store returned was of revision 10. */
+    @Test
+    void changesThatAnotherNodeHasReadCountAsRead() {
+        SiteStateFollower follower = followerAfterList();
+        clock.monotonicMillis += 100_000;
+        clock.epochMillis += 100_000;
+        assertFalse(follower.isCurrent(clock.monotonicMillis, clock.epochMillis));
+        follower.onTold(new SiteChanges(8, 12, 30, List.of(put(KEY, 9), put(OTHER_KEY, 11))));
+        assertEquals(Set.of(OTHER_KEY), follower.nodeValueByKey().keySet());
+        assertTrue(follower.isCurrent(clock.monotonicMillis, clock.epochMillis));
+    }
+
+    /** Guards against a value that is back although it was removed, as an old or repeated message shows it. */
+    @Test
+    void oldMessageBringsNothingBack() {
+        SiteStateFollower follower = followerAfterList();
+        follower.onTold(new SiteChanges(10, 11, 0, List.of(put(KEY, 11))));
+        follower.onTold(new SiteChanges(11, 12, 0, List.of(removal(KEY, 12))));
+        follower.onTold(new SiteChanges(10, 11, 0, List.of(put(KEY, 11))));
+        follower.onTold(new SiteChanges(10, 12, 0, List.of(put(KEY, 11), removal(KEY, 12))));
+        follower.onTold(new SiteChanges(10, 13, 0, List.of(put(KEY, 11))));
+        assertEquals(Set.of(), follower.nodeValueByKey().keySet());
+    }
+
+    /** Guards against a state in which changes are missing because a message was lost. */
+    @Test
+    void changesAfterAGapAreNotUsed() {
+        SiteStateFollower follower = followerAfterList();
+        follower.onTold(new SiteChanges(11, 12, 0, List.of(put(KEY, 12))));
+        assertEquals(Set.of(), follower.nodeValueByKey().keySet());
+        follower.onTold(new SiteChanges(10, 12, 0, List.of(put(OTHER_KEY, 11), put(KEY, 12))));
+        assertEquals(Set.of(KEY, OTHER_KEY), follower.nodeValueByKey().keySet());
+    }
+
+    /** Returns a follower that has listed all keys; its next read is far away. */
+    private SiteStateFollower followerAfterList() {
+        SiteStateFollower follower = follower(100_000);
+        follower.start();
+        return follower;
+    }
+
     private SiteStateFollower followerThatReadOnce(long delayLimitMillis) {
-        SiteStateFollower follower = SiteStateFollower.create(
+        SiteStateFollower follower = follower(delayLimitMillis);
+        follower.start();
+        follower.stop();
+        return follower;
+    }
+
+    private SiteStateFollower follower(long delayLimitMillis) {
+        return SiteStateFollower.create(
                 new SiteStateFollower.Dependencies(
                         new FakeStore(),
                         FakeDecoder.of(),
@@ -49,8 +117,5 @@
                         new RelayMetrics()),
                 "/cactusshift/",
                 delayLimitMillis);
-        follower.start();
-        follower.stop();
-        return follower;
     }
 }
