Measure the progress of a stream by events, not by bytes

Cause: any byte of a stream counted as progress, so a stalled upstream that sent a comment or a byte of an event now and then was never replaced; the stream ended at the caller's deadline. The same bytes made the upstream look responsive to other requests.

Change: of a stream only whole events count that have a field; comments are passed on as before.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StallDetector.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StallDetector.java
@@ -30,7 +30,7 @@
     }
 
     /**
-     * Records that bytes of the response arrived.
+     * Records that an event of a stream, or bytes of another response, arrived.
      *
      * @param nowMillis the current time
      */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/stream/SseEventSplitter.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/stream/SseEventSplitter.java
@@ -17,6 +17,7 @@
 public final class SseEventSplitter {
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
+    private static final byte COMMENT = ':';
     private static final String ID_FIELD = "id:";
 
     private final int maximumEventBytes;
@@ -47,7 +48,24 @@
      * @param id the number in its id field; empty when it has none or it is not a number
      * @param bytes the bytes, including the empty line at the end
      */
-    public record Event(OptionalLong id, byte[] bytes) {}
+    public record Event(OptionalLong id, byte[] bytes) {
+        /**
+         * Returns whether the event brings anything.
+         *
+         * @return false if it consists of comments only, which keep a connection alive
+         */
+        public boolean hasFields() {
+            boolean lineStarts = true;
+            for (byte next : bytes) {
+                boolean isLineEnd = next == LINE_FEED || next == CARRIAGE_RETURN;
+                if (lineStarts && !isLineEnd && next != COMMENT) {
+                    return true;
+                }
+                lineStarts = isLineEnd;
+            }
+            return false;
+        }
+    }
 
     /**
      * Appends bytes of the stream.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -382,9 +382,8 @@
 
     @Override
     public void onContent(ByteBuf bytes) {
-        stallDetector.onProgress(nowMillis());
-        upstream.onProgress(nowMillis());
         if (!isStreaming) {
+            recordProgress();
             addContent(bytes);
             return;
         }
@@ -400,12 +399,13 @@
             fail(e.getMessage());
             return;
         }
-        if (completeEvents.isEmpty()) {
-            return;
-        }
-        if (!firstResponsePartRecorded) {
-            recordFirstResponsePart();
-            scheduleEventGapCheck();
+        // Only events count: a stalled upstream may send a byte or a comment now and then.
+        if (completeEvents.stream().anyMatch(SseEventSplitter.Event::hasFields)) {
+            recordProgress();
+            if (!firstResponsePartRecorded) {
+                recordFirstResponsePart();
+                scheduleEventGapCheck();
+            }
         }
         completeEvents.forEach(event -> relayedRequest.onEvent(this, status, headers, event));
         if (!relayedRequest.exchange().isWritable()) {
@@ -413,6 +413,11 @@
         }
     }
 
+    private void recordProgress() {
+        stallDetector.onProgress(nowMillis());
+        upstream.onProgress(nowMillis());
+    }
+
     /** Applies the back-pressure of a caller that reads slowly. */
     private void pauseReading() {
         stallDetector.onPaused();
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/protocol/stream/SseEventSplitterTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/protocol/stream/SseEventSplitterTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -53,4 +54,23 @@
         assertThrows(
                 IllegalArgumentException.class, () -> splitter.append(Unpooled.wrappedBuffer(bytes("data: too long"))));
     }
+
+    private static boolean hasFields(String text) {
+        List<SseEventSplitter.Event> events =
+                SseEventSplitter.create(1_000).append(Unpooled.wrappedBuffer(bytes(text)));
+        assertEquals(1, events.size());
+        return events.get(0).hasFields();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {":\n\n", ": x\r\n:\r\n\r\n", "\n"})
+    void commentsAreNoFields(String text) {
+        assertFalse(hasFields(text));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {": x\nid: 1\n\n", "data:\n\n", "id: 1\r\n\r\n"})
+    void eventWithALineThatIsNoCommentHasFields(String text) {
+        assertTrue(hasFields(text));
+    }
 }
