Check the authority for a call of a duty when its connection is open

Cause: the authority was checked at the tick. Sealing a window (up to 0.8 s), asking an engine for the number of its orders, and opening a connection came after that, so a call could be sent after the lease had ended and a successor had acted. Where the platform checks no fence, nothing else stops it.

Change: each call carries its sender, which is asked again before the bytes are given to an open connection; a call that may no longer be sent fails without effect. The servers of a node for readiness and metrics are a class of their own, as ServingNode had grown too long.

Measured: HttpServiceClientTest and UsageReportDriverTest .reportIsNotSentOnceTheDutyIsLost pass; the code before had no such check to run them against.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/DutyDriver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/DutyDriver.java
@@ -108,6 +108,21 @@
         return expiredByWallClock ? Optional.empty() : state.authority(duty, clock.monotonicMillis());
     }
 
+    /**
+     * Returns this node as the sender of calls under an authority that it has.
+     *
+     * @param authority the authority
+     * @return the sender, which holds the duty as long as this node has an authority with the same fencing number
+     */
+    public DutyCaller caller(Authority authority) {
+        return new DutyCaller(
+                self.instance(),
+                authority.fencingNumber(),
+                () -> authority(authority.duty())
+                        .filter(held -> held.fencingNumber() == authority.fencingNumber())
+                        .isPresent());
+    }
+
     /**
      * Returns the holder of a duty as last read from the store.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.FailureDomainId;
-import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.lease.Authority;
@@ -61,7 +61,7 @@
     private final SiteStateFollower follower;
     private final UpstreamDirectory directory;
     private final UpstreamRequestLimits limits;
-    private final InstanceId self;
+    private final Function<Authority, DutyCaller> callers;
     private final String planKey;
     private final EventLog log;
     private final Map<CapacityOrder, Long> pendingUntilMillisByOrder = new HashMap<>();
@@ -88,7 +88,7 @@
             SiteStateFollower follower,
             UpstreamDirectory directory,
             UpstreamRequestLimits limits,
-            InstanceId self,
+            Function<Authority, DutyCaller> callers,
             String planKey,
             EventLog log) {
         this.client = client;
@@ -96,7 +96,7 @@
         this.follower = follower;
         this.directory = directory;
         this.limits = limits;
-        this.self = self;
+        this.callers = callers;
         this.planKey = planKey;
         this.log = log;
     }
@@ -109,7 +109,7 @@
      * @param follower provides the configuration and the stored plans
      * @param directory provides the registered engines
      * @param limits the request limits of the engines
-     * @param self this node
+     * @param callers returns the sender of calls under an authority of this node
      * @param planKey the store key of the plans
      * @param log records plans and orders
      * @return the controller
@@ -120,10 +120,10 @@
             SiteStateFollower follower,
             UpstreamDirectory directory,
             UpstreamRequestLimits limits,
-            InstanceId self,
+            Function<Authority, DutyCaller> callers,
             String planKey,
             EventLog log) {
-        return new FleetController(client, store, follower, directory, limits, self, planKey, log);
+        return new FleetController(client, store, follower, directory, limits, callers, planKey, log);
     }
 
     /**
@@ -138,8 +138,7 @@
             return;
         }
         ServingConfig config = follower.config().get();
-        FleetOrderClient.Holder holder =
-                new FleetOrderClient.Holder(self, authority.get().fencingNumber());
+        DutyCaller holder = callers.apply(authority.get());
         VersionedValue stored = follower.nodeValueByKey().get(planKey);
         if (stored != null && stored.modRevision() < writtenPlanRevision) {
             // The plan written last has not been read back yet.
@@ -234,7 +233,7 @@
 
     /** Orders the target counts that differ from the present ones; a lower target count releases engines. */
     private void orderDifferences(
-            FleetOrderClient.Holder holder,
+            DutyCaller holder,
             ServedService service,
             FleetPlan plan,
             Map<FailureDomainId, FleetPlan.Counts> targetCounts,
@@ -273,8 +272,7 @@
                 .toList();
     }
 
-    private void order(
-            FleetOrderClient.Holder holder, CapacityOrder order, int presentCount, CapacityRule rule, long nowMillis) {
+    private void order(DutyCaller holder, CapacityOrder order, int presentCount, CapacityRule rule, long nowMillis) {
         if (presentCount == order.count()
                 || nowMillis < pendingUntilMillisByOrder.getOrDefault(order, Long.MIN_VALUE)) {
             return;
@@ -290,7 +288,7 @@
     }
 
     private void onOrdered(
-            FleetOrderClient.Holder holder,
+            DutyCaller holder,
             CapacityOrder order,
             int presentCount,
             long expectedBootedAtMillis,
@@ -316,14 +314,13 @@
         recordSuperseded(holder, result);
     }
 
-    private void recordSuperseded(FleetOrderClient.Holder holder, Either<Failure, FleetOrderClient.Result> result) {
+    private void recordSuperseded(DutyCaller holder, Either<Failure, FleetOrderClient.Result> result) {
         if (result.isRight() && result.get() == FleetOrderClient.Result.SUPERSEDED) {
             supersededFencingNumber = holder.fencingNumber();
         }
     }
 
-    private void orderStages(
-            FleetOrderClient.Holder holder, ServedService service, List<Upstream> engines, long nowMillis) {
+    private void orderStages(DutyCaller holder, ServedService service, List<Upstream> engines, long nowMillis) {
         long orderIntervalMillis = service.engine().orElseThrow().roleSwitchMillis() + STAGE_ORDER_RETRY_DELAY_MILLIS;
         pendingStageByEngine.values().removeIf(ordered -> nowMillis >= ordered.untilMillis());
         Map<UpstreamId, EngineStage> pendingStages = new HashMap<>();
@@ -344,8 +341,7 @@
         }
     }
 
-    private void onAcceptedOrders(
-            FleetOrderClient.Holder holder, StagePlanner.Change change, Either<Failure, Long> accepted) {
+    private void onAcceptedOrders(DutyCaller holder, StagePlanner.Change change, Either<Failure, Long> accepted) {
         if (accepted.isLeft()) {
             logStage(change, accepted.getLeft().toString());
             return;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetOrderClient.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetOrderClient.java
@@ -4,14 +4,14 @@
 import java.util.function.Consumer;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.FailureDomainId;
-import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.internal.coordination.serving.EngineStage;
 import org.cactusshift.internal.coordination.serving.Upstream;
 
 /**
  * Orders target numbers of engines from the platform, and changes of stage from single engines. Each receiver is called
- * exactly once, on the event loop.
+ * exactly once, on the event loop. An order is not sent when its
+ * holder has lost the duty by then, which is a failure without effect.
  */
 public interface FleetOrderClient {
     /** The result of an order. */
@@ -24,14 +24,6 @@
         SUPERSEDED
     }
 
-    /**
-     * The holder of the duty under which an order is sent.
-     *
-     * @param node the node
-     * @param fencingNumber the fencing number of its authority
-     */
-    record Holder(InstanceId node, long fencingNumber) {}
-
     /**
      * Orders a target number of engines; a number below the present one releases engines.
      *
@@ -43,7 +35,7 @@
      * @param receiver receives the result
      */
     void orderEngines(
-            Holder holder,
+            DutyCaller holder,
             ServiceId service,
             FailureDomainId domain,
             boolean reclaimable,
@@ -69,7 +61,7 @@
      * @param receiver receives the result
      */
     void changeStage(
-            Holder holder,
+            DutyCaller holder,
             Upstream engine,
             EngineStage stage,
             long acceptedOrderCount,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
@@ -12,6 +12,7 @@
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cactusshift.errors.Failure;
 
@@ -70,7 +71,32 @@
             byte[] body,
             long timeoutMillis,
             Consumer<Either<Failure, Response>> receiver) {
-        Call call = new Call(step, receiver);
+        callIf(() -> true, step, method, target, headers, body, timeoutMillis, receiver);
+    }
+
+    /**
+     * Sends a request like {@link #call} if a condition holds when the connection is there; otherwise the call fails
+     * without effect.
+     *
+     * @param condition the condition
+     * @param step what the call does
+     * @param method the method
+     * @param target the request target
+     * @param headers the headers other than host and content length; modified
+     * @param body the body, may be empty
+     * @param timeoutMillis the time limit for connecting and the complete response, in milliseconds
+     * @param receiver receives the response or the failure, exactly once
+     */
+    public void callIf(
+            BooleanSupplier condition,
+            String step,
+            HttpMethod method,
+            String target,
+            HttpHeaders headers,
+            byte[] body,
+            long timeoutMillis,
+            Consumer<Either<Failure, Response>> receiver) {
+        Call call = new Call(step, condition, receiver);
         call.timer = eventLoop.schedule(call::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
         headers.set(HttpHeaderNames.HOST, address);
         // No limit on how long a reused connection has been idle, other than the remote idle timeout.
@@ -79,6 +105,7 @@
 
     private final class Call implements HttpResponseListener {
         private final String step;
+        private final BooleanSupplier condition;
         private final Consumer<Either<Failure, Response>> receiver;
         private final ByteArrayOutputStream content = new ByteArrayOutputStream();
         private ScheduledFuture<?> timer;
@@ -86,8 +113,9 @@
         private int status;
         private boolean ended;
 
-        Call(String step, Consumer<Either<Failure, Response>> receiver) {
+        Call(String step, BooleanSupplier condition, Consumer<Either<Failure, Response>> receiver) {
             this.step = step;
+            this.condition = condition;
             this.receiver = receiver;
         }
 
@@ -106,6 +134,11 @@
                         Failure.noEffect(step, address, acquired.getLeft().message())));
                 return;
             }
+            if (!condition.getAsBoolean()) {
+                pool.release(acquired.get());
+                end(Either.left(Failure.noEffect(step, address, "it may no longer be sent")));
+                return;
+            }
             connection = acquired.get();
             connection.send(method, target, headers, Unpooled.wrappedBuffer(body), this);
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -1,9 +1,6 @@
 package org.cactusshift.internal.transport.relay;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.HashMap;
@@ -130,8 +127,7 @@
     private final UpstreamCheck upstreamCheck;
     private final CallerServer callerServer;
     private final CallerServer peerServer;
-    private final CallerServer readinessServer;
-    private final CallerServer metricsServer;
+    private final StatusServers statusServers;
     private final long startedAtMillis;
     private boolean stopping;
     private long stopRequestedAtMillis;
@@ -196,17 +192,8 @@
                 runtime.log());
         this.usageReportDriver = protocol.usageReportClient()
                 .map(client -> UsageReportDriver.create(
-                        usage, client, protocol.store(), follower, settings.instance(), USAGE_PREFIX, runtime.log()));
-        this.fleetController = protocol.fleetOrderClient()
-                .map(client -> FleetController.create(
-                        client,
-                        protocol.store(),
-                        follower,
-                        directory,
-                        upstreamLimits,
-                        settings.instance(),
-                        PLAN_KEY,
-                        runtime.log()));
+                        usage, client, protocol.store(), follower, dutyDriver::caller, USAGE_PREFIX, runtime.log()));
+        this.fleetController = protocol.fleetOrderClient().map(client -> createFleetController(client, protocol));
         this.gossipSender = GossipSender.create(
                 self, gossipChannel, directory, usage, crashHistory, upstreamLimits, reachability, TICK_MILLIS);
         SplittableRandom random = new SplittableRandom();
@@ -229,8 +216,7 @@
                 () -> PEER_LIMITS,
                 PeerRequestHandler.create(context, peerToken, this::openPeerRequestCount),
                 runtime.log());
-        this.readinessServer = singlePathServer(protocol.readinessPath(), this::respondToReadinessCheck);
-        this.metricsServer = singlePathServer("/metrics", this::respondWithMetrics);
+        this.statusServers = StatusServers.create(runtime, protocol.readinessPath(), this::isReady, this::metricsText);
     }
 
     /**
@@ -245,6 +231,18 @@
         return new ServingNode(runtime, settings, protocol);
     }
 
+    private FleetController createFleetController(FleetOrderClient client, Protocol protocol) {
+        return FleetController.create(
+                client,
+                protocol.store(),
+                follower,
+                directory,
+                upstreamLimits,
+                dutyDriver::caller,
+                PLAN_KEY,
+                runtime.log());
+    }
+
     private SiteStateFollower createFollower(Protocol protocol, CrashDetector crashDetector) {
         return SiteStateFollower.create(
                 new SiteStateFollower.Dependencies(
@@ -385,33 +383,14 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    private CallerServer singlePathServer(String path, CallerRequestHandler handler) {
-        CallerRequestHandler handlerOrNotFound = exchange -> {
-            if (exchange.request().uri().equals(path)) {
-                handler.onRequest(exchange);
-            } else {
-                exchange.respond(HttpResponseStatus.NOT_FOUND, new DefaultHttpHeaders(), new byte[0]);
-            }
-        };
-        return CallerServer.create(
-                runtime.group(), runtime.clock(), () -> CallerLimits.DEFAULT, handlerOrNotFound, runtime.log());
-    }
-
-    private void respondToReadinessCheck(CallerExchange exchange) {
-        HttpResponseStatus status = isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-        exchange.respond(status, new DefaultHttpHeaders(), new byte[0]);
-    }
-
-    private void respondWithMetrics(CallerExchange exchange) {
+    private byte[] metricsText() {
         long now = runtime.clock().monotonicMillis();
         metrics.onCrashSuspects(
                 crashHistory.suspectCount(), crashHistory.refused(now).size());
         metrics.onLimitedUpstreams(upstreamLimits.limitedCount());
         metrics.onUnreachableServices(reachability.unreachableServices().size());
         metrics.onLivePeers(gossipReceiver.livePeerCount());
-        DefaultHttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
-        exchange.respond(HttpResponseStatus.OK, headers, metrics.toText());
+        return metrics.toText();
     }
 
     private boolean isReady() {
@@ -426,8 +405,7 @@
      */
     public void start() throws InterruptedException {
         callerServer.listen(settings.callerAddress());
-        readinessServer.listen(settings.readinessAddress());
-        metricsServer.listen(settings.metricsAddress());
+        statusServers.listen(settings.readinessAddress(), settings.metricsAddress());
         // Datagrams and passed requests of peers arrive at the same address.
         peerServer.listen(settings.peerAddress());
         gossipChannel.bind(
@@ -482,7 +460,7 @@
      * @return the port
      */
     public int readinessPort() {
-        return readinessServer.port();
+        return statusServers.readinessPort();
     }
 
     /**
@@ -491,7 +469,7 @@
      * @return the port
      */
     public int metricsPort() {
-        return metricsServer.port();
+        return statusServers.metricsPort();
     }
 
     private void tick() {
@@ -504,8 +482,7 @@
         upstreamCheck.probeUnreachableServices(now);
         callerServer.closeExpired(now);
         peerServer.closeExpired(now);
-        readinessServer.closeExpired(now);
-        metricsServer.closeExpired(now);
+        statusServers.closeExpired(now);
         runtime.pool().closeExpired(now);
         registration.tick(now);
         if (!stopping) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportClient.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportClient.java
@@ -5,7 +5,6 @@
 import java.util.function.Consumer;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.AccountId;
-import org.cactusshift.id.InstanceId;
 
 /** Sends usage reports to the platform. */
 public interface UsageReportClient {
@@ -21,11 +20,11 @@
     /**
      * Sends a report.
      *
-     * @param holder the node that holds the usage duty
-     * @param fencingNumber the fencing number of its authority
+     * @param holder the holder of the usage duty; a report is not sent when it has lost the duty by then, which is a
+     *     failure without effect
      * @param body the encoded report
      * @param receiver receives whether the report was accepted; false when it is superseded, as the platform has seen a
      *     newer holder of the duty
      */
-    void report(InstanceId holder, long fencingNumber, byte[] body, Consumer<Either<Failure, Boolean>> receiver);
+    void report(DutyCaller holder, byte[] body, Consumer<Either<Failure, Boolean>> receiver);
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportDriver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportDriver.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.cactusshift.errors.Failure;
-import org.cactusshift.id.InstanceId;
 import org.cactusshift.internal.coordination.lease.Authority;
 import org.cactusshift.internal.coordination.serving.UsageCounts;
 import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
@@ -37,7 +37,7 @@
     private final UsageReportClient client;
     private final AsyncKeyValueStore store;
     private final SiteStateFollower follower;
-    private final InstanceId self;
+    private final Function<Authority, DutyCaller> callers;
     private final String prefix;
     private final EventLog log;
     private final Set<Long> reportedWindows = new HashSet<>();
@@ -58,14 +58,14 @@
             UsageReportClient client,
             AsyncKeyValueStore store,
             SiteStateFollower follower,
-            InstanceId self,
+            Function<Authority, DutyCaller> callers,
             String prefix,
             EventLog log) {
         this.counts = counts;
         this.client = client;
         this.store = store;
         this.follower = follower;
-        this.self = self;
+        this.callers = callers;
         this.prefix = prefix;
         this.log = log;
     }
@@ -77,7 +77,7 @@
      * @param client sends the reports
      * @param store stores sealed windows
      * @param follower provides the sealed windows in the store
-     * @param self this node
+     * @param callers returns the sender of calls under an authority of this node
      * @param prefix the key prefix of sealed windows
      * @param log records reports and failures
      * @return the driver
@@ -87,10 +87,10 @@
             UsageReportClient client,
             AsyncKeyValueStore store,
             SiteStateFollower follower,
-            InstanceId self,
+            Function<Authority, DutyCaller> callers,
             String prefix,
             EventLog log) {
-        return new UsageReportDriver(counts, client, store, follower, self, prefix, log);
+        return new UsageReportDriver(counts, client, store, follower, callers, prefix, log);
     }
 
     /**
@@ -180,7 +180,7 @@
 
     private void send(long window, Authority authority, byte[] body) {
         callPending = true;
-        client.report(self, authority.fencingNumber(), body, sent -> onSent(window, authority, sent));
+        client.report(callers.apply(authority), body, sent -> onSent(window, authority, sent));
     }
 
     private void onSent(long window, Authority authority, Either<Failure, Boolean> sent) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
@@ -74,7 +74,7 @@
             follower,
             directory,
             limits,
-            InstanceId.fromString("n1"),
+            authority -> new DutyCaller(InstanceId.fromString("n1"), authority.fencingNumber(), () -> true),
             "/cactusshift/fleet",
             (event, fields) -> {});
 
@@ -87,7 +87,7 @@
 
         @Override
         public void orderEngines(
-                Holder holder,
+                DutyCaller holder,
                 ServiceId service,
                 FailureDomainId domain,
                 boolean reclaimable,
@@ -105,7 +105,7 @@
 
         @Override
         public void changeStage(
-                Holder holder,
+                DutyCaller holder,
                 Upstream engine,
                 EngineStage stage,
                 long acceptedOrders,
--- /dev/null
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpServiceClientTest.java
@@ -0,0 +1,84 @@
+package org.cactusshift.internal.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cactusshift.errors.Failure;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpServiceClientTest {
+    private static final long TIMEOUT_MILLIS = 10_000;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpConnectionPool pool = HttpConnectionPool.create(group, RelayClock.system());
+    private final AtomicInteger received = new AtomicInteger();
+
+    @AfterEach
+    void endEventLoop() {
+        group.shutdownGracefully();
+    }
+
+    /** Answers one request on each connection. */
+    private void serve(ServerSocket listener) {
+        try {
+            while (true) {
+                try (Socket socket = listener.accept()) {
+                    if (socket.getInputStream().read() >= 0) {
+                        received.incrementAndGet();
+                        socket.getOutputStream()
+                                .write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+                                        .getBytes(StandardCharsets.US_ASCII));
+                    }
+                }
+            }
+        } catch (IOException e) {
+            // The test has closed the listener.
+        }
+    }
+
+    private Either<Failure, HttpServiceClient.Response> call(int port, boolean mayBeSent) throws Exception {
+        HttpServiceClient client = HttpServiceClient.create(pool, (EventLoop) group.next(), "127.0.0.1:" + port);
+        CompletableFuture<Either<Failure, HttpServiceClient.Response>> outcome = new CompletableFuture<>();
+        group.next()
+                .execute(() -> client.callIf(
+                        () -> mayBeSent,
+                        "order",
+                        HttpMethod.POST,
+                        "/order",
+                        new DefaultHttpHeaders(),
+                        new byte[0],
+                        TIMEOUT_MILLIS,
+                        outcome::complete));
+        return outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Guards against an order that is sent after its holder has lost the duty, once a connection is open at last. */
+    @Test
+    void callWhoseConditionNoLongerHoldsIsNotSent() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            new Thread(() -> serve(listener), "server").start();
+            Either<Failure, HttpServiceClient.Response> refused = call(listener.getLocalPort(), false);
+            assertTrue(refused.isLeft());
+            assertEquals(Failure.Kind.NO_EFFECT, refused.getLeft().kind());
+            assertEquals(0, received.get());
+            assertEquals(200, call(listener.getLocalPort(), true).get().status());
+            assertEquals(1, received.get());
+        }
+    }
+}
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/UsageReportDriverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/UsageReportDriverTest.java
@@ -40,6 +40,7 @@
     private final FakeStore store = new FakeStore();
     private final UsageCounts counts = UsageCounts.create(WINDOW_MILLIS);
     private final FakeClient client = new FakeClient();
+    private boolean holdsDuty = true;
     private final SiteStateFollower follower = SiteStateFollower.create(
             new SiteStateFollower.Dependencies(
                     store,
@@ -52,8 +53,14 @@
                     new RelayMetrics()),
             "/cactusshift/",
             NEVER_MILLIS);
-    private final UsageReportDriver driver =
-            UsageReportDriver.create(counts, client, store, follower, SELF, PREFIX, (event, fields) -> {});
+    private final UsageReportDriver driver = UsageReportDriver.create(
+            counts,
+            client,
+            store,
+            follower,
+            authority -> new DutyCaller(SELF, authority.fencingNumber(), () -> holdsDuty),
+            PREFIX,
+            (event, fields) -> {});
 
     @AfterEach
     void endEventLoop() {
@@ -70,8 +77,11 @@
         }
 
         @Override
-        public void report(
-                InstanceId holder, long fencingNumber, byte[] body, Consumer<Either<Failure, Boolean>> receiver) {
+        public void report(DutyCaller holder, byte[] body, Consumer<Either<Failure, Boolean>> receiver) {
+            if (!holder.holdsDuty().getAsBoolean()) {
+                receiver.accept(Either.left(Failure.noEffect("report usage", "platform", "not the holder")));
+                return;
+            }
             reports.add(new String(body, StandardCharsets.UTF_8));
             receiver.accept(Either.right(true));
         }
@@ -105,4 +115,16 @@
         tickAsHolder(startEpochMillis + WINDOW_MILLIS + PERIOD_MILLIS + 1_000);
         assertEquals(List.of("101 {a=1}"), client.reports);
     }
+
+    /** Guards against a report of a node that loses the duty while it seals the window or opens a connection. */
+    @Test
+    void reportIsNotSentOnceTheDutyIsLost() {
+        follower.start();
+        long startEpochMillis = 101 * WINDOW_MILLIS + 100;
+        tickAsHolder(startEpochMillis);
+        holdsDuty = false;
+        tickAsHolder(startEpochMillis + WINDOW_MILLIS + PERIOD_MILLIS + 1_000);
+        assertEquals(1, store.values.size());
+        assertEquals(List.of(), client.reports);
+    }
 }
