Ignore comments while a stalled run and its replacement are both open

Change: while two attempts are open, only events with fields count. The test now sends comments on while the replacement prepares its response.

Measured: with the new test and without the change the comment case failed; 4 of 4 cases pass with it.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -486,6 +486,10 @@
     /** Passes on a complete event of a stream; events that the caller already has are skipped. */
     void onEvent(
             UpstreamAttempt attempt, HttpResponseStatus status, HttpHeaders headers, SseEventSplitter.Event event) {
+        if (stalledAttempt != null && !event.hasFields()) {
+            // A comment does not show which of the two attempts goes on.
+            return;
+        }
         takeOver(attempt);
         if (!stream.isNew(event.id())) {
             return;
