Do not put off a read after a gap with each further message

Cause: found in the review of the shared reads: a node that had missed a message put off its own read with each further message that it could not use, by up to 0.15 of the bound. With several nodes telling at short intervals it would never have read, and a change would have stayed unseen.

Change: a read that is about to follow a gap stays where it is.

Measured: SiteStateFollowerTest.furtherMessagesAfterAGapDoNotPutOffTheRead did not read within 20 s before and passes now.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -91,6 +91,9 @@
     /** The timer of the next read; null while a read is pending. */
     private ScheduledFuture<?> nextRead;
 
+    /** Whether the next read is to follow a gap in what other nodes have told. */
+    private boolean readsSoon;
+
     /** When the last read of this node that succeeded was started. */
     private long lastReadStartedAtMillis = Long.MIN_VALUE;
 
@@ -302,7 +305,8 @@
 
     /** Reads at once, unless a read is pending; the nodes of a failure domain do so one after the other. */
     private void readSoon() {
-        if (nextRead != null && nextRead.cancel(false)) {
+        if (!readsSoon && nextRead != null && nextRead.cancel(false)) {
+            readsSoon = true;
             int rank = readerRank.getAsInt();
             long delayMillis = pacing.periodMillis(rank) - pacing.periodMillis(0);
             nextRead = eventLoop.schedule(this::read, delayMillis, TimeUnit.MILLISECONDS);
@@ -314,6 +318,7 @@
             return;
         }
         nextRead = null;
+        readsSoon = false;
         long startedAtMillis = clock.monotonicMillis();
         if (canFollowChanges) {
             store.awaitChanges("", revision, LONG_POLL_MILLIS, changes -> onChanges(changes, startedAtMillis));
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
@@ -23,8 +23,12 @@
     final Map<String, VersionedValue> values = new HashMap<>();
     private long revision = 10;
 
+    /** The number of reads of changes. */
+    volatile int reads;
+
     @Override
     public void awaitChanges(String prefix, long after, long waitMillis, Consumer<Either<Failure, Changes>> receiver) {
+        reads++;
         List<KeyChange> changes = new ArrayList<>();
         for (VersionedValue value : values.values()) {
             if (value.modRevision() > after) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
@@ -24,6 +24,13 @@
     private static final String KEY = "/cactusshift/a";
     private static final String OTHER_KEY = "/cactusshift/b";
 
+    private static final long DELAY_LIMIT_MILLIS = 2_000;
+    private static final long LONGEST_WAIT_MILLIS = 20_000;
+
+    /** Shorter than the node of a low rank waits after a gap. */
+    private static final long MESSAGE_INTERVAL_MILLIS = 20;
+
+    private final FakeStore store = new FakeStore();
     private final SettableClock clock = new SettableClock();
     private final EventLoop eventLoop = new DefaultEventLoop();
 
@@ -90,6 +97,27 @@
         assertEquals(Set.of(KEY, OTHER_KEY), follower.nodeValueByKey().keySet());
     }
 
+    /** Guards against a read that is put off by each further message after a gap, so that it never takes place. */
+    @Test
+    void furtherMessagesAfterAGapDoNotPutOffTheRead() throws InterruptedException {
+        SiteStateFollower follower = follower(DELAY_LIMIT_MILLIS);
+        eventLoop
+                .submit(() -> {
+                    follower.shareReads(() -> 3, changes -> {});
+                    follower.start();
+                })
+                .sync();
+        long end = System.nanoTime() + LONGEST_WAIT_MILLIS * 1_000_000;
+        while (store.reads == 0) {
+            assertTrue(System.nanoTime() < end, "no read");
+            eventLoop
+                    .submit(() -> follower.onTold(new SiteChanges(20, 20, 0, List.of())))
+                    .sync();
+            Thread.sleep(MESSAGE_INTERVAL_MILLIS);
+        }
+        eventLoop.submit(follower::stop).sync();
+    }
+
     /** Returns a follower that has listed all keys; its next read is far away. */
     private SiteStateFollower followerAfterList() {
         SiteStateFollower follower = follower(100_000);
@@ -107,7 +135,7 @@
     private SiteStateFollower follower(long delayLimitMillis) {
         return SiteStateFollower.create(
                 new SiteStateFollower.Dependencies(
-                        new FakeStore(),
+                        store,
                         FakeDecoder.of(),
                         UpstreamDirectory.create(service -> 1, 1),
                         CrashDetector.create(CrashHistory.create(1), crash -> {}),
