Correct the comment on how many messages a node can miss

Cause: the comment spoke of one lost message; the last three reads are sent, so two can be missed, as RecentChangesTest shows.

Change: the comment only.

Measured: the build with its style checks and RecentChangesTest pass.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/RecentChanges.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/RecentChanges.java
@@ -12,7 +12,7 @@
  * <p>Not thread-safe.
  */
 public final class RecentChanges {
-    /** The number of reads whose changes are sent: one lost message in a row does no harm. */
+    /** The number of reads whose changes are sent, so that a node can miss all but one of as many messages. */
     private static final int RETAINED_READS = 3;
 
     /** The maximum length of the values in a message, in bytes; it has to fit into a datagram in base64 encoding. */
