Review: machines keep an old configuration for good after a drill

Cause: SiteStateFollower goes on with its revision when the store has given it out again; Store-Era is not read. Change: a script that plays the drill with an operator's write waiting; the stand-ins that it uses.

--- a/review/src/review/Engine.java
+++ b/review/src/review/Engine.java
@@ -45,13 +45,21 @@
 
     /** Listens, registers, and writes its entry again at each heartbeat. */
     Engine start() throws IOException {
-        server = new Http.Server(this::handle);
+        return start(0);
+    }
+
+    Engine start(int port) throws IOException {
+        server = new Http.Server(port, this::handle);
         registered = true;
         Http.daemon(() -> {
+            long nextNanos = System.nanoTime();
             while (registered) {
-                // While the store is away the entry is written as soon as it is back.
+                // A write that the store didn't take, as it was away, is made when it is back.
                 boolean written = writeEntry();
-                Http.sleep(written ? HEARTBEAT_MILLIS : 50);
+                while (nextNanos <= System.nanoTime()) {
+                    nextNanos += HEARTBEAT_MILLIS * 1_000_000;
+                }
+                Http.sleep(written ? (nextNanos - System.nanoTime()) / 1_000_000 + 1 : 50);
             }
         });
         return this;
@@ -89,12 +97,23 @@
         record.note("engine " + id + ": its entry has lapsed");
     }
 
+    /** Ends without a word: connections are reset, its entry stays until it starts again or lapses. */
+    void crash() {
+        registered = false;
+        server.close();
+        record.note("engine " + id + ": crashes");
+    }
+
     void exit() {
         registered = false;
         server.close();
         record.note("engine " + id + ": has exited");
     }
 
+    int port() {
+        return server.port();
+    }
+
     protected String commonHeaders(Http.Message request) {
         String requestId = request.header("Request-Id");
         return (requestId.isEmpty() ? "" : "Request-Id: " + requestId + "\r\n")
--- a/review/src/review/Store.java
+++ b/review/src/review/Store.java
@@ -31,6 +31,7 @@
     private static final long HISTORY_MILLIS = 20_000;
     private final Record record;
     private final Http.Server server;
+    private final List<Http.Server> links = new ArrayList<>();
     private TreeMap<String, Item> items = new TreeMap<>();
     private List<Change> history = new ArrayList<>();
     private Map<Long, Lease> leases = new HashMap<>();
@@ -55,6 +56,13 @@
         return server.address();
     }
 
+    /** Returns a further address of the store, for one machine, which can be cut off there. */
+    Http.Server newLink() throws IOException {
+        Http.Server link = new Http.Server(this::handle);
+        links.add(link);
+        return link;
+    }
+
     synchronized long revision() {
         return revision;
     }
@@ -74,10 +82,20 @@
     /** The store is away: calls are cut, and what the operator or an engine writes waits at its writer. */
     synchronized void leave() {
         away = true;
-        server.setRefusing(true);
+        setRefusing(true);
         record.note("store: away at revision " + revision);
     }
 
+    /** The store is away without a sign: calls get no answer on their connections any more. */
+    synchronized void fallSilent() {
+        away = true;
+        record.note("store: silent at revision " + revision);
+    }
+
+    private void setRefusing(boolean value) {
+        server.setRefusing(value);
+    }
+
     /**
      * Comes back from a copy of the given age at the time of leaving. Leases of the copy run on as they did when it was
      * taken if they pause; otherwise their time has passed too.
@@ -108,14 +126,14 @@
         era++;
         expire();
         away = false;
-        server.setRefusing(false);
+        setRefusing(false);
         record.note("store: back from a copy, revision " + copy.revision() + " instead of " + before + ", Store-Era " + era);
     }
 
     /** Comes back with all that it had. */
     synchronized void comeBackWhole() {
         away = false;
-        server.setRefusing(false);
+        setRefusing(false);
         record.note("store: back");
     }
 
@@ -188,6 +206,8 @@
 
     private void handle(Http.Message request, Socket socket) throws IOException {
         if (away) {
+            // A connection on which a response is lost returns nothing further.
+            Http.sleep(20_000);
             socket.close();
             return;
         }
--- a/review/src/review/UsageCase.java
+++ b/review/src/review/UsageCase.java
@@ -48,12 +48,13 @@
                 // What the operator wrote is written again; the engines write their entries themselves.
                 store.put("op/config", Config.of(7, "app"));
             }
-            Http.sleep(3_000);
+            // The next holder, which takes over about 4 s after the SIGTERM, still reports the last four windows.
+            Http.sleep(last.atMillis() + 11_000 - record.millis());
             // Planned work in both cases: the holder of the duty is stopped.
             Nodes.Node holder = nodes.byName(last.holder());
             record.note("SIGTERM to " + holder.name + ", the holder of the usage duty");
             holder.signal("TERM");
-            Http.sleep(14_000);
+            Http.sleep(12_000);
             clients.stop();
             Map<Long, List<Cloud.Report>> conflicting = cloud.conflicting();
             conflicting.forEach((window, reports) -> record.note(
