--- a/review/src/review/Nodes.java
+++ b/review/src/review/Nodes.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -9,7 +10,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** Starts the project's program with the command of the deploy file, and sends signals to it. */
@@ -67,6 +71,7 @@
         }
     }
 
+    private static final Set<Integer> TAKEN = new HashSet<>();
     private final Path directory;
     private final Path repository;
     private final List<String> command;
@@ -86,17 +91,22 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
     }
 
-    Node add(String name, String zone, String store, String cloud) throws IOException {
-        int[] ports = new int[4];
-        List<ServerSocket> held = new ArrayList<>();
-        for (int i = 0; i < ports.length; i++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            held.add(socket);
-            ports[i] = socket.getLocalPort();
-        }
-        for (ServerSocket socket : held) {
-            socket.close();
+    /** Returns a free port below those that the system gives to connections, which could take it meanwhile. */
+    static synchronized int freePort() throws IOException {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(10_000, 32_000);
+            if (TAKEN.add(port)) {
+                try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                    return socket.getLocalPort();
+                } catch (BindException e) {
+                    continue;
+                }
+            }
         }
+    }
+
+    Node add(String name, String zone, String store, String cloud) throws IOException {
+        int[] ports = {freePort(), freePort(), freePort(), freePort()};
         Path settings = directory.resolve(name + ".json");
         // As platform/settings.json.template with the bounds of a small deployment.
         Files.writeString(
--- a/review/src/review/RestartCase.java
+++ b/review/src/review/RestartCase.java
@@ -25,7 +25,7 @@
                 // Three engines have the new version already.
                 engines[i] = new StreamEngine(
                         record, store, "i-" + (i + 1), "lm", zones.get(i), i < 3 ? "v2" : "v1", 128, 14, 150);
-                engines[i].start();
+                engines[i].start(Nodes.freePort());
             }
             nodes = new Nodes(repository, record);
             for (int i = 0; i < 8; i++) {
--- a/review/src/review/StreamClients.java
+++ b/review/src/review/StreamClients.java
@@ -21,8 +21,12 @@
     /** A stream over all tries of its client; the versions are those that wrote its events. */
     record Stream(String id, Set<String> versions, int tries, int lastEvent, boolean complete) {}
 
+    /** One try of a stream at a node; a try that takes the stream up went on if it brought a further event. */
+    record Try(String stream, String node, long sentMillis, boolean takesUp, boolean broughtEvent) {}
+
     private final Record record;
     private final List<Nodes.Node> nodes;
+    final List<Try> allTries = new ArrayList<>();
     final List<Stream> streams = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean stopped;
@@ -61,9 +65,14 @@
             tries++;
             String id = Long.toHexString(ThreadLocalRandom.current().nextLong() | 1L << 63);
             long waitMillis = 20;
+            long sentMillis = record.millis();
+            boolean takesUp = firstId != null;
+            int lastEventBefore = lastEvent;
+            boolean connected = false;
             StringBuilder seen = new StringBuilder();
             try (Socket socket = new Socket()) {
                 socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), node.front), 1_000);
+                connected = true;
                 socket.setSoTimeout((int) leftMillis + 200);
                 InputStream in = new BufferedInputStream(socket.getInputStream());
                 String body = "prompt";
@@ -109,6 +118,12 @@
             }
             record.line("stream " + (firstId == null ? id : firstId) + " try " + tries + " as " + id + " at " + node.name
                     + ": " + seen + (complete ? " complete" : ""));
+            if (connected) {
+                synchronized (streams) {
+                    allTries.add(new Try(
+                            firstId == null ? id : firstId, node.name, sentMillis, takesUp, lastEvent > lastEventBefore));
+                }
+            }
             if (!complete) {
                 // Retries reach other nodes.
                 Nodes.Node before = node;
