Read the store anew when it was restored from a copy

Callers saw a dropped route served, and a withdrawn key accepted, until the next configuration: after the store came back from a copy, all nodes went on to read changes after the revision that they had read before. Nothing read Store-Era.

StoreEra decides for each answer whether it may be used; the first answer of a newer era makes the follower list all keys. A position is an era and a revision. Nodes state the era with the changes that they tell each other; the build before ignores the field, and its messages, which have none, are used as long as no restore was seen.

--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/SiteStore.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/SiteStore.java
@@ -21,7 +21,10 @@
 import org.cactusshift.standin.StandInResponse;
 import org.cactusshift.standin.StandInServer;
 
-/** Stand-in for the platform's metadata store: keys with revisions, conditional writes, leases and change history. */
+/**
+ * Stand-in for the platform's metadata store: keys with revisions, conditional writes, leases and change history. It
+ * can be restored from a copy, after which it states the next era.
+ */
 public final class SiteStore implements HttpStandIn, StandInHandler {
     private static final int GONE = 410;
     private static final int PRECONDITION_FAILED = 412;
@@ -37,6 +40,7 @@
     private long historyStartRevision = 1;
 
     private long nextLeaseId = 100;
+    private long era = 1;
 
     /** A stored key; a lease id of 0 means none. */
     private record Item(String key, byte[] value, long revision, long createdRevision, long leaseId) {}
@@ -46,6 +50,33 @@
 
     private record Lease(long ttlMillis, long expiresAtNanos) {}
 
+    /**
+     * The content of the store at a moment.
+     *
+     * @param items the items
+     * @param history the changes
+     * @param leases the leases; after a restore each has its whole time to live again
+     * @param revision the revision
+     * @param historyStartRevision the first revision of the history
+     * @param nextLeaseId the id of the next lease
+     */
+    private record Content(
+            TreeMap<String, Item> items,
+            List<Change> history,
+            Map<Long, Lease> leases,
+            long revision,
+            long historyStartRevision,
+            long nextLeaseId) {}
+
+    /** A copy of the store, for {@link #restore}. */
+    public static final class Copy {
+        private final Content content;
+
+        private Copy(Content content) {
+            this.content = content;
+        }
+    }
+
     private SiteStore() {}
 
     /**
@@ -93,6 +124,57 @@
         historyStartRevision = revision;
     }
 
+    /**
+     * Takes a copy.
+     *
+     * @return the copy
+     */
+    public synchronized Copy takeCopy() {
+        expireLeases();
+        return new Copy(new Content(
+                new TreeMap<>(items),
+                new ArrayList<>(history),
+                new HashMap<>(leases),
+                revision,
+                historyStartRevision,
+                nextLeaseId));
+    }
+
+    /**
+     * Comes back from a copy: all later changes and leases are lost, revisions and lease ids are given out again, and
+     * the era rises. What the operator and the upstreams wrote has to be written again by the caller.
+     *
+     * @param copy the copy
+     */
+    public synchronized void restore(Copy copy) {
+        Content content = copy.content;
+        items.clear();
+        items.putAll(content.items());
+        history.clear();
+        history.addAll(content.history());
+        leases.clear();
+        content.leases()
+                .forEach((id, lease) -> leases.put(id, new Lease(lease.ttlMillis(), expiry(lease.ttlMillis()))));
+        revision = content.revision();
+        historyStartRevision = content.historyStartRevision();
+        nextLeaseId = content.nextLeaseId();
+        era++;
+        notifyAll();
+    }
+
+    private static long expiry(long ttlMillis) {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttlMillis);
+    }
+
+    /**
+     * Returns the revision of the last change.
+     *
+     * @return the revision
+     */
+    public synchronized long revision() {
+        return revision;
+    }
+
     /**
      * Returns the values of the keys with a prefix.
      *
@@ -118,21 +200,29 @@
             return watch(request);
         }
         synchronized (this) {
-            expireLeases();
-            if (path.equals("/-/kv-range")) {
-                return listRange(request.parameter("path_prefix").orElse(""));
-            } else if (path.equals("/-/kv-key")) {
-                return read(request.parameter("key").orElse(""));
-            } else if (path.equals("/-/kv-txn")) {
-                return transaction(body);
-            } else if (path.equals("/-/kv-lease")) {
-                return grantLease(body.path("ttl_ms").asLong());
-            } else if (path.startsWith("/-/kv-keep/")) {
-                return renewLease(Long.parseLong(request.pathSegments()[2]));
-            } else if (path.startsWith("/-/kv-lease-end/")) {
-                endLease(Long.parseLong(request.pathSegments()[2]));
-                return StandInResponse.json(StandInResponse.OK, JsonNodeFactory.instance.objectNode());
-            }
+            return withEra(handle(request, path, body));
+        }
+    }
+
+    private StandInResponse withEra(StandInResponse response) {
+        return response.withHeader("Store-Era", Long.toString(era));
+    }
+
+    private StandInResponse handle(StandInRequest request, String path, JsonNode body) {
+        expireLeases();
+        if (path.equals("/-/kv-range")) {
+            return listRange(request.parameter("path_prefix").orElse(""));
+        } else if (path.equals("/-/kv-key")) {
+            return read(request.parameter("key").orElse(""));
+        } else if (path.equals("/-/kv-txn")) {
+            return transaction(body);
+        } else if (path.equals("/-/kv-lease")) {
+            return grantLease(body.path("ttl_ms").asLong());
+        } else if (path.startsWith("/-/kv-keep/")) {
+            return renewLease(Long.parseLong(request.pathSegments()[2]));
+        } else if (path.startsWith("/-/kv-lease-end/")) {
+            endLease(Long.parseLong(request.pathSegments()[2]));
+            return StandInResponse.json(StandInResponse.OK, JsonNodeFactory.instance.objectNode());
         }
         return StandInResponse.error(StandInResponse.NOT_FOUND, "not_found");
     }
@@ -158,15 +248,15 @@
         synchronized (this) {
             while (true) {
                 expireLeases();
-                if (after < historyStartRevision - 1) {
-                    return StandInResponse.error(GONE, "history_gone");
+                if (after < historyStartRevision - 1 || after > revision) {
+                    return withEra(StandInResponse.error(GONE, "history_gone"));
                 }
                 ArrayNode events = events(prefix, after);
                 long remainingMillis = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
                 if (!events.isEmpty() || remainingMillis <= 0) {
                     ObjectNode response = json.createObjectNode().put("current_rev", revision);
                     response.set("events", events);
-                    return StandInResponse.json(StandInResponse.OK, response);
+                    return withEra(StandInResponse.json(StandInResponse.OK, response));
                 }
                 try {
                     wait(remainingMillis);
@@ -265,7 +355,7 @@
 
     private StandInResponse grantLease(long ttlMillis) {
         long id = nextLeaseId++;
-        leases.put(id, new Lease(ttlMillis, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttlMillis)));
+        leases.put(id, new Lease(ttlMillis, expiry(ttlMillis)));
         return StandInResponse.json(
                 StandInResponse.OK, json.createObjectNode().put("lease", id).put("ttl_ms", ttlMillis));
     }
@@ -276,7 +366,7 @@
             return StandInResponse.error(StandInResponse.NOT_FOUND, "no_lease");
         }
         long ttlMillis = lease.ttlMillis();
-        leases.put(id, new Lease(ttlMillis, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttlMillis)));
+        leases.put(id, new Lease(ttlMillis, expiry(ttlMillis)));
         return StandInResponse.json(StandInResponse.OK, json.createObjectNode().put("ttl_ms", ttlMillis));
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/RecentChanges.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/RecentChanges.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.cactusshift.internal.coordination.store.KeyChange;
+import org.cactusshift.internal.coordination.store.StorePosition;
 
 /**
  * Retains the changes of the last few reads of the store, so that a node which missed the message about one of them can
@@ -20,8 +21,8 @@
 
     private final ArrayDeque<Read> reads = new ArrayDeque<>();
 
-    /** The revision up to which the last read went. */
-    private long lastRevision;
+    /** The position up to which the last read went. */
+    private StorePosition lastPosition = StorePosition.START;
 
     private record Read(long fromRevision, List<KeyChange> changes, int valueBytes) {}
 
@@ -45,30 +46,30 @@
      * Records a read and returns what nodes are to be told of it. Earlier reads are forgotten if this one does not go
      * on where the last one ended, as changes in between came from another node.
      *
-     * @param fromRevision the revision after which changes were read
-     * @param toRevision the revision up to which they were read
+     * @param from the position after which changes were read
+     * @param to the position up to which they were read, in the same era
      * @param changes the changes that matter, oldest first
      * @param ageMillis the time since the read was started, in milliseconds
      * @return the changes of the last reads; none, from the last revision on, if they are too long for a message
      */
-    public SiteChanges onRead(long fromRevision, long toRevision, List<KeyChange> changes, long ageMillis) {
-        if (fromRevision != lastRevision) {
+    public SiteChanges onRead(StorePosition from, StorePosition to, List<KeyChange> changes, long ageMillis) {
+        if (!from.equals(lastPosition)) {
             reads.clear();
         }
-        lastRevision = toRevision;
+        lastPosition = to;
         int valueBytes = 0;
         for (KeyChange change : changes) {
             valueBytes += change.key().length();
             valueBytes += change.value().map(value -> value.value().length).orElse(0);
         }
-        reads.addLast(new Read(fromRevision, changes, valueBytes));
+        reads.addLast(new Read(from.revision(), changes, valueBytes));
         while (reads.size() > RETAINED_READS || totalBytes() > MAXIMUM_VALUE_BYTES) {
             reads.removeFirst();
         }
         List<KeyChange> recent = new ArrayList<>();
         reads.forEach(read -> recent.addAll(read.changes()));
-        long firstRevision = reads.isEmpty() ? toRevision : reads.getFirst().fromRevision();
-        return new SiteChanges(firstRevision, toRevision, ageMillis, recent);
+        long firstRevision = reads.isEmpty() ? to.revision() : reads.getFirst().fromRevision();
+        return new SiteChanges(to.era(), firstRevision, to.revision(), ageMillis, recent);
     }
 
     private int totalBytes() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/AsyncKeyValueStore.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/store/AsyncKeyValueStore.java
@@ -13,6 +13,14 @@
  * response is lost fails with {@link Failure.Kind#UNKNOWN_EFFECT} and may still take effect later.
  */
 public interface AsyncKeyValueStore {
+    /**
+     * Returns what is known of the era of the store. An answer that belongs to another era than its call relies on is
+     * delivered as a failure: {@link Failure.Kind#REJECTED} for {@link #awaitChanges} and {@link #keepAlive}.
+     *
+     * @return the era
+     */
+    StoreEra era();
+
     /**
      * Waits until keys change (long poll).
      *
@@ -29,9 +37,9 @@
      * revision.
      *
      * @param prefix the prefix of the keys
-     * @param receiver receives the values and the revision at which they were read
+     * @param receiver receives the values and the position at which they were read
      */
-    void list(String prefix, Consumer<Either<Failure, RangeResult>> receiver);
+    void list(String prefix, Consumer<Either<Failure, Listing>> receiver);
 
     /**
      * Reads one key as it is at some moment during the call, never an older value.
@@ -77,16 +85,29 @@
     /**
      * A batch of key changes.
      *
-     * @param revision the revision up to which the changes are complete
+     * @param position the position up to which the changes are complete
      * @param changes the changes, oldest first
      */
-    record Changes(long revision, List<KeyChange> changes) {
+    record Changes(StorePosition position, List<KeyChange> changes) {
         /** Copies the list. */
         public Changes {
             changes = List.copyOf(changes);
         }
     }
 
+    /**
+     * All values with a prefix.
+     *
+     * @param position the position at which they were read
+     * @param values the values
+     */
+    record Listing(StorePosition position, List<VersionedValue> values) {
+        /** Copies the list. */
+        public Listing {
+            values = List.copyOf(values);
+        }
+    }
+
     /**
      * A conditional write.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
@@ -47,9 +47,10 @@
      * A complete response.
      *
      * @param status the status
+     * @param headers the headers
      * @param body the body
      */
-    public record Response(int status, byte[] body) {}
+    public record Response(int status, HttpHeaders headers, byte[] body) {}
 
     /**
      * Sends a request and delivers the complete response or the failure. A failure to connect has no effect; the effect
@@ -111,6 +112,7 @@
         private ScheduledFuture<?> timer;
         private HttpClientConnection connection;
         private int status;
+        private HttpHeaders responseHeaders;
         private boolean ended;
 
         Call(String step, BooleanSupplier condition, Consumer<Either<Failure, Response>> receiver) {
@@ -158,6 +160,7 @@
         @Override
         public boolean onHead(HttpResponse response) {
             status = response.status().code();
+            responseHeaders = response.headers();
             return true;
         }
 
@@ -168,7 +171,7 @@
 
         @Override
         public void onComplete() {
-            end(Either.right(new Response(status, content.toByteArray())));
+            end(Either.right(new Response(status, responseHeaders, content.toByteArray())));
         }
 
         @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -37,6 +37,10 @@
             .name("cactusshift_relay_config_version")
             .help("The version of the configuration in force.")
             .register(registry);
+    private final Gauge storeEra = Gauge.builder()
+            .name("cactusshift_relay_store_era")
+            .help("The era of the store, which rises when the store is restored from a copy.")
+            .register(registry);
     private final Gauge suspects = Gauge.builder()
             .name("cactusshift_relay_crash_suspects")
             .help("What may have crashed upstreams: requests and prompt parts that were there.")
@@ -108,6 +112,15 @@
         configVersion.set(version);
     }
 
+    /**
+     * Records the era of the store.
+     *
+     * @param era the newest era that an answer of the store stated
+     */
+    public void onStoreEra(long era) {
+        storeEra.set(era);
+    }
+
     /**
      * Records how many suspects there are because of crashes of upstreams.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -111,6 +111,7 @@
     private final SiteClock siteClock = new SiteClock();
     private final CrashHistory crashHistory = CrashHistory.create(CRASH_RETENTION_MILLIS);
     private final UpstreamRequestLimits upstreamLimits;
+    private final AsyncKeyValueStore store;
     private final UsageCounts usage;
     private final UpstreamDirectory directory;
     private final SiteStateFollower follower;
@@ -156,6 +157,7 @@
         this.retries = settings.retries();
         this.eventLoop = runtime.eventLoop();
         this.startedAtMillis = runtime.clock().monotonicMillis();
+        this.store = protocol.store();
         this.usage = UsageCounts.create(settings.timing().usageWindowMillis());
         this.directory = UpstreamDirectory.create(
                 this::kvCapacityTokens,
@@ -310,6 +312,16 @@
         };
     }
 
+    /** Discards what this node holds by acknowledgements that a restored store may have lost. */
+    private void onStoreRestored(long formerEra) {
+        runtime.log()
+                .event("store.restored")
+                .with("formerEra", formerEra)
+                .with("era", store.era().current())
+                .write();
+        follower.onStoreRestored();
+    }
+
     /** Records the software versions of the upstreams that were read before streams begin at them. */
     private void recordStreamVersions() {
         streamVersions.update(
@@ -389,6 +401,7 @@
                 crashHistory.suspectCount(), crashHistory.refused(now).size());
         metrics.onLimitedUpstreams(upstreamLimits.limitedCount());
         metrics.onUnreachableServices(reachability.unreachableServices().size());
+        metrics.onStoreEra(store.era().current());
         metrics.onLivePeers(gossipReceiver.livePeerCount());
         return metrics.toText();
     }
@@ -415,6 +428,7 @@
                 streamOrigins::onMessage,
                 follower::onTold);
         eventLoop.execute(() -> {
+            store.era().setRiseListener(this::onStoreRestored);
             follower.setReadListener(this::recordStreamVersions);
             SharedReads reads = SharedReads.create(
                     settings.instance(), settings.domain(), registration::peerEndpoints, gossipChannel);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteChangesMessage.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteChangesMessage.java
@@ -14,8 +14,8 @@
 import org.cactusshift.internal.coordination.store.VersionedValue;
 
 /**
- * Encodes and decodes what a node tells others of its reads of the store: the letter {@code C}, then JSON with the
- * revisions, the age and the changes, values in base64.
+ * Encodes and decodes what a node tells others of its reads of the store: the letter {@code C}, then JSON with the era,
+ * the revisions, the age and the changes, values in base64.
  */
 final class SiteChangesMessage {
     private static final char TYPE = 'C';
@@ -25,6 +25,7 @@
 
     static byte[] encode(SiteChanges changes) {
         ObjectNode root = JSON.createObjectNode()
+                .put("era", changes.era())
                 .put("from", changes.fromRevision())
                 .put("to", changes.toRevision())
                 .put("ageMillis", changes.ageMillis());
@@ -62,6 +63,7 @@
                 return Optional.empty();
             }
             return Optional.of(new SiteChanges(
+                    root.path("era").asLong(SiteChanges.UNKNOWN_ERA),
                     root.path("from").asLong(),
                     root.path("to").asLong(),
                     Math.max(0, root.path("ageMillis").asLong()),
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -24,7 +24,7 @@
 import org.cactusshift.internal.coordination.serving.UpstreamEntry;
 import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
 import org.cactusshift.internal.coordination.store.KeyChange;
-import org.cactusshift.internal.coordination.store.RangeResult;
+import org.cactusshift.internal.coordination.store.StorePosition;
 import org.cactusshift.internal.coordination.store.VersionedValue;
 
 /**
@@ -43,17 +43,11 @@
     /** Minimum time between the start of a failed read and the next read. */
     private static final long RETRY_MILLIS = 250;
 
-    /** The store counts as unavailable when a read fails this long after the last successful one. */
-    private static final long UNAVAILABLE_AFTER_MILLIS = 1_500;
-
-    /** The state is current while it is not older than the time that this many reads take. */
-    private static final int CURRENT_READS = 2;
-
     /**
-     * How long after the store has recovered a missing entry may be one that expired during the outage; upstreams
-     * register again within this time.
+     * How long after its start a node uses no message that states no era: the peer, of a build that knows no eras, may
+     * tell of reads from before and after a restore in one message. A node that has seen a restore uses none at all.
      */
-    private static final long RECOVERY_MILLIS = 3_000;
+    private static final long UNKNOWN_ERA_DISTRUST_MILLIS = 10_000;
 
     private final AsyncKeyValueStore store;
     private final StoreValueDecoder decoder;
@@ -65,29 +59,27 @@
     private final RelayMetrics metrics;
     private final String nodeKeyPrefix;
     private final ReadPacing pacing;
-    private final long longestPeriodMillis;
+    private final StoreContact contact;
     private final RecentChanges recentChanges = RecentChanges.create();
     private IntSupplier readerRank = () -> 0;
     private Consumer<SiteChanges> changesListener = changes -> {};
     private final Map<String, VersionedValue> nodeValueByKey = new HashMap<>();
     private final Set<String> malformedKeys = new HashSet<>();
     private Optional<ServingConfig> config = Optional.empty();
-    private long revision;
-
-    /** Whether changes can be read from the revision; false before the first list and after the history was lost. */
-    private boolean canFollowChanges;
-
-    private boolean hasListedOnce;
-    private boolean storeUnavailable;
+    private StorePosition position = StorePosition.START;
 
     /**
-     * When the last read that succeeded was started, by this node or another one that told of it, or when following was
-     * started; by the monotonic and the wall clock.
+     * Whether changes can be read from the position; false before the first list, after the history was lost and after
+     * the store was restored from a copy.
      */
-    private long lastResponseAtMillis;
+    private boolean canFollowChanges;
+
+    /** Whether the store was restored while this node followed it. */
+    private boolean hasSeenRestore;
 
-    private long lastResponseEpochMillis;
+    private long startedAtMillis;
 
+    private boolean hasListedOnce;
     /** The timer of the next read; null while a read is pending. */
     private ScheduledFuture<?> nextRead;
 
@@ -97,14 +89,13 @@
     /** When the last read of this node that succeeded was started. */
     private long lastReadStartedAtMillis = Long.MIN_VALUE;
 
-    private long recoveredAtMillis = Long.MIN_VALUE / 2;
     private boolean stopped;
     private long nodeValuesVersion;
     private Runnable readListener = () -> {};
 
     private SiteStateFollower(Dependencies dependencies, String nodeKeyPrefix, long delayLimitMillis) {
         this.pacing = ReadPacing.of(delayLimitMillis);
-        this.longestPeriodMillis = longestPeriodMillis(delayLimitMillis);
+        this.contact = StoreContact.create(dependencies.log(), longestPeriodMillis(delayLimitMillis));
         this.store = dependencies.store();
         this.decoder = dependencies.decoder();
         this.directory = dependencies.directory();
@@ -188,11 +179,30 @@
 
     /** Starts following. */
     public void start() {
-        lastResponseAtMillis = clock.monotonicMillis();
-        lastResponseEpochMillis = clock.epochMillis();
+        startedAtMillis = clock.monotonicMillis();
+        contact.start(startedAtMillis, clock.epochMillis());
         read();
     }
 
+    /**
+     * Reads the whole state anew, as the store was restored from a copy. Until then the state that is known stays in
+     * use. To be called before an answer of the new era is used.
+     */
+    void onStoreRestored() {
+        hasSeenRestore = true;
+        canFollowChanges = false;
+        readSoon();
+    }
+
+    /**
+     * Returns whether the values that nodes wrote are those of the current era of the store.
+     *
+     * @return false after the store was restored, until the whole state has been read
+     */
+    boolean hasReadCurrentEra() {
+        return canFollowChanges;
+    }
+
     /** Stops following. */
     public void stop() {
         stopped = true;
@@ -222,7 +232,7 @@
      * @return whether a read failed and none has succeeded for some time
      */
     public boolean isStoreUnavailable() {
-        return storeUnavailable;
+        return contact.isUnavailable();
     }
 
     /**
@@ -234,9 +244,7 @@
      * @return whether a read of the store succeeded within the time of about two reads
      */
     public boolean isCurrent(long nowMillis, long epochMillis) {
-        long maximumAgeMillis = Math.max(UNAVAILABLE_AFTER_MILLIS, CURRENT_READS * longestPeriodMillis);
-        return nowMillis - lastResponseAtMillis <= maximumAgeMillis
-                && Math.abs(epochMillis - lastResponseEpochMillis) <= maximumAgeMillis;
+        return contact.isCurrent(nowMillis, epochMillis);
     }
 
     /**
@@ -272,7 +280,7 @@
         if (stopped) {
             return;
         }
-        if (lastResponseAtMillis + pacing.periodMillis(readerRank.getAsInt()) > clock.monotonicMillis()) {
+        if (contact.lastReadAtMillis() + pacing.periodMillis(readerRank.getAsInt()) > clock.monotonicMillis()) {
             scheduleNextRead();
         } else {
             read();
@@ -280,27 +288,39 @@
     }
 
     private void scheduleNextRead() {
-        long dueAtMillis = lastResponseAtMillis + pacing.periodMillis(readerRank.getAsInt());
+        long dueAtMillis = contact.lastReadAtMillis() + pacing.periodMillis(readerRank.getAsInt());
         long delayMillis = Math.max(0, dueAtMillis - clock.monotonicMillis());
         nextRead = eventLoop.schedule(this::readWhenDue, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     /**
-     * Receives what another node has read. It is used if it begins at the revision that this node knows, or before;
-     * otherwise this node reads soon.
+     * Receives what another node has read. A newer configuration is used whatever the era, as its version tells.
      *
      * @param told the changes
      */
     void onTold(SiteChanges told) {
-        if (stopped || !canFollowChanges || told.toRevision() < revision) {
+        if (stopped || !canFollowChanges) {
             return;
         }
-        if (told.fromRevision() > revision) {
-            readSoon();
-            return;
+        switch (told.useAt(position, trustsUnknownEra())) {
+            case APPLY -> {
+                onReadAt(clock.monotonicMillis() - told.ageMillis());
+                apply(told.changes(), told.toRevision());
+            }
+            case READ -> readSoon();
+            case READ_NEW_ERA -> {
+                told.changes()
+                        .forEach(change -> change.value()
+                                .filter(value -> value.key().equals(decoder.configKey()))
+                                .ifPresent(this::onConfig));
+                readSoon();
+            }
+            default -> {}
         }
-        onReadAt(clock.monotonicMillis() - told.ageMillis());
-        apply(told.changes(), told.toRevision());
+    }
+
+    private boolean trustsUnknownEra() {
+        return !hasSeenRestore && clock.monotonicMillis() - startedAtMillis >= UNKNOWN_ERA_DISTRUST_MILLIS;
     }
 
     /** Reads at once, unless a read is pending; the nodes of a failure domain do so one after the other. */
@@ -321,7 +341,8 @@
         readsSoon = false;
         long startedAtMillis = clock.monotonicMillis();
         if (canFollowChanges) {
-            store.awaitChanges("", revision, LONG_POLL_MILLIS, changes -> onChanges(changes, startedAtMillis));
+            store.awaitChanges(
+                    "", position.revision(), LONG_POLL_MILLIS, changes -> onChanges(changes, startedAtMillis));
         } else {
             store.list("", values -> onList(values, startedAtMillis));
         }
@@ -332,7 +353,7 @@
         nextRead = eventLoop.schedule(this::read, delayMillis, TimeUnit.MILLISECONDS);
     }
 
-    private void onList(Either<Failure, RangeResult> values, long startedAtMillis) {
+    private void onList(Either<Failure, AsyncKeyValueStore.Listing> values, long startedAtMillis) {
         if (values.isLeft()) {
             onReadFailed(values.getLeft());
             scheduleRetry(startedAtMillis);
@@ -350,11 +371,16 @@
                 onValue(value);
             }
         }
-        directory.replaceAll(entries, wasRecentlyUnavailable(now), now);
-        revision = values.get().revision();
+        if (hasListedOnce && values.get().position().era() > position.era()) {
+            // Entries that were written after the copy was taken are missing until the upstreams write them again.
+            contact.onRestored(now);
+        }
+        directory.replaceAll(entries, contact.wasRecentlyUnavailable(now), now);
+        position = values.get().position();
         log.event("site.listed")
                 .with("upstreams", entries.size())
-                .with("revision", revision)
+                .with("era", position.era())
+                .with("revision", position.revision())
                 .write();
         canFollowChanges = true;
         hasListedOnce = true;
@@ -368,7 +394,10 @@
             Failure failure = changes.getLeft();
             if (failure.kind() == Failure.Kind.REJECTED) {
                 // The history after the revision was compacted, so all keys are listed again.
-                log.event("site.historyLost").with("revision", revision).write();
+                log.event("site.historyLost")
+                        .with("revision", position.revision())
+                        .with("reason", failure.message())
+                        .write();
                 canFollowChanges = false;
                 eventLoop.execute(this::read);
                 return;
@@ -378,31 +407,28 @@
             return;
         }
         onReadSucceeded(startedAtMillis);
-        long fromRevision = revision;
+        StorePosition from = position;
         List<KeyChange> newChanges =
-                apply(changes.get().changes(), changes.get().revision());
+                apply(changes.get().changes(), changes.get().position().revision());
         long ageMillis = clock.monotonicMillis() - startedAtMillis;
-        changesListener.accept(recentChanges.onRead(fromRevision, revision, newChanges, ageMillis));
+        changesListener.accept(recentChanges.onRead(from, position, newChanges, ageMillis));
         scheduleNextRead();
     }
 
     private void onReadFailed(Failure failure) {
-        if (!storeUnavailable && clock.monotonicMillis() - lastResponseAtMillis > UNAVAILABLE_AFTER_MILLIS) {
-            storeUnavailable = true;
-            log.event("store.lost").with("failure", failure.toString()).write();
-        }
+        contact.onReadFailed(failure, clock.monotonicMillis());
     }
 
     /** Applies changes that this node does not know yet; returns those that change what it knows. */
     private List<KeyChange> apply(List<KeyChange> changes, long toRevision) {
         List<KeyChange> newChanges = new ArrayList<>();
         for (KeyChange change : changes) {
-            if (change.revision() > revision && !repeatsWhatIsKnown(change)) {
+            if (change.revision() > position.revision() && !repeatsWhatIsKnown(change)) {
                 newChanges.add(change);
                 onChange(change);
             }
         }
-        revision = Math.max(revision, toRevision);
+        position = position.withRevision(Math.max(position.revision(), toRevision));
         readListener.run();
         return newChanges;
     }
@@ -425,20 +451,7 @@
 
     /** Records that the store was read at a time, by this node or another one. */
     private void onReadAt(long readAtMillis) {
-        long now = clock.monotonicMillis();
-        if (storeUnavailable) {
-            storeUnavailable = false;
-            recoveredAtMillis = now;
-            log.event("store.regained")
-                    .with("awayMillis", now - lastResponseAtMillis)
-                    .write();
-        }
-        lastResponseAtMillis = Math.max(lastResponseAtMillis, readAtMillis);
-        lastResponseEpochMillis = clock.epochMillis() - (now - lastResponseAtMillis);
-    }
-
-    private boolean wasRecentlyUnavailable(long now) {
-        return now - recoveredAtMillis < RECOVERY_MILLIS;
+        contact.onRead(readAtMillis, clock.monotonicMillis(), clock.epochMillis());
     }
 
     private void onChange(KeyChange change) {
@@ -488,13 +501,13 @@
             UpstreamId upstream = UpstreamId.fromString(id);
             boolean wasLeaving =
                     directory.find(upstream).map(known -> known.isLeaving()).orElse(false);
-            directory.remove(upstream, wasRecentlyUnavailable(now), now);
+            directory.remove(upstream, contact.wasRecentlyUnavailable(now), now);
             if (!wasLeaving) {
                 crashDetector.onUpstreamDown(upstream, now);
             }
             log.event("upstream.gone")
                     .with("upstream", id)
-                    .with("storeWasAway", wasRecentlyUnavailable(now))
+                    .with("storeWasAway", contact.wasRecentlyUnavailable(now))
                     .write();
         } catch (IllegalArgumentException e) {
             logMalformedOnce(id, e.getMessage());
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
@@ -11,7 +11,8 @@
 import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
 import org.cactusshift.internal.coordination.store.KeyChange;
 import org.cactusshift.internal.coordination.store.LeaseGrant;
-import org.cactusshift.internal.coordination.store.RangeResult;
+import org.cactusshift.internal.coordination.store.StoreEra;
+import org.cactusshift.internal.coordination.store.StorePosition;
 import org.cactusshift.internal.coordination.store.SwapResult;
 import org.cactusshift.internal.coordination.store.VersionedValue;
 
@@ -22,10 +23,38 @@
 final class FakeStore implements AsyncKeyValueStore {
     final Map<String, VersionedValue> values = new HashMap<>();
     private long revision = 10;
+    private final StoreEra era = StoreEra.create();
 
     /** The number of reads of changes. */
     volatile int reads;
 
+    /** The number of reads of all keys. */
+    volatile int lists;
+
+    FakeStore() {
+        state(1, 1);
+    }
+
+    /** Comes back without the keys, as of a copy at a revision; all calls from now on are answered in the next era. */
+    void restore(long copyRevision) {
+        values.clear();
+        revision = copyRevision;
+        state(era.current() + 1, era.current());
+    }
+
+    private void state(long statedEra, long sentEra) {
+        era.onAnswer(Optional.of(Long.toString(statedEra)), sentEra, StoreEra.Use.ANY_NEWER_ERA);
+    }
+
+    private StorePosition position() {
+        return new StorePosition(era.current(), revision);
+    }
+
+    @Override
+    public StoreEra era() {
+        return era;
+    }
+
     @Override
     public void awaitChanges(String prefix, long after, long waitMillis, Consumer<Either<Failure, Changes>> receiver) {
         reads++;
@@ -35,13 +64,14 @@
                 changes.add(new KeyChange(value.key(), Optional.of(value), value.modRevision()));
             }
         }
-        receiver.accept(Either.right(new Changes(revision, changes)));
+        receiver.accept(Either.right(new Changes(position(), changes)));
     }
 
     @Override
-    public void list(String prefix, Consumer<Either<Failure, RangeResult>> receiver) {
+    public void list(String prefix, Consumer<Either<Failure, Listing>> receiver) {
+        lists++;
         VersionedValue config = new VersionedValue("config", new byte[0], 1, 1);
-        receiver.accept(Either.right(new RangeResult(revision, List.of(config))));
+        receiver.accept(Either.right(new Listing(position(), List.of(config))));
     }
 
     @Override
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteChangesMessageTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteChangesMessageTest.java
@@ -18,6 +18,7 @@
     void changesAreReadAsWritten() {
         byte[] value = {0, 1, -1, 'x'};
         SiteChanges changes = new SiteChanges(
+                4,
                 3,
                 9,
                 40,
@@ -26,6 +27,7 @@
                         new KeyChange("gone", Optional.empty(), 9)));
         SiteChanges read =
                 SiteChangesMessage.decode(SiteChangesMessage.encode(changes)).orElseThrow();
+        assertEquals(4, read.era());
         assertEquals(3, read.fromRevision());
         assertEquals(9, read.toRevision());
         assertEquals(40, read.ageMillis());
@@ -36,6 +38,15 @@
         assertEquals(7, readValue.modRevision());
     }
 
+    /** Guards against nodes that understand no message of the build that ran before this one. */
+    @Test
+    void messageOfABuildThatKnowsNoErasIsRead() {
+        byte[] message = "C{\"from\":1,\"to\":2,\"ageMillis\":3,\"changes\":[]}".getBytes(StandardCharsets.UTF_8);
+        SiteChanges read = SiteChangesMessage.decode(message).orElseThrow();
+        assertEquals(SiteChanges.UNKNOWN_ERA, read.era());
+        assertEquals(2, read.toRevision());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "T r1 v1", "{}", "Cno json", "C{}", "C{\"from\":1}", "C{\"from\":\"1\",\"to\":2}"})
     void otherMessagesAreLeftToOthers(String text) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
@@ -21,6 +21,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class SiteStateFollowerTest {
+    /** The era of the store before it is restored. */
+    private static final long ERA = 1;
+
     private static final String KEY = "/cactusshift/a";
     private static final String OTHER_KEY = "/cactusshift/b";
 
@@ -70,7 +73,7 @@
         clock.monotonicMillis += 100_000;
         clock.epochMillis += 100_000;
         assertFalse(follower.isCurrent(clock.monotonicMillis, clock.epochMillis));
-        follower.onTold(new SiteChanges(8, 12, 30, List.of(put(KEY, 9), put(OTHER_KEY, 11))));
+        follower.onTold(new SiteChanges(ERA, 8, 12, 30, List.of(put(KEY, 9), put(OTHER_KEY, 11))));
         assertEquals(Set.of(OTHER_KEY), follower.nodeValueByKey().keySet());
         assertTrue(follower.isCurrent(clock.monotonicMillis, clock.epochMillis));
     }
@@ -79,11 +82,11 @@
     @Test
     void oldMessageBringsNothingBack() {
         SiteStateFollower follower = followerAfterList();
-        follower.onTold(new SiteChanges(10, 11, 0, List.of(put(KEY, 11))));
-        follower.onTold(new SiteChanges(11, 12, 0, List.of(removal(KEY, 12))));
-        follower.onTold(new SiteChanges(10, 11, 0, List.of(put(KEY, 11))));
-        follower.onTold(new SiteChanges(10, 12, 0, List.of(put(KEY, 11), removal(KEY, 12))));
-        follower.onTold(new SiteChanges(10, 13, 0, List.of(put(KEY, 11))));
+        follower.onTold(new SiteChanges(ERA, 10, 11, 0, List.of(put(KEY, 11))));
+        follower.onTold(new SiteChanges(ERA, 11, 12, 0, List.of(removal(KEY, 12))));
+        follower.onTold(new SiteChanges(ERA, 10, 11, 0, List.of(put(KEY, 11))));
+        follower.onTold(new SiteChanges(ERA, 10, 12, 0, List.of(put(KEY, 11), removal(KEY, 12))));
+        follower.onTold(new SiteChanges(ERA, 10, 13, 0, List.of(put(KEY, 11))));
         assertEquals(Set.of(), follower.nodeValueByKey().keySet());
     }
 
@@ -91,9 +94,9 @@
     @Test
     void changesAfterAGapAreNotUsed() {
         SiteStateFollower follower = followerAfterList();
-        follower.onTold(new SiteChanges(11, 12, 0, List.of(put(KEY, 12))));
+        follower.onTold(new SiteChanges(ERA, 11, 12, 0, List.of(put(KEY, 12))));
         assertEquals(Set.of(), follower.nodeValueByKey().keySet());
-        follower.onTold(new SiteChanges(10, 12, 0, List.of(put(OTHER_KEY, 11), put(KEY, 12))));
+        follower.onTold(new SiteChanges(ERA, 10, 12, 0, List.of(put(OTHER_KEY, 11), put(KEY, 12))));
         assertEquals(Set.of(KEY, OTHER_KEY), follower.nodeValueByKey().keySet());
     }
 
@@ -111,13 +114,51 @@
         while (store.reads == 0) {
             assertTrue(System.nanoTime() < end, "no read");
             eventLoop
-                    .submit(() -> follower.onTold(new SiteChanges(20, 20, 0, List.of())))
+                    .submit(() -> follower.onTold(new SiteChanges(ERA, 20, 20, 0, List.of())))
                     .sync();
             Thread.sleep(MESSAGE_INTERVAL_MILLIS);
         }
         eventLoop.submit(follower::stop).sync();
     }
 
+    /** Guards against a state without what was written after a restore under revisions that had been read before. */
+    @Test
+    void allKeysAreReadAgainAfterARestore() throws InterruptedException {
+        SiteStateFollower follower = follower(DELAY_LIMIT_MILLIS);
+        store.era().setRiseListener(formerEra -> follower.onStoreRestored());
+        eventLoop.submit(follower::start).sync();
+        eventLoop.submit(() -> store.restore(4)).sync();
+        long end = System.nanoTime() + LONGEST_WAIT_MILLIS * 1_000_000;
+        while (store.lists < 2) {
+            assertTrue(System.nanoTime() < end, "no list");
+            Thread.sleep(MESSAGE_INTERVAL_MILLIS);
+        }
+        eventLoop.submit(follower::stop).sync();
+        assertTrue(follower.hasReadCurrentEra());
+    }
+
+    /** The rows: the era of a message, the time since the start, and whether its changes are used in era 1. */
+    @ParameterizedTest
+    @CsvSource({"1, 0, true", "0, 20000, false", "2, 20000, false", "-1, 9000, false", "-1, 10000, true"})
+    void changesOfAnotherEraAreNotUsed(long era, long sinceStartMillis, boolean used) {
+        SiteStateFollower follower = followerAfterList();
+        clock.monotonicMillis += sinceStartMillis;
+        follower.onTold(new SiteChanges(era, 10, 12, 0, List.of(put(KEY, 11))));
+        assertEquals(used, follower.nodeValueByKey().containsKey(KEY));
+    }
+
+    /** Guards against changes of both eras in a message of a build that knows no eras. */
+    @Test
+    void messagesWithoutAnEraAreNotUsedAfterARestore() {
+        SiteStateFollower follower = followerAfterList();
+        clock.monotonicMillis += 20_000;
+        follower.onStoreRestored();
+        follower.start();
+        clock.monotonicMillis += 20_000;
+        follower.onTold(new SiteChanges(SiteChanges.UNKNOWN_ERA, 10, 12, 0, List.of(put(KEY, 11))));
+        assertEquals(Set.of(), follower.nodeValueByKey().keySet());
+    }
+
     /** Returns a follower that has listed all keys; its next read is far away. */
     private SiteStateFollower followerAfterList() {
         SiteStateFollower follower = follower(100_000);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/UsageReportDriverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/UsageReportDriverTest.java
@@ -27,6 +27,9 @@
 import org.junit.jupiter.api.Test;
 
 class UsageReportDriverTest {
+    /** The era of the store before it is restored. */
+    private static final long ERA = 1;
+
     private static final String PREFIX = "/cactusshift/usage/";
     private static final long WINDOW_MILLIS = 5_000;
     private static final long PERIOD_MILLIS = 500;
@@ -98,7 +101,7 @@
         String key = PREFIX + 99;
         byte[] sealed = "sealed by another node".getBytes(StandardCharsets.UTF_8);
         follower.onTold(new SiteChanges(
-                10, 11, 0, List.of(new KeyChange(key, Optional.of(new VersionedValue(key, sealed, 11, 11)), 11))));
+                ERA, 10, 11, 0, List.of(new KeyChange(key, Optional.of(new VersionedValue(key, sealed, 11, 11)), 11))));
         long startEpochMillis = 101 * WINDOW_MILLIS + 100;
         tickAsHolder(startEpochMillis);
         tickAsHolder(startEpochMillis + 250);
