Keep the seals of usage windows over a restore of the store

The holder remembered the window as reported; the next holder found no seal and sealed its own counts.

Each node now remembers the seals that it has read or written. One that the restored store lacks is written again, by the holder at once and by the others one after the other; a window that ended before the restore is not sealed anew for 3 s; a seal is sent only when other nodes have had time to read it; a window that was sealed with two counts is not sent any more.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -23,6 +23,7 @@
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
+import org.cactusshift.internal.coordination.lease.RendezvousHash;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
@@ -194,7 +195,14 @@
                 runtime.log());
         this.usageReportDriver = protocol.usageReportClient()
                 .map(client -> UsageReportDriver.create(
-                        usage, client, protocol.store(), follower, dutyDriver::caller, USAGE_PREFIX, runtime.log()));
+                        usage,
+                        client,
+                        protocol.store(),
+                        follower,
+                        dutyDriver::caller,
+                        USAGE_PREFIX,
+                        () -> RendezvousHash.rank(usageDuty, settings.instance(), registration.nodeIds()),
+                        runtime.log()));
         this.fleetController = protocol.fleetOrderClient().map(client -> createFleetController(client, protocol));
         this.gossipSender = GossipSender.create(
                 self, gossipChannel, directory, usage, crashHistory, upstreamLimits, reachability, TICK_MILLIS);
@@ -320,6 +328,7 @@
                 .with("era", store.era().current())
                 .write();
         follower.onStoreRestored();
+        usageReportDriver.ifPresent(driver -> driver.onStoreRestored(siteEpochMillis()));
     }
 
     /** Records the software versions of the upstreams that were read before streams begin at them. */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -59,6 +59,7 @@
     private final RelayMetrics metrics;
     private final String nodeKeyPrefix;
     private final ReadPacing pacing;
+    private final long longestPeriodMillis;
     private final StoreContact contact;
     private final RecentChanges recentChanges = RecentChanges.create();
     private IntSupplier readerRank = () -> 0;
@@ -95,7 +96,8 @@
 
     private SiteStateFollower(Dependencies dependencies, String nodeKeyPrefix, long delayLimitMillis) {
         this.pacing = ReadPacing.of(delayLimitMillis);
-        this.contact = StoreContact.create(dependencies.log(), longestPeriodMillis(delayLimitMillis));
+        this.longestPeriodMillis = longestPeriodMillis(delayLimitMillis);
+        this.contact = StoreContact.create(dependencies.log(), longestPeriodMillis);
         this.store = dependencies.store();
         this.decoder = dependencies.decoder();
         this.directory = dependencies.directory();
@@ -256,6 +258,15 @@
         return lastReadStartedAtMillis;
     }
 
+    /**
+     * Returns the longest time between two reads of a node that reaches the store.
+     *
+     * @return the time in milliseconds
+     */
+    long longestReadPeriodMillis() {
+        return longestPeriodMillis;
+    }
+
     /**
      * Returns the values that nodes wrote.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportDriver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportDriver.java
@@ -5,10 +5,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.internal.coordination.lease.Authority;
+import org.cactusshift.internal.coordination.serving.SealedWindows;
 import org.cactusshift.internal.coordination.serving.UsageCounts;
 import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
 import org.cactusshift.internal.coordination.store.LeaseGrant;
@@ -19,6 +22,9 @@
  * Reports each usage window with the same bytes, however often it is sent: the counts are first sealed, which is to
  * write them to the store under a key that must be absent, and only sealed bytes are sent. So the next holder of the
  * duty sends exactly the bytes that the previous one may have sent.
+ *
+ * <p>A store that is restored from a copy may lose a seal. So the bytes are sent only when other nodes have had time to
+ * read the seal, and each node that knows a seal which the restored store lacks writes it again.
  */
 public final class UsageReportDriver {
     /** Time allowed for the last counts of a window to arrive after they were sent. */
@@ -33,6 +39,12 @@
      */
     private static final int RETAINED_WINDOWS = 4;
 
+    /** How long after a restore no window that ended before it is sealed: other nodes may write the seal they know. */
+    private static final long RESTORE_SETTLE_MILLIS = 3_000;
+
+    /** How much longer each further node waits before it writes a lost seal again, to read whether another one has. */
+    private static final long REWRITE_DELAY_PER_RANK_MILLIS = 700;
+
     private final UsageCounts counts;
     private final UsageReportClient client;
     private final AsyncKeyValueStore store;
@@ -40,7 +52,14 @@
     private final Function<Authority, DutyCaller> callers;
     private final String prefix;
     private final EventLog log;
+    private final IntSupplier rank;
     private final Set<Long> reportedWindows = new HashSet<>();
+    private final SealedWindows seals = SealedWindows.create();
+
+    /** The wall-clock time at which the last restore of the store was seen. */
+    private long restoredAtEpochMillis = Long.MIN_VALUE / 2;
+
+    private long lastEpochMillis;
 
     /** The window of the first tick; of earlier ones this node reports only those that another one has sealed. */
     private long oldestOwnWindow = Long.MIN_VALUE;
@@ -60,6 +79,7 @@
             SiteStateFollower follower,
             Function<Authority, DutyCaller> callers,
             String prefix,
+            IntSupplier rank,
             EventLog log) {
         this.counts = counts;
         this.client = client;
@@ -67,6 +87,7 @@
         this.follower = follower;
         this.callers = callers;
         this.prefix = prefix;
+        this.rank = rank;
         this.log = log;
     }
 
@@ -79,6 +100,7 @@
      * @param follower provides the sealed windows in the store
      * @param callers returns the sender of calls under an authority of this node
      * @param prefix the key prefix of sealed windows
+     * @param rank supplies the position of this node among those that write lost seals again
      * @param log records reports and failures
      * @return the driver
      */
@@ -89,8 +111,18 @@
             SiteStateFollower follower,
             Function<Authority, DutyCaller> callers,
             String prefix,
+            IntSupplier rank,
             EventLog log) {
-        return new UsageReportDriver(counts, client, store, follower, callers, prefix, log);
+        return new UsageReportDriver(counts, client, store, follower, callers, prefix, rank, log);
+    }
+
+    /**
+     * Records that the store was restored from a copy and may lack seals.
+     *
+     * @param epochMillis the wall-clock time
+     */
+    void onStoreRestored(long epochMillis) {
+        restoredAtEpochMillis = epochMillis;
     }
 
     /**
@@ -111,39 +143,97 @@
         }
         // A wall clock that was set back must not prolong the back-off.
         boolean backingOff = epochMillis < notBeforeEpochMillis && notBeforeEpochMillis - epochMillis <= RETRY_MILLIS;
-        if (authority.isEmpty()
-                || callPending
-                || backingOff
-                || authority.get().fencingNumber() == supersededFencingNumber) {
+        lastEpochMillis = epochMillis;
+        learnSeals(current);
+        if (callPending || backingOff || !follower.hasReadCurrentEra()) {
+            return;
+        }
+        if (rewriteLostSeal(current, authority.isPresent(), epochMillis)) {
+            return;
+        }
+        if (authority.isEmpty() || authority.get().fencingNumber() == supersededFencingNumber) {
             return;
         }
         for (long window = current - RETAINED_WINDOWS; window < current; window++) {
-            boolean isKnown =
-                    window >= oldestOwnWindow || follower.nodeValueByKey().containsKey(key(window));
-            if (isKnown
-                    && !reportedWindows.contains(window)
-                    && epochMillis >= counts.endEpochMillis(window) + usagePeriodMillis + TRANSIT_MILLIS) {
-                sealAndSend(window, authority.get());
-                return;
+            if (!reportedWindows.contains(window) && !seals.isConflicting(window)) {
+                if (advance(window, authority.get(), usagePeriodMillis, epochMillis)) {
+                    return;
+                }
             }
         }
     }
 
+    /** Takes over the seals that the store holds. */
+    private void learnSeals(long current) {
+        seals.forgetBefore(current - 2 * RETAINED_WINDOWS);
+        if (!follower.hasReadCurrentEra()) {
+            return;
+        }
+        for (long window = current - RETAINED_WINDOWS; window < current; window++) {
+            VersionedValue sealed = follower.nodeValueByKey().get(key(window));
+            if (sealed != null) {
+                onSeal(window, sealed.value());
+            }
+        }
+    }
+
+    private void onSeal(long window, byte[] body) {
+        boolean wasConflicting = seals.isConflicting(window);
+        if (!seals.onSealed(window, body, store.era().current(), lastEpochMillis) && !wasConflicting) {
+            log.event("usage.sealsConflict").with("window", window).write();
+        }
+    }
+
+    /** Writes a seal again that the restored store lacks; the nodes that know it do so one after the other. */
+    private boolean rewriteLostSeal(long current, boolean holdsDuty, long epochMillis) {
+        for (long window = current - RETAINED_WINDOWS; window < current; window++) {
+            if (seals.isLost(window, store.era().current())) {
+                long delayMillis = holdsDuty ? 0 : rank.getAsInt() * REWRITE_DELAY_PER_RANK_MILLIS;
+                if (Math.abs(epochMillis - restoredAtEpochMillis) < delayMillis) {
+                    return false;
+                }
+                log.event("usage.sealRewritten").with("window", window).write();
+                seal(window, seals.find(window).orElseThrow());
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Seals a window that is due, or sends a sealed one; returns whether a call was made. */
+    private boolean advance(long window, Authority authority, long usagePeriodMillis, long epochMillis) {
+        OptionalLong heldForMillis = seals.heldForMillis(window, store.era().current(), epochMillis);
+        if (heldForMillis.isPresent()) {
+            boolean othersHaveRead = heldForMillis.getAsLong() >= follower.longestReadPeriodMillis();
+            if (othersHaveRead) {
+                send(window, authority, seals.find(window).orElseThrow());
+            }
+            return othersHaveRead;
+        }
+        boolean isDue = window >= oldestOwnWindow
+                && epochMillis >= counts.endEpochMillis(window) + usagePeriodMillis + TRANSIT_MILLIS;
+        if (!isDue || maySealExistElsewhere(window, epochMillis)) {
+            return false;
+        }
+        seal(window, seals.attempt(window, client.encode(window, counts.total(window))));
+        return true;
+    }
+
+    /** Returns whether the window may have been sealed before a restore, so that others may write the seal again. */
+    private boolean maySealExistElsewhere(long window, long epochMillis) {
+        return counts.endEpochMillis(window) <= restoredAtEpochMillis
+                && Math.abs(epochMillis - restoredAtEpochMillis) < RESTORE_SETTLE_MILLIS;
+    }
+
     private String key(long window) {
         return prefix + window;
     }
 
-    private void sealAndSend(long window, Authority authority) {
-        VersionedValue sealed = follower.nodeValueByKey().get(key(window));
-        if (sealed != null) {
-            send(window, authority, sealed.value());
-            return;
-        }
-        byte[] body = client.encode(window, counts.total(window));
+    private void seal(long window, byte[] body) {
         callPending = true;
         AsyncKeyValueStore.Write write =
                 new AsyncKeyValueStore.Write(key(window), 0, body, LeaseGrant.NONE, expiredKeys(window));
-        store.compareAndSwap(write, swap -> onSealed(window, authority, body, swap));
+        store.compareAndSwap(write, swap -> onSealed(window, body, swap));
     }
 
     /**
@@ -161,7 +251,7 @@
         return old;
     }
 
-    private void onSealed(long window, Authority authority, byte[] body, Either<Failure, SwapResult> swap) {
+    private void onSealed(long window, byte[] body, Either<Failure, SwapResult> swap) {
         callPending = false;
         if (swap.isLeft()) {
             lastCallFailed = true;
@@ -171,11 +261,11 @@
                     .with("failure", swap.getLeft().toString())
                     .write();
         } else if (swap.get().isApplied()) {
-            send(window, authority, body);
-        } else if (swap.get().current().isPresent()) {
-            send(window, authority, swap.get().current().get().value());
+            onSeal(window, body);
+        } else {
+            // A conflict without a value means that the key was removed meanwhile; the next tick tries again.
+            swap.get().current().ifPresent(found -> onSeal(window, found.value()));
         }
-        // In the remaining case, a conflict without a value, the next tick tries again.
     }
 
     private void send(long window, Authority authority, byte[] body) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
@@ -152,6 +152,8 @@
     void messagesWithoutAnEraAreNotUsedAfterARestore() {
         SiteStateFollower follower = followerAfterList();
         clock.monotonicMillis += 20_000;
+        // The read that the restore causes is far away.
+        follower.shareReads(() -> 1, changes -> {});
         follower.onStoreRestored();
         follower.start();
         clock.monotonicMillis += 20_000;
