Give up leases and duties when the store was restored, and number across eras

A restored store forgets leases and duty keys, and gives out lease ids and revisions again. So a second node could acquire a duty while the holder still acted, the next holder got a lower fencing number, or the same one as a former holder, and a holder could renew the lease of another node.

The rise of the era ends the lease, the duties and the registration of a node; it acquires no duty for one time to live. A fencing number is the create revision plus 2^32 for each era since the first one, which is recorded in the store and written again by the nodes that know it.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyEvent.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyEvent.java
@@ -70,6 +70,9 @@
      */
     record AcquisitionFailed(DutyId duty) implements DutyEvent {}
 
+    /** The store was restored from a copy: leases and duties that it granted since then are lost. */
+    record StoreRestored() implements DutyEvent {}
+
     /** The node is shutting down and gives up its duties. */
     record StopRequested() implements DutyEvent {}
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyState.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyState.java
@@ -20,6 +20,7 @@
  * @param vacantSinceMillisByDuty when each vacant required duty was first read as vacant
  * @param dutiesBeingAcquired the duties whose keys are being written by this node
  * @param holderByDuty the holders of the duties as last read
+ * @param acquireNotBeforeMillis the earliest time at which a duty may be acquired; {@link Long#MIN_VALUE} for at once
  * @param stopping whether the node is shutting down
  */
 public record DutyState(
@@ -34,6 +35,7 @@
         Map<DutyId, Long> vacantSinceMillisByDuty,
         Set<DutyId> dutiesBeingAcquired,
         Map<DutyId, DutyHolder> holderByDuty,
+        long acquireNotBeforeMillis,
         boolean stopping) {
     /** The state of a node that has just started: no lease, all calls due at once. */
     public static final DutyState INITIAL = new DutyState(
@@ -48,6 +50,7 @@
             Map.of(),
             Set.of(),
             Map.of(),
+            Long.MIN_VALUE,
             false);
 
     /** Copies the collections. */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyStateMachine.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/lease/DutyStateMachine.java
@@ -18,6 +18,10 @@
  * the fencing number. The key is written only when it is absent and is deleted only with the lease, so a successful
  * renewal proves that the node still holds all its duties. That is so even when the node, by its own clock and the
  * clock-drift margin, already treated the lease as expired: the store had not, so no other node can have acquired them.
+ *
+ * <p>A store that was restored from a copy proves nothing of the kind. So the node then gives up its lease and its
+ * duties at once, and acquires none for one time to live: by then every lease that the store has forgotten has expired
+ * at its holder, whether or not the holder knows of the restore.
  */
 public final class DutyStateMachine {
     private final DutyHolder self;
@@ -79,6 +83,9 @@
             draft.dutiesBeingAcquired.remove(failed.duty());
             // The write may have taken effect, or another node holds the duty: the read shows which.
             draft.pollAtMillis = nowMillis;
+        } else if (event instanceof DutyEvent.StoreRestored) {
+            dropLease(draft);
+            draft.acquireNotBeforeMillis = nowMillis + timing.ttlMillis();
         } else if (event instanceof DutyEvent.StopRequested) {
             draft.stopping = true;
         } else if (event instanceof DutyEvent.LeaseRevoked) {
@@ -125,6 +132,9 @@
 
     private Set<DutyId> dutiesToAcquire(Draft draft, DutyEvent.Tick tick, long nowMillis) {
         Set<DutyId> toAcquire = new TreeSet<>();
+        if (nowMillis < draft.acquireNotBeforeMillis) {
+            return toAcquire;
+        }
         for (Map.Entry<DutyId, Long> vacant : draft.vacantSinceMillisByDuty.entrySet()) {
             DutyId duty = vacant.getKey();
             if (draft.dutiesBeingAcquired.contains(duty) || draft.fencingNumberByDuty.containsKey(duty)) {
@@ -241,6 +251,7 @@
         private final Map<DutyId, Long> vacantSinceMillisByDuty;
         private final Set<DutyId> dutiesBeingAcquired;
         private final Map<DutyId, DutyHolder> holderByDuty;
+        private long acquireNotBeforeMillis;
         private boolean stopping;
         private final List<DutyAction> actions = new ArrayList<>();
 
@@ -256,6 +267,7 @@
             vacantSinceMillisByDuty = new HashMap<>(state.vacantSinceMillisByDuty());
             dutiesBeingAcquired = new HashSet<>(state.dutiesBeingAcquired());
             holderByDuty = new HashMap<>(state.holderByDuty());
+            acquireNotBeforeMillis = state.acquireNotBeforeMillis();
             stopping = state.stopping();
         }
 
@@ -276,6 +288,7 @@
                     vacantSinceMillisByDuty,
                     dutiesBeingAcquired,
                     holderByDuty,
+                    acquireNotBeforeMillis,
                     stopping);
             return new Step(state, actions);
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/DutyDriver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/DutyDriver.java
@@ -33,6 +33,7 @@
     private final SiteId site;
     private final AsyncKeyValueStore store;
     private final SiteStateFollower follower;
+    private final FirstEraRecord firstEra;
     private final RelayClock clock;
     private final EventLog log;
     private DutyState state = DutyState.INITIAL;
@@ -53,6 +54,7 @@
         this.site = site;
         this.store = store;
         this.follower = follower;
+        this.firstEra = FirstEraRecord.create(DutyId.keyPrefix(site) + "firstEra", store, follower, log);
         this.clock = clock;
         this.log = log;
     }
@@ -87,9 +89,15 @@
      * @param liveNodes the live nodes, among which the duties are spread
      */
     public void tick(Set<DutyId> requiredDuties, Set<InstanceId> liveNodes) {
+        firstEra.refresh();
         apply(new DutyEvent.Tick(requiredDuties, liveNodes));
     }
 
+    /** Gives up all duties, as the store was restored from a copy and may have forgotten the lease. */
+    void onStoreRestored() {
+        apply(new DutyEvent.StoreRestored());
+    }
+
     /** Stops seeking duties; the next tick revokes the lease, which releases all duties. */
     public void stop() {
         apply(new DutyEvent.StopRequested());
@@ -131,11 +139,12 @@
      */
     public Optional<DutyEvent.Entry> holder(DutyId duty) {
         return Optional.ofNullable(follower.nodeValueByKey().get(duty.key(site)))
-                .flatMap(DutyDriver::entry);
+                .flatMap(this::entry);
     }
 
-    private static Optional<DutyEvent.Entry> entry(VersionedValue value) {
-        return DutyHolder.fromBytes(value.value()).map(holder -> new DutyEvent.Entry(holder, value.createRevision()));
+    private Optional<DutyEvent.Entry> entry(VersionedValue value) {
+        return DutyHolder.fromBytes(value.value())
+                .map(holder -> new DutyEvent.Entry(holder, firstEra.fencingNumber(value.createRevision())));
     }
 
     private void apply(DutyEvent event) {
@@ -186,7 +195,7 @@
     }
 
     private void listDuties() {
-        if (follower.isStoreUnavailable() || !follower.isReady()) {
+        if (follower.isStoreUnavailable() || !follower.isReady() || !follower.hasReadCurrentEra()) {
             apply(new DutyEvent.ListFailed());
             return;
         }
@@ -201,6 +210,11 @@
     }
 
     private void acquire(DutyAction.AcquireDuty acquire) {
+        if (!firstEra.isKnown()) {
+            firstEra.writeIfAbsent();
+            apply(new DutyEvent.AcquisitionFailed(acquire.duty()));
+            return;
+        }
         long leaseId = acquire.grant().leaseId();
         byte[] value = self.withLease(leaseId).toBytes();
         AsyncKeyValueStore.Write write =
@@ -210,7 +224,8 @@
 
     private void onAcquired(DutyId duty, long leaseId, Either<Failure, SwapResult> swap) {
         if (swap.isRight() && swap.get().isApplied()) {
-            apply(new DutyEvent.DutyAcquired(duty, leaseId, swap.get().revision()));
+            long fencingNumber = firstEra.fencingNumber(swap.get().revision());
+            apply(new DutyEvent.DutyAcquired(duty, leaseId, fencingNumber));
         } else {
             apply(new DutyEvent.AcquisitionFailed(duty));
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeRegistration.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/NodeRegistration.java
@@ -184,14 +184,26 @@
         }
     }
 
+    /**
+     * Registers again under a new lease, as the store was restored from a copy and may have forgotten the lease, or
+     * given out its id again.
+     */
+    void onStoreRestored() {
+        lapse();
+    }
+
+    private void lapse() {
+        lease = LeaseGrant.NONE;
+        registered = false;
+        nextRenewalMillis = clock.monotonicMillis();
+    }
+
     private void onLease(Either<Failure, LeaseGrant> grant) {
         callPending = false;
         if (grant.isLeft()) {
             if (grant.getLeft().kind() == Failure.Kind.REJECTED) {
                 log.event("node.registrationLapsed").write();
-                lease = LeaseGrant.NONE;
-                registered = false;
-                nextRenewalMillis = clock.monotonicMillis();
+                lapse();
             }
             return;
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -328,6 +328,8 @@
                 .with("era", store.era().current())
                 .write();
         follower.onStoreRestored();
+        dutyDriver.onStoreRestored();
+        registration.onStoreRestored();
         usageReportDriver.ifPresent(driver -> driver.onStoreRestored(siteEpochMillis()));
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutyStateMachineTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/lease/DutyStateMachineTest.java
@@ -96,6 +96,29 @@
         assertEquals(42, state.authority(DutyId.usage(0), 4).orElseThrow().fencingNumber());
     }
 
+    /**
+     * Guards against two holders at a time: a node that was granted the duty after the copy was taken, and does not
+     * know of the restore, acts until its lease expires.
+     */
+    @Example
+    void nodeGivesUpItsDutiesAfterARestoreAndAcquiresNoneForATimeToLive() {
+        DutyStateMachine machine = DutyStateMachine.create(SELF, TIMING);
+        DutyState state = machine.apply(DutyState.INITIAL, new DutyEvent.LeaseGranted(new LeaseGrant(7, 6_000), 0), 1)
+                .state();
+        state = machine.apply(state, new DutyEvent.DutyAcquired(DutyId.usage(0), 7, 42), 2)
+                .state();
+        state = machine.apply(state, new DutyEvent.StoreRestored(), 3).state();
+        assertFalse(state.authority(DutyId.usage(0), 4).isPresent());
+        for (long now = 4; now < 3 + TIMING.ttlMillis(); now += 50) {
+            DutyStateMachine.Step step = machine.apply(state, new DutyEvent.Tick(DUTIES, Set.of()), now);
+            assertFalse(step.actions().contains(new DutyAction.GrantLease()), "at " + now);
+            state = machine.apply(step.state(), new DutyEvent.DutiesListed(Map.of()), now)
+                    .state();
+        }
+        DutyStateMachine.Step step = machine.apply(state, new DutyEvent.Tick(DUTIES, Set.of()), 3 + TIMING.ttlMillis());
+        assertTrue(step.actions().contains(new DutyAction.GrantLease()));
+    }
+
     @Example
     void nodeWithoutDutiesRequestsNoLease() {
         DutyStateMachine machine = DutyStateMachine.create(SELF, TIMING);
