Record the stream versions again that a restored store lacks

The record is compared by era and revision. Versions that were known before are recorded again; until then they count as possible for streams that are taken up, and none begins at them.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StreamVersionPlanner.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StreamVersionPlanner.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.SoftwareVersion;
+import org.cactusshift.internal.coordination.store.StorePosition;
 
 /**
  * Decides what a node writes to the record of {@link StreamVersions}, so that the record holds every version at which a
@@ -17,6 +18,9 @@
  * that no upstream has had for a while and removes it after {@link #RETENTION_MILLIS}, unless a node has recorded it
  * again: each write is conditional on the revision that was read.
  *
+ * <p>A store that was restored from a copy may show an older record. What a node knew before is then recorded again;
+ * until that is done it counts as possible for streams that are taken up, but none begins at it.
+ *
  * <p>Not thread-safe.
  */
 public final class StreamVersionPlanner {
@@ -31,8 +35,11 @@
 
     private StreamVersions recorded = StreamVersions.NONE;
 
-    /** The revision of the record, 0 while none is known. */
-    private long revision;
+    /** The position of the record; that of the start while none is known. */
+    private StorePosition position = StorePosition.START;
+
+    /** What was known when the store was restored and has not been recorded again. */
+    private StreamVersions carried = StreamVersions.NONE;
 
     private final Map<ServiceVersion, Long> unlistedSinceMillis = new HashMap<>();
     private final Map<ServiceVersion, Long> retiredSinceMillis = new HashMap<>();
@@ -54,12 +61,32 @@
      * Receives the record as read from the store or written there; an older one is ignored.
      *
      * @param versions the record
-     * @param recordRevision its revision
+     * @param recordPosition its position
      */
-    public void onRecorded(StreamVersions versions, long recordRevision) {
-        if (recordRevision > revision) {
-            recorded = versions;
-            revision = recordRevision;
+    public void onRecorded(StreamVersions versions, StorePosition recordPosition) {
+        if (recordPosition.compareTo(position) <= 0) {
+            return;
+        }
+        if (recordPosition.era() > position.era() && position.revision() > 0) {
+            onAbsent(recordPosition.era());
+        }
+        recorded = versions;
+        position = recordPosition;
+        if (recorded.withAll(carried).equals(recorded)) {
+            carried = StreamVersions.NONE;
+        }
+    }
+
+    /**
+     * Receives that the store holds no record in an era; ignored unless the known one is of an earlier era.
+     *
+     * @param era the era
+     */
+    public void onAbsent(long era) {
+        if (era > position.era()) {
+            carried = carried.withAll(recorded);
+            recorded = StreamVersions.NONE;
+            position = new StorePosition(era, 0);
         }
     }
 
@@ -73,12 +100,23 @@
     }
 
     /**
-     * Returns the revision of the newest record.
+     * Returns the versions at which a stream that is taken up can have begun, by a record and by what this node knew
+     * before the store was restored.
+     *
+     * @param versions the record as just read
+     * @return the versions
+     */
+    public StreamVersions withCarried(StreamVersions versions) {
+        return versions.withAll(carried);
+    }
+
+    /**
+     * Returns the position of the newest record.
      *
-     * @return the revision, 0 while none is known
+     * @return the position, with revision 0 while none is known
      */
-    public long revision() {
-        return revision;
+    public StorePosition position() {
+        return position;
     }
 
     /**
@@ -90,7 +128,7 @@
      * @return the record, empty when the newest one may stay
      */
     public Optional<StreamVersions> next(Map<ServiceId, Set<SoftwareVersion>> listed, boolean retires, long nowMillis) {
-        StreamVersions next = recorded;
+        StreamVersions next = recorded.withAll(carried);
         for (Map.Entry<ServiceId, Set<SoftwareVersion>> service : listed.entrySet()) {
             for (SoftwareVersion version : service.getValue()) {
                 if (!recorded.mayBegin(service.getKey(), version)) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StreamVersions.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StreamVersions.java
@@ -65,6 +65,23 @@
         return versions.size() == 1 ? Optional.of(versions.iterator().next()) : Optional.empty();
     }
 
+    /**
+     * Returns a copy that also holds the versions of an earlier record; a version that both hold is used as there.
+     *
+     * @param earlier the earlier record, which is newer knowledge than this one if the store was restored from a copy
+     * @return the copy
+     */
+    public StreamVersions withAll(StreamVersions earlier) {
+        StreamVersions all = this;
+        for (Map.Entry<ServiceId, Map<SoftwareVersion, Use>> service :
+                earlier.usesByService().entrySet()) {
+            for (Map.Entry<SoftwareVersion, Use> use : service.getValue().entrySet()) {
+                all = all.with(service.getKey(), use.getKey(), Optional.of(use.getValue()));
+            }
+        }
+        return all;
+    }
+
     /**
      * Returns a copy in which a version is used in a way.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StreamVersionRepository.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StreamVersionRepository.java
@@ -14,6 +14,7 @@
 import org.cactusshift.internal.coordination.serving.StreamVersions;
 import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
 import org.cactusshift.internal.coordination.store.LeaseGrant;
+import org.cactusshift.internal.coordination.store.StorePosition;
 import org.cactusshift.internal.coordination.store.SwapResult;
 import org.cactusshift.internal.coordination.store.VersionedValue;
 
@@ -62,10 +63,12 @@
      * @param nowMillis the current monotonic time, in milliseconds
      */
     void update(Map<ServiceId, Set<SoftwareVersion>> listed, boolean retires, long nowMillis) {
-        if (!follower.isReady()) {
+        if (!follower.isReady() || !follower.hasReadCurrentEra()) {
             return;
         }
-        Optional.ofNullable(follower.nodeValueByKey().get(key)).ifPresent(this::onRead);
+        Optional.ofNullable(follower.nodeValueByKey().get(key))
+                .ifPresentOrElse(
+                        this::onRead, () -> planner.onAbsent(store.era().current()));
         if (writePending) {
             return;
         }
@@ -118,14 +121,18 @@
     private Optional<StreamVersions> onRead(VersionedValue value) {
         Optional<StreamVersions> versions = StreamVersionsCodec.decode(value.value());
         // A malformed record counts as one without versions, which is written again.
-        planner.onRecorded(versions.orElse(StreamVersions.NONE), value.modRevision());
-        return versions;
+        planner.onRecorded(versions.orElse(StreamVersions.NONE), position(value.modRevision()));
+        return versions.map(planner::withCarried);
+    }
+
+    private StorePosition position(long revision) {
+        return new StorePosition(store.era().current(), revision);
     }
 
     private void write(StreamVersions next) {
         writePending = true;
         AsyncKeyValueStore.Write write = new AsyncKeyValueStore.Write(
-                key, planner.revision(), StreamVersionsCodec.encode(next), LeaseGrant.NONE, List.of());
+                key, planner.position().revision(), StreamVersionsCodec.encode(next), LeaseGrant.NONE, List.of());
         store.compareAndSwap(write, swap -> onWritten(next, swap));
     }
 
@@ -139,13 +146,13 @@
             return;
         }
         if (swap.get().isApplied()) {
-            planner.onRecorded(next, swap.get().revision());
+            planner.onRecorded(next, position(swap.get().revision()));
         } else {
             swap.get().current().ifPresent(this::onRead);
         }
         log.event("streamVersions.recorded")
                 .with("applied", swap.get().isApplied())
-                .with("revision", planner.revision())
+                .with("revision", planner.position().revision())
                 .with("versions", planner.recorded().usesByService())
                 .write();
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/StreamVersionSchedule.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/StreamVersionSchedule.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.SoftwareVersion;
+import org.cactusshift.internal.coordination.store.StorePosition;
 
 /**
  * A random schedule in virtual time: engines of changing versions join, leave, go on serving after their entries are
@@ -32,6 +33,7 @@
 
     private static final ServiceId SERVICE = ServiceId.fromString("lm");
     private static final long STEP_MILLIS = 100;
+    private static final long ERA = 1;
     private static final long LENGTH_MILLIS = 240_000;
 
     /** How long an engine goes on serving after its entry is gone, at most. */
@@ -55,6 +57,10 @@
     private long goneOn;
     private long takenUp;
 
+    private StorePosition storedPosition() {
+        return new StorePosition(ERA, storedRevision);
+    }
+
     private static final class Engine {
         private SoftwareVersion version;
         private boolean listed = true;
@@ -190,7 +196,7 @@
         }
         node.nextReadMillis = now + 300 + random.nextInt(900);
         node.listed = engines.stream().filter(engine -> engine.listed).toList();
-        node.planner.onRecorded(stored, storedRevision);
+        node.planner.onRecorded(stored, storedPosition());
         Set<SoftwareVersion> versions =
                 node.listed.stream().map(engine -> engine.version).collect(Collectors.toSet());
         node.planner
@@ -203,11 +209,11 @@
 
     private void write(Node node, StreamVersions next) {
         if (random.nextInt(5) == 0) {
-            lateWrites.add(new LateWrite(next, node.planner.revision(), now + random.nextInt(6_000)));
-        } else if (apply(next, node.planner.revision())) {
-            node.planner.onRecorded(next, storedRevision);
+            lateWrites.add(new LateWrite(next, node.planner.position().revision(), now + random.nextInt(6_000)));
+        } else if (apply(next, node.planner.position().revision())) {
+            node.planner.onRecorded(next, storedPosition());
         } else {
-            node.planner.onRecorded(stored, storedRevision);
+            node.planner.onRecorded(stored, storedPosition());
         }
     }
 
