Remember upstreams that have left over a restore of the store

An incarnation that was leaving stays so for 60 s. An entry that was removed before the restore is listed only if it outlasts the time after which the platform removes that of a silent engine.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
@@ -20,10 +20,35 @@
  * <p>An upstream that was leaving accepts no new requests again in the same incarnation. An upstream whose entry
  * disappeared while the store was unavailable is retained for a short grace period, because such an entry is written
  * again if the upstream is alive.
+ *
+ * <p>An upstream that has left is remembered, as a store that was restored from a copy may list it again. One that was
+ * leaving stays so; one whose entry was removed is listed only if its entry outlasts the time after which the platform
+ * removes the entry of a silent upstream.
  */
 public final class UpstreamDirectory {
     private final Map<UpstreamId, Upstream> upstreamById = new HashMap<>();
     private final Map<UpstreamId, Long> graceEndMillisById = new HashMap<>();
+    private final Map<UpstreamIncarnation, Departure> departureByIncarnation = new HashMap<>();
+
+    /** Entries of a restored store that are not listed yet. */
+    private final Map<UpstreamId, HeldEntry> heldEntryById = new HashMap<>();
+
+    /** How long an upstream that has left is remembered: longer than it goes on serving. */
+    private static final long DEPARTURE_RETENTION_MILLIS = 60_000;
+
+    /** Longer than the three reports of a silent upstream that the platform waits for before it removes its entry. */
+    private static final long RESTORED_ENTRY_HOLD_MILLIS = 5_000;
+
+    /**
+     * How an upstream left.
+     *
+     * @param entry its last entry
+     * @param wasLeaving whether it was known to be leaving before its entry was removed
+     * @param atMillis when its entry was removed
+     */
+    private record Departure(UpstreamEntry entry, boolean wasLeaving, long atMillis) {}
+
+    private record HeldEntry(UpstreamEntry entry, long untilMillis) {}
 
     private final ToLongFunction<ServiceId> kvCapacityTokens;
     private final long graceMillis;
@@ -52,6 +77,12 @@
      */
     public Optional<Upstream> put(UpstreamEntry entry) {
         graceEndMillisById.remove(entry.id());
+        HeldEntry held = heldEntryById.get(entry.id());
+        if (held != null && isSameIncarnation(held.entry(), entry)) {
+            heldEntryById.put(entry.id(), new HeldEntry(entry, held.untilMillis()));
+            return Optional.empty();
+        }
+        heldEntryById.remove(entry.id());
         Upstream known = upstreamById.get(entry.id());
         if (known != null && isSameIncarnation(known.entry(), entry)) {
             known.update(entry);
@@ -61,10 +92,20 @@
             known.markLeaving();
         }
         Upstream fresh = new Upstream(entry, kvCapacityTokens.applyAsLong(entry.service()));
+        if (departure(entry).filter(Departure::wasLeaving).isPresent()) {
+            fresh.markLeaving();
+        }
         upstreamById.put(entry.id(), fresh);
         return Optional.of(fresh);
     }
 
+    /** Returns how this incarnation of an upstream left, empty if it is not known to have left. */
+    private Optional<Departure> departure(UpstreamEntry entry) {
+        UpstreamIncarnation incarnation = new UpstreamIncarnation(entry.id(), entry.startedAtEpochMillis());
+        return Optional.ofNullable(departureByIncarnation.get(incarnation))
+                .filter(departure -> isSameIncarnation(departure.entry(), entry));
+    }
+
     private static boolean isSameIncarnation(UpstreamEntry known, UpstreamEntry entry) {
         return known.startedAtEpochMillis() == entry.startedAtEpochMillis()
                 && known.address().equals(entry.address())
@@ -81,16 +122,37 @@
      * @param nowMillis the current time
      */
     public void remove(UpstreamId id, boolean storeWasUnavailable, long nowMillis) {
+        heldEntryById.remove(id);
         if (!upstreamById.containsKey(id)) {
             return;
         }
         if (storeWasUnavailable) {
             graceEndMillisById.putIfAbsent(id, nowMillis + graceMillis);
         } else {
-            removeNow(id);
+            removeNow(id, nowMillis);
         }
     }
 
+    /**
+     * Applies the complete list of a store that was restored from a copy: an entry that was removed before is held back
+     * for a while, and an upstream that is not in the list is retained for the grace period.
+     *
+     * @param entries the entries
+     * @param nowMillis the current time
+     */
+    public void replaceAllAfterRestore(Collection<UpstreamEntry> entries, long nowMillis) {
+        List<UpstreamEntry> present = new ArrayList<>();
+        for (UpstreamEntry entry : entries) {
+            boolean wasRemoved = departure(entry).isPresent() && !upstreamById.containsKey(entry.id());
+            if (wasRemoved) {
+                heldEntryById.put(entry.id(), new HeldEntry(entry, nowMillis + RESTORED_ENTRY_HOLD_MILLIS));
+            } else {
+                present.add(entry);
+            }
+        }
+        replaceAll(present, true, nowMillis);
+    }
+
     /**
      * Applies a complete list of entries; upstreams that are not in it are removed as by {@link #remove}.
      *
@@ -120,20 +182,31 @@
         graceEndMillisById.entrySet().removeIf(graceEnd -> {
             boolean isOver = nowMillis >= graceEnd.getValue();
             if (isOver) {
-                removeAndMarkLeaving(graceEnd.getKey());
+                removeAndMarkLeaving(graceEnd.getKey(), nowMillis);
             }
             return isOver;
         });
+        departureByIncarnation
+                .values()
+                .removeIf(departure -> nowMillis - departure.atMillis() > DEPARTURE_RETENTION_MILLIS);
+        for (HeldEntry held : List.copyOf(heldEntryById.values())) {
+            if (nowMillis >= held.untilMillis()) {
+                heldEntryById.remove(held.entry().id());
+                put(held.entry());
+            }
+        }
     }
 
-    private void removeNow(UpstreamId id) {
+    private void removeNow(UpstreamId id, long nowMillis) {
         graceEndMillisById.remove(id);
-        removeAndMarkLeaving(id);
+        removeAndMarkLeaving(id, nowMillis);
     }
 
-    private void removeAndMarkLeaving(UpstreamId id) {
+    private void removeAndMarkLeaving(UpstreamId id, long nowMillis) {
         Upstream removed = upstreamById.remove(id);
         if (removed != null) {
+            departureByIncarnation.put(
+                    removed.incarnation(), new Departure(removed.entry(), removed.isLeaving(), nowMillis));
             removed.markLeaving();
         }
     }
@@ -155,6 +228,10 @@
      * @return whether it is the one that is known, and will not expire
      */
     public boolean isListedAs(UpstreamEntry entry) {
+        HeldEntry held = heldEntryById.get(entry.id());
+        if (held != null) {
+            return held.entry().equals(entry);
+        }
         Upstream known = upstreamById.get(entry.id());
         return known != null
                 && !graceEndMillisById.containsKey(entry.id())
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -382,11 +382,14 @@
                 onValue(value);
             }
         }
-        if (hasListedOnce && values.get().position().era() > position.era()) {
+        boolean isRestored = hasListedOnce && values.get().position().era() > position.era();
+        if (isRestored) {
             // Entries that were written after the copy was taken are missing until the upstreams write them again.
             contact.onRestored(now);
+            directory.replaceAllAfterRestore(entries, now);
+        } else {
+            directory.replaceAll(entries, contact.wasRecentlyUnavailable(now), now);
         }
-        directory.replaceAll(entries, contact.wasRecentlyUnavailable(now), now);
         position = values.get().position();
         log.event("site.listed")
                 .with("upstreams", entries.size())
@@ -397,9 +400,22 @@
         hasListedOnce = true;
         readListener.run();
         recentChanges.clear();
+        if (isRestored) {
+            tellConfig(values.get(), now - startedAtMillis);
+        }
         scheduleNextRead();
     }
 
+    /** Tells other nodes of the restored store, and of its configuration in case that they do not reach the store. */
+    private void tellConfig(AsyncKeyValueStore.Listing listing, long ageMillis) {
+        List<KeyChange> changes = listing.values().stream()
+                .filter(value -> value.key().equals(decoder.configKey()))
+                .map(value -> new KeyChange(value.key(), Optional.of(value), value.modRevision()))
+                .toList();
+        // Read as changes from the current position on, so that they are left out if they are too long.
+        changesListener.accept(recentChanges.onRead(position, position, changes, ageMillis));
+    }
+
     private void onChanges(Either<Failure, AsyncKeyValueStore.Changes> changes, long startedAtMillis) {
         if (changes.isLeft()) {
             Failure failure = changes.getLeft();
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UpstreamDirectoryTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UpstreamDirectoryTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class UpstreamDirectoryTest {
     private static final UpstreamId ID = UpstreamId.fromString("a");
@@ -88,6 +89,43 @@
         assertEquals(1, acceptingCount());
     }
 
+    /** Guards against requests to an upstream that has left, as the restored store lists it again. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void upstreamThatWasLeavingStaysSoWhenTheRestoredStoreListsItAgain(boolean leftByItsAnswer) {
+        directory.put(entry(!leftByItsAnswer, 1, "x:1"));
+        directory.find(ID).orElseThrow().markLeaving();
+        directory.remove(ID, false, 0);
+        directory.replaceAllAfterRestore(List.of(entry(false, 1, "x:1")), 100);
+        directory.expire(20_000);
+        assertEquals(0, acceptingCount());
+    }
+
+    /** An upstream whose entry was removed by mistake goes on writing it, so that it outlasts a silent one's. */
+    @ParameterizedTest
+    @CsvSource({"false, 4999, 0", "false, 5000, 1", "true, 5000, 0"})
+    void entryThatWasRemovedBeforeTheRestoreIsHeldBack(boolean removedAgain, long afterMillis, int accepting) {
+        directory.put(entry(false, 1, "x:1"));
+        directory.remove(ID, false, 0);
+        directory.replaceAllAfterRestore(List.of(entry(false, 1, "x:1")), 100);
+        directory.put(entry(false, 1, "x:1"));
+        if (removedAgain) {
+            directory.remove(ID, true, 200);
+        }
+        directory.expire(100 + afterMillis);
+        assertEquals(accepting, acceptingCount());
+    }
+
+    /** The rows: the start and the address of an upstream that was started anew under the id of one that has left. */
+    @ParameterizedTest
+    @CsvSource({"2, x:1", "1, x:2"})
+    void newIncarnationIsListedAtOnceAfterARestore(long startedAt, String address) {
+        directory.put(entry(true, 1, "x:1"));
+        directory.remove(ID, false, 0);
+        directory.replaceAllAfterRestore(List.of(entry(false, startedAt, address)), 100);
+        assertEquals(1, acceptingCount());
+    }
+
     @Test
     void remoteWorkIsReplacedCompletely() {
         directory.put(entry(false, 1, "x:1"));
