Bound the memory of all incomplete responses, and the number of interim ones

Interim responses were dropped without a bound.

While all incomplete responses together hold more than an eighth of the heap, one that holds more than an equal share may not grow; its attempt ends as broken. An exchange may have 16 interim responses.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/stream/SseEventSplitter.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/protocol/stream/SseEventSplitter.java
@@ -108,6 +108,15 @@
         return partial.isReadable();
     }
 
+    /**
+     * Returns the length of the partial event that is buffered.
+     *
+     * @return the bytes
+     */
+    public int partialBytes() {
+        return partial.readableBytes();
+    }
+
     private Event removeEvent(int end) {
         byte[] bytes = new byte[end - partial.readerIndex()];
         partial.readBytes(bytes);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -25,6 +25,9 @@
  * and framed, and no further bytes arrived.
  */
 public final class HttpClientConnection extends ChannelInboundHandlerAdapter {
+    /** More interim responses than any service sends before the final one; an upstream in trouble may never end. */
+    private static final int MAXIMUM_INTERIM_RESPONSES = 16;
+
     private final HttpConnectionPool pool;
     private final String address;
     private Channel channel;
@@ -32,6 +35,7 @@
     /** Receives the response of the open exchange; null while there is none. */
     private HttpResponseListener listener;
 
+    private int interimResponses;
     private boolean inResponse;
     private boolean skippingResponse;
     private boolean keepAlive;
@@ -101,6 +105,7 @@
     public void send(
             HttpMethod method, String target, HttpHeaders headers, ByteBuf body, HttpResponseListener newListener) {
         listener = newListener;
+        interimResponses = 0;
         inResponse = false;
         skippingResponse = false;
         requestWritten = false;
@@ -156,6 +161,10 @@
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skippingResponse = true;
+            interimResponses++;
+            if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
+                fail("more than " + MAXIMUM_INTERIM_RESPONSES + " interim responses");
+            }
             return;
         }
         if (listener == null || inResponse) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.ResponseBufferLimit;
 import org.cactusshift.internal.coordination.serving.PeerEndpoint;
 import org.cactusshift.internal.coordination.serving.RequestKind;
 import org.cactusshift.internal.protocol.stream.SseEventSplitter;
@@ -28,6 +29,7 @@
     private final PassedRequest passed;
     private final ByteArrayOutputStream content = new ByteArrayOutputStream();
     private final SseEventSplitter events = SseEventSplitter.create(UpstreamAttempt.MAXIMUM_EVENT_BYTES);
+    private final ResponseBufferLimit.Account buffered;
 
     /** Null until the request is sent. */
     private HttpClientConnection connection;
@@ -56,6 +58,7 @@
         this.relayedRequest = relayedRequest;
         this.peer = peer;
         this.passed = passed;
+        this.buffered = relayedRequest.context().responseBuffers().open();
     }
 
     /** Returns whether the request was sent, so that it may have been run. */
@@ -129,6 +132,7 @@
                 return;
             }
             content.writeBytes(ByteBufUtil.getBytes(bytes));
+            holdBuffered(content.size());
             return;
         }
         List<SseEventSplitter.Event> completeEvents;
@@ -144,6 +148,9 @@
             exchange.startStream(status, headers);
             exchange.send(event.bytes());
         }
+        if (!holdBuffered(events.partialBytes())) {
+            return;
+        }
         if (!exchange.isWritable()) {
             connection.setReading(false);
             exchange.setWritableListener(() -> {
@@ -154,6 +161,16 @@
         }
     }
 
+    /** Ends the attempt if the response holds too much; returns whether it may go on. */
+    private boolean holdBuffered(long bytes) {
+        boolean mayGoOn = buffered.hold(bytes);
+        if (!mayGoOn) {
+            connection.abandon();
+            onFailure(UpstreamAttempt.TOO_MUCH_BUFFERED);
+        }
+        return mayGoOn;
+    }
+
     @Override
     public void onComplete() {
         boolean unavailable = status.code() == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
@@ -195,6 +212,7 @@
             return;
         }
         ended = true;
+        buffered.close();
         context().peers().onEnded(peer);
         if (connection != null) {
             connection.abandon();
@@ -203,6 +221,7 @@
 
     private void end(Result result, String reason) {
         ended = true;
+        buffered.close();
         context().peers().onEnded(peer);
         // A response that the peer breaks off is that of an upstream which was lost there.
         boolean isPeerLost = result == Result.LOST && status == null;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -8,6 +8,7 @@
 import org.cactusshift.id.FailureDomainId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
+import org.cactusshift.internal.coordination.limits.ResponseBufferLimit;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
@@ -39,6 +40,7 @@
  * @param upstreamEntries how recent the entries of the upstreams are
  * @param usageCounter counts started requests of client accounts
  * @param promptPartUseListener receives each use of a long prompt part at an engine, to be advertised to the peers
+ * @param responseBuffers limits the memory of responses that are not complete
  * @param nodeCount supplies the number of live nodes of the site
  * @param domain the failure domain of this node
  * @param metrics counts outcomes
@@ -65,6 +67,7 @@
         EntryAge upstreamEntries,
         UsageCounter usageCounter,
         Consumer<PromptPartUse> promptPartUseListener,
+        ResponseBufferLimit responseBuffers,
         IntSupplier nodeCount,
         FailureDomainId domain,
         RelayMetrics metrics,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -37,6 +37,10 @@
             .name("cactusshift_relay_config_version")
             .help("The version of the configuration in force.")
             .register(registry);
+    private final Gauge incompleteResponses = Gauge.builder()
+            .name("cactusshift_relay_incomplete_response_bytes")
+            .help("Bytes of responses that are kept until they are complete.")
+            .register(registry);
     private final Gauge storeEra = Gauge.builder()
             .name("cactusshift_relay_store_era")
             .help("The era of the store, which rises when the store is restored from a copy.")
@@ -112,6 +116,15 @@
         configVersion.set(version);
     }
 
+    /**
+     * Records how much memory incomplete responses take.
+     *
+     * @param bytes the bytes
+     */
+    public void onIncompleteResponses(long bytes) {
+        incompleteResponses.set(bytes);
+    }
+
     /**
      * Records the era of the store.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.UUID;
@@ -24,7 +23,7 @@
 import org.cactusshift.internal.coordination.lease.DutyId;
 import org.cactusshift.internal.coordination.lease.LeaseTiming;
 import org.cactusshift.internal.coordination.lease.RendezvousHash;
-import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
+import org.cactusshift.internal.coordination.limits.ResponseBufferLimit;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CallerLimits;
@@ -112,6 +111,7 @@
     private final SiteClock siteClock = new SiteClock();
     private final CrashHistory crashHistory = CrashHistory.create(CRASH_RETENTION_MILLIS);
     private final UpstreamRequestLimits upstreamLimits;
+    private final ResponseBufferLimit responseBuffers = ResponseBufferLimit.ofHeap();
     private final AsyncKeyValueStore store;
     private final UsageCounts usage;
     private final UpstreamDirectory directory;
@@ -166,9 +166,12 @@
         this.upstreamLimits = UpstreamRequestLimits.create(
                 settings.instance(),
                 id -> directory.find(id).map(upstream -> upstream.entry().service()));
-        CrashDetector crashDetector = CrashDetector.create(crashHistory, this::logCrash);
+        UpstreamIncidentLog incidents =
+                new UpstreamIncidentLog(runtime.log(), runtime.clock(), crashHistory, upstreamLimits);
+        CrashDetector crashDetector = CrashDetector.create(crashHistory, incidents::onCrash);
         this.follower = createFollower(protocol, crashDetector);
-        this.gossipReceiver = GossipReceiver.create(directory, siteClock, usage, crashHistory, this::onLimitReport);
+        this.gossipReceiver =
+                GossipReceiver.create(directory, siteClock, usage, crashHistory, incidents::onLimitReport);
         this.gossipChannel = PeerDatagramChannel.create(runtime.group(), runtime.log());
         this.streamOrigins =
                 StreamOriginExchange.create(settings.instance(), gossipChannel, eventLoop, runtime.clock());
@@ -298,6 +301,7 @@
                 entryAge(),
                 account -> usage.add(account, siteEpochMillis()),
                 use -> gossipSender.onUse(use, runtime.clock().monotonicMillis()),
+                responseBuffers,
                 this::nodeCount,
                 settings.domain(),
                 metrics,
@@ -341,36 +345,6 @@
                 runtime.clock().monotonicMillis());
     }
 
-    private void logCrash(CrashDetector.LostAttempt attempt) {
-        long now = runtime.clock().monotonicMillis();
-        runtime.log()
-                .event("upstream.crashed")
-                .with("upstream", attempt.upstream().value())
-                .with("suspects", attempt.suspects())
-                .with("lostMillisAgo", now - attempt.lostAtMillis())
-                .with(
-                        "crashes",
-                        attempt.suspects().stream()
-                                .map(suspect -> crashHistory.crashCount(suspect, now))
-                                .toList())
-                .write();
-    }
-
-    private void onLimitReport(UpstreamLimitReport report) {
-        UpstreamRequestLimits.Change change =
-                upstreamLimits.onReport(report, runtime.clock().monotonicMillis());
-        if (change != UpstreamRequestLimits.Change.NONE) {
-            OptionalDouble limit = report.requestsPerSecond();
-            runtime.log()
-                    .event("upstream.limitReported")
-                    .with("upstream", report.upstream().upstream().value())
-                    .with("change", change)
-                    .with("perSecond", limit.isPresent() ? limit.getAsDouble() : "-")
-                    .with("ageMillis", report.ageMillis())
-                    .write();
-        }
-    }
-
     private Optional<ServedService> service(ServiceId id) {
         return follower.config().map(config -> config.services().get(id));
     }
@@ -412,6 +386,7 @@
                 crashHistory.suspectCount(), crashHistory.refused(now).size());
         metrics.onLimitedUpstreams(upstreamLimits.limitedCount());
         metrics.onUnreachableServices(reachability.unreachableServices().size());
+        metrics.onIncompleteResponses(responseBuffers.bytes());
         metrics.onStoreEra(store.era().current());
         metrics.onLivePeers(gossipReceiver.livePeerCount());
         return metrics.toText();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.SoftwareVersion;
+import org.cactusshift.internal.coordination.limits.ResponseBufferLimit;
 import org.cactusshift.internal.coordination.serving.EngineStage;
 import org.cactusshift.internal.coordination.serving.Placement;
 import org.cactusshift.internal.coordination.serving.PromptPart;
@@ -54,6 +55,9 @@
      */
     private static final int TARGET_GAP_FACTOR = 3;
 
+    /** Why an attempt ends whose response holds more than its share of the memory for responses. */
+    static final String TOO_MUCH_BUFFERED = "incomplete responses take too much memory, and this one most";
+
     private static final String UNSIGNED_RESPONSE = "the answer carries no signature";
 
     private final RelayedRequest relayedRequest;
@@ -63,6 +67,7 @@
     private final Upstream upstream;
     private final ByteArrayOutputStream content = new ByteArrayOutputStream();
     private final SseEventSplitter events = SseEventSplitter.create(MAXIMUM_EVENT_BYTES);
+    private final ResponseBufferLimit.Account buffered;
 
     /** Null until the request is sent. */
     private HttpClientConnection connection;
@@ -98,6 +103,7 @@
         this.placement = placement;
         this.isPrefill = isPrefill;
         this.kvSource = kvSource;
+        this.buffered = relayedRequest.context().responseBuffers().open();
         this.upstream = isPrefill ? placement.prefillEngine().orElseThrow() : placement.target();
     }
 
@@ -408,6 +414,10 @@
             }
         }
         completeEvents.forEach(event -> relayedRequest.onEvent(this, status, headers, event));
+        if (!ended && !buffered.hold(events.partialBytes())) {
+            fail(TOO_MUCH_BUFFERED);
+            return;
+        }
         if (!relayedRequest.exchange().isWritable()) {
             pauseReading();
         }
@@ -443,6 +453,9 @@
             return;
         }
         content.writeBytes(ByteBufUtil.getBytes(bytes));
+        if (!buffered.hold(content.size())) {
+            fail(TOO_MUCH_BUFFERED);
+        }
     }
 
     private void fail(String reason) {
@@ -538,6 +551,7 @@
 
     private void end(String outcome, String reason) {
         ended = true;
+        buffered.close();
         if (progressTimer != null) {
             progressTimer.cancel(false);
         }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpClientConnectionTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpClientConnectionTest.java
@@ -1,5 +1,6 @@
 package org.cactusshift.internal.transport.relay;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -14,7 +15,11 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class HttpClientConnectionTest {
     private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -61,4 +66,46 @@
         assertTrue(listener.complete);
         assertTrue(channel.config().isAutoRead());
     }
+
+    /** The rows: the number of interim responses before the final one, and whether the exchange fails. */
+    @ParameterizedTest
+    @CsvSource({"1, false", "16, false", "17, true"})
+    void exchangeFailsAfterTooManyInterimResponses(int interimResponses, boolean fails) {
+        channel.pipeline().addLast(connection);
+        List<String> outcomes = new ArrayList<>();
+        connection.send(
+                HttpMethod.GET, "/", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, new HttpResponseListener() {
+                    @Override
+                    public boolean onHead(HttpResponse response) {
+                        return true;
+                    }
+
+                    @Override
+                    public void onContent(ByteBuf content) {
+                        throw new AssertionError("no content was sent");
+                    }
+
+                    @Override
+                    public void onComplete() {
+                        outcomes.add("complete");
+                    }
+
+                    @Override
+                    public void onFailure(String reason) {
+                        outcomes.add("failed");
+                    }
+                });
+        for (int i = 0; i < interimResponses; i++) {
+            channel.writeInbound(
+                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.PROCESSING),
+                    LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+        assertEquals(!fails, channel.isOpen());
+        if (!fails) {
+            channel.writeInbound(
+                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
+                    LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+        assertEquals(List.of(fails ? "failed" : "complete"), outcomes);
+    }
 }
