Write the plan of the fleet again that a restored store lacks

The holder that wrote a plan waited to read back its revision, which a restored store does not reach for long, and ordered nothing meanwhile; a plan that the copy lacks was made anew, with engines that were ordered counted as those of the operator.

The plan that was known before the restore is written again for 10 s; the revision of the last write is forgotten. FleetControllerTest.plansThatTheRestoredStoreLacksAreWrittenAgain guards it.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.transport.relay;
 
 import io.vavr.control.Either;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -56,6 +57,12 @@
      */
     private static final long STAGE_ORDER_RETRY_DELAY_MILLIS = 4_000;
 
+    /**
+     * How long after a restore the plans that were known before are written again: longer than the duty stays vacant,
+     * and shorter than another holder takes to plan anew.
+     */
+    private static final long CARRY_PLANS_MILLIS = 10_000;
+
     private final FleetOrderClient client;
     private final AsyncKeyValueStore store;
     private final SiteStateFollower follower;
@@ -73,6 +80,11 @@
     /** The mod revision of the plans that this node wrote last; 0 before the first write. */
     private long writtenPlanRevision;
 
+    /** The plans as known when the store was restored, until they are in the store again; null when there are none. */
+    private byte[] carriedPlans;
+
+    private long carriedUntilMillis;
+
     /** The fencing number under which an order was last rejected as superseded. */
     private long supersededFencingNumber = Long.MIN_VALUE;
 
@@ -137,6 +149,9 @@
         if (!maySendOrders || follower.isStoreUnavailable() || follower.config().isEmpty() || planWritePending) {
             return;
         }
+        if (!follower.hasReadCurrentEra()) {
+            return;
+        }
         ServingConfig config = follower.config().get();
         DutyCaller holder = callers.apply(authority.get());
         VersionedValue stored = follower.nodeValueByKey().get(planKey);
@@ -144,6 +159,9 @@
             // The plan written last has not been read back yet.
             return;
         }
+        if (restorePlans(stored, nowMillis)) {
+            return;
+        }
         Map<ServiceId, FleetPlan> plans = stored == null
                 ? new HashMap<>()
                 : FleetPlanCodec.decode(stored.value()).orElseGet(HashMap::new);
@@ -170,6 +188,38 @@
         }
     }
 
+    /**
+     * Keeps the plans as known, as the store was restored from a copy that may show older ones or none. A fleet that is
+     * planned anew would count engines that were ordered as those of the operator. To be called before the state
+     * of the restored store is read.
+     *
+     * @param nowMillis the current monotonic time, in milliseconds
+     */
+    void onStoreRestored(long nowMillis) {
+        writtenPlanRevision = 0;
+        VersionedValue known = follower.nodeValueByKey().get(planKey);
+        if (known != null) {
+            carriedPlans = known.value();
+            carriedUntilMillis = nowMillis + CARRY_PLANS_MILLIS;
+        }
+    }
+
+    /** Writes the plans again that the restored store lacks; returns whether that is still to be done. */
+    private boolean restorePlans(VersionedValue stored, long nowMillis) {
+        boolean isRestored = carriedPlans == null || (stored != null && Arrays.equals(stored.value(), carriedPlans));
+        if (isRestored || nowMillis >= carriedUntilMillis) {
+            carriedPlans = null;
+            return false;
+        }
+        planWritePending = true;
+        log.event("fleet.plansRewritten").write();
+        long expected = stored == null ? 0 : stored.modRevision();
+        store.compareAndSwap(
+                new AsyncKeyValueStore.Write(planKey, expected, carriedPlans, LeaseGrant.NONE, List.of()),
+                this::onPlanWritten);
+        return true;
+    }
+
     /**
      * Plans the fleet of a service from its registered on-demand engines, which the operator started. The plan is
      * complete when engines are registered and each on-demand one of them for {@link #FLEET_COMPLETE_MILLIS}.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -331,6 +331,8 @@
                 .with("formerEra", formerEra)
                 .with("era", store.era().current())
                 .write();
+        fleetController.ifPresent(
+                controller -> controller.onStoreRestored(runtime.clock().monotonicMillis()));
         follower.onStoreRestored();
         dutyDriver.onStoreRestored();
         registration.onStoreRestored();
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
@@ -1,5 +1,6 @@
 package org.cactusshift.internal.transport.relay;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -44,6 +45,7 @@
     /** Keeps the follower from reading on its own. */
     private static final long NEVER_MILLIS = 1_000_000_000;
 
+    private static final String PLAN_KEY = "/cactusshift/fleet";
     private static final long TICK_MILLIS = 250;
     /** 1 to 4 engines in a domain, which boot in 4 s; a reclaimable one costs 0.22 times an on-demand one. */
     private static final CapacityRule RULE =
@@ -75,7 +77,7 @@
             directory,
             limits,
             authority -> new DutyCaller(InstanceId.fromString("n1"), authority.fencingNumber(), () -> true),
-            "/cactusshift/fleet",
+            PLAN_KEY,
             (event, fields) -> {});
 
     /** An order of a target number of engines; a number below the present one releases engines. */
@@ -211,4 +213,26 @@
                 orderClient.orders.stream().anyMatch(order -> !order.reclaimable() && order.count() > 0),
                 orderClient.orders.toString());
     }
+
+    /**
+     * Guards against a fleet that is planned anew after a restore, with engines that were ordered counted as those of
+     * the operator, and against a holder that waits for a revision which the restored store does not reach.
+     */
+    @Test
+    void plansThatTheRestoredStoreLacksAreWrittenAgain() {
+        add("a", NORTH, false);
+        add("b", SOUTH, false);
+        advance(4_000);
+        byte[] planned = store.values.get(PLAN_KEY).value();
+        add("c", SOUTH, false);
+        orderClient.orders.clear();
+        store.restore(2);
+        controller.onStoreRestored(clock.monotonicMillis);
+        follower.shareReads(() -> 1, changes -> {});
+        follower.onStoreRestored();
+        advance(1_000);
+        assertArrayEquals(planned, store.values.get(PLAN_KEY).value());
+        advance(10_000);
+        assertFalse(orderClient.orders.isEmpty(), "no orders after the restore");
+    }
 }
