--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
@@ -26,6 +26,12 @@
  * removes the entry of a silent upstream.
  */
 public final class UpstreamDirectory {
+    /** How long an upstream that has left is remembered: longer than it goes on serving. */
+    private static final long DEPARTURE_RETENTION_MILLIS = 60_000;
+
+    /** Longer than the three reports of a silent upstream that the platform waits for before it removes its entry. */
+    private static final long RESTORED_ENTRY_HOLD_MILLIS = 5_000;
+
     private final Map<UpstreamId, Upstream> upstreamById = new HashMap<>();
     private final Map<UpstreamId, Long> graceEndMillisById = new HashMap<>();
     private final Map<UpstreamIncarnation, Departure> departureByIncarnation = new HashMap<>();
@@ -33,12 +39,6 @@
     /** Entries of a restored store that are not listed yet. */
     private final Map<UpstreamId, HeldEntry> heldEntryById = new HashMap<>();
 
-    /** How long an upstream that has left is remembered: longer than it goes on serving. */
-    private static final long DEPARTURE_RETENTION_MILLIS = 60_000;
-
-    /** Longer than the three reports of a silent upstream that the platform waits for before it removes its entry. */
-    private static final long RESTORED_ENTRY_HOLD_MILLIS = 5_000;
-
     /**
      * How an upstream left.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -78,7 +78,7 @@
     /** Whether the store was restored while this node followed it. */
     private boolean hasSeenRestore;
 
-    private long startedAtMillis;
+    private long followingSinceMillis;
 
     private boolean hasListedOnce;
     /** The timer of the next read; null while a read is pending. */
@@ -181,8 +181,8 @@
 
     /** Starts following. */
     public void start() {
-        startedAtMillis = clock.monotonicMillis();
-        contact.start(startedAtMillis, clock.epochMillis());
+        followingSinceMillis = clock.monotonicMillis();
+        contact.start(followingSinceMillis, clock.epochMillis());
         read();
     }
 
@@ -331,7 +331,7 @@
     }
 
     private boolean trustsUnknownEra() {
-        return !hasSeenRestore && clock.monotonicMillis() - startedAtMillis >= UNKNOWN_ERA_DISTRUST_MILLIS;
+        return !hasSeenRestore && clock.monotonicMillis() - followingSinceMillis >= UNKNOWN_ERA_DISTRUST_MILLIS;
     }
 
     /** Reads at once, unless a read is pending; the nodes of a failure domain do so one after the other. */
