Drop an entry that is held back when a later list lacks it

An upstream whose entry was removed before a restore, and is held back, was listed after 5 s even if a further list, or the list of a second restore, no longer had the entry.

UpstreamDirectoryTest.heldEntryThatALaterListLacksIsNotListed failed in both cases before and passes.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
@@ -141,16 +142,13 @@
      * @param nowMillis the current time
      */
     public void replaceAllAfterRestore(Collection<UpstreamEntry> entries, long nowMillis) {
-        List<UpstreamEntry> present = new ArrayList<>();
-        for (UpstreamEntry entry : entries) {
-            boolean wasRemoved = departure(entry).isPresent() && !upstreamById.containsKey(entry.id());
-            if (wasRemoved) {
-                heldEntryById.put(entry.id(), new HeldEntry(entry, nowMillis + RESTORED_ENTRY_HOLD_MILLIS));
-            } else {
-                present.add(entry);
-            }
+        Map<Boolean, List<UpstreamEntry>> byRemoval = entries.stream()
+                .collect(Collectors.partitioningBy(
+                        entry -> departure(entry).isPresent() && !upstreamById.containsKey(entry.id())));
+        replaceAll(byRemoval.get(false), true, nowMillis);
+        for (UpstreamEntry removed : byRemoval.get(true)) {
+            heldEntryById.put(removed.id(), new HeldEntry(removed, nowMillis + RESTORED_ENTRY_HOLD_MILLIS));
         }
-        replaceAll(present, true, nowMillis);
     }
 
     /**
@@ -166,6 +164,7 @@
             listed.add(entry.id());
             put(entry);
         }
+        heldEntryById.keySet().retainAll(listed);
         for (UpstreamId id : List.copyOf(upstreamById.keySet())) {
             if (!listed.contains(id)) {
                 remove(id, storeWasUnavailable, nowMillis);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UpstreamDirectoryTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UpstreamDirectoryTest.java
@@ -116,6 +116,22 @@
         assertEquals(accepting, acceptingCount());
     }
 
+    /** Guards against an upstream that is listed by its old entry which a later list lacks. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void heldEntryThatALaterListLacksIsNotListed(boolean restoredAgain) {
+        directory.put(entry(false, 1, "x:1"));
+        directory.remove(ID, false, 0);
+        directory.replaceAllAfterRestore(List.of(entry(false, 1, "x:1")), 100);
+        if (restoredAgain) {
+            directory.replaceAllAfterRestore(List.of(), 200);
+        } else {
+            directory.replaceAll(List.of(), false, 200);
+        }
+        directory.expire(20_000);
+        assertEquals(0, acceptingCount());
+    }
+
     /** The rows: the start and the address of an upstream that was started anew under the id of one that has left. */
     @ParameterizedTest
     @CsvSource({"2, x:1", "1, x:2"})
