Keep the newest plan of the fleet over two restores in a row

The second of two restores replaced the plan that was carried by the older one that the first restore had shown. FleetControllerTest.newestPlansAreWrittenAgainAfterTwoRestores- InARow failed before and passes; plansOfAnEarlierRestoreAreNotWrittenAgain guards the other side.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
@@ -198,10 +198,11 @@
     void onStoreRestored(long nowMillis) {
         writtenPlanRevision = 0;
         VersionedValue known = follower.nodeValueByKey().get(planKey);
-        if (known != null) {
-            carriedPlans = known.value();
-            carriedUntilMillis = nowMillis + CARRY_PLANS_MILLIS;
+        // Plans that are still carried are newer than those that a store shows which was restored before.
+        if (carriedPlans == null || nowMillis >= carriedUntilMillis) {
+            carriedPlans = known == null ? null : known.value();
         }
+        carriedUntilMillis = nowMillis + CARRY_PLANS_MILLIS;
     }
 
     /** Writes the plans again that the restored store lacks; returns whether that is still to be done. */
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +33,7 @@
 import org.cactusshift.internal.coordination.serving.Upstream;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.cactusshift.internal.coordination.serving.UpstreamEntry;
+import org.cactusshift.internal.coordination.store.VersionedValue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -214,6 +216,46 @@
                 orderClient.orders.toString());
     }
 
+    /** Guards against an older plan, as the first of two restores shows it, that is taken for the newest one. */
+    @Test
+    void newestPlansAreWrittenAgainAfterTwoRestoresInARow() {
+        add("a", NORTH, false);
+        advance(2_500);
+        byte[] older = store.values.get(PLAN_KEY).value();
+        add("b", SOUTH, false);
+        advance(4_000);
+        byte[] newest = store.values.get(PLAN_KEY).value();
+        assertFalse(Arrays.equals(older, newest));
+        restore();
+        store.values.put(PLAN_KEY, new VersionedValue(PLAN_KEY, older, 2, 2));
+        follower.start();
+        restore();
+        advance(TICK_MILLIS);
+        assertArrayEquals(newest, store.values.get(PLAN_KEY).value());
+    }
+
+    /** Guards against a plan of long ago, which a node that did not hold the duty then has kept. */
+    @Test
+    void plansOfAnEarlierRestoreAreNotWrittenAgain() {
+        add("a", NORTH, false);
+        advance(2_500);
+        byte[] planned = store.values.get(PLAN_KEY).value();
+        restore();
+        clock.monotonicMillis += 20_000;
+        store.values.put(PLAN_KEY, new VersionedValue(PLAN_KEY, new byte[0], 2, 2));
+        follower.start();
+        restore();
+        advance(TICK_MILLIS);
+        assertFalse(Arrays.equals(planned, store.values.get(PLAN_KEY).value()));
+    }
+
+    private void restore() {
+        store.restore(2);
+        controller.onStoreRestored(clock.monotonicMillis);
+        follower.shareReads(() -> 1, changes -> {});
+        follower.onStoreRestored();
+    }
+
     /**
      * Guards against a fleet that is planned anew after a restore, with engines that were ordered counted as those of
      * the operator, and against a holder that waits for a revision which the restored store does not reach.
@@ -226,10 +268,7 @@
         byte[] planned = store.values.get(PLAN_KEY).value();
         add("c", SOUTH, false);
         orderClient.orders.clear();
-        store.restore(2);
-        controller.onStoreRestored(clock.monotonicMillis);
-        follower.shareReads(() -> 1, changes -> {});
-        follower.onStoreRestored();
+        restore();
         advance(1_000);
         assertArrayEquals(planned, store.values.get(PLAN_KEY).value());
         advance(10_000);
