Refuse requests that begin after a stopping node has closed its port

Idle and new connections were closed, a connection within a request was not.

From half a second after the port is closed such a request is answered 503 without having run.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import org.cactusshift.internal.coordination.serving.CallerLimits;
 
@@ -32,6 +34,8 @@
      * Maximum number of pipelined requests waiting behind the current one; the connection of a caller that sends more
      * is closed.
      */
+    private static final byte[] STOPPING = "the node is stopping\n".getBytes(StandardCharsets.US_ASCII);
+
     private static final int MAXIMUM_PIPELINED = 8;
 
     private final CallerServer server;
@@ -157,6 +161,11 @@
     private void start(CallerExchange exchange) {
         current = exchange;
         server.onRequestStarted();
+        if (server.refusesRequests()) {
+            // No time to retry after: another node takes the request at once.
+            exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(), STOPPING);
+            return;
+        }
         server.handler().onRequest(exchange);
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
@@ -21,6 +21,9 @@
 /** Accepts connections of callers and enforces the limits on their requests and idle times. */
 public final class CallerServer {
     /** Maximum number of connections that wait to be accepted. */
+    /** How long after the server stopped listening requests are still served: those that were on their way. */
+    private static final long REFUSAL_DELAY_MILLIS = 500;
+
     private static final int BACKLOG = 512;
 
     /** A longer request line is rejected with status 414. */
@@ -34,6 +37,10 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel serverChannel;
     private boolean draining;
+
+    /** When the server stopped listening; far in the future before. */
+    private long closedAtMillis = Long.MAX_VALUE;
+
     private int openRequests;
 
     private CallerServer(
@@ -137,6 +144,14 @@
         return draining;
     }
 
+    /**
+     * Returns whether a request that was received only now is refused: the process is about to exit, and callers were
+     * asked long ago to connect to another node.
+     */
+    boolean refusesRequests() {
+        return closedAtMillis != Long.MAX_VALUE && clock.monotonicMillis() - closedAtMillis >= REFUSAL_DELAY_MILLIS;
+    }
+
     void onRequestStarted() {
         openRequests++;
     }
@@ -224,6 +239,7 @@
     public boolean close() {
         boolean wasListening = serverChannel != null && serverChannel.isOpen();
         if (wasListening) {
+            closedAtMillis = clock.monotonicMillis();
             serverChannel.close();
         }
         return wasListening;
