Simplify conditions around a restore of the store

StreamVersionPlanner.onAbsent checks the era itself; the controller of the fleet asks in one place whether it knows the state; one condition less is nested in the usage reports.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StreamVersionPlanner.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StreamVersionPlanner.java
@@ -67,9 +67,7 @@
         if (recordPosition.compareTo(position) <= 0) {
             return;
         }
-        if (recordPosition.era() > position.era() && position.revision() > 0) {
-            onAbsent(recordPosition.era());
-        }
+        onAbsent(recordPosition.era());
         recorded = versions;
         position = recordPosition;
         if (recorded.withAll(carried).equals(recorded)) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
@@ -146,10 +146,10 @@
      */
     public void tick(Optional<Authority> authority, long nowMillis) {
         boolean maySendOrders = authority.isPresent() && authority.get().fencingNumber() != supersededFencingNumber;
-        if (!maySendOrders || follower.isStoreUnavailable() || follower.config().isEmpty() || planWritePending) {
-            return;
-        }
-        if (!follower.hasReadCurrentEra()) {
+        boolean knowsState = !follower.isStoreUnavailable()
+                && follower.hasReadCurrentEra()
+                && follower.config().isPresent();
+        if (!maySendOrders || !knowsState || planWritePending) {
             return;
         }
         ServingConfig config = follower.config().get();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportDriver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UsageReportDriver.java
@@ -155,10 +155,9 @@
             return;
         }
         for (long window = current - RETAINED_WINDOWS; window < current; window++) {
-            if (!reportedWindows.contains(window) && !seals.isConflicting(window)) {
-                if (advance(window, authority.get(), usagePeriodMillis, epochMillis)) {
-                    return;
-                }
+            boolean isOpen = !reportedWindows.contains(window) && !seals.isConflicting(window);
+            if (isOpen && advance(window, authority.get(), usagePeriodMillis, epochMillis)) {
+                return;
             }
         }
     }
