Log and count responses that answer no request of their connection

Each exchange now states what proves that a response answers it, and the connection reports each response that lacks the proof: event response.mismatch (one a connection, 20 a second at most) with kind, address, waiting request, status and the ages of exchange and connection; counter cactusshift_relay_response_mismatches_total by kind; attempt.ended states the age of its connection.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -35,7 +35,12 @@
     /** Receives the response of the open exchange; null while there is none. */
     private HttpResponseListener listener;
 
+    /** The proof of the open or the last exchange; null before the first one. */
+    private ResponseProof proof;
+
+    private long sentAtMillis;
     private int interimResponses;
+    private int mismatches;
     private boolean inResponse;
     private boolean skippingResponse;
     private boolean keepAlive;
@@ -100,11 +105,19 @@
      * @param target the request target
      * @param headers the headers; modified: transfer encoding and content length are replaced
      * @param body the body; not released here
+     * @param newProof what shows that a response answers this request
      * @param newListener receives the response
      */
     public void send(
-            HttpMethod method, String target, HttpHeaders headers, ByteBuf body, HttpResponseListener newListener) {
+            HttpMethod method,
+            String target,
+            HttpHeaders headers,
+            ByteBuf body,
+            ResponseProof newProof,
+            HttpResponseListener newListener) {
         listener = newListener;
+        proof = newProof;
+        sentAtMillis = pool.nowMillis();
         interimResponses = 0;
         inResponse = false;
         skippingResponse = false;
@@ -169,9 +182,14 @@
         }
         if (listener == null || inResponse) {
             outOfSync = true;
+            onMismatch(ResponseMismatch.Kind.UNSOLICITED, response);
             fail("bytes without a request");
             return;
         }
+        ResponseProof.Result result = proof.check(response);
+        if (result != ResponseProof.Result.MATCH) {
+            onMismatch(ResponseMismatch.Kind.of(result), response);
+        }
         keepAlive = HttpUtil.isKeepAlive(response);
         delimitedByClose = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
         skippingResponse = !listener.onHead(response);
@@ -180,6 +198,19 @@
         outOfSync |= skippingResponse;
     }
 
+    private void onMismatch(ResponseMismatch.Kind kind, HttpResponse response) {
+        mismatches++;
+        long nowMillis = pool.nowMillis();
+        pool.onMismatch(new ResponseMismatch(
+                kind,
+                address,
+                proof == null ? "-" : proof.request(),
+                response.status().code(),
+                nowMillis - sentAtMillis,
+                nowMillis - openedAtMillis,
+                mismatches == 1));
+    }
+
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             fail("the body is malformed");
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
@@ -36,6 +36,8 @@
     private final RelayClock clock;
     private final Map<String, ArrayDeque<HttpClientConnection>> idleConnectionsByAddress = new HashMap<>();
 
+    private ResponseMismatch.Listener mismatchListener = mismatch -> {};
+
     private HttpConnectionPool(EventLoopGroup eventLoopGroup, RelayClock clock) {
         this.clock = clock;
         this.bootstrap = new Bootstrap()
@@ -56,6 +58,23 @@
         return new HttpConnectionPool(eventLoopGroup, clock);
     }
 
+    /**
+     * Sets the listener for responses that answer no request of their connection.
+     *
+     * @param listener the listener
+     */
+    public void setMismatchListener(ResponseMismatch.Listener listener) {
+        mismatchListener = listener;
+    }
+
+    void onMismatch(ResponseMismatch mismatch) {
+        mismatchListener.onMismatch(mismatch);
+    }
+
+    long nowMillis() {
+        return clock.monotonicMillis();
+    }
+
     /**
      * Provides an idle connection or opens a new one.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
@@ -142,7 +142,7 @@
                 return;
             }
             connection = acquired.get();
-            connection.send(method, target, headers, Unpooled.wrappedBuffer(body), this);
+            connection.send(method, target, headers, Unpooled.wrappedBuffer(body), ResponseProof.ofConnection(), this);
         }
 
         void onTimeout() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/KvRelease.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/KvRelease.java
@@ -37,7 +37,8 @@
                         Long.MAX_VALUE,
                         acquired -> acquired.forEach(pooled -> {
                             HttpHeaders host = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, address);
-                            pooled.send(HttpMethod.DELETE, path, host, Unpooled.EMPTY_BUFFER, release);
+                            ResponseProof proof = ResponseProof.ofUnnamedRequest(context.codec());
+                            pooled.send(HttpMethod.DELETE, path, host, Unpooled.EMPTY_BUFFER, proof, release);
                         }));
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
@@ -93,7 +93,13 @@
         HttpHeaders requestHeaders = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(
                 exchange.request().headers());
         passed.writeTo(requestHeaders, peer.token());
-        connection.send(exchange.request().method(), exchange.request().uri(), requestHeaders, exchange.body(), this);
+        connection.send(
+                exchange.request().method(),
+                exchange.request().uri(),
+                requestHeaders,
+                exchange.body(),
+                ResponseProof.ofPeer(context().codec(), relayedRequest.request().id()),
+                this);
         context()
                 .log()
                 .event("request.passed")
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayCodec.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import java.util.Optional;
 
 /** Encodes and decodes the headers and bodies that the platform's protocol adds to HTTP. Makes no decisions. */
@@ -33,6 +34,14 @@
      */
     ResponseMetadata readResponse(HttpResponse response);
 
+    /**
+     * Returns the ids of the requests to which a response states that it belongs.
+     *
+     * @param response the head of the response
+     * @return the ids as stated, not validated; one unless the upstream is in trouble
+     */
+    List<String> requestIds(HttpResponse response);
+
     /**
      * Parses the KV handle that a prefill engine returns: the name of the KV cache that it retains for a decode engine.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -26,6 +26,11 @@
             .help("Retries that the retry budget did not allow, by service.")
             .labelNames("service")
             .register(registry);
+    private final Counter responseMismatches = Counter.builder()
+            .name("cactusshift_relay_response_mismatches_total")
+            .help("Responses that answer no request of their connection, by what is wrong with them.")
+            .labelNames("kind")
+            .register(registry);
     private final Histogram firstResponsePart = Histogram.builder()
             .name("cactusshift_relay_first_answer_seconds")
             .help("Time from the whole request to the first part of the answer, by route kind.")
@@ -96,6 +101,15 @@
         deniedRetries.labelValues(service).inc();
     }
 
+    /**
+     * Counts a response that answers no request of its connection.
+     *
+     * @param kind what is wrong with it
+     */
+    public void onResponseMismatch(String kind) {
+        responseMismatches.labelValues(kind).inc();
+    }
+
     /**
      * Records the time from the receipt of a complete request to the first part of its response. Of a request that is
      * not a stream, this is the time to its end, whatever its outcome.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -220,6 +220,7 @@
                 reachability,
                 runtime.log(),
                 random));
+        runtime.pool().setMismatchListener(ResponseMismatchLog.create(runtime.clock(), metrics, runtime.log()));
         RelayContext context = context(protocol, crashDetector, random);
         this.callerServer = CallerServer.create(
                 runtime.group(), runtime.clock(), this::limits, Relay.create(context, follower::config), runtime.log());
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -232,6 +232,7 @@
                 relayedRequest.exchange().request().uri(),
                 requestHeaders,
                 relayedRequest.exchange().body(),
+                ResponseProof.ofUpstream(context().codec(), request().id()),
                 this);
         long expectedMillis = isPrefill ? placement.prefillMillis() : placement.firstPartMillis();
         long limitMillis = Math.max(MINIMUM_PROGRESS_TIMEOUT_MILLIS, EXPECTED_TIME_FACTOR * expectedMillis);
@@ -566,6 +567,7 @@
                 .with("outcome", outcome)
                 .with("reason", reason)
                 .with("tookMillis", sentAtMillis == 0 ? 0 : nowMillis() - sentAtMillis)
+                .with("connectionAgeMillis", connection == null ? 0 : sentAtMillis - connection.openedAtMillis())
                 .write();
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpClientConnectionTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpClientConnectionTest.java
@@ -56,7 +56,13 @@
     void connectionIsReadAgainWhenAPausedExchangeEnds() {
         channel.pipeline().addLast(connection);
         PausingListener listener = new PausingListener();
-        connection.send(HttpMethod.GET, "/", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, listener);
+        connection.send(
+                HttpMethod.GET,
+                "/",
+                new DefaultHttpHeaders(),
+                Unpooled.EMPTY_BUFFER,
+                ResponseProof.ofConnection(),
+                listener);
         DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 1);
         channel.writeInbound(
@@ -74,7 +80,12 @@
         channel.pipeline().addLast(connection);
         List<String> outcomes = new ArrayList<>();
         connection.send(
-                HttpMethod.GET, "/", new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, new HttpResponseListener() {
+                HttpMethod.GET,
+                "/",
+                new DefaultHttpHeaders(),
+                Unpooled.EMPTY_BUFFER,
+                ResponseProof.ofConnection(),
+                new HttpResponseListener() {
                     @Override
                     public boolean onHead(HttpResponse response) {
                         return true;
