Accept a response only if it names the request that waits

Cause: an upstream may write a response once more, late, on a kept connection. The only proof that bytes answer a request, the id that upstreams repeat, was optional, compared by one listener of four and only if it was there.

Change: the connection asks the proof of the exchange before any listener sees a head. Runs and prefills accept the one id of their request; any other response is left out (16 at most) and its connection closed after the exchange, whose attempt counts as possibly run. A response that nothing can follow, and any one before that to HEAD, ends the exchange. Peers name the request in all responses of their own, and a mismatch ends the exchange, as nodes respond once. Responses that no request waits for stay what they were: the connection is closed.

--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCrashingPart.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakCrashingPart.java
@@ -88,7 +88,8 @@
         private void respond(ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
                 throws IOException {
             if (!request.header("Expect-Instance").equals(id())) {
-                connection.write("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
+                connection.write("HTTP/1.1 421 X\r\nRequest-Id: " + request.header("Request-Id")
+                        + "\r\nContent-Length: 0\r\n\r\n");
                 return;
             }
             boolean isCrashing = request.header("Prefix-Hash").contains(CRASHING_PART);
--- a/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
+++ b/org.cactusshift.systemtest/src/test/java/org/cactusshift/systemtest/SoakUpstreams.java
@@ -40,8 +40,6 @@
     /** Delay of other responses, and pause after each event of a stream. */
     private static final long RESPONSE_DELAY_MILLIS = 15;
 
-    private static final String NOT_RUN_HEAD = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
-
     private final SiteStore store;
     private final SoakInvariants invariants;
 
@@ -105,7 +103,8 @@
         ScriptedUpstream upstream = ScriptedUpstream.start((request, connection) -> {
             String expected = request.header("Expect-Instance");
             if (!expected.equals(id)) {
-                connection.write("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
+                connection.write("HTTP/1.1 421 X\r\nRequest-Id: " + request.header("Request-Id")
+                        + "\r\nContent-Length: 0\r\n\r\n");
             } else {
                 self.limitJudge.onArrival(
                         invariants.isFromNodeInTouch(request.header("Request-Id")), SoakLimitJudge.nowMillis());
@@ -134,7 +133,12 @@
             return;
         }
         self.restJudge.onAsked(node, seconds * 1_000L, SoakLimitJudge.nowMillis());
-        connection.write(NOT_RUN_HEAD + "Retry-After: " + seconds + "\r\n\r\n");
+        connection.write(notRunHead(request) + "Retry-After: " + seconds + "\r\n\r\n");
+    }
+
+    private static String notRunHead(ScriptedUpstream.Request request) {
+        return "HTTP/1.1 503 X\r\nRequest-Id: " + request.header("Request-Id")
+                + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
     }
 
     /** Makes an upstream turn all requests away and ask for rest, or serve again after 0 seconds. */
@@ -215,7 +219,7 @@
             Upstream self, ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
             throws IOException {
         if (withProbability(REFUSED_PERCENT)) {
-            connection.write(NOT_RUN_HEAD + self.limitHeader + "\r\n");
+            connection.write(notRunHead(request) + self.limitHeader + "\r\n");
             return;
         }
         recordRunAndDelay(request);
@@ -233,7 +237,7 @@
     private void respondStream(Upstream self, ScriptedUpstream.Request request, ScriptedUpstream.Connection connection)
             throws IOException {
         if (withProbability(REFUSED_PERCENT)) {
-            connection.write(NOT_RUN_HEAD + self.limitHeader + "\r\n");
+            connection.write(notRunHead(request) + self.limitHeader + "\r\n");
             return;
         }
         recordRunAndDelay(request);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -62,6 +63,11 @@
         return server.isDraining() && pipelined.isEmpty();
     }
 
+    /** Adds the id of a request to the headers of its response. */
+    void nameRequest(HttpRequest request, HttpHeaders response) {
+        server.naming().copyRequestId(request.headers(), response);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerExchange.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerExchange.java
@@ -133,6 +133,7 @@
         DefaultFullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(content));
         response.headers().set(headers);
+        connection.nameRequest(request, response.headers());
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
         boolean keepAlive = setConnectionHeader(response.headers());
         channel.writeAndFlush(response)
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -33,6 +34,7 @@
     private final RelayClock clock;
     private final Supplier<CallerLimits> limits;
     private final CallerRequestHandler handler;
+    private final RequestNaming naming;
     private final EventLog log;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel serverChannel;
@@ -48,11 +50,13 @@
             RelayClock clock,
             Supplier<CallerLimits> limits,
             CallerRequestHandler handler,
+            RequestNaming naming,
             EventLog log) {
         this.eventLoopGroup = eventLoopGroup;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
+        this.naming = naming;
         this.log = log;
     }
 
@@ -63,6 +67,7 @@
      * @param clock the monotonic and the wall clock
      * @param limits supplies the current limits
      * @param handler handles the requests
+     * @param naming names the request in each response
      * @param log records requests that are rejected because they are malformed, too large or too slow
      * @return the server
      */
@@ -71,8 +76,23 @@
             RelayClock clock,
             Supplier<CallerLimits> limits,
             CallerRequestHandler handler,
+            RequestNaming naming,
             EventLog log) {
-        return new CallerServer(eventLoopGroup, clock, limits, handler, log);
+        return new CallerServer(eventLoopGroup, clock, limits, handler, naming, log);
+    }
+
+    /** Names, in a response, the request that it answers. */
+    public interface RequestNaming {
+        /** For servers whose callers send one request at a time and no ids. */
+        RequestNaming NONE = (request, response) -> {};
+
+        /**
+         * Adds the id of a request to the headers of its response, unless the response has one.
+         *
+         * @param request the headers of the request
+         * @param response the headers of the response; modified
+         */
+        void copyRequestId(HttpHeaders request, HttpHeaders response);
     }
 
     /**
@@ -140,6 +160,10 @@
         return handler;
     }
 
+    RequestNaming naming() {
+        return naming;
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -25,6 +25,9 @@
  * and framed, and no further bytes arrived.
  */
 public final class HttpClientConnection extends ChannelInboundHandlerAdapter {
+    /** More responses to other requests than an upstream repeats before the own one; it may never end. */
+    private static final int MAXIMUM_SKIPPED_RESPONSES = 16;
+
     /** More interim responses than any service sends before the final one; an upstream in trouble may never end. */
     private static final int MAXIMUM_INTERIM_RESPONSES = 16;
 
@@ -39,7 +42,9 @@
     private ResponseProof proof;
 
     private long sentAtMillis;
+    private HttpMethod method;
     private int interimResponses;
+    private int skippedResponses;
     private int mismatches;
     private boolean inResponse;
     private boolean skippingResponse;
@@ -101,7 +106,7 @@
     /**
      * Sends a request.
      *
-     * @param method the method
+     * @param newMethod the method
      * @param target the request target
      * @param headers the headers; modified: transfer encoding and content length are replaced
      * @param body the body; not released here
@@ -109,7 +114,7 @@
      * @param newListener receives the response
      */
     public void send(
-            HttpMethod method,
+            HttpMethod newMethod,
             String target,
             HttpHeaders headers,
             ByteBuf body,
@@ -117,18 +122,20 @@
             HttpResponseListener newListener) {
         listener = newListener;
         proof = newProof;
+        method = newMethod;
         sentAtMillis = pool.nowMillis();
         interimResponses = 0;
+        skippedResponses = 0;
         inResponse = false;
         skippingResponse = false;
         requestWritten = false;
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        if (body.isReadable() || !method.equals(HttpMethod.GET)) {
+        if (body.isReadable() || !newMethod.equals(HttpMethod.GET)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, method, target, body.retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
+                HttpVersion.HTTP_1_1, newMethod, target, body.retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
         channel.writeAndFlush(request).addListener(written -> requestWritten = written.isSuccess());
     }
 
@@ -189,13 +196,34 @@
         ResponseProof.Result result = proof.check(response);
         if (result != ResponseProof.Result.MATCH) {
             onMismatch(ResponseMismatch.Kind.of(result), response);
+            skipOrFail(response, result);
+            return;
         }
         keepAlive = HttpUtil.isKeepAlive(response);
-        delimitedByClose = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
-        skippingResponse = !listener.onHead(response);
-        inResponse = !skippingResponse;
-        // The response belongs to another request; no further exchange can be trusted on this connection.
-        outOfSync |= skippingResponse;
+        delimitedByClose = isDelimitedByClose(response);
+        skippingResponse = false;
+        inResponse = true;
+        listener.onHead(response);
+    }
+
+    private static boolean isDelimitedByClose(HttpResponse response) {
+        return !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+    }
+
+    /** Leaves out a response that answers no request; no further exchange can be trusted on this connection. */
+    private void skipOrFail(HttpResponse response, ResponseProof.Result result) {
+        outOfSync = true;
+        skippedResponses++;
+        // Nothing follows a response that ends with its connection. The decoder takes any response for one without a
+        // body
+        // if the request that waits is HEAD.
+        boolean canBeSkipped =
+                proof.skipsMismatches() && !isDelimitedByClose(response) && !method.equals(HttpMethod.HEAD);
+        if (!canBeSkipped || skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
+            fail("the answer is to another request: " + result);
+            return;
+        }
+        skippingResponse = true;
     }
 
     private void onMismatch(ResponseMismatch.Kind kind, HttpResponse response) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpResponseListener.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpResponseListener.java
@@ -8,13 +8,11 @@
  */
 public interface HttpResponseListener {
     /**
-     * Called with the head of a response.
+     * Called with the head of the response that answers the request, as its {@link ResponseProof} shows.
      *
      * @param response the head
-     * @return whether the response belongs to this exchange; if false, the whole response is skipped and the next
-     *     one awaited
      */
-    boolean onHead(HttpResponse response);
+    void onHead(HttpResponse response);
 
     /**
      * Called with a part of the body.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
@@ -158,10 +158,9 @@
         }
 
         @Override
-        public boolean onHead(HttpResponse response) {
+        public void onHead(HttpResponse response) {
             status = response.status().code();
             responseHeaders = response.headers();
-            return true;
         }
 
         @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/KvRelease.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/KvRelease.java
@@ -43,10 +43,9 @@
     }
 
     @Override
-    public boolean onHead(HttpResponse response) {
+    public void onHead(HttpResponse response) {
         long now = context.clock().monotonicMillis();
         new UpstreamStatements(context, engine, "-").record(context.codec().readResponse(response), now, now);
-        return true;
     }
 
     @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
@@ -110,7 +110,7 @@
     }
 
     @Override
-    public boolean onHead(HttpResponse response) {
+    public void onHead(HttpResponse response) {
         metadata = context().codec().readResponse(response);
         status = response.status();
         headers = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(response.headers());
@@ -120,7 +120,6 @@
             // This node passes on that the upstream leaves, so it is bound by that too.
             upstream.ifPresent(context().upstreamLeavingListener());
         }
-        return true;
     }
 
     private boolean isStream() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayCodec.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 
 /** Encodes and decodes the headers and bodies that the platform's protocol adds to HTTP. Makes no decisions. */
-public interface RelayCodec {
+public interface RelayCodec extends CallerServer.RequestNaming {
     /**
      * Parses the metadata of a caller's request.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMetadata.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMetadata.java
@@ -7,7 +7,6 @@
 /**
  * Metadata of an upstream's response, parsed from its headers.
  *
- * @param requestId the id of the request that the response belongs to, empty when not stated
  * @param signed whether the response carries a signature, which is not verified here
  * @param notExecuted whether the upstream states that it did not run the request
  * @param misdirected whether the upstream states that the request was addressed to another one; implies {@code
@@ -20,7 +19,6 @@
  * @param idleTimeoutMillis how long the upstream keeps an idle connection open, empty when not stated
  */
 public record ResponseMetadata(
-        Optional<String> requestId,
         boolean signed,
         boolean notExecuted,
         boolean misdirected,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -11,6 +11,7 @@
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.cactusshift.id.FailureDomainId;
@@ -222,14 +223,9 @@
                 random));
         runtime.pool().setMismatchListener(ResponseMismatchLog.create(runtime.clock(), metrics, runtime.log()));
         RelayContext context = context(protocol, crashDetector, random);
-        this.callerServer = CallerServer.create(
-                runtime.group(), runtime.clock(), this::limits, Relay.create(context, follower::config), runtime.log());
-        this.peerServer = CallerServer.create(
-                runtime.group(),
-                runtime.clock(),
-                () -> PEER_LIMITS,
-                PeerRequestHandler.create(context, peerToken, this::openPeerRequestCount),
-                runtime.log());
+        this.callerServer = createServer(protocol, this::limits, Relay.create(context, follower::config));
+        this.peerServer = createServer(
+                protocol, () -> PEER_LIMITS, PeerRequestHandler.create(context, peerToken, this::openPeerRequestCount));
         this.statusServers = StatusServers.create(runtime, protocol.readinessPath(), this::isReady, this::metricsText);
     }
 
@@ -245,6 +241,10 @@
         return new ServingNode(runtime, settings, protocol);
     }
 
+    private CallerServer createServer(Protocol protocol, Supplier<CallerLimits> limits, CallerRequestHandler handler) {
+        return CallerServer.create(runtime.group(), runtime.clock(), limits, handler, protocol.codec(), runtime.log());
+    }
+
     private FleetController createFleetController(FleetOrderClient client, Protocol protocol) {
         return FleetController.create(
                 client,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StatusServers.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StatusServers.java
@@ -52,7 +52,12 @@
             }
         };
         return CallerServer.create(
-                runtime.group(), runtime.clock(), () -> CallerLimits.DEFAULT, handlerOrNotFound, runtime.log());
+                runtime.group(),
+                runtime.clock(),
+                () -> CallerLimits.DEFAULT,
+                handlerOrNotFound,
+                CallerServer.RequestNaming.NONE,
+                runtime.log());
     }
 
     void listen(InetSocketAddress readinessAddress, InetSocketAddress metricsAddress) throws InterruptedException {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -310,20 +310,8 @@
     }
 
     @Override
-    public boolean onHead(HttpResponse response) {
-        ResponseMetadata read = context().codec().readResponse(response);
-        if (read.requestId().isPresent()
-                && !read.requestId().get().equals(request().id().value())) {
-            context()
-                    .log()
-                    .event("attempt.strayAnswer")
-                    .with("request", request().id().value())
-                    .with("upstream", upstream.id().value())
-                    .with("answers", read.requestId().get())
-                    .write();
-            return false;
-        }
-        metadata = read;
+    public void onHead(HttpResponse response) {
+        metadata = context().codec().readResponse(response);
         status = response.status();
         headers = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(response.headers());
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
@@ -341,7 +329,6 @@
         } else if (metadata.signed()) {
             relayedRequest.takeOver(this);
         }
-        return true;
     }
 
     private void recordFirstResponsePart() {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpClientConnectionTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpClientConnectionTest.java
@@ -31,8 +31,8 @@
         private boolean complete;
 
         @Override
-        public boolean onHead(HttpResponse response) {
-            return true;
+        public void onHead(HttpResponse response) {
+            // Only the body matters.
         }
 
         @Override
@@ -87,8 +87,8 @@
                 ResponseProof.ofConnection(),
                 new HttpResponseListener() {
                     @Override
-                    public boolean onHead(HttpResponse response) {
-                        return true;
+                    public void onHead(HttpResponse response) {
+                        // Only the end matters.
                     }
 
                     @Override
