Send orders and report requests to upstreams on connections of their own

HttpServiceClient.createForUpstream opens a connection for each call and closes it after the exchange.

Evidence: secondResponseToARunIsNotTakenForTheResponseToAnOrder got 200 for 409 with the former client, 409 now.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -55,6 +55,7 @@
     private boolean outOfSync;
 
     private boolean delimitedByClose;
+    private boolean singleExchange;
     private boolean closed;
     private long openedAtMillis;
     private long idleSinceMillis;
@@ -95,6 +96,15 @@
         return channel.isActive() && nowMillis - idleSinceMillis < idleLimitMillis - marginMillis;
     }
 
+    /** Makes the connection end with its first exchange. */
+    void limitToSingleExchange() {
+        singleExchange = true;
+    }
+
+    boolean isLimitedToSingleExchange() {
+        return singleExchange;
+    }
+
     boolean isOpen() {
         return channel.isActive();
     }
@@ -264,8 +274,13 @@
         HttpResponseListener completed = listener;
         listener = null;
         inResponse = false;
-        boolean reusable =
-                keepAlive && requestWritten && !outOfSync && !delimitedByClose && !closed && channel.isActive();
+        boolean reusable = keepAlive
+                && requestWritten
+                && !singleExchange
+                && !outOfSync
+                && !delimitedByClose
+                && !closed
+                && channel.isActive();
         if (reusable) {
             // The exchange may have ended while its reading was paused.
             setReading(true);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
@@ -138,8 +138,26 @@
         });
     }
 
-    /** Takes back a connection after a clean exchange. */
+    /**
+     * Opens a connection for one exchange, which no response to another request can reach.
+     *
+     * @param address the address, as {@code ADDRESS:PORT}
+     * @param receiver receives the connection, or the failure to connect; called on the event loop, possibly before
+     *     this method returns
+     */
+    void connectForSingleExchange(String address, Consumer<Either<Failure, HttpClientConnection>> receiver) {
+        connect(address, connected -> {
+            connected.forEach(HttpClientConnection::limitToSingleExchange);
+            receiver.accept(connected);
+        });
+    }
+
+    /** Takes back a connection after a clean exchange, or one that was not used. */
     void release(HttpClientConnection connection) {
+        if (connection.isLimitedToSingleExchange()) {
+            connection.close();
+            return;
+        }
         connection.setIdleSinceMillis(clock.monotonicMillis());
         idleConnectionsByAddress
                 .computeIfAbsent(connection.address(), key -> new ArrayDeque<>())
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
@@ -22,17 +22,24 @@
  */
 public final class HttpServiceClient {
     private final HttpConnectionPool pool;
+    private final Connector connector;
     private final EventLoop eventLoop;
     private final String address;
 
-    private HttpServiceClient(HttpConnectionPool pool, EventLoop eventLoop, String address) {
+    private HttpServiceClient(HttpConnectionPool pool, Connector connector, EventLoop eventLoop, String address) {
         this.pool = pool;
+        this.connector = connector;
         this.eventLoop = eventLoop;
         this.address = address;
     }
 
+    /** Provides the connection of a call. */
+    private interface Connector {
+        void connect(String address, Consumer<Either<Failure, HttpClientConnection>> receiver);
+    }
+
     /**
-     * Returns a client of one service.
+     * Returns a client of a service that responds once to each request. Its calls reuse connections.
      *
      * @param pool provides connections
      * @param eventLoop the event loop
@@ -40,7 +47,22 @@
      * @return the client
      */
     public static HttpServiceClient create(HttpConnectionPool pool, EventLoop eventLoop, String address) {
-        return new HttpServiceClient(pool, eventLoop, address);
+        // No limit on how long a reused connection has been idle, other than the remote idle timeout.
+        Connector reusing = (to, receiver) -> pool.acquire(to, Long.MAX_VALUE, receiver);
+        return new HttpServiceClient(pool, reusing, eventLoop, address);
+    }
+
+    /**
+     * Returns a client of an upstream, whose responses to such calls name no request. Each call opens a connection of
+     * its own, so that a late second response to another request is not taken for the response.
+     *
+     * @param pool opens connections
+     * @param eventLoop the event loop
+     * @param address the address of the upstream, as {@code ADDRESS:PORT}
+     * @return the client
+     */
+    public static HttpServiceClient createForUpstream(HttpConnectionPool pool, EventLoop eventLoop, String address) {
+        return new HttpServiceClient(pool, pool::connectForSingleExchange, eventLoop, address);
     }
 
     /**
@@ -100,8 +122,7 @@
         Call call = new Call(step, condition, receiver);
         call.timer = eventLoop.schedule(call::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
         headers.set(HttpHeaderNames.HOST, address);
-        // No limit on how long a reused connection has been idle, other than the remote idle timeout.
-        pool.acquire(address, Long.MAX_VALUE, acquired -> call.start(acquired, method, target, headers, body));
+        connector.connect(address, acquired -> call.start(acquired, method, target, headers, body));
     }
 
     private final class Call implements HttpResponseListener {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpServiceClientTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpServiceClientTest.java
@@ -11,11 +11,14 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cactusshift.errors.Failure;
@@ -25,9 +28,13 @@
 class HttpServiceClientTest {
     private static final long TIMEOUT_MILLIS = 10_000;
 
+    private static final String RAN = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    private static final String REJECTED = "HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n";
+
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpConnectionPool pool = HttpConnectionPool.create(group, RelayClock.system());
     private final AtomicInteger received = new AtomicInteger();
+    private final Set<Socket> ranOn = ConcurrentHashMap.newKeySet();
 
     @AfterEach
     void endEventLoop() {
@@ -81,4 +88,64 @@
             assertEquals(1, received.get());
         }
     }
+
+    /** Answers a request for {@code /run} twice, the second time where the response to the next request is expected. */
+    private void serveTwice(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            byte[] buffer = new byte[4_096];
+            for (int length = in.read(buffer); length >= 0; length = in.read(buffer)) {
+                boolean isRun = new String(buffer, 0, length, StandardCharsets.US_ASCII).startsWith("POST /run");
+                String own = isRun ? RAN : REJECTED;
+                socket.getOutputStream()
+                        .write(((ranOn.contains(socket) ? RAN : "") + own).getBytes(StandardCharsets.US_ASCII));
+                if (isRun) {
+                    ranOn.add(socket);
+                }
+            }
+        } catch (IOException e) {
+            // The client has closed the connection.
+        }
+    }
+
+    private void acceptAll(ServerSocket listener) {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                received.incrementAndGet();
+                new Thread(() -> serveTwice(socket), "connection").start();
+            }
+        } catch (IOException e) {
+            // The test has closed the listener.
+        }
+    }
+
+    /** Guards against an order that counts as accepted because a run on the same connection was answered twice. */
+    @Test
+    void secondResponseToARunIsNotTakenForTheResponseToAnOrder() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            new Thread(() -> acceptAll(listener), "server").start();
+            String address = "127.0.0.1:" + listener.getLocalPort();
+            EventLoop loop = (EventLoop) group.next();
+            assertEquals(200, status(HttpServiceClient.create(pool, loop, address), "/run"));
+            HttpServiceClient orders = HttpServiceClient.createForUpstream(pool, loop, address);
+            assertEquals(409, status(orders, "/order"));
+            assertEquals(409, status(orders, "/order"));
+            assertEquals(3, received.get());
+        }
+    }
+
+    private int status(HttpServiceClient client, String target) throws Exception {
+        CompletableFuture<Either<Failure, HttpServiceClient.Response>> outcome = new CompletableFuture<>();
+        group.next()
+                .execute(() -> client.call(
+                        "test",
+                        HttpMethod.POST,
+                        target,
+                        new DefaultHttpHeaders(),
+                        new byte[0],
+                        TIMEOUT_MILLIS,
+                        outcome::complete));
+        return outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).get().status();
+    }
 }
