Reuse no connection on which part of a second response arrived

An upstream that breaks off its second response in the status line leaves "HTTP/1.1 200 " in the decoder of the idle connection; the next response completes it to the status line "200 XHTTP/1.1 500 X" and brings its own id, so no proof by id can see it.

Change: any byte on an idle connection closes it, and a connection whose decoder holds bytes beyond the end of a response is not reused. ResponseDecoder replaces the client codec; it also takes the method of the open exchange rather than a queue of methods, which a second response put out of step.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -2,15 +2,18 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -24,7 +27,7 @@
  * <p>A connection is reused only after a clean exchange: the request was written completely, the response was complete
  * and framed, and no further bytes arrived.
  */
-public final class HttpClientConnection extends ChannelInboundHandlerAdapter {
+public final class HttpClientConnection extends ChannelInboundHandlerAdapter implements ResponseDecoder.Exchanges {
     /** More responses to other requests than an upstream repeats before the own one; it may never end. */
     private static final int MAXIMUM_SKIPPED_RESPONSES = 16;
 
@@ -34,6 +37,7 @@
     private final HttpConnectionPool pool;
     private final String address;
     private Channel channel;
+    private ResponseDecoder decoder;
 
     /** Receives the response of the open exchange; null while there is none. */
     private HttpResponseListener listener;
@@ -42,7 +46,7 @@
     private ResponseProof proof;
 
     private long sentAtMillis;
-    private HttpMethod method;
+    private HttpMethod method = HttpMethod.GET;
     private int interimResponses;
     private int skippedResponses;
     private int mismatches;
@@ -66,6 +70,30 @@
         this.address = address;
     }
 
+    /** Returns the handlers of a channel for the connection, in their order. */
+    ChannelHandler[] handlers(HttpDecoderConfig config) {
+        decoder = new ResponseDecoder(config, this);
+        return new ChannelHandler[] {new HttpRequestEncoder(), decoder, this};
+    }
+
+    @Override
+    public boolean isOpen() {
+        return listener != null;
+    }
+
+    @Override
+    public boolean haveNoBody() {
+        return method.equals(HttpMethod.HEAD);
+    }
+
+    @Override
+    public void onUnsolicitedBytes() {
+        if (!closed) {
+            onMismatch(ResponseMismatch.Kind.UNSOLICITED, 0);
+            fail("bytes without a request");
+        }
+    }
+
     String address() {
         return address;
     }
@@ -105,7 +133,7 @@
         return singleExchange;
     }
 
-    boolean isOpen() {
+    boolean isConnected() {
         return channel.isActive();
     }
 
@@ -198,14 +226,12 @@
             return;
         }
         if (listener == null || inResponse) {
-            outOfSync = true;
-            onMismatch(ResponseMismatch.Kind.UNSOLICITED, response);
-            fail("bytes without a request");
+            onUnsolicitedBytes();
             return;
         }
         ResponseProof.Result result = proof.check(response);
         if (result != ResponseProof.Result.MATCH) {
-            onMismatch(ResponseMismatch.Kind.of(result), response);
+            onMismatch(ResponseMismatch.Kind.of(result), response.status().code());
             skipOrFail(response, result);
             return;
         }
@@ -224,11 +250,8 @@
     private void skipOrFail(HttpResponse response, ResponseProof.Result result) {
         outOfSync = true;
         skippedResponses++;
-        // Nothing follows a response that ends with its connection. The decoder takes any response for one without a
-        // body
-        // if the request that waits is HEAD.
-        boolean canBeSkipped =
-                proof.skipsMismatches() && !isDelimitedByClose(response) && !method.equals(HttpMethod.HEAD);
+        // Nothing follows a response that ends with its connection, and none has a body while HEAD waits.
+        boolean canBeSkipped = proof.skipsMismatches() && !isDelimitedByClose(response) && !haveNoBody();
         if (!canBeSkipped || skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
             fail("the answer is to another request: " + result);
             return;
@@ -236,14 +259,14 @@
         skippingResponse = true;
     }
 
-    private void onMismatch(ResponseMismatch.Kind kind, HttpResponse response) {
+    private void onMismatch(ResponseMismatch.Kind kind, int status) {
         mismatches++;
         long nowMillis = pool.nowMillis();
         pool.onMismatch(new ResponseMismatch(
                 kind,
                 address,
                 proof == null ? "-" : proof.request(),
-                response.status().code(),
+                status,
                 nowMillis - sentAtMillis,
                 nowMillis - openedAtMillis,
                 mismatches == 1));
@@ -274,6 +297,10 @@
         HttpResponseListener completed = listener;
         listener = null;
         inResponse = false;
+        if (decoder.hasUndecodedBytes()) {
+            onMismatch(ResponseMismatch.Kind.UNSOLICITED, 0);
+            outOfSync = true;
+        }
         boolean reusable = keepAlive
                 && requestWritten
                 && !singleExchange
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -123,7 +122,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(decoder, false, true), connection);
+                        channel.pipeline().addLast(connection.handlers(decoder));
                     }
                 })
                 .connect(peer);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMismatch.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMismatch.java
@@ -6,7 +6,7 @@
  * @param kind what is wrong
  * @param address the remote address, as {@code ADDRESS:PORT}
  * @param request the id of the request that waits or was the last one, {@code "-"} when it has none
- * @param status the status of the response
+ * @param status the status of the response, 0 when its head was not read
  * @param exchangeAgeMillis the time since that request was sent, in milliseconds
  * @param connectionAgeMillis the time since the connection was opened, in milliseconds
  * @param first whether it is the first one of its connection
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamCheck.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamCheck.java
@@ -112,7 +112,7 @@
     }
 
     private void confirm(Upstream upstream, HttpClientConnection connection, int remainingConnections) {
-        if (connection.isOpen() || remainingConnections == 0) {
+        if (connection.isConnected() || remainingConnections == 0) {
             checked.remove(upstream.id());
         } else {
             connectAndConfirm(upstream, remainingConnections);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpClientConnectionTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpClientConnectionTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -54,7 +55,7 @@
     /** Guards against an idle connection that is not read, so that its close and the next response go unnoticed. */
     @Test
     void connectionIsReadAgainWhenAPausedExchangeEnds() {
-        channel.pipeline().addLast(connection);
+        channel.pipeline().addLast(connection.handlers(new HttpDecoderConfig()));
         PausingListener listener = new PausingListener();
         connection.send(
                 HttpMethod.GET,
@@ -77,7 +78,7 @@
     @ParameterizedTest
     @CsvSource({"1, false", "16, false", "17, true"})
     void exchangeFailsAfterTooManyInterimResponses(int interimResponses, boolean fails) {
-        channel.pipeline().addLast(connection);
+        channel.pipeline().addLast(connection.handlers(new HttpDecoderConfig()));
         List<String> outcomes = new ArrayList<>();
         connection.send(
                 HttpMethod.GET,
