End an exchange whose response head is made of two

Change: a reason phrase or a header value that contains a status line ends the exchange, which counts as possibly run. The kind of mismatch is SPLICED in log and metric.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -15,11 +15,13 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.regex.Pattern;
 
 /**
  * An HTTP/1.1 client connection to an upstream or to a service of the platform; carries one exchange at a time.
@@ -34,6 +36,10 @@
     /** More interim responses than any service sends before the final one; an upstream in trouble may never end. */
     private static final int MAXIMUM_INTERIM_RESPONSES = 16;
 
+    private static final String STATUS_LINE_START = "HTTP/1.";
+
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]( |$)");
+
     private final HttpConnectionPool pool;
     private final String address;
     private Channel channel;
@@ -229,6 +235,11 @@
             onUnsolicitedBytes();
             return;
         }
+        if (isSpliced(response)) {
+            onMismatch(ResponseMismatch.Kind.SPLICED, response.status().code());
+            fail("the head is made of two");
+            return;
+        }
         ResponseProof.Result result = proof.check(response);
         if (result != ResponseProof.Result.MATCH) {
             onMismatch(ResponseMismatch.Kind.of(result), response.status().code());
@@ -246,6 +257,16 @@
         return !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     }
 
+    /** Returns whether a head goes on after the beginning of another one, so that parts of it are of both. */
+    private static boolean isSpliced(HttpResponse response) {
+        return containsStatusLine(response.status().reasonPhrase())
+                || response.headers().entries().stream().anyMatch(header -> containsStatusLine(header.getValue()));
+    }
+
+    private static boolean containsStatusLine(String text) {
+        return text.contains(STATUS_LINE_START) && STATUS_LINE.matcher(text).find();
+    }
+
     /** Leaves out a response that answers no request; no further exchange can be trusted on this connection. */
     private void skipOrFail(HttpResponse response, ResponseProof.Result result) {
         outOfSync = true;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMismatch.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMismatch.java
@@ -27,6 +27,8 @@
         NO_REQUEST,
         /** It names several requests. */
         SEVERAL_REQUESTS,
+        /** It goes on after the beginning of another response. */
+        SPLICED,
         /** No request waits on the connection. */
         UNSOLICITED;
 
