--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -254,7 +254,9 @@
     }
 
     private static boolean isDelimitedByClose(HttpResponse response) {
-        return !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+        boolean hasBody = !response.status().equals(HttpResponseStatus.NO_CONTENT)
+                && !response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        return hasBody && !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     }
 
     /** Returns whether a head goes on after the beginning of another one, so that parts of it are of both. */
