Take refusals of peers of a former release for what they are

Change: from a peer, only a signed response has to name the request. Nodes respond once on connections that carry nothing else, and their own responses are not signed. upstream.listed states the address, which response.mismatch has too, and OPERATIONS.md tells how on-call gets from a wrong answer to the upstream.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseProof.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseProof.java
@@ -53,14 +53,14 @@
 
     /**
      * Proves by the id that a peer repeats in its response. Nodes respond once, so that nothing is awaited after a
-     * mismatch.
+     * mismatch; a node of a former release does not name the request in responses of its own, which are not signed.
      *
      * @param codec reads the ids
      * @param id the id of the request
      * @return the proof
      */
     static ResponseProof ofPeer(RelayCodec codec, RequestId id) {
-        return new NamedRequest(codec, id, false);
+        return new PassedOnRequest(codec, new NamedRequest(codec, id, false));
     }
 
     /**
@@ -102,6 +102,27 @@
         }
     }
 
+    /** The proof of a request that a peer serves. */
+    record PassedOnRequest(RelayCodec codec, NamedRequest named) implements ResponseProof {
+        @Override
+        public Result check(HttpResponse response) {
+            Result result = named.check(response);
+            boolean isOfPeer =
+                    result == Result.NO_REQUEST && !codec.readResponse(response).signed();
+            return isOfPeer ? Result.MATCH : result;
+        }
+
+        @Override
+        public boolean skipsMismatches() {
+            return false;
+        }
+
+        @Override
+        public String request() {
+            return named.request();
+        }
+    }
+
     /** The proof of a request without an id. */
     record UnnamedRequest(RelayCodec codec) implements ResponseProof {
         @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -522,6 +522,7 @@
             log.event("upstream.listed")
                     .with("upstream", entry.id().value())
                     .with("service", entry.service().value())
+                    .with("address", entry.address())
                     .with("stage", entry.stage())
                     .with("softwareVersion", entry.softwareVersion().value())
                     .with("leaving", entry.leaving())
