Keep no connections to an upstream that repeats its responses

Change: after four mismatches within ten seconds the idle connections to an address are closed and none is kept for ten seconds after the last one. The upstream keeps its work. The decision takes the time as an argument (ConnectionReuse).

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.cactusshift.errors.Failure;
+import org.cactusshift.internal.coordination.limits.ConnectionReuse;
 
 /** A pool of idle connections by address; the most recently used connection is reused first. */
 public final class HttpConnectionPool {
@@ -35,6 +36,7 @@
     private final RelayClock clock;
     private final Map<String, ArrayDeque<HttpClientConnection>> idleConnectionsByAddress = new HashMap<>();
 
+    private final ConnectionReuse reuse = ConnectionReuse.create();
     private ResponseMismatch.Listener mismatchListener = mismatch -> {};
 
     private HttpConnectionPool(EventLoopGroup eventLoopGroup, RelayClock clock) {
@@ -68,6 +70,12 @@
 
     void onMismatch(ResponseMismatch mismatch) {
         mismatchListener.onMismatch(mismatch);
+        if (reuse.onMismatch(mismatch.address(), clock.monotonicMillis())) {
+            ArrayDeque<HttpClientConnection> idle = idleConnectionsByAddress.remove(mismatch.address());
+            if (idle != null) {
+                idle.forEach(HttpClientConnection::close);
+            }
+        }
     }
 
     long nowMillis() {
@@ -153,11 +161,12 @@
 
     /** Takes back a connection after a clean exchange, or one that was not used. */
     void release(HttpClientConnection connection) {
-        if (connection.isLimitedToSingleExchange()) {
+        long nowMillis = clock.monotonicMillis();
+        if (connection.isLimitedToSingleExchange() || !reuse.isAllowed(connection.address(), nowMillis)) {
             connection.close();
             return;
         }
-        connection.setIdleSinceMillis(clock.monotonicMillis());
+        connection.setIdleSinceMillis(nowMillis);
         idleConnectionsByAddress
                 .computeIfAbsent(connection.address(), key -> new ArrayDeque<>())
                 .addLast(connection);
@@ -177,6 +186,7 @@
      * @param nowMillis the current monotonic time, in milliseconds
      */
     public void closeExpired(long nowMillis) {
+        reuse.removeExpired(nowMillis);
         for (Iterator<ArrayDeque<HttpClientConnection>> all =
                         idleConnectionsByAddress.values().iterator();
                 all.hasNext(); ) {
