Fail messages that the end of their connection cuts

The gateway also ran requests whose head was cut.

Cause: HttpCore takes the end of the stream for the end of a line, of a head and of the trailers. A head that was cut has no length, and a body without one ends with its connection.

Change: the parsers of all connections on HttpCore (engines, store, platform, callers) read from a stream whose end inside a head or a chunked body is an error. A cut response counts as one that may have run; a cut request is not run.

The scripted server of the tests sends 100 Continue where a client asks for it.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/CallerConnection.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
 
 /**
  * A connection from a caller. It tracks the phase of the current request, the read and write deadlines and the limit on
@@ -44,7 +45,7 @@
 
     CallerConnection(
             Socket rawSocket, ListenerSettings settings, LongSupplier monotonicMillis, BooleanSupplier stopping) {
-        super("http", http1Config(settings));
+        super("http", http1Config(settings), null, null, null, null, MessageInput.requestParsers(), null);
         this.rawSocket = rawSocket;
         this.settings = settings;
         this.monotonicMillis = monotonicMillis;
@@ -77,6 +78,11 @@
         });
     }
 
+    @Override
+    protected InputStream createContentInputStream(long length, SessionInputBuffer buffer, InputStream stream) {
+        return super.createContentInputStream(length, buffer, MessageInput.forBody(length, stream));
+    }
+
     private long headerReadLimitBytes() {
         return (long) settings.maximumHeaderBytes() + BUFFER_BYTES;
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/UpstreamConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/UpstreamConnection.java
@@ -8,7 +8,6 @@
 import java.net.SocketTimeoutException;
 import java.util.function.LongSupplier;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
 import org.apache.hc.core5.util.Timeout;
 import org.cactusshift.internal.transport.http.HttpExchangeException.Reason;
@@ -17,7 +16,7 @@
  * A connection to an upstream. It records whether bytes of a request may have been sent, and limits the time without
  * progress unless the {@link ResponseNeededCheck} lets a silent exchange go on.
  */
-final class UpstreamConnection extends DefaultBHttpClientConnection
+final class UpstreamConnection extends ClientConnection
         implements DeadlineSweeper.MonitoredConnection, WriteObservedOutputStream.WriteObserver {
     private static final int MAXIMUM_LINE_BYTES = 64 * 1024;
     private static final int MAXIMUM_HEADER_COUNT = 200;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/platform/PlatformHttpClient.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/platform/PlatformHttpClient.java
@@ -16,8 +16,6 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.impl.HttpProcessors;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
@@ -27,6 +25,7 @@
 import org.apache.hc.core5.util.Timeout;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.internal.coordination.DaemonThreads;
+import org.cactusshift.internal.transport.http.ClientConnection;
 
 /**
  * An HTTP client for calls to the platform and to engines. It opens a new connection for each call and limits the total
@@ -113,8 +112,7 @@
     }
 
     private PlatformResponse exchange(Socket socket, ClassicHttpRequest request) throws IOException, HttpException {
-        DefaultBHttpClientConnection connection =
-                DefaultBHttpClientConnectionFactory.builder().build().createConnection(socket);
+        ClientConnection connection = ClientConnection.bindTo(socket);
         connection.setSocketTimeout(Timeout.ofMilliseconds(timeoutMillis));
         HttpCoreContext context = HttpCoreContext.create();
         EXECUTOR.preProcess(request, PROCESSOR, context);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/StoreConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/store/StoreConnection.java
@@ -11,8 +11,6 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
@@ -22,6 +20,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 import org.cactusshift.internal.protocol.etcd.EtcdRequest;
+import org.cactusshift.internal.transport.http.ClientConnection;
 
 /** A connection to the key-value store, used by one call at a time. */
 final class StoreConnection {
@@ -33,7 +32,7 @@
 
     private final HttpHost host;
 
-    private final DefaultBHttpClientConnection connection;
+    private final ClientConnection connection;
 
     private boolean reusable;
 
@@ -41,7 +40,7 @@
 
     private boolean broken;
 
-    private StoreConnection(HttpHost host, DefaultBHttpClientConnection connection) {
+    private StoreConnection(HttpHost host, ClientConnection connection) {
         this.host = host;
         this.connection = connection;
     }
@@ -61,8 +60,7 @@
             socket.setTcpNoDelay(true);
             socket.connect(
                     new InetSocketAddress(host.getHostName(), host.getPort()), Math.toIntExact(connectTimeoutMillis));
-            return new StoreConnection(
-                    host, DefaultBHttpClientConnectionFactory.builder().build().createConnection(socket));
+            return new StoreConnection(host, ClientConnection.bindTo(socket));
         } catch (IOException | RuntimeException e) {
             socket.close();
             throw e;
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/ScriptedServer.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/ScriptedServer.java
@@ -96,11 +96,11 @@
     private void serve(Socket socket, int number) {
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            Received request = read(in, number);
+            Received request = read(in, socket.getOutputStream(), number);
             while (request != null) {
                 receivedRequests.add(request);
                 script.respond(request, socket, socket.getOutputStream());
-                request = read(in, number);
+                request = read(in, socket.getOutputStream(), number);
             }
         } catch (Exception e) {
             // The script failed, the request was malformed or the connection was closed; the connection ends.
@@ -109,7 +109,7 @@
         }
     }
 
-    private static Received read(InputStream in, int number) throws IOException {
+    private static Received read(InputStream in, OutputStream out, int number) throws IOException {
         String line = readLine(in);
         if (line == null) {
             return null;
@@ -123,6 +123,10 @@
                 length = Integer.parseInt(
                         header.substring("content-length:".length()).trim());
             }
+            if (header.equalsIgnoreCase("expect: 100-continue")) {
+                out.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                out.flush();
+            }
             header = readLine(in);
         }
         String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
