Accept a response at the gateway only if its request is proven

Cause: a response without an id, or with two of which the first fits, was taken for the response to the request that waits, so that a late copy of an earlier one on a kept connection passed. One with another id ended the attempt, though its own response followed.

Change: the pool checks the id before any caller of it sees a head. The one id of the request answers; a response without an id answers only on a connection that has carried no other request, which is not kept then. Others are left out, 16 at most, and logged once a connection. Requests without an id (polls) share no connections with those that have one.

Evidence: RepeatedServiceResponseTest, 10 of 10 cases failed before (201 of the other call, 503 "not run", 502), 0 now. Fails now: ServiceGatewayTest.returnsLargeResponsesCompleteAndReusesTheConnection, whose service repeats no id and whose connection has to be kept; it contradicts the rule and is left as it is for a decision.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/EngineAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/EngineAttempt.java
@@ -88,12 +88,6 @@
     /** Returns the attempt if its event stream has started, or how it ended. */
     private static Either<FailedOpen, EngineAttempt> checkResponse(EngineAttempt attempt) {
         HttpClientExchange exchange = attempt.exchange;
-        if (!isResponseTo(exchange, attempt.id)) {
-            exchange.abort();
-            exchange.close();
-            // The engine has not responded to this attempt.
-            return Either.left(FailedOpen.of(Outcome.SILENT));
-        }
         if (exchange.status() == 200 && isEventStream(exchange)) {
             return Either.right(attempt);
         }
@@ -102,16 +96,6 @@
         return Either.left(failedOpen);
     }
 
-    /**
-     * Returns whether a response belongs to an attempt, which it does unless it names another one. A response that
-     * names another attempt must not reach any caller.
-     */
-    static boolean isResponseTo(HttpClientExchange exchange, AttemptId attempt) {
-        return exchange.header(GatewayHeaders.REQUEST_ID)
-                .map(value -> value.equals(attempt.value()))
-                .orElse(true);
-    }
-
     private static boolean isEventStream(HttpClientExchange exchange) {
         return exchange.header(HttpHeaders.CONTENT_TYPE).orElse("").startsWith("text/event-stream");
     }
@@ -148,7 +132,8 @@
         return switch (failure.reason()) {
             case NOT_SENT -> Outcome.NOT_SENT;
             case CLOSED -> Outcome.CRASHED;
-            case SILENT -> Outcome.SILENT;
+            // An upstream that has not responded to this attempt.
+            case SILENT, UNMATCHED -> Outcome.SILENT;
             case ABANDONED -> Outcome.CANCELLED;
         };
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/PrefillStep.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/PrefillStep.java
@@ -78,10 +78,6 @@
 
     private Optional<byte[]> receive(HttpClientExchange sent, EngineRequest engineRequest) {
         try (HttpClientExchange exchange = sent) {
-            if (!EngineAttempt.isResponseTo(exchange, attempt)) {
-                exchange.abort();
-                return Optional.empty();
-            }
             byte[] response = exchange.readAll(MAXIMUM_RESPONSE_BYTES);
             mayHaveRun = !EngineAttempt.isNotAdmitted(exchange.status(), response);
             return exchange.status() == 200 ? engineRequest.toDecodeBytes(response) : Optional.empty();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/ServiceCall.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/ServiceCall.java
@@ -118,11 +118,6 @@
             return onAttemptFailed(dispatch, EngineAttempt.outcomeOf(sent.getLeft()));
         }
         try (HttpClientExchange exchange = sent.get()) {
-            if (!EngineAttempt.isResponseTo(exchange, dispatch.attempt())) {
-                exchange.abort();
-                // The upstream has not responded to this attempt.
-                return onAttemptFailed(dispatch, Outcome.SILENT);
-            }
             return handleResponse(dispatch, exchange);
         }
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpClientExchange.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpClientExchange.java
@@ -129,8 +129,9 @@
         released = true;
         boolean reusable = bodyEnded
                 && !connection.isAborted()
+                && connection.isReusable()
                 && connection.isConsistent()
                 && DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, HttpCoreContext.create());
-        pool.release(connection, reusable);
+        pool.release(connection, RequestName.of(request).isPresent(), reusable);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpClientPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpClientPool.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayDeque;
@@ -24,20 +25,32 @@
 /**
  * A pool of connections to upstreams. A connection is reused only after a complete exchange.
  *
+ * <p>A response answers a request with an id only if it repeats this id and no other, or if it names no request and the
+ * connection has carried no other request; such a connection is not reused. Other responses are left out.
+ *
  * <p>A failure states whether the request may have reached the upstream: it is {@link Reason#NOT_SENT} only if
  * no byte of the request was written to the socket. Safe for use by several threads.
  */
 public final class HttpClientPool implements Closeable {
+    private static final System.Logger LOG = System.getLogger(HttpClientPool.class.getName());
     private static final long EXPIRY_INTERVAL_MILLIS = 1000;
+    /** More responses to other requests than a server repeats before the own one; it may never end. */
+    private static final int MAXIMUM_SKIPPED_RESPONSES = 16;
+
+    private static final long MAXIMUM_SKIPPED_BODY_BYTES = 8L * 1024 * 1024;
+    private static final int SKIP_BUFFER_BYTES = 8192;
 
     private final Supplier<HttpClientSettings> settings;
     private final LongSupplier monotonicMillis;
     private final DeadlineSweeper sweeper;
     private final ScheduledFuture<?> expiryTask;
-    private final Map<String, Deque<UpstreamConnection>> idleByAddress = new HashMap<>();
+    private final Map<IdleKey, Deque<UpstreamConnection>> idleByKey = new HashMap<>();
     private final Map<String, Integer> inUseCountByAddress = new HashMap<>();
     private boolean closed;
 
+    /** Requests that name themselves share no connections with requests that don't. */
+    private record IdleKey(String address, boolean isNamed) {}
+
     private HttpClientPool(
             Supplier<HttpClientSettings> settings, LongSupplier monotonicMillis, ScheduledExecutorService scheduler) {
         this.settings = settings;
@@ -87,22 +100,24 @@
             ClassicHttpRequest request,
             ResponseNeededCheck responseNeededCheck,
             long progressTimeoutMillis) {
+        RequestName name = RequestName.of(request);
         UpstreamConnection connection;
         try {
-            connection = acquire(address);
+            connection = acquire(new IdleKey(address, name.isPresent()));
         } catch (HttpExchangeException e) {
             return Either.left(e);
         }
         connection.beginExchange(progressTimeoutMillis, responseNeededCheck);
         try {
-            return Either.right(exchange(connection, address, request));
+            return Either.right(exchange(connection, address, request, name));
         } catch (IOException | HttpException e) {
-            release(connection, false);
+            release(connection, name.isPresent(), false);
             return Either.left(toHttpExchangeException(e, connection, "send request"));
         }
     }
 
-    private HttpClientExchange exchange(UpstreamConnection connection, String address, ClassicHttpRequest request)
+    private HttpClientExchange exchange(
+            UpstreamConnection connection, String address, ClassicHttpRequest request, RequestName name)
             throws IOException, HttpException {
         request.setHeader(HttpHeaders.HOST, address);
         setFraming(request);
@@ -111,14 +126,78 @@
             connection.sendRequestEntity(request);
         }
         connection.flush();
+        ClassicHttpResponse response = receiveResponse(connection, request, name);
+        if (canHaveBody(request, response)) {
+            connection.receiveResponseEntity(response);
+        }
+        return new HttpClientExchange(this, connection, request, response);
+    }
+
+    /** Receives the head of the response to the request; leaves out responses to other requests. */
+    private static ClassicHttpResponse receiveResponse(
+            UpstreamConnection connection, ClassicHttpRequest request, RequestName name)
+            throws IOException, HttpException {
+        ClassicHttpResponse response = receiveFinalHead(connection);
+        for (int skipped = 0; skipped < MAXIMUM_SKIPPED_RESPONSES; skipped++) {
+            RequestName.Match match = name.match(response);
+            if (match == RequestName.Match.SAME) {
+                return response;
+            }
+            connection.markNotReusable();
+            if (match == RequestName.Match.UNNAMED && connection.isFirstExchange() && skipped == 0) {
+                return response;
+            }
+            if (skipped == 0) {
+                LOG.log(
+                        System.Logger.Level.WARNING,
+                        "{0} sent a response that does not name {1} ({2}); its connection will be closed",
+                        connection.address(),
+                        name,
+                        match);
+            }
+            skip(connection, request, response);
+            response = receiveFinalHead(connection);
+        }
+        throw unmatched(connection, "the server sent too many responses to other requests");
+    }
+
+    private static ClassicHttpResponse receiveFinalHead(UpstreamConnection connection)
+            throws IOException, HttpException {
         ClassicHttpResponse response = connection.receiveResponseHeader();
         while (response.getCode() < HttpStatus.SC_SUCCESS) {
             response = connection.receiveResponseHeader();
         }
-        if (canHaveBody(request, response)) {
-            connection.receiveResponseEntity(response);
+        return response;
+    }
+
+    /** Reads the body of a response to another request; fails where its end can't be known. */
+    private static void skip(UpstreamConnection connection, ClassicHttpRequest request, ClassicHttpResponse response)
+            throws IOException, HttpException {
+        boolean isFramed = response.containsHeader(HttpHeaders.CONTENT_LENGTH)
+                || response.containsHeader(HttpHeaders.TRANSFER_ENCODING);
+        // A response to another method than HEAD has a body, which its head doesn't show.
+        if ("HEAD".equals(request.getMethod()) || canHaveBody(request, response) && !isFramed) {
+            throw unmatched(connection, "the server responded to another request");
         }
-        return new HttpClientExchange(this, connection, request, response);
+        if (!canHaveBody(request, response)) {
+            return;
+        }
+        connection.receiveResponseEntity(response);
+        InputStream content = response.getEntity().getContent();
+        byte[] buffer = new byte[SKIP_BUFFER_BYTES];
+        long skippedBytes = 0;
+        int count = content.read(buffer);
+        while (count >= 0 && skippedBytes <= MAXIMUM_SKIPPED_BODY_BYTES) {
+            skippedBytes += count;
+            count = content.read(buffer);
+        }
+        if (count >= 0) {
+            throw unmatched(connection, "the server sent a long response to another request");
+        }
+    }
+
+    private static HttpExchangeException unmatched(UpstreamConnection connection, String message) {
+        return HttpExchangeException.of(Reason.UNMATCHED, "await response", connection.address(), message);
     }
 
     private static void setFraming(ClassicHttpRequest request) {
@@ -148,15 +227,16 @@
         return HttpExchangeException.of(Reason.CLOSED, step, connection.address(), String.valueOf(cause.getMessage()));
     }
 
-    private UpstreamConnection acquire(String address) throws HttpExchangeException {
+    private UpstreamConnection acquire(IdleKey key) throws HttpExchangeException {
+        String address = key.address();
         reserve(address);
-        UpstreamConnection reused = pollIdle(address);
+        UpstreamConnection reused = pollIdle(key);
         while (reused != null) {
             if (reused.isUsable()) {
                 return reused;
             }
             discard(reused);
-            reused = pollIdle(address);
+            reused = pollIdle(key);
         }
         Socket socket = new Socket();
         try {
@@ -205,26 +285,26 @@
         inUseCountByAddress.computeIfPresent(address, (key, count) -> count > 1 ? count - 1 : null);
     }
 
-    private synchronized UpstreamConnection pollIdle(String address) {
-        Deque<UpstreamConnection> connections = idleByAddress.get(address);
+    private synchronized UpstreamConnection pollIdle(IdleKey key) {
+        Deque<UpstreamConnection> connections = idleByKey.get(key);
         return connections == null ? null : connections.pollLast();
     }
 
-    void release(UpstreamConnection connection, boolean reusable) {
+    void release(UpstreamConnection connection, boolean isNamed, boolean reusable) {
         unreserve(connection.address());
-        if (reusable && addIdle(connection)) {
+        if (reusable && addIdle(connection, isNamed)) {
             return;
         }
         discard(connection);
     }
 
-    private synchronized boolean addIdle(UpstreamConnection connection) {
+    private synchronized boolean addIdle(UpstreamConnection connection, boolean isNamed) {
         if (closed) {
             return false;
         }
         connection.markIdle(monotonicMillis.getAsLong());
-        idleByAddress
-                .computeIfAbsent(connection.address(), address -> new ArrayDeque<>())
+        idleByKey
+                .computeIfAbsent(new IdleKey(connection.address(), isNamed), key -> new ArrayDeque<>())
                 .addLast(connection);
         return true;
     }
@@ -236,12 +316,12 @@
 
     private synchronized void closeExpired() {
         long expiryLimitMillis = monotonicMillis.getAsLong() - settings.get().idleExpiryMillis();
-        for (Deque<UpstreamConnection> connections : idleByAddress.values()) {
+        for (Deque<UpstreamConnection> connections : idleByKey.values()) {
             while (!connections.isEmpty() && connections.peekFirst().idleSinceMillis() < expiryLimitMillis) {
                 discard(connections.pollFirst());
             }
         }
-        idleByAddress.values().removeIf(Deque::isEmpty);
+        idleByKey.values().removeIf(Deque::isEmpty);
     }
 
     /** Closes idle connections and rejects new exchanges; open exchanges continue. */
@@ -249,7 +329,7 @@
     public synchronized void close() {
         closed = true;
         expiryTask.cancel(false);
-        idleByAddress.values().forEach(connections -> connections.forEach(this::discard));
-        idleByAddress.clear();
+        idleByKey.values().forEach(connections -> connections.forEach(this::discard));
+        idleByKey.clear();
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpExchangeException.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpExchangeException.java
@@ -15,6 +15,8 @@
         CLOSED,
         /** No byte was received within the progress timeout. */
         SILENT,
+        /** The server sent only responses that answer other requests. */
+        UNMATCHED,
         /** The response was no longer needed, so the exchange was abandoned. */
         ABANDONED
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/UpstreamConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/UpstreamConnection.java
@@ -30,6 +30,8 @@
     private volatile boolean mayHaveSent;
     private volatile boolean aborted;
     private boolean checkingBuffer;
+    private int exchanges;
+    private boolean reusable = true;
     private long progressTimeoutMillis;
     private ResponseNeededCheck responseNeededCheck = ResponseNeededCheck.ALWAYS_NEEDED;
     private long idleSinceMillis;
@@ -72,9 +74,24 @@
         progressTimeoutMillis = newProgressTimeoutMillis;
         responseNeededCheck = check;
         mayHaveSent = false;
+        exchanges++;
         lastCheckMillis = monotonicMillis.getAsLong();
     }
 
+    /** Returns whether no other request has been sent on the connection. */
+    boolean isFirstExchange() {
+        return exchanges == 1;
+    }
+
+    /** Records that nothing shows which request a further response on the connection would answer. */
+    void markNotReusable() {
+        reusable = false;
+    }
+
+    boolean isReusable() {
+        return reusable;
+    }
+
     boolean mayHaveSent() {
         return mayHaveSent;
     }
