Take nothing but events for the rest of a stream

Cause: each signed 2xx on the route of a stream was taken for the rest of it: a text, JSON, a 204, an event without an id. Its end ended the caller's stream too, although it had brought nothing.

Change: only a 200 of the type of events, or of none, may hold events; any other success is a response like those of other routes, at peers too. Within a response that has begun, the first event of the next attempt must have an id, and its end counts only after such an event; otherwise the attempt has failed, so that another one goes on or the stream stays broken. A sound upstream whose stream broke between its last event and its end has nothing to add; its stream now ends broken and the caller takes it up, as that answer cannot be told from an empty one.

Evidence: ErrorInResumedStreamTest: nine kinds of break, 21 answers each, and four answers cut at every byte.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
@@ -124,8 +123,8 @@
 
     private boolean isStream() {
         return metadata.signed()
-                && status.codeClass() == HttpStatusClass.SUCCESS
-                && passed.route().kind() == RequestKind.STREAM;
+                && passed.route().kind() == RequestKind.STREAM
+                && EventStreamResponse.mayHoldEvents(status, headers);
     }
 
     @Override
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
@@ -81,6 +80,12 @@
     private ResponseMetadata metadata;
     private boolean isStreaming;
 
+    /** Whether the caller has got a part of the stream within the response that this attempt is to go on with. */
+    private boolean isContinuation;
+
+    /** Whether the response has brought an event, with an id if it goes on with another response. */
+    private boolean hasBroughtEvent;
+
     /** Whether the first response part is recorded at the upstream, or will not come. */
     private boolean firstResponsePartRecorded;
 
@@ -224,6 +229,7 @@
         connection = acquired.get();
         sentAtMillis = nowMillis();
         relayedRequest.onSending(this);
+        isContinuation = relayedRequest.exchange().isStreaming();
         HttpHeaders requestHeaders = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(
                 relayedRequest.exchange().request().headers());
         context().codec().writeDirectives(requestHeaders, relayedRequest.directives(this));
@@ -319,8 +325,8 @@
             PassedRequest.writeUpstream(headers, upstream.id());
         }
         isStreaming = !isPrefill
-                && status.codeClass() == HttpStatusClass.SUCCESS
-                && request().route().kind() == RequestKind.STREAM;
+                && request().route().kind() == RequestKind.STREAM
+                && EventStreamResponse.mayHoldEvents(status, headers);
         stallDetector.onProgress(nowMillis());
         new UpstreamStatements(context(), upstream, request().id().value()).record(metadata, sentAtMillis, nowMillis());
         metadata.idleTimeoutMillis().ifPresent(connection::setIdleLimitMillis);
@@ -401,7 +407,15 @@
                 scheduleEventGapCheck();
             }
         }
-        completeEvents.forEach(event -> relayedRequest.onEvent(this, status, headers, event));
+        for (SseEventSplitter.Event event : completeEvents) {
+            hasBroughtEvent |=
+                    event.hasFields() && (!isContinuation || event.id().isPresent());
+            if (!hasBroughtEvent && event.hasFields()) {
+                fail("the resumed stream has an event without an id");
+                return;
+            }
+            relayedRequest.onEvent(this, status, headers, event);
+        }
         if (!ended && !buffered.hold(events.partialBytes())) {
             fail(TOO_MUCH_BUFFERED);
             return;
@@ -465,6 +479,8 @@
             relayedRequest.onResponse(this, new BufferedResponse(status, headers, content.toByteArray()));
         } else if (events.hasPartialEvent()) {
             onFailure("the stream ended inside an event");
+        } else if (isContinuation && !hasBroughtEvent) {
+            onFailure("the resumed stream ended without an event");
         } else {
             end("answered", "stream complete");
             recordResult(true);
