Fail a stream whose connection ends before its first event

Cause: a response without a length ends with its connection, and a stream counted as complete if it did not end inside an event. So the end of a head was the end of a stream without events.

Change: such a stream without an event has failed; a resumable one goes on elsewhere. One with a length or chunks that states to be empty is passed on as before.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -218,6 +218,11 @@
         }
     }
 
+    /** Returns whether the last response had neither a length nor chunks, so that it ended with the connection. */
+    boolean isDelimitedByClose() {
+        return delimitedByClose;
+    }
+
     private void onHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
             fail("the answer is no HTTP: " + response.decoderResult().cause().getMessage());
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -481,6 +481,8 @@
             onFailure("the stream ended inside an event");
         } else if (isContinuation && !hasBroughtEvent) {
             onFailure("the resumed stream ended without an event");
+        } else if (!hasBroughtEvent && connection.isDelimitedByClose()) {
+            onFailure("the connection ended before the first event");
         } else {
             end("answered", "stream complete");
             recordResult(true);
