Send a request to an upstream once more on a new connection only

Cause: the id proves the request, not the attempt. A prefill is sent to the same engine again after the run that took its KV cache was lost, or when the decode engine came to be limited or to rest meanwhile. On the kept connection a repeated response to the first prefill bears the right id, so its handle, which was taken, went to the next decode engine.

Change: SentAttempts keeps the addresses that attempts at a request were sent to, with the numbers of runs and prefills; one that is sent there again opens a connection. Three ends of an attempt before it is sent share a method.

An old refusal or run under the right id was not reproduced: by reading, an upstream that was sent a run, refused or failed is excluded for the request in each path (remove, replace), a peer is asked once, and each retry of a caller has an id of its own. That holds by identity of the upstream; a restarted one at the same address is covered by the address now, which no test shows.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -74,10 +74,7 @@
      */
     private UpstreamAttempt stalledAttempt;
 
-    /** Number of attempts to run the request, other than prefills, that were sent. */
-    private int sentRunAttempts;
-
-    private int prefillAttempts;
+    private final SentAttempts sentAttempts = SentAttempts.none();
 
     /** Number of ended attempts that may have executed the request. */
     private int possibleExecutions;
@@ -146,6 +143,10 @@
         return context;
     }
 
+    SentAttempts sentAttempts() {
+        return sentAttempts;
+    }
+
     RequestOrigin origin() {
         return origin;
     }
@@ -195,7 +196,7 @@
         }
         Placement placement = found.get();
         long excess = Admission.excessMillis(request, placement.firstPartMillis(), now);
-        if (sentRunAttempts == 0 && prefillAttempts == 0 && excess > 0) {
+        if (sentAttempts.isEmpty() && excess > 0) {
             refuse("the first answer would come " + excess + " ms too late", excess);
             return;
         }
@@ -206,8 +207,7 @@
     private boolean passToPeer() {
         return possibleExecutions == 0
                 && !exchange.isStreaming()
-                && peerPass.start(
-                        request.deadlineMillis() - DEADLINE_MARGIN_MILLIS, sentRunAttempts > 0 || prefillAttempts > 0);
+                && peerPass.start(request.deadlineMillis() - DEADLINE_MARGIN_MILLIS, !sentAttempts.isEmpty());
     }
 
     /** Continues after an attempt at a peer has ended. */
@@ -223,7 +223,7 @@
                 attempt.respond();
             }
             case LOST -> {
-                sentRunAttempts++;
+                sentAttempts.addPassed();
                 possibleExecutions++;
                 endWithoutSuccess(reason);
             }
@@ -241,7 +241,7 @@
                 context.domain(),
                 excludedUpstreams,
                 StreamVersionRule.allowedVersions(context, request, stream),
-                prefillAttempts < MAXIMUM_PREFILL_ATTEMPTS);
+                sentAttempts.prefills() < MAXIMUM_PREFILL_ATTEMPTS);
     }
 
     /**
@@ -292,17 +292,7 @@
 
     /** Returns whether an attempt may be sent, for which a retry is taken from the budget if it is one. */
     private boolean isAllowed(UpstreamAttempt next) {
-        boolean isRetry = next.isPrefill() ? prefillAttempts > 0 : sentRunAttempts > 0;
-        return !isRetry || RetryPermit.take(context, request);
-    }
-
-    /** Counts an attempt that is about to be sent to its upstream. */
-    void onSending(UpstreamAttempt attempt) {
-        if (attempt.isPrefill()) {
-            prefillAttempts++;
-        } else {
-            sentRunAttempts++;
-        }
+        return !sentAttempts.hasOneLike(next) || RetryPermit.take(context, request);
     }
 
     AttemptDirectives directives(UpstreamAttempt attempt) {
@@ -586,7 +576,7 @@
     private void end(String outcome, String reason) {
         ended = true;
         deadlineTimer.cancel(false);
-        log.ended(outcome, reason, sentRunAttempts, possibleExecutions);
+        log.ended(outcome, reason, sentAttempts.runs(), possibleExecutions);
     }
 
     private void onCallerDisconnected() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -182,7 +182,8 @@
             context().upstreamLimits().onSend(upstream.incarnation(), startedAtMillis);
         }
         upstream.onSend(uncachedTokens(), nowMillis());
-        context().pool().acquire(upstream.entry().address(), maximumIdleMillis, this::onConnection);
+        String address = upstream.entry().address();
+        relayedRequest.sentAttempts().connect(context().pool(), address, maximumIdleMillis, this::onConnection);
     }
 
     private long uncachedTokens() {
@@ -206,29 +207,20 @@
         }
         if (upstream.isLeaving()) {
             // The upstream started to leave while the prefill ran elsewhere or the connection was being opened.
-            context().pool().release(acquired.get());
-            end("left", "the upstream is leaving");
-            releaseRetainedKv();
-            relayedRequest.onNotExecuted(this);
+            endUnsent(acquired.get(), "left", "the upstream is leaving");
             return;
         }
         if (upstream.rest().lasts(nowMillis())) {
-            context().pool().release(acquired.get());
-            end("resting", "the upstream has asked for rest meanwhile");
-            releaseRetainedKv();
-            relayedRequest.onNotExecuted(this);
+            endUnsent(acquired.get(), "resting", "the upstream has asked for rest meanwhile");
             return;
         }
         if (relayedRequest.continuesStream() && !isVersionCertain(acquired.get())) {
-            context().pool().release(acquired.get());
-            end("left", "the upstream may run another software version by now");
-            releaseRetainedKv();
-            relayedRequest.onNotExecuted(this);
+            endUnsent(acquired.get(), "left", "the upstream may run another software version by now");
             return;
         }
         connection = acquired.get();
         sentAtMillis = nowMillis();
-        relayedRequest.onSending(this);
+        relayedRequest.sentAttempts().add(this);
         isContinuation = relayedRequest.exchange().isStreaming();
         HttpHeaders requestHeaders = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(
                 relayedRequest.exchange().request().headers());
@@ -260,6 +252,13 @@
                 .write();
     }
 
+    private void endUnsent(HttpClientConnection unused, String outcome, String reason) {
+        context().pool().release(unused);
+        end(outcome, reason);
+        releaseRetainedKv();
+        relayedRequest.onNotExecuted(this);
+    }
+
     /** Returns the software version of the upstream that responds, empty when its entry may be outdated. */
     Optional<SoftwareVersion> softwareVersion() {
         return isVersionCertain(connection) ? Optional.of(upstream.entry().softwareVersion()) : Optional.empty();
