--- a/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/ScriptedUpstream.java
+++ b/org.cactusshift.standin/src/main/java/org/cactusshift/standin/site/ScriptedUpstream.java
@@ -23,12 +23,14 @@
     private static final int RESET_LINGER_SECONDS = 0;
 
     private final ServerSocket listening;
+    private final Script onHead;
     private final Script script;
     private final List<Request> requests = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
-    private ScriptedUpstream(ServerSocket listening, Script script) {
+    private ScriptedUpstream(ServerSocket listening, Script onHead, Script script) {
         this.listening = listening;
+        this.onHead = onHead;
         this.script = script;
     }
 
@@ -64,7 +66,7 @@
         }
     }
 
-    /** A connection to the node under test. */
+    /** A connection to the node under test; the same object for all requests on it. */
     public static final class Connection {
         private final Socket socket;
 
@@ -129,8 +131,20 @@
      * @throws IOException if no port can be opened
      */
     public static ScriptedUpstream start(Script script) throws IOException {
+        return start((request, connection) -> {}, script);
+    }
+
+    /**
+     * Starts an upstream on a loopback port that may respond before it has read the body.
+     *
+     * @param onHead called with each request, its body empty, before the body is read
+     * @param script responds to the requests
+     * @return the upstream
+     * @throws IOException if no port can be opened
+     */
+    public static ScriptedUpstream start(Script onHead, Script script) throws IOException {
         ServerSocket listening = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
-        ScriptedUpstream upstream = new ScriptedUpstream(listening, script);
+        ScriptedUpstream upstream = new ScriptedUpstream(listening, onHead, script);
         Thread acceptor = new Thread(upstream::accept, "scripted-upstream");
         acceptor.setDaemon(true);
         acceptor.start();
@@ -185,13 +199,14 @@
     private void serve(Socket socket) {
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
+            Connection connection = new Connection(socket);
             while (true) {
-                Request request = readRequest(in);
+                Request request = readRequest(in, connection);
                 if (request == null) {
                     return;
                 }
                 requests.add(request);
-                script.respond(request, new Connection(socket));
+                script.respond(request, connection);
                 if (socket.isClosed()) {
                     return;
                 }
@@ -203,7 +218,7 @@
     }
 
     /** Reads a request; returns null at the end of the stream. */
-    private static Request readRequest(InputStream in) throws IOException {
+    private Request readRequest(InputStream in, Connection connection) throws IOException {
         String line = readLine(in);
         if (line == null) {
             return null;
@@ -216,6 +231,7 @@
                     header.substring(0, colon).toLowerCase(Locale.ROOT),
                     header.substring(colon + 1).trim());
         }
+        onHead.respond(new Request(start[0], start[1], headers, new byte[0]), connection);
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         return new Request(start[0], start[1], headers, in.readNBytes(length));
     }
