Announce changes of stage to all nodes before they are ordered

An engine refuses requests while its stage changes, but only the holder of the order duty knew of the change. A second half of the changes also waited for the time-out of the first orders (7 s) although these were done. Change: the holder writes the changes to the store, all nodes avoid these engines, and the orders follow when every node must have read the announcement. A complete change makes room for the next one at once.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -181,7 +181,9 @@
             UpstreamHealth.State state = upstream.healthState(nowMillis);
             boolean isProbe = state == UpstreamHealth.State.PROBE_DUE
                     && query.request().route().isRetryable();
-            boolean isResponsive = !upstream.isPausedAfterRefusal(nowMillis) && !isUnresponsive(upstream, nowMillis);
+            boolean isResponsive = !upstream.isPausedAfterRefusal(nowMillis)
+                    && !upstream.isChangingStage(nowMillis)
+                    && !isUnresponsive(upstream, nowMillis);
             if ((state == UpstreamHealth.State.UP || isProbe) && isResponsive) {
                 healthy.add(upstream);
             }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -1,6 +1,7 @@
 package org.cactusshift.internal.coordination.serving;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
@@ -30,6 +31,12 @@
     /** Upper bound for one sample of relative latency, so that a single delayed response has limited effect. */
     private static final double MAXIMUM_RELATIVE_LATENCY = 10;
 
+    /**
+     * How long an announced change of stage keeps requests away: the announcement, an order and one repetition of it.
+     * It ends, as the holder of the duty may have been lost before it sent the order.
+     */
+    private static final long STAGE_CHANGE_LIMIT_MILLIS = 15_000;
+
     private final UpstreamHealth health = UpstreamHealth.create();
     private final PrefixCacheEstimator prefixCache;
     private UpstreamEntry entry;
@@ -46,6 +53,8 @@
     private double failureRate;
     private double averageRelativeLatency = 1;
     private boolean leaving;
+    private Optional<EngineStage> announcedStage = Optional.empty();
+    private long stageAnnouncedAtMillis;
     private int consecutiveRefusals;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private final UpstreamRest rest = new UpstreamRest();
@@ -122,6 +131,26 @@
         return leaving;
     }
 
+    /** Sets the stage to which the upstream is about to change, empty when no change is announced. */
+    void announceStage(Optional<EngineStage> stage, long nowMillis) {
+        if (!stage.equals(announcedStage)) {
+            announcedStage = stage;
+            stageAnnouncedAtMillis = nowMillis;
+        }
+    }
+
+    /**
+     * Returns whether the upstream is about to change its stage, and refuses requests until it has done so.
+     *
+     * @param nowMillis the current time
+     * @return whether a change is announced and not complete
+     */
+    public boolean isChangingStage(long nowMillis) {
+        return announcedStage.isPresent()
+                && announcedStage.get() != entry.stage()
+                && nowMillis - stageAnnouncedAtMillis < STAGE_CHANGE_LIMIT_MILLIS;
+    }
+
     /**
      * Records a request that is about to be sent.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
@@ -299,6 +299,18 @@
         return upstream != null && upstream.incarnation().equals(incarnation);
     }
 
+    /**
+     * Sets the changes of stage that are announced.
+     *
+     * @param changes the changes; an engine that is not contained keeps its stage
+     * @param nowMillis the current time
+     */
+    public void announceStages(StageChanges changes, long nowMillis) {
+        for (Upstream upstream : upstreamById.values()) {
+            upstream.announceStage(Optional.ofNullable(changes.stageByEngine().get(upstream.incarnation())), nowMillis);
+        }
+    }
+
     /**
      * Sets the open requests of other nodes at the upstreams.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/FleetController.java
@@ -16,12 +16,10 @@
 import org.cactusshift.internal.coordination.lease.Authority;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.serving.CapacityRule;
-import org.cactusshift.internal.coordination.serving.EngineStage;
 import org.cactusshift.internal.coordination.serving.FleetPlan;
 import org.cactusshift.internal.coordination.serving.FleetPlanner;
 import org.cactusshift.internal.coordination.serving.ServedService;
 import org.cactusshift.internal.coordination.serving.ServingConfig;
-import org.cactusshift.internal.coordination.serving.StagePlanner;
 import org.cactusshift.internal.coordination.serving.Upstream;
 import org.cactusshift.internal.coordination.serving.UpstreamDirectory;
 import org.cactusshift.internal.coordination.store.AsyncKeyValueStore;
@@ -51,12 +49,6 @@
      */
     private static final long RECLAIMABLE_UNAVAILABLE_MILLIS = 2 * ORDER_RETRY_DELAY_MILLIS;
 
-    /**
-     * Delay, in addition to the duration of the change itself, before an engine that was ordered to change its stage
-     * gets another order.
-     */
-    private static final long STAGE_ORDER_RETRY_DELAY_MILLIS = 4_000;
-
     /**
      * How long after a restore the plans that were known before are written again: longer than the duty stays vacant,
      * and shorter than another holder takes to plan anew.
@@ -67,13 +59,12 @@
     private final AsyncKeyValueStore store;
     private final SiteStateFollower follower;
     private final UpstreamDirectory directory;
-    private final UpstreamRequestLimits limits;
+    private final StageController stages;
     private final Function<Authority, DutyCaller> callers;
     private final String planKey;
     private final EventLog log;
     private final Map<CapacityOrder, Long> pendingUntilMillisByOrder = new HashMap<>();
     private final Map<ServiceDomain, Long> unavailableUntilMillisByServiceDomain = new HashMap<>();
-    private final Map<UpstreamId, OrderedStage> pendingStageByEngine = new HashMap<>();
     private final Map<UpstreamId, Long> firstSeenMillisByEngine = new HashMap<>();
     private boolean planWritePending;
 
@@ -88,7 +79,13 @@
     /** The fencing number under which an order was last rejected as superseded. */
     private long supersededFencingNumber = Long.MIN_VALUE;
 
-    private record OrderedStage(EngineStage stage, long untilMillis) {}
+    /**
+     * The keys in the store.
+     *
+     * @param plans the key of the plans
+     * @param stages the key of the announced changes of stage
+     */
+    public record Keys(String plans, String stages) {}
 
     private record ServiceDomain(ServiceId service, FailureDomainId domain) {}
 
@@ -101,16 +98,17 @@
             UpstreamDirectory directory,
             UpstreamRequestLimits limits,
             Function<Authority, DutyCaller> callers,
-            String planKey,
+            Keys keys,
             EventLog log) {
         this.client = client;
         this.store = store;
         this.follower = follower;
         this.directory = directory;
-        this.limits = limits;
         this.callers = callers;
-        this.planKey = planKey;
+        this.planKey = keys.plans();
         this.log = log;
+        this.stages = StageController.create(
+                client, store, follower, directory, limits, this::recordSuperseded, keys.stages(), log);
     }
 
     /**
@@ -122,7 +120,7 @@
      * @param directory provides the registered engines
      * @param limits the request limits of the engines
      * @param callers returns the sender of calls under an authority of this node
-     * @param planKey the store key of the plans
+     * @param keys the keys in the store
      * @param log records plans and orders
      * @return the controller
      */
@@ -133,9 +131,9 @@
             UpstreamDirectory directory,
             UpstreamRequestLimits limits,
             Function<Authority, DutyCaller> callers,
-            String planKey,
+            Keys keys,
             EventLog log) {
-        return new FleetController(client, store, follower, directory, limits, callers, planKey, log);
+        return new FleetController(client, store, follower, directory, limits, callers, keys, log);
     }
 
     /**
@@ -183,7 +181,7 @@
                 remainingEngines = remainingEngines(engines, targetCounts);
             }
             if (service.engine().isPresent()) {
-                orderStages(holder, service, remainingEngines, nowMillis);
+                stages.tick(holder, service, remainingEngines, nowMillis);
             }
         }
     }
@@ -197,6 +195,7 @@
      */
     void onStoreRestored(long nowMillis) {
         writtenPlanRevision = 0;
+        stages.onStoreRestored();
         VersionedValue known = follower.nodeValueByKey().get(planKey);
         // Plans that are still carried are newer than those that a store shows which was restored before.
         if (carriedPlans == null || nowMillis >= carriedUntilMillis) {
@@ -370,45 +369,4 @@
             supersededFencingNumber = holder.fencingNumber();
         }
     }
-
-    private void orderStages(DutyCaller holder, ServedService service, List<Upstream> engines, long nowMillis) {
-        long orderIntervalMillis = service.engine().orElseThrow().roleSwitchMillis() + STAGE_ORDER_RETRY_DELAY_MILLIS;
-        pendingStageByEngine.values().removeIf(ordered -> nowMillis >= ordered.untilMillis());
-        Map<UpstreamId, EngineStage> pendingStages = new HashMap<>();
-        pendingStageByEngine.forEach((engine, ordered) -> pendingStages.put(engine, ordered.stage()));
-        // At most half of the engines, rounded up, change at a time, so that the others continue to serve.
-        int maximumChanges = Math.max(0, (engines.size() + 1) / 2 - pendingStages.size());
-        List<StagePlanner.Change> changes = StagePlanner.plan(engines, pendingStages);
-        changes = changes.subList(0, Math.min(maximumChanges, changes.size()));
-        for (StagePlanner.Change change : changes) {
-            if (limits.isLimited(change.engine().incarnation())
-                    || change.engine().rest().lasts(nowMillis)) {
-                // The calls would count against the limit of an engine that needs relief, or reach one that rests.
-                continue;
-            }
-            pendingStageByEngine.put(
-                    change.engine().id(), new OrderedStage(change.stage(), nowMillis + orderIntervalMillis));
-            client.readAcceptedOrderCount(change.engine(), accepted -> onAcceptedOrders(holder, change, accepted));
-        }
-    }
-
-    private void onAcceptedOrders(DutyCaller holder, StagePlanner.Change change, Either<Failure, Long> accepted) {
-        if (accepted.isLeft()) {
-            logStage(change, accepted.getLeft().toString());
-            return;
-        }
-        client.changeStage(holder, change.engine(), change.stage(), accepted.get(), result -> {
-            logStage(change, result.fold(Failure::toString, FleetOrderClient.Result::toString));
-            recordSuperseded(holder, result);
-        });
-    }
-
-    private void logStage(StagePlanner.Change change, String outcome) {
-        // In the log, prefill is "reading" and decode is "output".
-        log.event("fleet.stageOrdered")
-                .with("upstream", change.engine().id().value())
-                .with("stage", change.stage() == EngineStage.PREFILL ? "reading" : "output")
-                .with("outcome", outcome)
-                .write();
-    }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -83,6 +83,7 @@
 
     private static final String USAGE_PREFIX = NODE_KEY_PREFIX + "usage/";
     private static final String PLAN_KEY = NODE_KEY_PREFIX + "fleet";
+    private static final String STAGES_KEY = NODE_KEY_PREFIX + "stages";
     private static final String STREAM_VERSIONS_KEY = NODE_KEY_PREFIX + "streamVersions";
 
     /**
@@ -121,6 +122,7 @@
     private final PeerDatagramChannel gossipChannel;
     private final StreamOriginExchange streamOrigins;
     private final StreamVersionRepository streamVersions;
+    private final AnnouncedStages announcedStages;
     private final NodeRegistration registration;
     private final DutyDriver dutyDriver;
     private final Optional<UsageReportDriver> usageReportDriver;
@@ -171,6 +173,7 @@
                 new UpstreamIncidentLog(runtime.log(), runtime.clock(), crashHistory, upstreamLimits);
         CrashDetector crashDetector = CrashDetector.create(crashHistory, incidents::onCrash);
         this.follower = createFollower(protocol, crashDetector);
+        this.announcedStages = AnnouncedStages.create(follower, directory, STAGES_KEY);
         this.gossipReceiver =
                 GossipReceiver.create(directory, siteClock, usage, crashHistory, incidents::onLimitReport);
         this.gossipChannel = PeerDatagramChannel.create(runtime.group(), runtime.log());
@@ -253,7 +256,7 @@
                 directory,
                 upstreamLimits,
                 dutyDriver::caller,
-                PLAN_KEY,
+                new FleetController.Keys(PLAN_KEY, STAGES_KEY),
                 runtime.log());
     }
 
@@ -340,8 +343,10 @@
         usageReportDriver.ifPresent(driver -> driver.onStoreRestored(siteEpochMillis()));
     }
 
-    /** Records the software versions of the upstreams that were read before streams begin at them. */
-    private void recordStreamVersions() {
+    /** Applies what was read from the store, before requests are placed by it. */
+    private void onSiteRead() {
+        announcedStages.apply(runtime.clock().monotonicMillis());
+        // The software versions of the upstreams are recorded before streams begin at them.
         streamVersions.update(
                 directory.versions(),
                 dutyDriver.authority(usageDuty).isPresent(),
@@ -418,7 +423,7 @@
                 follower::onTold);
         eventLoop.execute(() -> {
             store.era().setRiseListener(this::onStoreRestored);
-            follower.setReadListener(this::recordStreamVersions);
+            follower.setReadListener(this::onSiteRead);
             SharedReads reads = SharedReads.create(
                     settings.instance(), settings.domain(), registration::peerEndpoints, gossipChannel);
             follower.shareReads(reads::rank, reads::tell);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FleetControllerTest.java
@@ -79,7 +79,7 @@
             directory,
             limits,
             authority -> new DutyCaller(InstanceId.fromString("n1"), authority.fencingNumber(), () -> true),
-            PLAN_KEY,
+            new FleetController.Keys(PLAN_KEY, "/cactusshift/stages"),
             (event, fields) -> {});
 
     /** An order of a target number of engines; a number below the present one releases engines. */
