Let nodes catch up with the store after it has turned them away

Change: the time limit of a call is extended up to three times while its response arrives; changes that time out nevertheless after 3 s without a read are replaced by a list of the state, which is shorter; any node that has heard of no read for half of the longest period tells of its own.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/DomainReaders.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/DomainReaders.java
@@ -16,7 +16,7 @@
  * @param others where the other nodes take messages
  */
 public record DomainReaders(int rank, List<PeerEndpoint> others) {
-    /** The number of nodes that tell others of their reads; the rest reads for itself when none of these does. */
+    /** The number of nodes that always tell others of their reads; the rest does so when nothing is heard of these. */
     private static final int TELLING_NODES = 4;
 
     /** Copies the list. */
@@ -55,7 +55,7 @@
     }
 
     /**
-     * Returns whether this node tells the others of its reads.
+     * Returns whether this node tells the others of each of its reads.
      *
      * @return whether it is one of the first
      */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpServiceClient.java
@@ -17,10 +17,17 @@
 import org.cactusshift.errors.Failure;
 
 /**
- * Asynchronous client of the HTTP service at one address. Each call has a time limit; the connection of a call that
- * times out is closed. To be used on the event loop only.
+ * Asynchronous client of the HTTP service at one address. Each call has a time limit, which is extended a few times
+ * while its response goes on arriving; the connection of a call that times out is closed. To be used on the event loop
+ * only.
  */
 public final class HttpServiceClient {
+    /**
+     * How often the time limit of a call is extended while its response goes on arriving: a node with a slow link needs
+     * longer for a long response, and would need as long for the next one.
+     */
+    private static final int MAXIMUM_EXTENSIONS = 3;
+
     private final HttpConnectionPool pool;
     private final Connector connector;
     private final EventLoop eventLoop;
@@ -83,7 +90,8 @@
      * @param target the request target
      * @param headers the headers other than host and content length; modified
      * @param body the body, may be empty
-     * @param timeoutMillis the time limit for connecting and the complete response, in milliseconds
+     * @param timeoutMillis the time limit for connecting and the complete response, in milliseconds; extended
+     *     up to three times if parts of the response have arrived meanwhile
      * @param receiver receives the response or the failure, exactly once
      */
     public void call(
@@ -107,7 +115,8 @@
      * @param target the request target
      * @param headers the headers other than host and content length; modified
      * @param body the body, may be empty
-     * @param timeoutMillis the time limit for connecting and the complete response, in milliseconds
+     * @param timeoutMillis the time limit for connecting and the complete response, in milliseconds; extended
+     *     up to three times if parts of the response have arrived meanwhile
      * @param receiver receives the response or the failure, exactly once
      */
     public void callIf(
@@ -119,8 +128,8 @@
             byte[] body,
             long timeoutMillis,
             Consumer<Either<Failure, Response>> receiver) {
-        Call call = new Call(step, condition, receiver);
-        call.timer = eventLoop.schedule(call::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+        Call call = new Call(step, condition, timeoutMillis, receiver);
+        call.startTimer();
         headers.set(HttpHeaderNames.HOST, address);
         connector.connect(address, acquired -> call.start(acquired, method, target, headers, body));
     }
@@ -128,17 +137,21 @@
     private final class Call implements HttpResponseListener {
         private final String step;
         private final BooleanSupplier condition;
+        private final long timeoutMillis;
         private final Consumer<Either<Failure, Response>> receiver;
         private final ByteArrayOutputStream content = new ByteArrayOutputStream();
         private ScheduledFuture<?> timer;
         private HttpClientConnection connection;
         private int status;
         private HttpHeaders responseHeaders;
+        private boolean hasProgressed;
+        private int extensions;
         private boolean ended;
 
-        Call(String step, BooleanSupplier condition, Consumer<Either<Failure, Response>> receiver) {
+        Call(String step, BooleanSupplier condition, long timeoutMillis, Consumer<Either<Failure, Response>> receiver) {
             this.step = step;
             this.condition = condition;
+            this.timeoutMillis = timeoutMillis;
             this.receiver = receiver;
         }
 
@@ -166,10 +179,20 @@
             connection.send(method, target, headers, Unpooled.wrappedBuffer(body), ResponseProof.ofConnection(), this);
         }
 
+        void startTimer() {
+            hasProgressed = false;
+            timer = eventLoop.schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+        }
+
         void onTimeout() {
             if (ended) {
                 return;
             }
+            if (hasProgressed && extensions < MAXIMUM_EXTENSIONS) {
+                extensions++;
+                startTimer();
+                return;
+            }
             if (connection == null) {
                 end(Either.left(Failure.noEffect(step, address, "connecting timed out")));
             } else {
@@ -186,6 +209,7 @@
 
         @Override
         public void onContent(ByteBuf bytes) {
+            hasProgressed = true;
             content.writeBytes(ByteBufUtil.getBytes(bytes));
         }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -123,6 +123,7 @@
     private final StreamOriginExchange streamOrigins;
     private final StreamVersionRepository streamVersions;
     private final AnnouncedStages announcedStages;
+    private final SharedReads sharedReads;
     private final NodeRegistration registration;
     private final DutyDriver dutyDriver;
     private final Optional<UsageReportDriver> usageReportDriver;
@@ -192,6 +193,7 @@
                 follower,
                 runtime.clock(),
                 runtime.log());
+        this.sharedReads = createSharedReads();
         this.dutyDriver = DutyDriver.create(
                 self,
                 LeaseTiming.ofTtl(settings.timing().leaseMillis()),
@@ -275,6 +277,15 @@
                 Math.min(settings.timing().configMillis(), settings.timing().drainMillis()));
     }
 
+    private SharedReads createSharedReads() {
+        return SharedReads.create(
+                settings.instance(),
+                settings.domain(),
+                registration::peerEndpoints,
+                gossipChannel,
+                follower.longestReadPeriodMillis() / 2);
+    }
+
     private Set<UpstreamId> acceptingUpstreams(ServiceId service) {
         return directory.acceptingWork(service).stream().map(Upstream::id).collect(Collectors.toSet());
     }
@@ -420,13 +431,16 @@
                 (message, sender) -> gossipReceiver.onMessage(
                         message, addressText(sender), runtime.clock().monotonicMillis()),
                 streamOrigins::onMessage,
-                follower::onTold);
+                changes -> {
+                    sharedReads.onTold(runtime.clock().monotonicMillis());
+                    follower.onTold(changes);
+                });
         eventLoop.execute(() -> {
             store.era().setRiseListener(this::onStoreRestored);
             follower.setReadListener(this::onSiteRead);
-            SharedReads reads = SharedReads.create(
-                    settings.instance(), settings.domain(), registration::peerEndpoints, gossipChannel);
-            follower.shareReads(reads::rank, reads::tell);
+            follower.shareReads(
+                    sharedReads::rank,
+                    changes -> sharedReads.tell(changes, runtime.clock().monotonicMillis()));
             follower.start();
             eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         });
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SharedReads.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SharedReads.java
@@ -14,10 +14,14 @@
  * Tells the other nodes of a failure domain what this node has read from the store. To be used on the event loop only.
  */
 final class SharedReads {
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
     private final InstanceId self;
     private final FailureDomainId domain;
     private final Supplier<List<PeerEndpoint>> endpoints;
     private final PeerDatagramChannel channel;
+    private final long silenceMillis;
+    private long toldAtMillis = NEVER_MILLIS;
     private List<PeerEndpoint> knownEndpoints = List.of();
     private DomainReaders readers = new DomainReaders(0, List.of());
 
@@ -25,20 +29,33 @@
             InstanceId self,
             FailureDomainId domain,
             Supplier<List<PeerEndpoint>> endpoints,
-            PeerDatagramChannel channel) {
+            PeerDatagramChannel channel,
+            long silenceMillis) {
         this.self = self;
         this.domain = domain;
         this.endpoints = endpoints;
         this.channel = channel;
+        this.silenceMillis = silenceMillis;
     }
 
-    /** Returns the exchange among the endpoints that a supplier returns: the same list as long as nothing changes. */
+    /**
+     * Returns the exchange among the endpoints that a supplier returns: the same list as long as nothing changes.
+     *
+     * @param silenceMillis the time without a message after which any node tells of its reads: the store may turn away
+     *     all of those that tell otherwise, and other nodes that it turns away depend on being told
+     */
     static SharedReads create(
             InstanceId self,
             FailureDomainId domain,
             Supplier<List<PeerEndpoint>> endpoints,
-            PeerDatagramChannel channel) {
-        return new SharedReads(self, domain, endpoints, channel);
+            PeerDatagramChannel channel,
+            long silenceMillis) {
+        return new SharedReads(self, domain, endpoints, channel, silenceMillis);
+    }
+
+    /** Records that another node told of a read. */
+    void onTold(long nowMillis) {
+        toldAtMillis = nowMillis;
     }
 
     /** Returns the position of this node among those that read. */
@@ -47,8 +64,8 @@
     }
 
     /** Tells the others what was read; the messages may be lost. */
-    void tell(SiteChanges changes) {
-        if (!readers().tells()) {
+    void tell(SiteChanges changes, long nowMillis) {
+        if (!readers().tells() && nowMillis - toldAtMillis < silenceMillis) {
             return;
         }
         List<InetSocketAddress> addresses = new ArrayList<>();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -75,6 +75,9 @@
      */
     private boolean canFollowChanges;
 
+    /** Whether the next read is to list all keys, as the changes did not arrive in time. */
+    private boolean listsNext;
+
     /** Whether the store was restored while this node followed it. */
     private boolean hasSeenRestore;
 
@@ -353,7 +356,7 @@
         nextRead = null;
         readsSoon = false;
         long startedAtMillis = clock.monotonicMillis();
-        if (canFollowChanges) {
+        if (canFollowChanges && !listsNext) {
             store.awaitChanges(
                     "", position.revision(), LONG_POLL_MILLIS, changes -> onChanges(changes, startedAtMillis));
         } else {
@@ -405,6 +408,7 @@
                 .with("revision", position.revision())
                 .write();
         canFollowChanges = true;
+        listsNext = false;
         hasListedOnce = true;
         readListener.run();
         recentChanges.clear();
@@ -437,6 +441,7 @@
                 scheduleList();
                 return;
             }
+            listsNext = failure.kind() == Failure.Kind.UNKNOWN_EFFECT && contact.isFarBehind(clock.monotonicMillis());
             onReadFailed(failure);
             scheduleRetry(startedAtMillis);
             return;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StoreContact.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StoreContact.java
@@ -16,6 +16,12 @@
      */
     private static final long RECOVERY_MILLIS = 3_000;
 
+    /**
+     * After this time without a read the changes take more bytes than the state: upstreams write their entries again
+     * each 1,200 ms, and each version of the configuration is a change of its own.
+     */
+    private static final long FAR_BEHIND_MILLIS = 3_000;
+
     private final EventLog log;
     private final long maximumAgeMillis;
 
@@ -82,6 +88,11 @@
         return nowMillis - recoveredAtMillis < RECOVERY_MILLIS;
     }
 
+    /** Returns whether so much has changed since the last read that the state is shorter than its changes. */
+    boolean isFarBehind(long nowMillis) {
+        return nowMillis - lastReadAtMillis > FAR_BEHIND_MILLIS;
+    }
+
     long lastReadAtMillis() {
         return lastReadAtMillis;
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
@@ -27,6 +27,9 @@
     /** The number of reads of changes. */
     volatile int reads;
 
+    /** Whether reads of changes time out. */
+    volatile boolean changesTimeOut;
+
     /** The number of reads of all keys. */
     volatile int lists;
 
@@ -57,6 +60,10 @@
     @Override
     public void awaitChanges(String prefix, long after, long waitMillis, Consumer<Either<Failure, Changes>> receiver) {
         reads++;
+        if (changesTimeOut) {
+            receiver.accept(Either.left(Failure.unknownEffect("watch", "store", "response timed out")));
+            return;
+        }
         List<KeyChange> changes = new ArrayList<>();
         for (VersionedValue value : values.values()) {
             if (value.modRevision() > after) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpServiceClientTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/HttpServiceClientTest.java
@@ -24,10 +24,17 @@
 import org.cactusshift.errors.Failure;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class HttpServiceClientTest {
     private static final long TIMEOUT_MILLIS = 10_000;
 
+    /** Shorter than a response of six parts takes, and longer than several parts. */
+    private static final long SHORT_TIMEOUT_MILLIS = 500;
+
+    private static final long PART_INTERVAL_MILLIS = 150;
+
     private static final String RAN = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     private static final String REJECTED = "HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n";
 
@@ -89,6 +96,52 @@
         }
     }
 
+    /** Answers one request with a body of a stated length, in parts. */
+    private void serveSlowly(ServerSocket listener, int length, int parts) {
+        try (Socket socket = listener.accept()) {
+            socket.getInputStream().read();
+            byte[] head =
+                    ("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
+            socket.getOutputStream().write(head);
+            for (int i = 0; i < parts; i++) {
+                Thread.sleep(PART_INTERVAL_MILLIS);
+                socket.getOutputStream().write('x');
+            }
+            // Until the client closes the connection.
+            while (socket.getInputStream().read() >= 0) {
+                Thread.onSpinWait();
+            }
+        } catch (IOException | InterruptedException e) {
+            // The client or the test has closed the connection.
+        }
+    }
+
+    /**
+     * Guards against a node with a slow link that never gets a long response, as each call times out and is repeated;
+     * and against a call that waits for ever, as its response goes on without end or stops.
+     */
+    @ParameterizedTest
+    @CsvSource({"6, 6, true", "6, 2, false", "1000000, 40, false"})
+    void timeLimitIsExtendedWhileTheResponseArrives(int length, int parts, boolean succeeds) throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            new Thread(() -> serveSlowly(listener, length, parts), "server").start();
+            HttpServiceClient client =
+                    HttpServiceClient.create(pool, (EventLoop) group.next(), "127.0.0.1:" + listener.getLocalPort());
+            CompletableFuture<Either<Failure, HttpServiceClient.Response>> outcome = new CompletableFuture<>();
+            group.next()
+                    .execute(() -> client.call(
+                            "read",
+                            HttpMethod.GET,
+                            "/",
+                            new DefaultHttpHeaders(),
+                            new byte[0],
+                            SHORT_TIMEOUT_MILLIS,
+                            outcome::complete));
+            assertEquals(
+                    succeeds, outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).isRight());
+        }
+    }
+
     /** Answers a request for {@code /run} twice, the second time where the response to the next request is expected. */
     private void serveTwice(Socket socket) {
         try (socket) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
@@ -121,6 +121,32 @@
         eventLoop.submit(follower::stop).sync();
     }
 
+    /**
+     * Guards against a node that never catches up after the store has turned it away: the changes of that time are
+     * longer than the state, and take a slow link longer than a read may take.
+     */
+    @ParameterizedTest
+    @CsvSource({"5000, true", "0, false"})
+    void stateIsListedWhenTheChangesOfALongAbsenceTimeOut(long absenceMillis, boolean lists)
+            throws InterruptedException {
+        SiteStateFollower follower = follower(DELAY_LIMIT_MILLIS);
+        eventLoop.submit(follower::start).sync();
+        store.changesTimeOut = true;
+        clock.monotonicMillis += absenceMillis;
+        clock.epochMillis += absenceMillis;
+        int readsBefore = store.reads;
+        long end = System.nanoTime() + LONGEST_WAIT_MILLIS * 1_000_000;
+        eventLoop
+                .submit(() -> follower.onTold(new SiteChanges(ERA, 20, 20, 0, List.of())))
+                .sync();
+        while (lists ? store.lists < 2 : store.reads < readsBefore + 3) {
+            assertTrue(System.nanoTime() < end, "no read");
+            Thread.sleep(MESSAGE_INTERVAL_MILLIS);
+        }
+        eventLoop.submit(follower::stop).sync();
+        assertEquals(lists, store.lists > 1);
+    }
+
     /** Guards against a state without what was written after a restore under revisions that had been read before. */
     @Test
     void allKeysAreReadAgainAfterARestore() throws InterruptedException {
