Fail responses that end before their request is written or have an undefined status

Cause: when a write failed, Netty closed the connection before the reader had read what had arrived, and the decoder took that close for the end of a body without a length. So half of a response was passed on as complete, and a complete 400, 413 or 503 was lost as 502. Statuses outside 100 to 599 were passed on; the gateway's client threw an unchecked exception at status 000 and kept its connection counted as used.

Change: ResponseValidity holds the rule for all clients of the relay, and ClientConnection that for the clients on HttpCore. A failed write no longer closes a connection of the relay; its reader meets the end next.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/ClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/ClientConnection.java
@@ -3,12 +3,21 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 
-/** An HTTP/1.1 connection to a server on which a response that was cut is an error. */
+/**
+ * An HTTP/1.1 connection to a server on which a response that was cut is an error, as is one with a status that HTTP
+ * does not define or with a switch of the protocol, which no request asks for.
+ */
 public class ClientConnection extends DefaultBHttpClientConnection {
+    private static final int LAST_FINAL_STATUS = 599;
+
     /**
      * Creates a connection that is bound to no socket yet.
      *
@@ -31,6 +40,25 @@
         return connection;
     }
 
+    @Override
+    public ClassicHttpResponse receiveResponseHeader() throws HttpException, IOException {
+        ClassicHttpResponse response;
+        try {
+            response = super.receiveResponseHeader();
+        } catch (IllegalArgumentException e) {
+            // HttpCore accepts status 000 in a status line but not in a response.
+            throw new ProtocolException("the status is not defined by HTTP", e);
+        }
+        int code = response.getCode();
+        if (code < HttpStatus.SC_CONTINUE || code > LAST_FINAL_STATUS) {
+            throw new ProtocolException("status " + code + " is not defined by HTTP");
+        }
+        if (code == HttpStatus.SC_SWITCHING_PROTOCOLS) {
+            throw new ProtocolException("the server switches to another protocol");
+        }
+        return response;
+    }
+
     @Override
     protected InputStream createContentInputStream(long length, SessionInputBuffer buffer, InputStream stream) {
         return super.createContentInputStream(length, buffer, MessageInput.forBody(length, stream));
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpClientPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/HttpClientPool.java
@@ -37,6 +37,9 @@
     /** More responses to other requests than a server repeats before the own one; it may never end. */
     private static final int MAXIMUM_SKIPPED_RESPONSES = 16;
 
+    /** More interim responses than any server sends before the final one; a server in trouble may never end. */
+    private static final int MAXIMUM_INTERIM_RESPONSES = 16;
+
     private static final long MAXIMUM_SKIPPED_BODY_BYTES = 8L * 1024 * 1024;
     private static final int SKIP_BUFFER_BYTES = 8192;
 
@@ -164,7 +167,14 @@
     private static ClassicHttpResponse receiveFinalHead(UpstreamConnection connection)
             throws IOException, HttpException {
         ClassicHttpResponse response = connection.receiveResponseHeader();
-        while (response.getCode() < HttpStatus.SC_SUCCESS) {
+        for (int interim = 0; response.getCode() < HttpStatus.SC_SUCCESS; interim++) {
+            if (interim == MAXIMUM_INTERIM_RESPONSES) {
+                throw HttpExchangeException.of(
+                        Reason.CLOSED,
+                        "await response",
+                        connection.address(),
+                        "more than " + MAXIMUM_INTERIM_RESPONSES + " interim responses");
+            }
             response = connection.receiveResponseHeader();
         }
         return response;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -15,12 +15,11 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /**
@@ -224,11 +223,12 @@
     }
 
     private void onHead(HttpResponse response) {
-        if (response.decoderResult().isFailure()) {
-            fail("the answer is no HTTP: " + response.decoderResult().cause().getMessage());
+        Optional<String> fault = ResponseValidity.faultOfHead(response);
+        if (fault.isPresent()) {
+            fail(fault.get());
             return;
         }
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        if (ResponseValidity.isInterim(response)) {
             skippingResponse = true;
             interimResponses++;
             if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
@@ -252,18 +252,12 @@
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(response);
-        delimitedByClose = isDelimitedByClose(response);
+        delimitedByClose = ResponseValidity.isDelimitedByClose(response, haveNoBody());
         skippingResponse = false;
         inResponse = true;
         listener.onHead(response);
     }
 
-    private static boolean isDelimitedByClose(HttpResponse response) {
-        boolean hasBody = !response.status().equals(HttpResponseStatus.NO_CONTENT)
-                && !response.status().equals(HttpResponseStatus.NOT_MODIFIED);
-        return hasBody && !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
-    }
-
     /** Returns whether a head goes on after the beginning of another one, so that parts of it are of both. */
     private static boolean isSpliced(HttpResponse response) {
         return containsStatusLine(response.status().reasonPhrase())
@@ -279,7 +273,8 @@
         outOfSync = true;
         skippedResponses++;
         // Nothing follows a response that ends with its connection, and none has a body while HEAD waits.
-        boolean canBeSkipped = proof.skipsMismatches() && !isDelimitedByClose(response) && !haveNoBody();
+        boolean canBeSkipped =
+                proof.skipsMismatches() && !haveNoBody() && !ResponseValidity.isDelimitedByClose(response, false);
         if (!canBeSkipped || skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
             fail("the answer is to another request: " + result);
             return;
@@ -317,7 +312,7 @@
             listener.onContent(content.content());
         }
         if (last && inResponse && listener != null) {
-            complete();
+            ResponseValidity.faultOfEnd(delimitedByClose, requestWritten).ifPresentOrElse(this::fail, this::complete);
         }
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpConnectionPool.java
@@ -45,6 +45,9 @@
                 .group(eventLoopGroup)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // A failed write must not discard a complete early response that has arrived but is not read yet; the
+                // reader meets the end of the connection next.
+                .option(ChannelOption.AUTO_CLOSE, false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpClientPoolTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpClientPoolTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpClientPoolTest {
     // connect and progress timeouts in ms; connections to an upstream; idle expiry in ms
@@ -124,6 +125,21 @@
         }
     }
 
+    /** Guards against an undefined status that is passed on, and a connection that stays counted as used. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "000 X", "099 X", "600 X", "999 X", "101 X\r\nUpgrade: x"})
+    void failsAtAnInvalidStatus(String start) throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((request, socket, out) -> {
+            out.write(("HTTP/1.1 " + start + "\r\nContent-Length: 4\r\n\r\nfull").getBytes(StandardCharsets.US_ASCII));
+            socket.shutdownOutput();
+        })) {
+            for (int i = 0; i < 3; i++) {
+                HttpExchangeException failure = send(server.address()).getLeft();
+                assertEquals(Failure.Kind.UNKNOWN_EFFECT, failure.failure().kind());
+            }
+        }
+    }
+
     @Test
     void reportsNotSentWhenTheConnectionIsRefused() throws Exception {
         String address;
