Read on from upstreams for slow callers and bound what callers hold at a node

Cause: reading from an upstream stopped as soon as a caller had 64 KB unread, so that upstreams cut off intact responses. What callers had not read had no bound per node, a caller that read nothing kept its response without limit, and an upload took the whole stated length with its first byte.

Change: 256 KB are read ahead per caller; all unread bytes and all incomplete uploads of a node are limited to an eighth of the heap each (BufferLimit). Above it the largest response, or the slowest upload among those with the mean or more, is ended. A caller that reads nothing for its route's time-out is closed. The buffer of an upload grows with what arrives.

Measured: SlowCallerTest, BufferLimitTest, PlatformNodeTest, PassedRequestTest and UnframedResponseTest pass. The memory of a node process with 200 slow callers was not measured.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -22,6 +22,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import org.cactusshift.internal.coordination.limits.BufferLimit;
 import org.cactusshift.internal.coordination.serving.CallerLimits;
 
 /**
@@ -45,6 +46,11 @@
     private CallerExchange current;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+    /** Null until the first part of the body of a request arrives. */
+    private BufferLimit.Account upload;
+
+    private CallerOutput output;
     private boolean closing;
     private long idleSinceMillis;
 
@@ -72,6 +78,8 @@
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
         idleSinceMillis = server.monotonicMillis();
+        BufferLimit.Account account = server.memory().responses().open(idleSinceMillis, () -> endSlowReader("memory"));
+        output = new CallerOutput(channel, account, idleSinceMillis);
     }
 
     /** Starts the header timeout with the first bytes of a request, so that a slowly sent head does not extend it. */
@@ -145,12 +153,13 @@
         }
         if (bytes.isReadable()) {
             receiveTimeoutStartMillis = server.monotonicMillis();
-            if (body == Unpooled.EMPTY_BUFFER) {
-                body = Unpooled.buffer((int) Math.max(HttpUtil.getContentLength(head, 0L), bytes.readableBytes()));
+            addToBody(bytes);
+            if (closing) {
+                return;
             }
-            body.writeBytes(bytes);
         }
         if (content instanceof LastHttpContent) {
+            closeUpload();
             receiving = false;
             CallerExchange exchange = new CallerExchange(this, channel, head, body, server.monotonicMillis());
             head = null;
@@ -164,6 +173,40 @@
         }
     }
 
+    /** Adds a part; the buffer grows with what arrives, since a caller may state a length that it never sends. */
+    private void addToBody(ByteBuf bytes) {
+        if (body == Unpooled.EMPTY_BUFFER) {
+            long maximumBytes = HttpUtil.getContentLength(head, (long) Integer.MAX_VALUE);
+            body = Unpooled.buffer(bytes.readableBytes(), (int) Math.max(maximumBytes, bytes.readableBytes()));
+            upload = server.memory().uploads().open(receiveTimeoutStartMillis, this::endSlowUpload);
+        }
+        body.writeBytes(bytes);
+        upload.hold(body.capacity(), receiveTimeoutStartMillis);
+    }
+
+    private void closeUpload() {
+        if (upload != null) {
+            upload.close();
+            upload = null;
+        }
+    }
+
+    /** Ends an upload because of the node's limit; the request was not run, so another node may take it at once. */
+    private void endSlowUpload() {
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
+    /** Closes the connection of a caller that doesn't read its response, which then has no end. */
+    private void endSlowReader(String reason) {
+        server.logSlowReader(String.valueOf(channel.remoteAddress()), reason, output.pendingBytes());
+        closeNow();
+    }
+
+    /** Records what the caller has not read yet; called after each write. */
+    void onWritten() {
+        output.update(server.monotonicMillis());
+    }
+
     private void start(CallerExchange exchange) {
         current = exchange;
         server.onRequestStarted();
@@ -181,6 +224,8 @@
      */
     private void reject(HttpResponseStatus status) {
         closing = true;
+        closeUpload();
+        body = Unpooled.EMPTY_BUFFER;
         server.logRejected(status.code(), String.valueOf(channel.remoteAddress()));
         if (current != null) {
             // The request being served ends as if its caller had disconnected.
@@ -213,9 +258,16 @@
         channel.close();
     }
 
-    /** Closes the connection if its caller exceeds the time limit for sending a request or for being idle. */
+    /** Closes the connection if its caller is too slow to read or to send a request, or idle for too long. */
     void closeExpired(long nowMillis, CallerLimits limits) {
-        if (current != null || closing) {
+        if (closing) {
+            return;
+        }
+        output.update(nowMillis);
+        if (current != null) {
+            if (output.stalledMillis(nowMillis) > current.stallLimitMillis()) {
+                endSlowReader("stalled");
+            }
             return;
         }
         if (receiving) {
@@ -236,6 +288,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
+        onWritten();
         if (channel.isWritable() && current != null) {
             current.onChannelWritable();
         }
@@ -251,6 +304,8 @@
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
         server.onClosed(this);
+        output.close();
+        closeUpload();
         if (current != null) {
             CallerExchange interrupted = current;
             current = null;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerExchange.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerExchange.java
@@ -24,6 +24,7 @@
     private final long receivedAtMillis;
     private Runnable disconnectListener = () -> {};
     private Runnable writableListener = () -> {};
+    private long stallLimitMillis = Long.MAX_VALUE;
     private State state = State.OPEN;
 
     private enum State {
@@ -82,6 +83,19 @@
         disconnectListener = listener;
     }
 
+    /**
+     * Sets for how long the caller may read nothing of a response before its connection is closed.
+     *
+     * @param millis the time, in milliseconds
+     */
+    public void setStallLimitMillis(long millis) {
+        stallLimitMillis = millis;
+    }
+
+    long stallLimitMillis() {
+        return stallLimitMillis;
+    }
+
     /**
      * Sets the listener for the moment at which a slow caller can be sent more bytes.
      *
@@ -92,7 +106,7 @@
     }
 
     /**
-     * Returns whether the caller reads as fast as data is sent to it.
+     * Returns whether more may be sent: the caller reads, or has less than the buffer of a slow caller to read.
      *
      * @return whether the connection is writable
      */
@@ -138,6 +152,7 @@
         boolean keepAlive = setConnectionHeader(response.headers());
         channel.writeAndFlush(response)
                 .addListener(done -> connection.onExchangeEnded(this, keepAlive && done.isSuccess()));
+        connection.onWritten();
     }
 
     /**
@@ -168,6 +183,7 @@
     public void send(byte[] part) {
         if (state == State.STREAMING) {
             channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)));
+            connection.onWritten();
         }
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
@@ -36,6 +36,7 @@
     private final CallerRequestHandler handler;
     private final RequestNaming naming;
     private final EventLog log;
+    private final CallerMemory memory;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel serverChannel;
     private boolean draining;
@@ -51,13 +52,15 @@
             Supplier<CallerLimits> limits,
             CallerRequestHandler handler,
             RequestNaming naming,
-            EventLog log) {
+            EventLog log,
+            CallerMemory memory) {
         this.eventLoopGroup = eventLoopGroup;
         this.clock = clock;
         this.limits = limits;
         this.handler = handler;
         this.naming = naming;
         this.log = log;
+        this.memory = memory;
     }
 
     /**
@@ -69,6 +72,7 @@
      * @param handler handles the requests
      * @param naming names the request in each response
      * @param log records requests that are rejected because they are malformed, too large or too slow
+     * @param memory limits what is held for slow callers; shared by the servers of a node
      * @return the server
      */
     public static CallerServer create(
@@ -77,8 +81,9 @@
             Supplier<CallerLimits> limits,
             CallerRequestHandler handler,
             RequestNaming naming,
-            EventLog log) {
-        return new CallerServer(eventLoopGroup, clock, limits, handler, naming, log);
+            EventLog log,
+            CallerMemory memory) {
+        return new CallerServer(eventLoopGroup, clock, limits, handler, naming, log, memory);
     }
 
     /** Names, in a response, the request that it answers. */
@@ -111,6 +116,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, CallerOutput.BUFFER)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -156,6 +162,10 @@
         return limits.get();
     }
 
+    CallerMemory memory() {
+        return memory;
+    }
+
     CallerRequestHandler handler() {
         return handler;
     }
@@ -195,6 +205,14 @@
                 .write();
     }
 
+    void logSlowReader(String callerAddress, String reason, long pendingBytes) {
+        log.event("caller.slow")
+                .with("caller", callerAddress)
+                .with("reason", reason)
+                .with("pendingBytes", pendingBytes)
+                .write();
+    }
+
     void logFailed(String callerAddress, String cause, boolean inRequest) {
         log.event("caller.failed")
                 .with("caller", callerAddress)
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -46,6 +46,19 @@
             .name("cactusshift_relay_incomplete_response_bytes")
             .help("Bytes of responses that are kept until they are complete.")
             .register(registry);
+    private final Gauge unreadResponses = Gauge.builder()
+            .name("cactusshift_relay_unread_response_bytes")
+            .help("Bytes that slow callers have not read yet.")
+            .register(registry);
+    private final Gauge incompleteUploads = Gauge.builder()
+            .name("cactusshift_relay_incomplete_upload_bytes")
+            .help("Bytes of requests that are not complete.")
+            .register(registry);
+    private final Gauge endedForMemory = Gauge.builder()
+            .name("cactusshift_relay_slow_callers_ended")
+            .help("Connections of slow callers that were ended since the start because of the limit for their memory.")
+            .labelNames("direction")
+            .register(registry);
     private final Gauge storeEra = Gauge.builder()
             .name("cactusshift_relay_store_era")
             .help("The era of the store, which rises when the store is restored from a copy.")
@@ -131,12 +144,17 @@
     }
 
     /**
-     * Records how much memory incomplete responses take.
+     * Records how much memory incomplete responses and slow callers take.
      *
-     * @param bytes the bytes
+     * @param incompleteResponseBytes the bytes of incomplete responses
+     * @param callers what slow callers take
      */
-    public void onIncompleteResponses(long bytes) {
-        incompleteResponses.set(bytes);
+    public void onBuffers(long incompleteResponseBytes, CallerMemory callers) {
+        incompleteResponses.set(incompleteResponseBytes);
+        unreadResponses.set(callers.responses().bytes());
+        incompleteUploads.set(callers.uploads().bytes());
+        endedForMemory.labelValues("response").set(callers.responses().endedCount());
+        endedForMemory.labelValues("upload").set(callers.uploads().endedCount());
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -106,6 +106,7 @@
 
     void start() {
         exchange.setDisconnectListener(this::onCallerDisconnected);
+        exchange.setStallLimitMillis(request.route().timeoutMillis());
         long remaining = request.deadlineMillis() - nowMillis() - DEADLINE_MARGIN_MILLIS;
         deadlineTimer = schedule(this::onDeadline, Math.max(0, remaining));
         log.taken(origin, remaining, resumedRequest);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -113,6 +113,7 @@
     private final CrashHistory crashHistory = CrashHistory.create(CRASH_RETENTION_MILLIS);
     private final UpstreamRequestLimits upstreamLimits;
     private final ResponseBufferLimit responseBuffers = ResponseBufferLimit.ofHeap();
+    private final CallerMemory callerMemory = CallerMemory.ofHeap();
     private final AsyncKeyValueStore store;
     private final UsageCounts usage;
     private final UpstreamDirectory directory;
@@ -242,7 +243,8 @@
     }
 
     private CallerServer createServer(Protocol protocol, Supplier<CallerLimits> limits, CallerRequestHandler handler) {
-        return CallerServer.create(runtime.group(), runtime.clock(), limits, handler, protocol.codec(), runtime.log());
+        return CallerServer.create(
+                runtime.group(), runtime.clock(), limits, handler, protocol.codec(), runtime.log(), callerMemory);
     }
 
     private FleetController createFleetController(FleetOrderClient client, Protocol protocol) {
@@ -389,7 +391,7 @@
                 crashHistory.suspectCount(), crashHistory.refused(now).size());
         metrics.onLimitedUpstreams(upstreamLimits.limitedCount());
         metrics.onUnreachableServices(reachability.unreachableServices().size());
-        metrics.onIncompleteResponses(responseBuffers.bytes());
+        metrics.onBuffers(responseBuffers.bytes(), callerMemory);
         metrics.onStoreEra(store.era().current());
         metrics.onLivePeers(gossipReceiver.livePeerCount());
         return metrics.toText();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StatusServers.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StatusServers.java
@@ -57,7 +57,8 @@
                 () -> CallerLimits.DEFAULT,
                 handlerOrNotFound,
                 CallerServer.RequestNaming.NONE,
-                runtime.log());
+                runtime.log(),
+                CallerMemory.ofHeap());
     }
 
     void listen(InetSocketAddress readinessAddress, InetSocketAddress metricsAddress) throws InterruptedException {
