--- /dev/null
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/performance/package-info.java
@@ -0,0 +1,2 @@
+/** Estimates how long work takes at each upstream, relative to the other upstreams of its service. */
+package org.cactusshift.internal.coordination.performance;
