Place requests by the learned performance of upstreams

Two equal upstreams got 138 and 9 requests: one with slow first responses kept a bad average for ever, since only new responses changed it.

A sample is the time relative to the expected time of the same work at the same load; requests behind longer work of others, errors, and requests that wait for an engine's slot give none. Plain requests are spread by open and recent work relative to speed, so that slower upstreams get their share. Samples go to peers in gossip messages, each once.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipMessage.java
@@ -10,6 +10,7 @@
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
+import org.cactusshift.internal.coordination.performance.PerformanceReport;
 import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 
@@ -29,6 +30,8 @@
  * @param limits the request limits of upstreams: recent changes and some others in turn
  * @param promptPartUses the recent uses of long prompt parts by requests of the sending node
  * @param unreachableServices the services of which the sending node reaches no upstream
+ * @param performance how long work took at upstreams since the last message to the same peer; unlike the rest, it is
+ *     not sent again, so that a lost message loses it
  */
 public record GossipMessage(
         InstanceId node,
@@ -41,7 +44,8 @@
         List<CompletionReport> completions,
         List<UpstreamLimitReport> limits,
         List<PromptPartUse> promptPartUses,
-        Set<ServiceId> unreachableServices) {
+        Set<ServiceId> unreachableServices,
+        List<PerformanceReport> performance) {
     /** Makes shallow copies of the collections. */
     public GossipMessage {
         workByUpstream = Map.copyOf(workByUpstream);
@@ -51,5 +55,6 @@
         limits = List.copyOf(limits);
         promptPartUses = List.copyOf(promptPartUses);
         unreachableServices = Set.copyOf(unreachableServices);
+        performance = List.copyOf(performance);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/GossipReceiver.java
@@ -11,6 +11,7 @@
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
+import org.cactusshift.internal.coordination.performance.PerformanceReport;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 
 /** Stores the last received gossip message of each peer and passes its content to the components that use it. */
@@ -75,6 +76,13 @@
         for (PromptPartUse use : message.promptPartUses()) {
             directory.find(use.upstream()).ifPresent(upstream -> upstream.onRemotePartUse(use.part()));
         }
+        for (PerformanceReport report : message.performance()) {
+            directory
+                    .find(report.upstream().upstream())
+                    .filter(upstream -> upstream.incarnation().equals(report.upstream()))
+                    .ifPresent(upstream -> upstream.performance()
+                            .onPeerSamples(report.samples(), report.sumOfLogarithms(), nowMillis));
+        }
         message.crashes().forEach(report -> crashHistory.onReport(report, nowMillis));
         message.completions().forEach(report -> crashHistory.onReport(report, nowMillis));
         for (UpstreamLimitReport limit : message.limits()) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -83,6 +83,12 @@
     /** The upper bound of the random time that is added to each cost to break ties. */
     private static final double TIE_BREAK_JITTER_MILLIS = 2;
 
+    /**
+     * How far the recent work of an upstream may lie below the average, in requests by slots: one that is new or was
+     * paused is not sent all requests until it has caught up.
+     */
+    private static final double MAXIMUM_LAG = 0.5;
+
     private final UpstreamDirectory directory;
     private final UpstreamRequestLimits limits;
     private final Function<ServiceId, Optional<ServedService>> serviceLookup;
@@ -201,16 +207,22 @@
 
     private Optional<Placement> choosePlain(PlacementQuery query, List<Upstream> usable, long nowMillis) {
         double baseMillis = latency.firstPartMillis(query.request().service(), EngineStage.ANY, 0);
+        double leastRecentWork = averageRecentWork(usable, nowMillis) - MAXIMUM_LAG;
         Upstream best = null;
         double bestCostMillis = Double.MAX_VALUE;
         double bestMillis = 0;
         for (Upstream upstream : usable) {
-            int slots = Math.max(1, upstream.entry().slots());
-            double relativeQueueLength = Math.max(0, upstream.totalRequests(nowMillis) + 1 - slots) / (double) slots;
-            double load = upstream.totalRequests(nowMillis) / (double) slots;
-            double responseMillis = baseMillis * upstream.averageRelativeLatency() * (1 + relativeQueueLength);
-            double costMillis = responseMillis
-                    + baseMillis * load / 2
+            double relativeTime = upstream.performance().relativeTime(nowMillis);
+            int requests = upstream.totalRequests(nowMillis);
+            double relativeQueueLength =
+                    SentWork.relativeQueueLength(requests, upstream.entry().slots());
+            double recentWork = Math.max(leastRecentWork, recentWork(upstream, relativeTime, nowMillis));
+            double openWork =
+                    relativeTime * (requests + 1) / Math.max(1, upstream.entry().slots());
+            double responseMillis = baseMillis * relativeTime * (1 + relativeQueueLength);
+            // The time that each request takes everywhere is left out, so that slower upstreams get their share.
+            double costMillis = baseMillis * relativeTime * relativeQueueLength
+                    + baseMillis * (openWork + recentWork) / 2
                     + penaltyMillis(query, upstream)
                     + random.nextDouble() * TIE_BREAK_JITTER_MILLIS;
             if (costMillis < bestCostMillis) {
@@ -223,6 +235,21 @@
                 best, Optional.empty(), Optional.empty(), 0, Math.round(bestMillis), Math.round(bestMillis)));
     }
 
+    /** Returns the work that this node has lately sent to an upstream, relative to what the upstream does at a time. */
+    private static double recentWork(Upstream upstream, double relativeTime, long nowMillis) {
+        return relativeTime
+                * upstream.recentRequests(nowMillis)
+                / Math.max(1, upstream.entry().slots());
+    }
+
+    private static double averageRecentWork(List<Upstream> upstreams, long nowMillis) {
+        double sum = 0;
+        for (Upstream upstream : upstreams) {
+            sum += recentWork(upstream, upstream.performance().relativeTime(nowMillis), nowMillis);
+        }
+        return sum / upstreams.size();
+    }
+
     private Optional<Placement> chooseEngine(PlacementQuery query, List<Upstream> usable, long nowMillis) {
         List<Upstream> prefillEngines = enginesOfStage(usable, EngineStage.PREFILL);
         List<Upstream> targets = new ArrayList<>(usable);
@@ -254,7 +281,7 @@
                 boolean isPreferred =
                         preferredPrefillEngines.isEmpty() || preferredPrefillEngines.get(0) == prefillEngine;
                 Prefill prefill = prefill(query.request(), prefillEngine, cachingEngines, preferredPrefillEngines);
-                best = cheaper(best, splitCost(query, prefillEngine, target, prefill, isPreferred));
+                best = cheaper(best, splitCost(query, prefillEngine, target, prefill, isPreferred, nowMillis));
             }
         }
         return Optional.of(best.placement);
@@ -361,15 +388,17 @@
     private Scored directCost(
             PlacementQuery query, Upstream upstream, Prefill prefill, boolean isPreferred, long nowMillis) {
         ServingRequest request = query.request();
-        double responseMillis = upstream.averageRelativeLatency()
+        double relativeTime = upstream.performance().relativeTime(nowMillis);
+        double responseMillis = relativeTime
                 * latency.firstPartMillis(
                         request.service(),
                         upstream.prefillStage(),
                         upstream.totalPendingPrefillTokens() + prefill.uncachedTokens());
         double costMillis = responseMillis
-                + delayOfArrivals(request.service(), upstream.prefillStage(), prefill.uncachedTokens())
-                + delayOfDecoding(upstream, prefill.uncachedTokens(), nowMillis)
-                + batchingDelay(upstream, nowMillis)
+                + relativeTime
+                        * (delayOfArrivals(request.service(), upstream.prefillStage(), prefill.uncachedTokens())
+                                + delayOfDecoding(upstream, prefill.uncachedTokens(), nowMillis)
+                                + batchingDelay(upstream, nowMillis))
                 + (prefill.isSharedPartUncached() && !isPreferred ? UNCACHED_NON_PREFERRED_PENALTY_MILLIS : 0)
                 + (prefill.fetchFrom().isPresent() && !prefill.isSharedPartUncached() ? KV_TRANSFER_PENALTY_MILLIS : 0)
                 + penaltyMillis(query, upstream)
@@ -398,20 +427,26 @@
     private Upstream selectDecodeEngine(
             PlacementQuery query, List<Upstream> targets, Optional<Upstream> preferredTarget, long nowMillis) {
         return targets.stream()
-                .min(Comparator.comparingDouble(upstream -> batchingDelay(upstream, nowMillis)
-                        + upstream.totalPendingPrefillTokens() * PREFILL_MILLIS_PER_TOKEN
-                        + (preferredTarget.isEmpty() || preferredTarget.get() == upstream
-                                ? 0
-                                : NON_PREFERRED_PENALTY_MILLIS)
-                        + penaltyMillis(query, upstream)
-                        + random.nextDouble() * TIE_BREAK_JITTER_MILLIS))
+                .min(Comparator.comparingDouble(
+                        upstream -> upstream.performance().relativeTime(nowMillis) * batchingDelay(upstream, nowMillis)
+                                + upstream.totalPendingPrefillTokens() * PREFILL_MILLIS_PER_TOKEN
+                                + (preferredTarget.isEmpty() || preferredTarget.get() == upstream
+                                        ? 0
+                                        : NON_PREFERRED_PENALTY_MILLIS)
+                                + penaltyMillis(query, upstream)
+                                + random.nextDouble() * TIE_BREAK_JITTER_MILLIS))
                 .orElseThrow();
     }
 
     private Scored splitCost(
-            PlacementQuery query, Upstream prefillEngine, Upstream target, Prefill prefill, boolean isPreferred) {
+            PlacementQuery query,
+            Upstream prefillEngine,
+            Upstream target,
+            Prefill prefill,
+            boolean isPreferred,
+            long nowMillis) {
         ServingRequest request = query.request();
-        double prefillMillis = prefillEngine.averageRelativeLatency()
+        double prefillMillis = prefillEngine.performance().relativeTime(nowMillis)
                 * latency.firstPartMillis(
                         request.service(),
                         EngineStage.PREFILL,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -4,18 +4,20 @@
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
+import org.cactusshift.internal.coordination.performance.SentRequests;
+import org.cactusshift.internal.coordination.performance.UpstreamPerformance;
 import org.cactusshift.internal.coordination.routing.UpstreamHealth;
 
 /**
- * The state that a node tracks for one incarnation of an upstream: its entry, its open work, and its recent latency and
- * failures.
+ * The state that a node tracks for one incarnation of an upstream: its entry, its open work, its performance and its
+ * recent failures.
  *
  * <p>Used by the relay; its counterpart in the dispatcher is
  * {@link org.cactusshift.internal.coordination.routing.UpstreamState}. Owned by an {@link UpstreamDirectory}; not
  * thread-safe.
  */
 public final class Upstream {
-    /** The weight of the newest sample in the moving averages, which reflect about the last ten responses. */
+    /** The weight of the newest attempt in the failure rate, which reflects about the last ten attempts. */
     private static final double SAMPLE_WEIGHT = 0.1;
 
     /** How long a load reported by the upstream is used; engines respond, and so report, several times a second. */
@@ -27,9 +29,6 @@
     /** The pause after a refusal doubles at most this many times, up to 1,600 ms. */
     private static final int MAXIMUM_PAUSE_DOUBLINGS = 4;
 
-    /** Upper bound for one sample of relative latency, so that a single delayed response has limited effect. */
-    private static final double MAXIMUM_RELATIVE_LATENCY = 10;
-
     private final UpstreamHealth health = UpstreamHealth.create();
     private final PrefixCacheEstimator prefixCache;
     private UpstreamEntry entry;
@@ -44,11 +43,12 @@
     private long reportedAtMillis = Long.MIN_VALUE / 2;
 
     private double failureRate;
-    private double averageRelativeLatency = 1;
     private boolean leaving;
     private int consecutiveRefusals;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private final UpstreamRest rest = new UpstreamRest();
+    private final UpstreamPerformance performance = UpstreamPerformance.create();
+    private final SentRequests sentRequests = SentRequests.none();
 
     Upstream(UpstreamEntry entry, long kvCapacityTokens) {
         this.entry = entry;
@@ -138,6 +138,39 @@
             lastProgressMillis = nowMillis;
         }
         requestsAwaitingFirstPart++;
+        sentRequests.onSend(nowMillis);
+    }
+
+    /**
+     * Describes a request that is about to be sent, and the work of others before it.
+     *
+     * @param stage as for {@link LatencyEstimator#firstPartMillis}
+     * @param uncachedTokens the prompt tokens that the upstream has to prefill
+     * @param isPlain whether it is a request to a plain service
+     * @param nowMillis the current time
+     * @return the work
+     */
+    public SentWork workOf(EngineStage stage, long uncachedTokens, boolean isPlain, long nowMillis) {
+        return new SentWork(
+                stage,
+                uncachedTokens,
+                totalPendingPrefillTokens() + uncachedTokens,
+                SentWork.relativeQueueLength(totalRequests(nowMillis), entry.slots()),
+                isPlain);
+    }
+
+    /**
+     * Returns the estimate of how long work takes at the upstream.
+     *
+     * @return the estimate
+     */
+    public UpstreamPerformance performance() {
+        return performance;
+    }
+
+    /** Returns the number of requests that this node has sent lately, weighted by their age. */
+    double recentRequests(long nowMillis) {
+        return sentRequests.weighted(nowMillis);
     }
 
     /**
@@ -188,16 +221,6 @@
         failureRate -= SAMPLE_WEIGHT * failureRate;
     }
 
-    /**
-     * Records the time to the first part of a response relative to the estimate for the same work.
-     *
-     * @param relativeLatency the actual time divided by the expected time, above 0
-     */
-    public void onRelativeLatency(double relativeLatency) {
-        averageRelativeLatency +=
-                SAMPLE_WEIGHT * (Math.min(relativeLatency, MAXIMUM_RELATIVE_LATENCY) - averageRelativeLatency);
-    }
-
     /**
      * Records that the upstream refused a request; it receives no requests for a time that doubles with each further
      * refusal.
@@ -310,11 +333,6 @@
         return failureRate;
     }
 
-    /** Returns the moving average of actual over expected latency; 1 is as expected. */
-    double averageRelativeLatency() {
-        return averageRelativeLatency;
-    }
-
     /**
      * Returns whether no failure of the upstream is known from which it has not recovered.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
@@ -22,6 +22,7 @@
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
+import org.cactusshift.internal.coordination.performance.PerformanceReport;
 import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
@@ -35,12 +36,16 @@
  * Encodes and decodes gossip messages as JSON. The work at an upstream is an array of the requests and the pending
  * prefill tokens, the use of a prompt part an array of the upstream, the id of the part and its tokens, a crash an
  * array of the suspect, the upstream and the ages, a completed attempt an array of the suspect and the age, a request
- * limit an array of the upstream, its start, the revision, the limit or null, and the age.
+ * limit an array of the upstream, its start, the revision, the limit or null, and the age, the performance of an
+ * upstream an array of the upstream, its start, the number of samples and the sum of their logarithms.
  */
 final class GossipMessageCodec {
     private static final JsonFactory JSON = new JsonFactory();
     private static final ObjectMapper MAPPER = new ObjectMapper(JSON);
 
+    /** Sums of logarithms are sent with three decimals, a tenth of a percent of the time. */
+    private static final double LOGARITHM_SCALE = 1_000;
+
     private GossipMessageCodec() {}
 
     static byte[] encode(GossipMessage message) {
@@ -112,6 +117,7 @@
                 json.writeString(service.value());
             }
             json.writeEndArray();
+            writePerformance(json, message.performance());
             json.writeEndObject();
         } catch (IOException e) {
             throw new IllegalStateException("cannot write to a byte array", e);
@@ -119,6 +125,32 @@
         return out.toByteArray();
     }
 
+    private static void writePerformance(JsonGenerator json, List<PerformanceReport> reports) throws IOException {
+        json.writeArrayFieldStart("performance");
+        for (PerformanceReport report : reports) {
+            json.writeStartArray();
+            json.writeString(report.upstream().upstream().value());
+            json.writeNumber(report.upstream().startedAtEpochMillis());
+            json.writeNumber(report.samples());
+            json.writeNumber(Math.round(report.sumOfLogarithms() * LOGARITHM_SCALE) / LOGARITHM_SCALE);
+            json.writeEndArray();
+        }
+        json.writeEndArray();
+    }
+
+    private static List<PerformanceReport> readPerformance(JsonNode performance) {
+        List<PerformanceReport> reports = new ArrayList<>();
+        for (JsonNode report : performance) {
+            reports.add(new PerformanceReport(
+                    new UpstreamIncarnation(
+                            UpstreamId.fromString(report.path(0).asText()),
+                            report.path(1).asLong()),
+                    report.path(2).asInt(),
+                    report.path(3).asDouble()));
+        }
+        return reports;
+    }
+
     private static void writeLimit(JsonGenerator json, UpstreamLimitReport limit) throws IOException {
         json.writeStartArray();
         json.writeString(limit.upstream().upstream().value());
@@ -254,7 +286,8 @@
                     readCompletions(root.path("completions")),
                     readLimits(root.path("limits")),
                     uses,
-                    unreachable));
+                    unreachable,
+                    readPerformance(root.path("performance"))));
         } catch (IOException | IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
@@ -17,6 +17,8 @@
 import org.cactusshift.internal.coordination.lease.DutyHolder;
 import org.cactusshift.internal.coordination.lease.RendezvousHash;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
+import org.cactusshift.internal.coordination.performance.PerformanceReport;
+import org.cactusshift.internal.coordination.performance.PerformanceSamples;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
@@ -65,6 +67,7 @@
     private final GossipRound round;
     private Map<InstanceId, InetSocketAddress> peerAddressByNode = new HashMap<>();
     private final ArrayDeque<RecentUse> recentUses = new ArrayDeque<>();
+    private final PerformanceSamples performanceSamples;
     private long ticks;
 
     private record RecentUse(PromptPartUse use, long usedAtMillis) {}
@@ -86,6 +89,7 @@
         this.limits = limits;
         this.reachability = reachability;
         this.tickMillis = tickMillis;
+        this.performanceSamples = PerformanceSamples.create(tickMillis);
         this.round = GossipRound.create(self.instance());
     }
 
@@ -101,6 +105,11 @@
         return new GossipSender(self, channel, directory, usage, crashHistory, limits, reachability, tickMillis);
     }
 
+    /** Returns where the samples of upstreams are recorded that the peers are to get. */
+    PerformanceSamples performanceSamples() {
+        return performanceSamples;
+    }
+
     /** Records the use of a long prompt part, to be sent for the next rounds. */
     void onUse(PromptPartUse use, long nowMillis) {
         recentUses.addLast(new RecentUse(use, nowMillis));
@@ -132,23 +141,36 @@
         boolean usageIsDue = ticks % usagePeriodTicks() == 0;
         Set<InstanceId> usageRecipientIds = usageRecipientIds(receiver.collector());
         List<InetSocketAddress> usageRecipients = new ArrayList<>();
+        List<InetSocketAddress> additionalUsageRecipients = new ArrayList<>();
         List<InetSocketAddress> otherRecipients = new ArrayList<>();
         int index = 0;
         for (Map.Entry<InstanceId, InetSocketAddress> member : peerAddressByNode.entrySet()) {
             if (!member.getKey().equals(self.instance())) {
                 if (usageIsDue && usageRecipientIds.contains(member.getKey())) {
-                    usageRecipients.add(member.getValue());
+                    // Outside of its turn, a peer gets no samples, so that each sample reaches it once.
+                    boolean isItsTurn = round.serves(index, ticks, roundTicks);
+                    (isItsTurn ? usageRecipients : additionalUsageRecipients).add(member.getValue());
                 } else if (round.serves(index, ticks, roundTicks)) {
                     otherRecipients.add(member.getValue());
                 }
             }
             index++;
         }
-        channel.send(otherRecipients, message(epochMillis, Map.of(), receiver.collector(), nowMillis));
-        if (!usageRecipients.isEmpty()) {
-            channel.send(
-                    usageRecipients,
-                    message(epochMillis, usageCounts(receiver, epochMillis), receiver.collector(), nowMillis));
+        List<PerformanceReport> performance = performanceSamples.nextReports(roundTicks);
+        channel.send(otherRecipients, message(epochMillis, Map.of(), receiver.collector(), performance, nowMillis));
+        sendUsage(usageRecipients, receiver, performance, epochMillis, nowMillis);
+        sendUsage(additionalUsageRecipients, receiver, List.of(), epochMillis, nowMillis);
+    }
+
+    private void sendUsage(
+            List<InetSocketAddress> recipients,
+            GossipReceiver receiver,
+            List<PerformanceReport> performance,
+            long epochMillis,
+            long nowMillis) {
+        if (!recipients.isEmpty()) {
+            Map<IncarnationId, Map<Long, Map<AccountId, Long>>> counts = usageCounts(receiver, epochMillis);
+            channel.send(recipients, message(epochMillis, counts, receiver.collector(), performance, nowMillis));
         }
     }
 
@@ -198,6 +220,7 @@
             long epochMillis,
             Map<IncarnationId, Map<Long, Map<AccountId, Long>>> usageCounts,
             Optional<UsageCollector> collector,
+            List<PerformanceReport> performance,
             long nowMillis) {
         Map<UpstreamId, OpenWork> work = new HashMap<>();
         for (Upstream upstream : directory.all()) {
@@ -219,6 +242,7 @@
                 crashHistory.completionReports(recentMillis(), nowMillis),
                 limits.nextReports(nowMillis),
                 uses,
-                reachability.unreachableServices());
+                reachability.unreachableServices(),
+                performance);
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayContext.java
@@ -12,9 +12,9 @@
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
-import org.cactusshift.internal.coordination.serving.LatencyEstimator;
 import org.cactusshift.internal.coordination.serving.Placer;
 import org.cactusshift.internal.coordination.serving.PromptPartUse;
+import org.cactusshift.internal.coordination.serving.ResponseTimeRecorder;
 import org.cactusshift.internal.coordination.serving.ServiceReachability;
 import org.cactusshift.internal.coordination.serving.WindowedRetryBudget;
 
@@ -26,7 +26,7 @@
  * @param codec the codec of the platform's protocol
  * @param pool provides connections to upstreams
  * @param placer chooses upstreams
- * @param latencyEstimator estimates the time to the first part of a response, from past responses
+ * @param responseTimes records the times to the first parts of responses
  * @param retryBudgets looks up the retry budget of a service
  * @param crashHistory decides which requests are refused because they crash upstreams
  * @param crashDetector distinguishes crashes of upstreams from lost connections
@@ -53,7 +53,7 @@
         RelayCodec codec,
         HttpConnectionPool pool,
         Placer placer,
-        LatencyEstimator latencyEstimator,
+        ResponseTimeRecorder responseTimes,
         RetryBudgets retryBudgets,
         CrashHistory crashHistory,
         CrashDetector crashDetector,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -30,9 +30,9 @@
 import org.cactusshift.internal.coordination.serving.CallerLimits;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
-import org.cactusshift.internal.coordination.serving.LatencyEstimator;
 import org.cactusshift.internal.coordination.serving.PeerToken;
 import org.cactusshift.internal.coordination.serving.Placer;
+import org.cactusshift.internal.coordination.serving.ResponseTimeRecorder;
 import org.cactusshift.internal.coordination.serving.ServedService;
 import org.cactusshift.internal.coordination.serving.ServiceReachability;
 import org.cactusshift.internal.coordination.serving.ServingConfig;
@@ -281,14 +281,14 @@
     }
 
     private RelayContext context(Protocol protocol, CrashDetector crashDetector, RandomGenerator random) {
-        LatencyEstimator latencyEstimator = new LatencyEstimator();
+        ResponseTimeRecorder responseTimes = ResponseTimeRecorder.create(gossipSender.performanceSamples());
         return new RelayContext(
                 eventLoop,
                 runtime.clock(),
                 protocol.codec(),
                 runtime.pool(),
-                Placer.create(directory, upstreamLimits, this::service, latencyEstimator, random),
-                latencyEstimator,
+                Placer.create(directory, upstreamLimits, this::service, responseTimes.latency(), random),
+                responseTimes,
                 this::retryBudget,
                 crashHistory,
                 crashDetector,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -20,6 +20,7 @@
 import org.cactusshift.internal.coordination.serving.PromptPart;
 import org.cactusshift.internal.coordination.serving.PromptPartUse;
 import org.cactusshift.internal.coordination.serving.RequestKind;
+import org.cactusshift.internal.coordination.serving.SentWork;
 import org.cactusshift.internal.coordination.serving.ServingRequest;
 import org.cactusshift.internal.coordination.serving.StallDetector;
 import org.cactusshift.internal.coordination.serving.Upstream;
@@ -96,8 +97,8 @@
     /** 0 until the request is sent. */
     private long sentAtMillis;
 
-    /** The tokens waiting for prefill at the upstream when the attempt started, including those of this request. */
-    private long pendingPrefillTokens;
+    /** The work at the upstream when the attempt started; null until then. */
+    private SentWork work;
 
     /** Null until the request is sent. */
     private StallDetector stallDetector;
@@ -172,8 +173,8 @@
     void start() {
         boolean nonRepeatable = request().route().kind() == RequestKind.NOT_REPEATABLE;
         long maximumIdleMillis = nonRepeatable ? MAXIMUM_IDLE_FOR_NON_REPEATABLE_MILLIS : Long.MAX_VALUE;
-        pendingPrefillTokens = upstream.totalPendingPrefillTokens() + uncachedTokens();
         startedAtMillis = nowMillis();
+        work = upstream.workOf(stage(), uncachedTokens(), request().prompt().isEmpty(), startedAtMillis);
         if (isPrefill) {
             // Counted now, so that it is within the limit when the prefill is done.
             context().upstreamLimits().onSend(placement.target().incarnation(), startedAtMillis);
@@ -346,13 +347,10 @@
         upstream.onFirstResponsePart(uncachedTokens(), nowMillis());
         if (metadata != null && !metadata.notExecuted()) {
             recordCachedPrompt();
-            double expectedMillis =
-                    context().latencyEstimator().firstPartMillis(request().service(), stage(), pendingPrefillTokens);
-            upstream.onRelativeLatency(tookMillis / Math.max(1, expectedMillis));
-            context()
-                    .latencyEstimator()
-                    .onFirstResponsePart(
-                            request().service(), stage(), pendingPrefillTokens, uncachedTokens(), tookMillis);
+            // An error says nothing about the time that the work takes.
+            if (status.code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+                context().responseTimes().onFirstPart(upstream, work, tookMillis, nowMillis());
+            }
         }
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
@@ -43,7 +43,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                Set.of(SERVICE));
+                Set.of(SERVICE),
+                List.of());
     }
 
     @Test
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/ServingFixture.java
@@ -14,6 +14,7 @@
 import org.cactusshift.id.SoftwareVersion;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
+import org.cactusshift.internal.coordination.performance.PerformanceSamples;
 
 /** Upstreams, routes and requests for the tests of this package. */
 final class ServingFixture {
@@ -26,10 +27,24 @@
     /** Retains for 1 s the upstreams whose entries disappeared while the store was unavailable. */
     final UpstreamDirectory directory = UpstreamDirectory.create(service -> KV_CAPACITY_TOKENS, 1_000);
 
-    final LatencyEstimator latency = new LatencyEstimator();
+    final PerformanceSamples samples = PerformanceSamples.create(250);
+    final ResponseTimeRecorder responseTimes = ResponseTimeRecorder.create(samples);
+    final LatencyEstimator latency = responseTimes.latency();
     final UpstreamRequestLimits limits =
             UpstreamRequestLimits.create(InstanceId.fromString("self"), id -> Optional.empty());
-    final Placer placer = Placer.create(directory, limits, ServingFixture::service, latency, new SplittableRandom(7));
+    final SplittableRandom random;
+    final Placer placer;
+    private final int plainSlots;
+
+    ServingFixture() {
+        this(7, 6);
+    }
+
+    ServingFixture(long seed, int plainSlots) {
+        this.random = new SplittableRandom(seed);
+        this.placer = Placer.create(directory, limits, ServingFixture::service, latency, random);
+        this.plainSlots = plainSlots;
+    }
 
     static Optional<ServedService> service(ServiceId id) {
         // Arbitrary values: placement only checks whether a service has engine capabilities.
@@ -40,13 +55,18 @@
     }
 
     static UpstreamEntry entry(String id, ServiceId service, FailureDomainId domain, EngineStage stage) {
-        // 64 or 6 slots, neither leaving nor reclaimable, started at 1 ms, no known time of termination.
+        return entry(id, service, domain, stage, 6);
+    }
+
+    private static UpstreamEntry entry(
+            String id, ServiceId service, FailureDomainId domain, EngineStage stage, int plainSlots) {
+        // 64 slots at an engine, neither leaving nor reclaimable, started at 1 ms, no known time of termination.
         return new UpstreamEntry(
                 UpstreamId.fromString(id),
                 service,
                 "127.0.0.1:1",
                 domain,
-                service.equals(MODEL) ? 64 : 6,
+                service.equals(MODEL) ? 64 : plainSlots,
                 false,
                 stage,
                 false,
@@ -56,7 +76,11 @@
     }
 
     Upstream add(String id, ServiceId service, FailureDomainId domain, EngineStage stage) {
-        return directory.put(entry(id, service, domain, stage)).orElseThrow();
+        return directory.put(entry(id, service, domain, stage, plainSlots)).orElseThrow();
+    }
+
+    Upstream upstream(String id) {
+        return directory.find(UpstreamId.fromString(id)).orElseThrow();
     }
 
     static ServedRoute route(RequestKind kind, ServiceId service, long targetMillis, long timeoutMillis) {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
@@ -16,6 +16,7 @@
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
+import org.cactusshift.internal.coordination.performance.PerformanceReport;
 import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
@@ -49,12 +50,20 @@
                                 OptionalDouble.empty(),
                                 40)),
                 List.of(new PromptPartUse(UpstreamId.fromString("u1"), new PromptPart(-1, 13_000))),
-                Set.of(ServiceId.fromString("s1"), ServiceId.fromString("s2")));
+                Set.of(ServiceId.fromString("s1"), ServiceId.fromString("s2")),
+                List.of(new PerformanceReport(new UpstreamIncarnation(UpstreamId.fromString("u1"), 5), 3, -0.125)));
         assertEquals(
                 message,
                 GossipMessageCodec.decode(GossipMessageCodec.encode(message)).orElseThrow());
     }
 
+    /** Guards against a message of a former release, without the field, that is rejected. */
+    @Test
+    void messageWithoutPerformanceHasNone() {
+        byte[] bytes = "{\"node\":\"n1\",\"incarnation\":\"i\"}".getBytes(StandardCharsets.UTF_8);
+        assertEquals(List.of(), GossipMessageCodec.decode(bytes).orElseThrow().performance());
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/PeerDatagramChannelTest.java
@@ -57,7 +57,8 @@
                     List.of(),
                     List.of(),
                     partUses,
-                    Set.of());
+                    Set.of(),
+                    List.of());
             sender.send(List.of(receiver.address()), message);
             GossipMessage arrived = received.poll(LONGEST_WAIT_SECONDS, TimeUnit.SECONDS);
             assertNotNull(arrived);
