Decode the stated slowdown of an upstream

The optional fourth figure of the load header was dropped. It is how long work takes at that moment, in percent; out of range or malformed, it has no effect and the other figures are kept.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMetadata.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseMetadata.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -44,6 +45,8 @@
      * @param running running requests
      * @param waiting queued requests
      * @param slots the maximum number of running requests
+     * @param workTimePercent how long work takes there at this moment, in percent of the usual time; empty when missing
+     *     or malformed
      */
-    public record ReportedLoad(int running, int waiting, int slots) {}
+    public record ReportedLoad(int running, int waiting, int slots, OptionalInt workTimePercent) {}
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamStatements.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamStatements.java
@@ -4,7 +4,7 @@
 import org.cactusshift.internal.coordination.limits.UpstreamRequestLimits;
 import org.cactusshift.internal.coordination.serving.Upstream;
 
-/** Records what upstreams state about themselves in their responses: load, request limit, rest and leaving. */
+/** Records what upstreams state about themselves in responses: load, slowdown, request limit, rest and leaving. */
 final class UpstreamStatements {
     private final RelayContext context;
     private final Upstream upstream;
@@ -23,7 +23,10 @@
         if (metadata.misdirected()) {
             return;
         }
-        metadata.load().ifPresent(load -> upstream.onLoad(load.running(), load.waiting(), nowMillis));
+        metadata.load().ifPresent(load -> {
+            upstream.onLoad(load.running(), load.waiting(), nowMillis);
+            load.workTimePercent().ifPresent(percent -> upstream.performance().onStated(percent, nowMillis));
+        });
         recordRequestLimit(metadata, sentAtMillis, nowMillis);
         recordRest(metadata.rest(), nowMillis);
         if (metadata.leaving() && !upstream.isLeaving()) {
