Let the failure rate of an upstream decay

Only successes reduced it, so that an upstream which was avoided for one failed attempt was never tried again: a penalty of 40 ms outweighs the load of the others. It halves in 5 s now.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -223,7 +223,7 @@
             // The time that each request takes everywhere is left out, so that slower upstreams get their share.
             double costMillis = baseMillis * relativeTime * relativeQueueLength
                     + baseMillis * (openWork + recentWork) / 2
-                    + penaltyMillis(query, upstream)
+                    + penaltyMillis(query, upstream, nowMillis)
                     + random.nextDouble() * TIE_BREAK_JITTER_MILLIS;
             if (costMillis < bestCostMillis) {
                 best = upstream;
@@ -401,7 +401,7 @@
                                 + batchingDelay(upstream, nowMillis))
                 + (prefill.isSharedPartUncached() && !isPreferred ? UNCACHED_NON_PREFERRED_PENALTY_MILLIS : 0)
                 + (prefill.fetchFrom().isPresent() && !prefill.isSharedPartUncached() ? KV_TRANSFER_PENALTY_MILLIS : 0)
-                + penaltyMillis(query, upstream)
+                + penaltyMillis(query, upstream, nowMillis)
                 + random.nextDouble() * TIE_BREAK_JITTER_MILLIS;
         Placement placement = new Placement(
                 upstream,
@@ -433,7 +433,7 @@
                                 + (preferredTarget.isEmpty() || preferredTarget.get() == upstream
                                         ? 0
                                         : NON_PREFERRED_PENALTY_MILLIS)
-                                + penaltyMillis(query, upstream)
+                                + penaltyMillis(query, upstream, nowMillis)
                                 + random.nextDouble() * TIE_BREAK_JITTER_MILLIS))
                 .orElseThrow();
     }
@@ -461,8 +461,8 @@
                                 : NON_PREFERRED_PENALTY_MILLIS)
                 + delayOfArrivals(request.service(), EngineStage.PREFILL, prefill.uncachedTokens())
                 + (prefill.fetchFrom().isPresent() && !prefill.isSharedPartUncached() ? KV_TRANSFER_PENALTY_MILLIS : 0)
-                + penaltyMillis(query, prefillEngine)
-                + penaltyMillis(query, target)
+                + penaltyMillis(query, prefillEngine, nowMillis)
+                + penaltyMillis(query, target, nowMillis)
                 + random.nextDouble() * TIE_BREAK_JITTER_MILLIS;
         Placement placement = new Placement(
                 target,
@@ -488,8 +488,8 @@
     }
 
     /** Returns the penalty for recent failures and for another failure domain, in milliseconds. */
-    private static double penaltyMillis(PlacementQuery query, Upstream upstream) {
-        double penaltyMillis = FAILURE_PENALTY_MILLIS * upstream.failureRate();
+    private static double penaltyMillis(PlacementQuery query, Upstream upstream, long nowMillis) {
+        double penaltyMillis = FAILURE_PENALTY_MILLIS * upstream.failureRate(nowMillis);
         if (!upstream.entry().domain().equals(query.localDomain())) {
             penaltyMillis += OTHER_DOMAIN_PENALTY_MILLIS
                     + OTHER_DOMAIN_PENALTY_MILLIS_PER_KIB * query.request().bodyBytes() / 1024.0;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -20,6 +20,8 @@
     /** The weight of the newest attempt in the failure rate, which reflects about the last ten attempts. */
     private static final double SAMPLE_WEIGHT = 0.1;
 
+    private static final double FAILURE_HALF_LIFE_MILLIS = 5_000;
+
     /** How long a load reported by the upstream is used; engines respond, and so report, several times a second. */
     private static final long REPORTED_LOAD_VALID_MILLIS = 1_000;
 
@@ -42,7 +44,10 @@
     /** Initially far in the past; halved so that its difference to the current time does not overflow. */
     private long reportedAtMillis = Long.MIN_VALUE / 2;
 
+    /** The failure rate at the time of the last failure, reduced by the successes since then. */
     private double failureRate;
+
+    private long failedAtMillis;
     private boolean leaving;
     private int consecutiveRefusals;
     private long pausedUntilMillis = Long.MIN_VALUE;
@@ -238,9 +243,15 @@
         return nowMillis < pausedUntilMillis;
     }
 
-    /** Counts a failed attempt in the failure rate; does not exclude the upstream from new requests. */
-    public void onFailedAttempt() {
-        failureRate += SAMPLE_WEIGHT * (1 - failureRate);
+    /**
+     * Counts a failed attempt in the failure rate; does not exclude the upstream from new requests.
+     *
+     * @param nowMillis the current time
+     */
+    public void onFailedAttempt(long nowMillis) {
+        double before = failureRate(nowMillis);
+        failureRate = before + SAMPLE_WEIGHT * (1 - before);
+        failedAtMillis = nowMillis;
     }
 
     /**
@@ -251,7 +262,7 @@
      */
     public void onUnreachable(long nowMillis, RandomGenerator random) {
         health.onFailure(nowMillis, random);
-        onFailedAttempt();
+        onFailedAttempt(nowMillis);
     }
 
     /**
@@ -328,9 +339,14 @@
         return prefixCache.cachedTokens(prompt);
     }
 
-    /** Returns the moving average of the fraction of failed attempts, 0 to 1. */
-    double failureRate() {
-        return failureRate;
+    /**
+     * Returns the moving average of the fraction of failed attempts, 0 to 1. It halves in some seconds, since an
+     * upstream that is avoided for its failures would otherwise have no successes to reduce it.
+     */
+    double failureRate(long nowMillis) {
+        return failureRate == 0
+                ? 0
+                : failureRate * Math.pow(2, (failedAtMillis - nowMillis) / FAILURE_HALF_LIFE_MILLIS);
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -309,7 +309,7 @@
                 .with("replaced", replaced)
                 .write();
         if (replaced) {
-            upstream.onFailedAttempt();
+            upstream.onFailedAttempt(nowMillis());
         } else {
             scheduleProgressCheck(stallDetector.limitMillis());
         }
@@ -491,7 +491,7 @@
         if (isSuccess) {
             upstream.onSuccess(sentAtMillis);
         } else {
-            upstream.onFailedAttempt();
+            upstream.onFailedAttempt(nowMillis());
         }
     }
 
@@ -512,7 +512,7 @@
                 : Optional.empty();
         if (kvHandle.isEmpty()) {
             end("failed", "no KV handle, status " + status.code());
-            upstream.onFailedAttempt();
+            upstream.onFailedAttempt(nowMillis());
             relayedRequest.onAttemptFailed(this, "the prefill failed");
             return;
         }
@@ -527,7 +527,7 @@
             return;
         }
         end("broken", reason);
-        upstream.onFailedAttempt();
+        upstream.onFailedAttempt(nowMillis());
         upstream.onInconclusiveEnd(nowMillis());
         releaseRetainedKv();
         relayedRequest.onAttemptFailed(this, reason);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/EqualUpstreamsTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/EqualUpstreamsTest.java
@@ -51,6 +51,29 @@
         assertTrue(ratio <= 1.5, () -> sent.get(first) + " and " + sent.get(second) + " requests");
     }
 
+    /** Guards against an upstream that is avoided for ever because of one failed attempt. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void upstreamWithOneFailureIsUsedAgain(long failures) {
+        Upstream failed = fixture.add("a", ServingFixture.PLAIN, ServingFixture.LOCAL_DOMAIN, EngineStage.ANY);
+        fixture.add("b", ServingFixture.PLAIN, ServingFixture.LOCAL_DOMAIN, EngineStage.ANY);
+        for (int i = 0; i < failures; i++) {
+            failed.onFailedAttempt(0);
+        }
+        int used = 0;
+        for (int i = 0; i < 40; i++) {
+            long now = 30_000 + 1_000 * i;
+            Upstream target = fixture.place(ServingFixture.request("q" + i, ROUTE, List.of()), now)
+                    .orElseThrow()
+                    .target();
+            target.onSend(0, now);
+            target.onFirstResponsePart(0, now);
+            target.onEnd();
+            used += target == failed ? 1 : 0;
+        }
+        assertTrue(used >= 16 && used <= 24, used + " of 40 requests");
+    }
+
     private void onEnd(End end) {
         long tookMillis = end.atMillis() - end.sentAtMillis();
         end.upstream().onFirstResponsePart(0, end.atMillis());
