Use only the slots of an upstream that do not slow it down

Response times are compared in three ranges of the load. Where an upper range takes 1.5 times as long as the lowest, placement counts only the slots below for 30 s, and the samples of that range are divided by its slowdown. A refusal counts as a slow response unless the load is low.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -214,11 +214,9 @@
         for (Upstream upstream : usable) {
             double relativeTime = upstream.performance().relativeTime(nowMillis);
             int requests = upstream.totalRequests(nowMillis);
-            double relativeQueueLength =
-                    SentWork.relativeQueueLength(requests, upstream.entry().slots());
+            double relativeQueueLength = SentWork.relativeQueueLength(requests, upstream.usableSlots(nowMillis));
             double recentWork = Math.max(leastRecentWork, recentWork(upstream, relativeTime, nowMillis));
-            double openWork =
-                    relativeTime * (requests + 1) / Math.max(1, upstream.entry().slots());
+            double openWork = relativeTime * (requests + 1) / upstream.usableSlots(nowMillis);
             double responseMillis = baseMillis * relativeTime * (1 + relativeQueueLength);
             // The time that each request takes everywhere is left out, so that slower upstreams get their share.
             double costMillis = baseMillis * relativeTime * relativeQueueLength
@@ -237,9 +235,7 @@
 
     /** Returns the work that this node has lately sent to an upstream, relative to what the upstream does at a time. */
     private static double recentWork(Upstream upstream, double relativeTime, long nowMillis) {
-        return relativeTime
-                * upstream.recentRequests(nowMillis)
-                / Math.max(1, upstream.entry().slots());
+        return relativeTime * upstream.recentRequests(nowMillis) / upstream.usableSlots(nowMillis);
     }
 
     private static double averageRecentWork(List<Upstream> upstreams, long nowMillis) {
@@ -394,7 +390,9 @@
                         request.service(),
                         upstream.prefillStage(),
                         upstream.totalPendingPrefillTokens() + prefill.uncachedTokens());
-        double costMillis = responseMillis
+        double relativeQueueLength =
+                SentWork.relativeQueueLength(upstream.totalRequests(nowMillis), upstream.usableSlots(nowMillis));
+        double costMillis = responseMillis * (1 + relativeQueueLength)
                 + relativeTime
                         * (delayOfArrivals(request.service(), upstream.prefillStage(), prefill.uncachedTokens())
                                 + delayOfDecoding(upstream, prefill.uncachedTokens(), nowMillis)
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ResponseTimeRecorder.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ResponseTimeRecorder.java
@@ -61,7 +61,9 @@
         // How long a request waits for the slot of an engine depends on the output of others, which is not known.
         boolean waitsForSlotOfEngine = !work.isPlain() && work.relativeQueueLength() > 0;
         if (!waitsForSlotOfEngine && queueFactor * expectedMillis <= MAXIMUM_LOAD_FACTOR * ownMillis) {
-            double relativeTime = Math.max(1, usualMillis) / Math.max(1, expectedMillis);
+            double measured = Math.max(1, usualMillis) / Math.max(1, expectedMillis);
+            upstream.sustainableLoad().onResponse(work.loadRange(), measured, nowMillis);
+            double relativeTime = measured / upstream.sustainableLoad().slowdown(work.loadRange(), nowMillis);
             upstream.performance().onResponse(relativeTime, nowMillis);
             samples.add(upstream.incarnation(), relativeTime);
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/SentWork.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/SentWork.java
@@ -1,5 +1,7 @@
 package org.cactusshift.internal.coordination.serving;
 
+import org.cactusshift.internal.coordination.performance.SustainableLoad;
+
 /**
  * A request that was sent to an upstream, and the work of others that was there before it.
  *
@@ -7,10 +9,16 @@
  * @param uncachedTokens the prompt tokens of the request that the upstream has to prefill
  * @param pendingTokens the pending prefill tokens when the request was sent, including its own
  * @param relativeQueueLength the requests that have to end before this one starts, divided by the slots
+ * @param loadRange the range of the load at the upstream, as for {@link SustainableLoad}
  * @param isPlain whether it is a request to a plain service
  */
 public record SentWork(
-        EngineStage stage, long uncachedTokens, long pendingTokens, double relativeQueueLength, boolean isPlain) {
+        EngineStage stage,
+        long uncachedTokens,
+        long pendingTokens,
+        double relativeQueueLength,
+        int loadRange,
+        boolean isPlain) {
     /**
      * Returns how many requests have to end before a further one starts, relative to the slots.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -5,6 +5,7 @@
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 import org.cactusshift.internal.coordination.performance.SentRequests;
+import org.cactusshift.internal.coordination.performance.SustainableLoad;
 import org.cactusshift.internal.coordination.performance.UpstreamPerformance;
 import org.cactusshift.internal.coordination.routing.UpstreamHealth;
 
@@ -53,6 +54,7 @@
     private long pausedUntilMillis = Long.MIN_VALUE;
     private final UpstreamRest rest = new UpstreamRest();
     private final UpstreamPerformance performance = UpstreamPerformance.create();
+    private final SustainableLoad sustainableLoad = SustainableLoad.create();
     private final SentRequests sentRequests = SentRequests.none();
 
     Upstream(UpstreamEntry entry, long kvCapacityTokens) {
@@ -161,6 +163,7 @@
                 uncachedTokens,
                 totalPendingPrefillTokens() + uncachedTokens,
                 SentWork.relativeQueueLength(totalRequests(nowMillis), entry.slots()),
+                loadRange(nowMillis),
                 isPlain);
     }
 
@@ -173,6 +176,25 @@
         return performance;
     }
 
+    /**
+     * Returns what is known of how many slots the upstream can use without slowing down.
+     *
+     * @return the sustainable load
+     */
+    public SustainableLoad sustainableLoad() {
+        return sustainableLoad;
+    }
+
+    /** Returns the range of the load with one more request. */
+    private int loadRange(long nowMillis) {
+        return SustainableLoad.range(totalRequests(nowMillis) + 1, entry.slots());
+    }
+
+    /** Returns the number of slots that placement uses. */
+    int usableSlots(long nowMillis) {
+        return sustainableLoad.usableSlots(entry.slots(), nowMillis);
+    }
+
     /** Returns the number of requests that this node has sent lately, weighted by their age. */
     double recentRequests(long nowMillis) {
         return sentRequests.weighted(nowMillis);
@@ -234,6 +256,7 @@
      */
     public void onRefused(long nowMillis) {
         health.onInconclusiveProbe(nowMillis);
+        sustainableLoad.onRefused(loadRange(nowMillis), nowMillis);
         pausedUntilMillis =
                 nowMillis + (FIRST_REFUSAL_PAUSE_MILLIS << Math.min(consecutiveRefusals, MAXIMUM_PAUSE_DOUBLINGS));
         consecutiveRefusals++;
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/PlacementSimulationTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/PlacementSimulationTest.java
@@ -63,6 +63,24 @@
         assertEquals(0.25, simulation.shares(18, SECONDS)[0], 0.025);
     }
 
+    /** Guards against an upstream that is loaded as the others although it slows down at half of its slots. */
+    @ParameterizedTest
+    @CsvSource({"2, 1", "2, 2", "67, 3"})
+    void upstreamThatSlowsAtHalfOfItsSlotsGetsItsSustainableShare(int nodes, long seed) {
+        PlacementSimulation simulation = new PlacementSimulation(
+                        nodes,
+                        SPEEDS.length,
+                        SECONDS,
+                        (upstream, running, now) -> upstream == 0 && 2 * running >= PlacementSimulation.SLOTS ? 2 : 1,
+                        (upstream, now) -> 0,
+                        PlacementSimulation::byPlacer,
+                        seed)
+                .run(500);
+        double share = simulation.shares(SETTLED_SECOND, SECONDS)[0];
+        double slots = PlacementSimulation.SLOTS / 2 - 1;
+        assertEquals(slots / (slots + 3 * PlacementSimulation.SLOTS), share, 0.05);
+    }
+
     /** Guards against requests that pile up at an upstream because it states that it is fast, or at the others. */
     @ParameterizedTest
     @CsvSource({"10, 1", "10000, 2"})
