Keep the requests of all nodes within the memory of an engine

An engine crashes when the requests that it holds exceed its memory, and placement did not look at that. Each node counts the prompts and the expected output of its open requests at an engine, and the work in its gossip messages has the sum as a third number. Engines without room are left out. A request that fits no engine is refused on arrival with its time budget as Retry-After.

PlacerTest: an engine at 300,001 of 400,000 tokens gets no request of 100,000; the refusal of a request too large was not run on a node.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -132,20 +132,23 @@
      *
      * @param query the request
      * @param nowMillis the current time
-     * @return the placement; empty when every upstream is leaving, excluded or at its request limit, or only prefill
-     *     engines are left
+     * @return the placement; empty when every upstream is leaving, excluded, at its request limit or without memory for
+     *     the request, or only prefill engines are left
      */
     public Optional<Placement> place(PlacementQuery query, long nowMillis) {
         List<Upstream> usable = usable(query, nowMillis);
         if (usable.isEmpty()) {
             return Optional.empty();
         }
-        if (serviceLookup
-                .apply(query.request().service())
-                .flatMap(ServedService::engine)
-                .isEmpty()) {
+        Optional<EngineCapabilities> engine =
+                serviceLookup.apply(query.request().service()).flatMap(ServedService::engine);
+        if (engine.isEmpty()) {
             return choosePlain(query, usable, nowMillis);
         }
+        // An engine crashes when the requests that it holds exceed its memory.
+        usable.removeIf(upstream -> !upstream.hasMemoryFor(
+                query.request().heldTokens(upstream.entry().stage() == EngineStage.PREFILL),
+                engine.get().kvCapacityTokens()));
         return chooseEngine(query, usable, nowMillis);
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServingRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServingRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.RequestId;
 import org.cactusshift.id.ServiceId;
@@ -49,6 +50,29 @@
         return prompt.stream().mapToInt(PromptPart::tokens).sum();
     }
 
+    /**
+     * Returns the tokens for which the request takes memory at an engine while it is open there.
+     *
+     * @param isPrefill whether the engine only prefills the prompt
+     * @return the tokens of the prompt, and of the expected output unless it is a prefill
+     */
+    public long heldTokens(boolean isPrefill) {
+        return promptTokens() + (isPrefill ? 0L : expectedOutputTokens);
+    }
+
+    /**
+     * Returns whether the memory of an engine suffices for the request.
+     *
+     * @param service the service, empty when it is not known
+     * @return whether it does; true for a plain service and for one that states no capacity
+     */
+    public boolean fitsAnEngine(Optional<ServedService> service) {
+        long capacityTokens = service.flatMap(ServedService::engine)
+                .map(EngineCapabilities::kvCapacityTokens)
+                .orElse(0L);
+        return capacityTokens <= 0 || heldTokens(false) <= capacityTokens;
+    }
+
     /**
      * Returns what may crash an upstream by this request: the request itself and the parts of its prompt, but not the
      * last part, which is in no other request.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -39,7 +39,9 @@
     private long pendingPrefillTokens;
     private int requestsAwaitingFirstPart;
     private long lastProgressMillis;
+    private long heldTokens;
     private int remoteRequests;
+    private long remoteHeldTokens;
     private long remotePendingPrefillTokens;
     private int reportedRequests;
     /** Initially far in the past; halved so that its difference to the current time does not overflow. */
@@ -309,10 +311,43 @@
         reportedAtMillis = nowMillis;
     }
 
-    /** Sets the number of open requests of other nodes, and their prompt tokens that are not prefilled yet. */
-    void setRemoteWork(int requests, long pendingTokens) {
-        remoteRequests = requests;
-        remotePendingPrefillTokens = pendingTokens;
+    /** Sets the open requests of other nodes. */
+    void setRemoteWork(OpenWork work) {
+        remoteRequests = work.requests();
+        remotePendingPrefillTokens = work.pendingPrefillTokens();
+        remoteHeldTokens = work.heldTokens();
+    }
+
+    /**
+     * Records that a request of this node takes memory at the engine.
+     *
+     * @param tokens its tokens
+     */
+    public void hold(long tokens) {
+        heldTokens += tokens;
+    }
+
+    /**
+     * Records that a request of this node takes no memory any more.
+     *
+     * @param tokens the same value as passed to {@link #hold}
+     */
+    public void release(long tokens) {
+        heldTokens = Math.max(0, heldTokens - tokens);
+    }
+
+    /**
+     * Returns the open requests of this node.
+     *
+     * @return the requests
+     */
+    public OpenWork openWork() {
+        return new OpenWork(openRequests, pendingPrefillTokens, heldTokens);
+    }
+
+    /** Returns whether the memory of the engine suffices for further tokens, as far as known to this node. */
+    boolean hasMemoryFor(long tokens, long capacityTokens) {
+        return capacityTokens <= 0 || heldTokens + remoteHeldTokens + tokens <= capacityTokens;
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/UpstreamDirectory.java
@@ -305,9 +305,6 @@
      * @param work the open requests by upstream; an upstream that is not contained has none
      */
     public void setRemoteWork(Map<UpstreamId, OpenWork> work) {
-        upstreamById.forEach((id, upstream) -> {
-            OpenWork remote = work.getOrDefault(id, OpenWork.NONE);
-            upstream.setRemoteWork(remote.requests(), remote.pendingPrefillTokens());
-        });
+        upstreamById.forEach((id, upstream) -> upstream.setRemoteWork(work.getOrDefault(id, OpenWork.NONE)));
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipMessageCodec.java
@@ -33,11 +33,11 @@
 import org.cactusshift.internal.coordination.serving.UsageCollector;
 
 /**
- * Encodes and decodes gossip messages as JSON. The work at an upstream is an array of the requests and the pending
- * prefill tokens, the use of a prompt part an array of the upstream, the id of the part and its tokens, a crash an
- * array of the suspect, the upstream and the ages, a completed attempt an array of the suspect and the age, a request
- * limit an array of the upstream, its start, the revision, the limit or null, and the age, the performance of an
- * upstream an array of the upstream, its start, the number of samples and the sum of their logarithms.
+ * Encodes and decodes gossip messages as JSON. The work at an upstream is an array of the requests, the pending prefill
+ * tokens and the held tokens, the use of a prompt part an array of the upstream, the id of the part and its tokens, a
+ * crash an array of the suspect, the upstream and the ages, a completed attempt an array of the suspect and the age, a
+ * request limit an array of the upstream, its start, the revision, the limit or null, and the age, the performance of
+ * an upstream an array of the upstream, its start, the number of samples and the sum of their logarithms.
  */
 final class GossipMessageCodec {
     private static final JsonFactory JSON = new JsonFactory();
@@ -61,6 +61,7 @@
                 json.writeArrayFieldStart(entry.getKey().value());
                 json.writeNumber(entry.getValue().requests());
                 json.writeNumber(entry.getValue().pendingPrefillTokens());
+                json.writeNumber(entry.getValue().heldTokens());
                 json.writeEndArray();
             }
             json.writeEndObject();
@@ -261,7 +262,8 @@
                         UpstreamId.fromString(entry.getKey()),
                         new OpenWork(
                                 entry.getValue().path(0).asInt(),
-                                entry.getValue().path(1).asLong()));
+                                entry.getValue().path(1).asLong(),
+                                entry.getValue().path(2).asLong()));
             }
             Map<IncarnationId, Map<Long, Map<AccountId, Long>>> usage = new HashMap<>();
             for (Map.Entry<String, JsonNode> node : fields(root, "usage")) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
@@ -227,7 +227,7 @@
             // Requests behind a lost link do not load the upstream.
             if (upstream.openRequests() > 0
                     && !reachability.isUnreachable(upstream.entry().service())) {
-                work.put(upstream.id(), new OpenWork(upstream.openRequests(), upstream.pendingPrefillTokens()));
+                work.put(upstream.id(), upstream.openWork());
             }
         }
         List<PromptPartUse> uses = recentUses.stream().map(RecentUse::use).toList();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
@@ -88,11 +88,31 @@
         TimeSpan time = new TimeSpan(exchange.receivedAtMillis(), exchange.receivedAtMillis() + budgetMillis);
         Optional<AccountId> account = owner.map(KeyOwner::account);
         ServingRequest request = request(exchange, route, service.get(), account, priority, metadata, time);
+        if (!request.fitsAnEngine(Optional.ofNullable(serving.services().get(service.get())))) {
+            refuseTooLarge(exchange, request, serving.version());
+            return;
+        }
         context.retryBudgets().of(service.get()).onRequest(exchange.receivedAtMillis());
         RequestOrigin origin = new RequestOrigin(account, serving.version(), false);
         new RelayedRequest(context, exchange, metadata, request, origin).start();
     }
 
+    /** Refuses a request that no engine has the memory for; a retry within its time budget would bring nothing. */
+    private void refuseTooLarge(CallerExchange exchange, ServingRequest request, long version) {
+        String reason = "the request has more tokens than an engine has memory for";
+        context.log()
+                .event("request.refused")
+                .with("request", request.id().value())
+                .with("status", HttpResponseStatus.SERVICE_UNAVAILABLE.code())
+                .with("reason", reason)
+                .with("tokens", request.heldTokens(false))
+                .with("configVersion", version)
+                .write();
+        context.metrics().onRequestEnded(request.route().kind().name(), "refused");
+        long budgetMillis = request.deadlineMillis() - request.arrivedAtMillis();
+        PlainTextResponse.refuse(exchange, context.codec(), reason, budgetMillis);
+    }
+
     private static boolean needsKey(ServingConfig serving, ServedRoute route) {
         return serving.keyOwners().isPresent() && !route.open();
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -183,6 +183,7 @@
             context().upstreamLimits().onSend(upstream.incarnation(), startedAtMillis);
         }
         upstream.onSend(uncachedTokens(), nowMillis());
+        upstream.hold(request().heldTokens(isPrefill));
         String address = upstream.entry().address();
         relayedRequest.sentAttempts().connect(context().pool(), address, maximumIdleMillis, this::onConnection);
     }
@@ -560,6 +561,7 @@
         }
         settlePendingPrefill();
         upstream.onEnd();
+        upstream.release(request().heldTokens(isPrefill));
         context().metrics().onAttemptEnded(request().service().value(), outcome);
         context()
                 .log()
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/PlacerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/PlacerTest.java
@@ -7,11 +7,14 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.cactusshift.id.UpstreamId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class PlacerTest {
@@ -184,6 +187,35 @@
         assertTrue(fixture.place(request, 0).orElseThrow().prefillEngine().isPresent());
     }
 
+    /** Guards against an engine that crashes because the requests of all nodes exceed its memory. */
+    @Test
+    void engineWithoutMemoryForTheRequestGetsNone() {
+        addEngines(0, 2);
+        ServingRequest request = ServingFixture.request("q", STREAM, ServingFixture.prompt(5, 90_000, 10_000));
+        Upstream first = fixture.upstream("output-0");
+        Upstream second = fixture.upstream("output-1");
+        first.hold(300_001);
+        fixture.directory.setRemoteWork(Map.of(second.id(), new OpenWork(0, 0, 300_000)));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(second, fixture.place(request, 0).orElseThrow().target());
+        }
+        second.hold(request.heldTokens(false));
+        assertTrue(fixture.place(request, 0).isEmpty());
+        second.release(request.heldTokens(false));
+        assertEquals(second, fixture.place(request, 0).orElseThrow().target());
+    }
+
+    /** Guards against a request that waits although no engine can ever take it. */
+    @ParameterizedTest
+    @CsvSource({"400_000, true", "400_001, false"})
+    void requestFitsAnEngineIfItsTokensDo(String tokens, boolean expected) {
+        int promptTokens = Integer.parseInt(tokens.replace("_", ""));
+        ServingRequest request = ServingFixture.request("q", STREAM, ServingFixture.prompt(5, promptTokens - 1, 1));
+        assertEquals(expected, request.fitsAnEngine(ServingFixture.service(ServingFixture.MODEL)));
+        assertTrue(request.fitsAnEngine(ServingFixture.service(ServingFixture.PLAIN)));
+        assertTrue(request.fitsAnEngine(Optional.empty()));
+    }
+
     @Test
     void excludedPrefillEngineIsReplacedByAnother() {
         addEngines(3, 2);
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UpstreamDirectoryTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/UpstreamDirectoryTest.java
@@ -145,7 +145,7 @@
     @Test
     void remoteWorkIsReplacedCompletely() {
         directory.put(entry(false, 1, "x:1"));
-        directory.setRemoteWork(Map.of(ID, new OpenWork(3, 70)));
+        directory.setRemoteWork(Map.of(ID, new OpenWork(3, 70, 90)));
         assertEquals(70, directory.find(ID).orElseThrow().totalPendingPrefillTokens());
         directory.setRemoteWork(Map.of());
         assertEquals(0, directory.find(ID).orElseThrow().totalPendingPrefillTokens());
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
@@ -36,7 +36,7 @@
                 InstanceId.fromString("n1"),
                 IncarnationId.fromString("i1"),
                 1_700_000_000_000L,
-                Map.of(UpstreamId.fromString("u1"), new OpenWork(3, 4_000)),
+                Map.of(UpstreamId.fromString("u1"), new OpenWork(3, 4_000, 9_000)),
                 Map.of(IncarnationId.fromString("i1"), Map.of(7L, Map.of(AccountId.fromString("a"), 9L))),
                 Optional.of(new UsageCollector(InstanceId.fromString("n2"), "127.0.0.1:1", 12)),
                 List.of(new CrashReport(CrashSuspect.request(-5), UpstreamId.fromString("u2"), 300, 200)),
