Report slow upstreams and the estimates of their performance

Adds the log events upstream.slow and upstream.recovered and three metrics of each upstream with samples: estimate, age, number.

UpstreamPerformanceTest passes; the log lines were not seen on a node.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/performance/UpstreamPerformance.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/performance/UpstreamPerformance.java
@@ -41,6 +41,12 @@
 
     private static final double PERCENT = 100;
 
+    /** An upstream with a greater estimate is slow. */
+    private static final double SLOW_ESTIMATE = 2;
+
+    /** A slow upstream with a lesser estimate has recovered; the gap keeps one near the bound from changing often. */
+    private static final double RECOVERED_ESTIMATE = 1.5;
+
     private double logarithm;
     private double variance = PRIOR_VARIANCE;
     private long samples;
@@ -51,6 +57,18 @@
     private double statedFactor = 1;
     private long statedAtMillis = Long.MIN_VALUE / 2;
 
+    private boolean slow;
+
+    /** A change that operators are told of. */
+    public enum Change {
+        /** None since the last call. */
+        NONE,
+        /** Work takes more than twice as long as at the other upstreams. */
+        SLOW,
+        /** The upstream was slow and is not any more, or is not known to be. */
+        RECOVERED
+    }
+
     private UpstreamPerformance() {}
 
     /**
@@ -181,6 +199,28 @@
         return Math.max(0, nowMillis - sampledAtMillis);
     }
 
+    /**
+     * Returns whether the upstream has become slow or has recovered since the last call.
+     *
+     * @param nowMillis the current time
+     * @return the change
+     */
+    public Change takeChange(long nowMillis) {
+        if (!slow && ageMillis(nowMillis) >= EXPIRY_MILLIS) {
+            return Change.NONE;
+        }
+        double estimate = estimate(nowMillis);
+        if (!slow && estimate > SLOW_ESTIMATE) {
+            slow = true;
+            return Change.SLOW;
+        }
+        if (slow && estimate < RECOVERED_ESTIMATE) {
+            slow = false;
+            return Change.RECOVERED;
+        }
+        return Change.NONE;
+    }
+
     /** Returns the logarithm of a relative time, within the bounds of a sample. */
     static double boundedLogarithm(double relativeTime) {
         return bounded(Math.log(relativeTime));
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -186,6 +186,11 @@
         livePeers.set(count);
     }
 
+    /** Returns the registry, for metrics that are computed when they are read. */
+    PrometheusRegistry registry() {
+        return registry;
+    }
+
     /**
      * Returns all metrics.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -423,6 +423,7 @@
                     settings.instance(), settings.domain(), registration::peerEndpoints, gossipChannel);
             follower.shareReads(reads::rank, reads::tell);
             follower.start();
+            PerformanceMonitor.start(directory, runtime.clock(), runtime.log(), metrics.registry(), eventLoop);
             eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         });
         runtime.log()
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/performance/UpstreamPerformanceTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/performance/UpstreamPerformanceTest.java
@@ -63,6 +63,18 @@
         assertTrue(performance.estimate(0) < 1.2);
     }
 
+    /** Guards against a log line with each sample of an upstream near the bound, and against a missing recovery. */
+    @Test
+    void slownessAndRecoveryAreToldOnce() {
+        assertEquals(UpstreamPerformance.Change.NONE, performance.takeChange(0));
+        respond(500, 2.2);
+        assertEquals(UpstreamPerformance.Change.SLOW, performance.takeChange(0));
+        respond(500, 1.8);
+        assertEquals(UpstreamPerformance.Change.NONE, performance.takeChange(0));
+        assertEquals(UpstreamPerformance.Change.RECOVERED, performance.takeChange(20_000));
+        assertEquals(UpstreamPerformance.Change.NONE, performance.takeChange(20_000));
+    }
+
     /** Guards against a statement that is used for longer than it holds, or that is out of range. */
     @ParameterizedTest
     @CsvSource({"250, 300, 2.5", "250, 301, 1", "9, 0, 1", "10001, 0, 1", "10000, 0, 4", "10, 0, 0.25"})
