Relate samples to the average of their kind of work

An expected time that is wrong for all upstreams made the one upstream with samples look up to four times as fast as an unused one. After a rest of its upstream, RestingUpstreamTest (stream, lm) saw no request go there within a second. Samples are now divided by the average ratio of the service, by stage and by short or long prefill.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/LatencyEstimator.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/LatencyEstimator.java
@@ -91,6 +91,11 @@
         }
     }
 
+    /** Returns whether the prefill of a request is too short to tell the time for a token. */
+    static boolean isShort(long uncachedTokens) {
+        return uncachedTokens < SHORT_PREFILL_TOKENS;
+    }
+
     private Estimate estimate(ServiceId service) {
         return estimateByService.computeIfAbsent(service, id -> new Estimate());
     }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ResponseTimeRecorder.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ResponseTimeRecorder.java
@@ -1,14 +1,17 @@
 package org.cactusshift.internal.coordination.serving;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.performance.AverageRelativeTime;
 import org.cactusshift.internal.coordination.performance.PerformanceSamples;
 
 /**
  * Passes the measured time to the first part of a response to the estimates that use it: the expected time of the
  * service, and the performance of the upstream.
  *
- * <p>A sample of an upstream is its time divided by the expected time for the same work at the same load, so that an
- * upstream that is merely busy does not count as slow.
+ * <p>A sample of an upstream is its time divided by the expected time for the same work at the same load, relative to
+ * the average of that over the upstreams of the service. An upstream that is merely busy does not count as slow.
  */
 public final class ResponseTimeRecorder {
     /**
@@ -19,6 +22,7 @@
 
     private final LatencyEstimator latency = new LatencyEstimator();
     private final PerformanceSamples samples;
+    private final Map<WorkKind, AverageRelativeTime> averageByKind = new HashMap<>();
 
     private ResponseTimeRecorder(PerformanceSamples samples) {
         this.samples = samples;
@@ -61,7 +65,7 @@
         // How long a request waits for the slot of an engine depends on the output of others, which is not known.
         boolean waitsForSlotOfEngine = !work.isPlain() && work.relativeQueueLength() > 0;
         if (!waitsForSlotOfEngine && queueFactor * expectedMillis <= MAXIMUM_LOAD_FACTOR * ownMillis) {
-            double measured = Math.max(1, usualMillis) / Math.max(1, expectedMillis);
+            double measured = averageOf(service, work).relate(Math.max(1, usualMillis) / Math.max(1, expectedMillis));
             upstream.sustainableLoad().onResponse(work.loadRange(), measured, nowMillis);
             double relativeTime = measured / upstream.sustainableLoad().slowdown(work.loadRange(), nowMillis);
             upstream.performance().onResponse(relativeTime, nowMillis);
@@ -70,4 +74,11 @@
         latency.onFirstResponsePart(
                 service, work.stage(), work.pendingTokens(), work.uncachedTokens(), Math.round(usualMillis));
     }
+
+    private AverageRelativeTime averageOf(ServiceId service, SentWork work) {
+        WorkKind kind = new WorkKind(service, work.stage(), LatencyEstimator.isShort(work.uncachedTokens()));
+        return averageByKind.computeIfAbsent(kind, key -> AverageRelativeTime.create());
+    }
+
+    private record WorkKind(ServiceId service, EngineStage stage, boolean isShort) {}
 }
