--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -5,20 +5,25 @@
 import java.util.random.RandomGenerator;
 import org.cactusshift.id.UpstreamId;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
+import org.cactusshift.internal.coordination.performance.SentRequests;
+import org.cactusshift.internal.coordination.performance.SustainableLoad;
+import org.cactusshift.internal.coordination.performance.UpstreamPerformance;
 import org.cactusshift.internal.coordination.routing.UpstreamHealth;
 
 /**
- * The state that a node tracks for one incarnation of an upstream: its entry, its open work, and its recent latency and
- * failures.
+ * The state that a node tracks for one incarnation of an upstream: its entry, its open work, its performance and its
+ * recent failures.
  *
  * <p>Used by the relay; its counterpart in the dispatcher is
  * {@link org.cactusshift.internal.coordination.routing.UpstreamState}. Owned by an {@link UpstreamDirectory}; not
  * thread-safe.
  */
 public final class Upstream {
-    /** The weight of the newest sample in the moving averages, which reflect about the last ten responses. */
+    /** The weight of the newest attempt in the failure rate, which reflects about the last ten attempts. */
     private static final double SAMPLE_WEIGHT = 0.1;
 
+    private static final double FAILURE_HALF_LIFE_MILLIS = 5_000;
+
     /** How long a load reported by the upstream is used; engines respond, and so report, several times a second. */
     private static final long REPORTED_LOAD_VALID_MILLIS = 1_000;
 
@@ -28,9 +33,6 @@
     /** The pause after a refusal doubles at most this many times, up to 1,600 ms. */
     private static final int MAXIMUM_PAUSE_DOUBLINGS = 4;
 
-    /** Upper bound for one sample of relative latency, so that a single delayed response has limited effect. */
-    private static final double MAXIMUM_RELATIVE_LATENCY = 10;
-
     /**
      * How long an announced change of stage keeps requests away: the announcement, an order and one repetition of it.
      * It ends, as the holder of the duty may have been lost before it sent the order.
@@ -44,20 +46,27 @@
     private long pendingPrefillTokens;
     private int requestsAwaitingFirstPart;
     private long lastProgressMillis;
+    private long heldTokens;
     private int remoteRequests;
+    private long remoteHeldTokens;
     private long remotePendingPrefillTokens;
     private int reportedRequests;
     /** Initially far in the past; halved so that its difference to the current time does not overflow. */
     private long reportedAtMillis = Long.MIN_VALUE / 2;
 
+    /** The failure rate at the time of the last failure, reduced by the successes since then. */
     private double failureRate;
-    private double averageRelativeLatency = 1;
+
+    private long failedAtMillis;
     private boolean leaving;
     private Optional<EngineStage> announcedStage = Optional.empty();
     private long stageAnnouncedAtMillis;
     private int consecutiveRefusals;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private final UpstreamRest rest = new UpstreamRest();
+    private final UpstreamPerformance performance = UpstreamPerformance.create();
+    private final SustainableLoad sustainableLoad = SustainableLoad.create();
+    private final SentRequests sentRequests = SentRequests.none();
 
     Upstream(UpstreamEntry entry, long kvCapacityTokens) {
         this.entry = entry;
@@ -167,6 +176,59 @@
             lastProgressMillis = nowMillis;
         }
         requestsAwaitingFirstPart++;
+        sentRequests.onSend(nowMillis);
+    }
+
+    /**
+     * Describes a request that is about to be sent, and the work of others before it.
+     *
+     * @param stage as for {@link LatencyEstimator#firstPartMillis}
+     * @param uncachedTokens the prompt tokens that the upstream has to prefill
+     * @param isPlain whether it is a request to a plain service
+     * @param nowMillis the current time
+     * @return the work
+     */
+    public SentWork workOf(EngineStage stage, long uncachedTokens, boolean isPlain, long nowMillis) {
+        return new SentWork(
+                stage,
+                uncachedTokens,
+                totalPendingPrefillTokens() + uncachedTokens,
+                SentWork.relativeQueueLength(totalRequests(nowMillis), entry.slots()),
+                loadRange(nowMillis),
+                isPlain);
+    }
+
+    /**
+     * Returns the estimate of how long work takes at the upstream.
+     *
+     * @return the estimate
+     */
+    public UpstreamPerformance performance() {
+        return performance;
+    }
+
+    /**
+     * Returns what is known of how many slots the upstream can use without slowing down.
+     *
+     * @return the sustainable load
+     */
+    public SustainableLoad sustainableLoad() {
+        return sustainableLoad;
+    }
+
+    /** Returns the range of the load with one more request. */
+    private int loadRange(long nowMillis) {
+        return SustainableLoad.range(totalRequests(nowMillis) + 1, entry.slots());
+    }
+
+    /** Returns the number of slots that placement uses. */
+    int usableSlots(long nowMillis) {
+        return sustainableLoad.usableSlots(entry.slots(), nowMillis);
+    }
+
+    /** Returns the number of requests that this node has sent lately, weighted by their age. */
+    double recentRequests(long nowMillis) {
+        return sentRequests.weighted(nowMillis);
     }
 
     /**
@@ -217,16 +279,6 @@
         failureRate -= SAMPLE_WEIGHT * failureRate;
     }
 
-    /**
-     * Records the time to the first part of a response relative to the estimate for the same work.
-     *
-     * @param relativeLatency the actual time divided by the expected time, above 0
-     */
-    public void onRelativeLatency(double relativeLatency) {
-        averageRelativeLatency +=
-                SAMPLE_WEIGHT * (Math.min(relativeLatency, MAXIMUM_RELATIVE_LATENCY) - averageRelativeLatency);
-    }
-
     /**
      * Records that the upstream refused a request; it receives no requests for a time that doubles with each further
      * refusal.
@@ -235,6 +287,7 @@
      */
     public void onRefused(long nowMillis) {
         health.onInconclusiveProbe(nowMillis);
+        sustainableLoad.onRefused(loadRange(nowMillis), nowMillis);
         pausedUntilMillis =
                 nowMillis + (FIRST_REFUSAL_PAUSE_MILLIS << Math.min(consecutiveRefusals, MAXIMUM_PAUSE_DOUBLINGS));
         consecutiveRefusals++;
@@ -244,9 +297,15 @@
         return nowMillis < pausedUntilMillis;
     }
 
-    /** Counts a failed attempt in the failure rate; does not exclude the upstream from new requests. */
-    public void onFailedAttempt() {
-        failureRate += SAMPLE_WEIGHT * (1 - failureRate);
+    /**
+     * Counts a failed attempt in the failure rate; does not exclude the upstream from new requests.
+     *
+     * @param nowMillis the current time
+     */
+    public void onFailedAttempt(long nowMillis) {
+        double before = failureRate(nowMillis);
+        failureRate = before + SAMPLE_WEIGHT * (1 - before);
+        failedAtMillis = nowMillis;
     }
 
     /**
@@ -257,7 +316,7 @@
      */
     public void onUnreachable(long nowMillis, RandomGenerator random) {
         health.onFailure(nowMillis, random);
-        onFailedAttempt();
+        onFailedAttempt(nowMillis);
     }
 
     /**
@@ -281,10 +340,43 @@
         reportedAtMillis = nowMillis;
     }
 
-    /** Sets the number of open requests of other nodes, and their prompt tokens that are not prefilled yet. */
-    void setRemoteWork(int requests, long pendingTokens) {
-        remoteRequests = requests;
-        remotePendingPrefillTokens = pendingTokens;
+    /** Sets the open requests of other nodes. */
+    void setRemoteWork(OpenWork work) {
+        remoteRequests = work.requests();
+        remotePendingPrefillTokens = work.pendingPrefillTokens();
+        remoteHeldTokens = work.heldTokens();
+    }
+
+    /**
+     * Records that a request of this node takes memory at the engine.
+     *
+     * @param tokens its tokens
+     */
+    public void hold(long tokens) {
+        heldTokens += tokens;
+    }
+
+    /**
+     * Records that a request of this node takes no memory any more.
+     *
+     * @param tokens the same value as passed to {@link #hold}
+     */
+    public void release(long tokens) {
+        heldTokens = Math.max(0, heldTokens - tokens);
+    }
+
+    /**
+     * Returns the open requests of this node.
+     *
+     * @return the requests
+     */
+    public OpenWork openWork() {
+        return new OpenWork(openRequests, pendingPrefillTokens, heldTokens);
+    }
+
+    /** Returns whether the memory of the engine suffices for further tokens, as far as known to this node. */
+    boolean hasMemoryFor(long tokens, long capacityTokens) {
+        return capacityTokens <= 0 || heldTokens + remoteHeldTokens + tokens <= capacityTokens;
     }
 
     /**
@@ -334,14 +426,14 @@
         return prefixCache.cachedTokens(prompt);
     }
 
-    /** Returns the moving average of the fraction of failed attempts, 0 to 1. */
-    double failureRate() {
-        return failureRate;
-    }
-
-    /** Returns the moving average of actual over expected latency; 1 is as expected. */
-    double averageRelativeLatency() {
-        return averageRelativeLatency;
+    /**
+     * Returns the moving average of the fraction of failed attempts, 0 to 1. It halves in some seconds, since an
+     * upstream that is avoided for its failures would otherwise have no successes to reduce it.
+     */
+    double failureRate(long nowMillis) {
+        return failureRate == 0
+                ? 0
+                : failureRate * Math.pow(2, (failedAtMillis - nowMillis) / FAILURE_HALF_LIFE_MILLIS);
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -30,9 +30,9 @@
 import org.cactusshift.internal.coordination.serving.CallerLimits;
 import org.cactusshift.internal.coordination.serving.CrashDetector;
 import org.cactusshift.internal.coordination.serving.GossipReceiver;
-import org.cactusshift.internal.coordination.serving.LatencyEstimator;
 import org.cactusshift.internal.coordination.serving.PeerToken;
 import org.cactusshift.internal.coordination.serving.Placer;
+import org.cactusshift.internal.coordination.serving.ResponseTimeRecorder;
 import org.cactusshift.internal.coordination.serving.ServedService;
 import org.cactusshift.internal.coordination.serving.ServiceReachability;
 import org.cactusshift.internal.coordination.serving.ServingConfig;
@@ -297,14 +297,14 @@
     }
 
     private RelayContext context(Protocol protocol, CrashDetector crashDetector, RandomGenerator random) {
-        LatencyEstimator latencyEstimator = new LatencyEstimator();
+        ResponseTimeRecorder responseTimes = ResponseTimeRecorder.create(gossipSender.performanceSamples());
         return new RelayContext(
                 eventLoop,
                 runtime.clock(),
                 protocol.codec(),
                 runtime.pool(),
-                Placer.create(directory, upstreamLimits, this::service, latencyEstimator, random),
-                latencyEstimator,
+                Placer.create(directory, upstreamLimits, this::service, responseTimes.latency(), random),
+                responseTimes,
                 this::retryBudget,
                 crashHistory,
                 crashDetector,
@@ -444,6 +444,7 @@
                     sharedReads::rank,
                     changes -> sharedReads.tell(changes, runtime.clock().monotonicMillis()));
             follower.start();
+            PerformanceMonitor.start(directory, runtime.clock(), runtime.log(), metrics.registry(), eventLoop);
             eventLoop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         });
         runtime.log()
