Weigh the speed of decode engines also while they are idle

After a separate prefill, an idle slow engine cost as little as an idle fast one, as only the requests beside it were weighed by its speed. The time of the decode itself is weighed too now. PlacerTest.idleFastEngineDecodesBeforeAnIdleSlowOne guards it.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -429,9 +429,12 @@
     /** Selects the engine that decodes after a separate prefill. */
     private Upstream selectDecodeEngine(
             PlacementQuery query, List<Upstream> targets, Optional<Upstream> preferredTarget, long nowMillis) {
+        // Counted in full, so that an idle slow engine costs more than an idle fast one.
+        double decodeMillis = latency.firstPartMillis(query.request().service(), EngineStage.ANY, 0);
         return targets.stream()
                 .min(Comparator.comparingDouble(
-                        upstream -> upstream.performance().relativeTime(nowMillis) * batchingDelay(upstream, nowMillis)
+                        upstream -> upstream.performance().relativeTime(nowMillis)
+                                        * (decodeMillis + batchingDelay(upstream, nowMillis))
                                 + upstream.totalPendingPrefillTokens() * PREFILL_MILLIS_PER_TOKEN
                                 + (preferredTarget.isEmpty() || preferredTarget.get() == upstream
                                         ? 0
