Bound the encoded reports of a message to 320 bytes

The assumed bytes of a report besides its id were a few too low for eight reports with large sums.

GossipMessageCodecTest encodes the longest reports for three lengths of id; GossipReceiverTest checks that reports about another incarnation have no effect.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/performance/PerformanceSamples.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/performance/PerformanceSamples.java
@@ -21,7 +21,7 @@
     private static final int MAXIMUM_ENCODED_BYTES = 300;
 
     /** Encoded bytes of a report besides the id: start time, count, sum, quotes, brackets and commas. */
-    private static final int FIXED_ENCODED_BYTES = 30;
+    private static final int FIXED_ENCODED_BYTES = 34;
 
     /** Bound for the held samples: 20 s of a node that gets 200 responses per second. */
     private static final int MAXIMUM_SAMPLES = 4_096;
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/GossipReceiverTest.java
@@ -11,9 +11,13 @@
 import org.cactusshift.id.IncarnationId;
 import org.cactusshift.id.InstanceId;
 import org.cactusshift.id.ServiceId;
+import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
+import org.cactusshift.internal.coordination.performance.PerformanceReport;
 import org.cactusshift.internal.coordination.quarantine.CrashHistory;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class GossipReceiverTest {
     private static final InstanceId NODE = InstanceId.fromString("n1");
@@ -32,6 +36,13 @@
 
     private static GossipMessage message(
             Map<IncarnationId, Map<Long, Map<AccountId, Long>>> counts, Optional<UsageCollector> collector) {
+        return message(counts, collector, List.of());
+    }
+
+    private static GossipMessage message(
+            Map<IncarnationId, Map<Long, Map<AccountId, Long>>> counts,
+            Optional<UsageCollector> collector,
+            List<PerformanceReport> performance) {
         return new GossipMessage(
                 NODE,
                 INCARNATION,
@@ -44,7 +55,22 @@
                 List.of(),
                 List.of(),
                 Set.of(SERVICE),
-                List.of());
+                performance);
+    }
+
+    /** Guards against samples of a former incarnation that count for the one that replaced it. */
+    @ParameterizedTest
+    @CsvSource({"1, 3", "2, 0"})
+    void samplesCountForTheirIncarnationOnly(long startedAtEpochMillis, long expectedSamples) {
+        ServingFixture fixture = new ServingFixture();
+        Upstream upstream = fixture.add("u", SERVICE, ServingFixture.LOCAL_DOMAIN, EngineStage.ANY);
+        UpstreamIncarnation incarnation = new UpstreamIncarnation(upstream.id(), startedAtEpochMillis);
+        GossipReceiver.create(fixture.directory, new SiteClock(), usage, CrashHistory.create(1_000), limits::add)
+                .onMessage(
+                        message(Map.of(), Optional.empty(), List.of(new PerformanceReport(incarnation, 3, 1))),
+                        ADDRESS,
+                        1);
+        assertEquals(expectedSamples, upstream.performance().samples());
     }
 
     @Test
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/GossipMessageCodecTest.java
@@ -17,6 +17,7 @@
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 import org.cactusshift.internal.coordination.limits.UpstreamLimitReport;
 import org.cactusshift.internal.coordination.performance.PerformanceReport;
+import org.cactusshift.internal.coordination.performance.PerformanceSamples;
 import org.cactusshift.internal.coordination.quarantine.CompletionReport;
 import org.cactusshift.internal.coordination.quarantine.CrashReport;
 import org.cactusshift.internal.coordination.quarantine.CrashSuspect;
@@ -57,6 +58,38 @@
                 GossipMessageCodec.decode(GossipMessageCodec.encode(message)).orElseThrow());
     }
 
+    /** Guards against reports that take more than 320 bytes of each message. */
+    @ParameterizedTest
+    @ValueSource(strings = {"u", "front-engine-", "engine-with-a-long-name-in-a-large-domain-"})
+    void performanceOfUpstreamsTakesAFewBytes(String idPrefix) {
+        PerformanceSamples samples = PerformanceSamples.create(250);
+        for (int i = 0; i < 4_000; i++) {
+            UpstreamId id = UpstreamId.fromString(idPrefix + i % 40);
+            samples.add(new UpstreamIncarnation(id, 1_700_000_000_000L), 0.1);
+        }
+        List<PerformanceReport> reports = samples.nextReports(1);
+        int bytes = GossipMessageCodec.encode(messageWith(reports)).length
+                - GossipMessageCodec.encode(messageWith(List.of())).length
+                + "\"performance\":[],".length();
+        assertTrue(bytes <= 320, reports.size() + " reports take " + bytes + " bytes");
+    }
+
+    private static GossipMessage messageWith(List<PerformanceReport> performance) {
+        return new GossipMessage(
+                InstanceId.fromString("n1"),
+                IncarnationId.fromString("i1"),
+                1,
+                Map.of(),
+                Map.of(),
+                Optional.empty(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                Set.of(),
+                performance);
+    }
+
     /** Guards against a message of a former release, without the field, that is rejected. */
     @Test
     void messageWithoutPerformanceHasNone() {
