Check requests against the quotas of their accounts

A request of a limited account is charged before it is placed, once, at the node that took it; one that reached no upstream gives its credit back. Without a limited account no message is sent and no timer runs.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerDatagramChannel.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerDatagramChannel.java
@@ -15,6 +15,8 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.cactusshift.internal.coordination.quota.QuotaGrant;
+import org.cactusshift.internal.coordination.quota.QuotaRequest;
 import org.cactusshift.internal.coordination.serving.GossipMessage;
 import org.cactusshift.internal.coordination.serving.SiteChanges;
 
@@ -30,6 +32,8 @@
     private final EventLog log;
     private Channel channel;
     private boolean hasLoggedMalformed;
+    private BiConsumer<QuotaRequest, InetSocketAddress> quotaRequestReceiver = (request, sender) -> {};
+    private BiConsumer<QuotaGrant, InetSocketAddress> quotaGrantReceiver = (grant, sender) -> {};
 
     private PeerDatagramChannel(EventLoopGroup eventLoopGroup, EventLog log) {
         this.eventLoopGroup = eventLoopGroup;
@@ -72,6 +76,10 @@
                     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
                         byte[] bytes = new byte[packet.content().readableBytes()];
                         packet.content().readBytes(bytes);
+                        if (QuotaMessage.mayBeOne(bytes)) {
+                            onQuotaMessage(bytes, packet.sender());
+                            return;
+                        }
                         Optional<StreamOriginMessage> origin = StreamOriginMessage.decode(bytes);
                         if (origin.isPresent()) {
                             originReceiver.accept(origin.get(), packet.sender());
@@ -100,6 +108,29 @@
                 .channel();
     }
 
+    /**
+     * Sets the receivers of the messages about quotas; before that they are dropped.
+     *
+     * @param requestReceiver receives the requests for credit and the address of the sender
+     * @param grantReceiver receives the answers likewise
+     */
+    void setQuotaReceivers(
+            BiConsumer<QuotaRequest, InetSocketAddress> requestReceiver,
+            BiConsumer<QuotaGrant, InetSocketAddress> grantReceiver) {
+        quotaRequestReceiver = requestReceiver;
+        quotaGrantReceiver = grantReceiver;
+    }
+
+    private void onQuotaMessage(byte[] bytes, InetSocketAddress sender) {
+        Optional<QuotaRequest> request = QuotaMessage.decodeRequest(bytes);
+        Optional<QuotaGrant> grant = QuotaMessage.decodeGrant(bytes);
+        request.ifPresent(decoded -> quotaRequestReceiver.accept(decoded, sender));
+        grant.ifPresent(decoded -> quotaGrantReceiver.accept(decoded, sender));
+        if (request.isEmpty() && grant.isEmpty()) {
+            onMalformed(sender);
+        }
+    }
+
     private void onMalformed(InetSocketAddress sender) {
         if (!hasLoggedMalformed) {
             hasLoggedMalformed = true;
@@ -152,6 +183,16 @@
         }
     }
 
+    /**
+     * Sends an encoded {@link QuotaMessage}; it may be lost. The channel must be bound.
+     *
+     * @param peer the address of the recipient
+     * @param bytes the message
+     */
+    void sendQuota(InetSocketAddress peer, byte[] bytes) {
+        send(List.of(peer), bytes);
+    }
+
     private void send(List<InetSocketAddress> peers, byte[] bytes) {
         peers.forEach(peer -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
         channel.flush();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerPass.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerPass.java
@@ -76,6 +76,11 @@
         return true;
     }
 
+    /** Returns whether a peer was asked to serve the request, so that it may have reached an upstream there. */
+    boolean hasAsked() {
+        return !askedPeers.isEmpty();
+    }
+
     void onEnded(PeerAttempt ended, PeerAttempt.Result result, String reason) {
         attempt = null;
         relayedRequest.onPassEnded(ended, result, reason);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerRequestHandler.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerRequestHandler.java
@@ -70,8 +70,8 @@
                 new Relay.TimeSpan(
                         exchange.receivedAtMillis() - passed.elapsedMillis(),
                         exchange.receivedAtMillis() + passed.remainingMillis()));
-        // The retry budget counts the request at the node that the caller chose.
-        RequestOrigin origin = new RequestOrigin(passed.account(), passed.configVersion(), true);
+        // The retry budget and the quota count the request at the node that the caller chose.
+        RequestOrigin origin = new RequestOrigin(passed.account(), passed.configVersion(), QuotaCharge.NONE, true);
         new RelayedRequest(context, exchange, metadata, request, origin).start();
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
@@ -11,7 +11,9 @@
 import org.cactusshift.id.AccountId;
 import org.cactusshift.id.ServiceId;
 import org.cactusshift.internal.coordination.lease.RendezvousHash;
+import org.cactusshift.internal.coordination.quota.AccountQuota;
 import org.cactusshift.internal.coordination.serving.KeyOwner;
+import org.cactusshift.internal.coordination.serving.RetryAfterPolicy;
 import org.cactusshift.internal.coordination.serving.ServedRoute;
 import org.cactusshift.internal.coordination.serving.ServingConfig;
 import org.cactusshift.internal.coordination.serving.ServingRequest;
@@ -27,12 +29,16 @@
      */
     private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 500;
 
+    private static final String OVER_QUOTA = "the quota of the account is used up";
+
     private final RelayContext context;
     private final Supplier<Optional<ServingConfig>> config;
+    private final QuotaExchange quotas;
 
-    private Relay(RelayContext context, Supplier<Optional<ServingConfig>> config) {
+    private Relay(RelayContext context, Supplier<Optional<ServingConfig>> config, QuotaExchange quotas) {
         this.context = context;
         this.config = config;
+        this.quotas = quotas;
     }
 
     /**
@@ -40,10 +46,11 @@
      *
      * @param context the collaborators that all requests share
      * @param config supplies the active configuration, empty while none has been read
+     * @param quotas checks the requests of limited accounts
      * @return the relay
      */
-    public static Relay create(RelayContext context, Supplier<Optional<ServingConfig>> config) {
-        return new Relay(context, config);
+    static Relay create(RelayContext context, Supplier<Optional<ServingConfig>> config, QuotaExchange quotas) {
+        return new Relay(context, config, quotas);
     }
 
     @Override
@@ -89,10 +96,40 @@
         Optional<AccountId> account = owner.map(KeyOwner::account);
         ServingRequest request = request(exchange, route, service.get(), account, priority, metadata, time);
         context.retryBudgets().of(service.get()).onRequest(exchange.receivedAtMillis());
-        RequestOrigin origin = new RequestOrigin(account, serving.version(), false);
+        AccountQuota quota = account.map(serving.quotas()::get).orElse(null);
+        if (quota == null) {
+            start(exchange, metadata, request, new RequestOrigin(account, serving.version(), QuotaCharge.NONE, false));
+            return;
+        }
+        quotas.check(account.get(), quota, metadata.countedTokens(), new QuotaExchange.Receiver() {
+            @Override
+            public void onAdmitted(QuotaCharge charge) {
+                if (exchange.isEnded()) {
+                    charge.giveBack();
+                } else {
+                    start(exchange, metadata, request, new RequestOrigin(account, serving.version(), charge, false));
+                }
+            }
+
+            @Override
+            public void onRefused(long retryAfterMillis) {
+                refuseOverQuota(exchange, id, serving.version(), retryAfterMillis);
+            }
+        });
+    }
+
+    private void start(
+            CallerExchange exchange, RequestMetadata metadata, ServingRequest request, RequestOrigin origin) {
         new RelayedRequest(context, exchange, metadata, request, origin).start();
     }
 
+    private void refuseOverQuota(CallerExchange exchange, String id, long version, long retryAfterMillis) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        context.codec()
+                .writeRetryAfter(headers, RetryAfterPolicy.retryAfterWaitMillis(retryAfterMillis, context.random()));
+        refuse(exchange, id, HttpResponseStatus.TOO_MANY_REQUESTS, headers, OVER_QUOTA, version);
+    }
+
     private static boolean needsKey(ServingConfig serving, ServedRoute route) {
         return serving.keyOwners().isPresent() && !route.open();
     }
@@ -151,6 +188,16 @@
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
             context.codec().writeRetryAfter(headers, UNAVAILABLE_RETRY_AFTER_MILLIS);
         }
+        refuse(exchange, id, status, headers, reason, version);
+    }
+
+    private void refuse(
+            CallerExchange exchange,
+            String id,
+            HttpResponseStatus status,
+            HttpHeaders headers,
+            String reason,
+            long version) {
         context.log()
                 .event("request.refused")
                 .with("request", id)
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -58,6 +58,20 @@
             .name("cactusshift_relay_refused_crash_suspects")
             .help("Suspects that are refused because they crashed upstreams.")
             .register(registry);
+    private final Counter quotaRefusals = Counter.builder()
+            .name("cactusshift_relay_quota_refusals_total")
+            .help("Requests that were refused because the quota of their account was used up, by account.")
+            .labelNames("account")
+            .register(registry);
+    private final Counter quotaGranted = Counter.builder()
+            .name("cactusshift_relay_quota_granted_total")
+            .help("Credit that this node granted as the coordinator of an account, by account.")
+            .labelNames("account")
+            .register(registry);
+    private final Gauge quotaAnswerAge = Gauge.builder()
+            .name("cactusshift_relay_quota_unanswered_seconds")
+            .help("The longest time for which the coordinator of an account in use has not answered.")
+            .register(registry);
 
     private final Gauge unreachableServices = Gauge.builder()
             .name("cactusshift_relay_unreachable_services")
@@ -168,6 +182,34 @@
         unreachableServices.set(count);
     }
 
+    /**
+     * Counts a request that was refused because the quota of its account was used up.
+     *
+     * @param account the client account
+     */
+    public void onQuotaRefusal(String account) {
+        quotaRefusals.labelValues(account).inc();
+    }
+
+    /**
+     * Counts credit that this node granted.
+     *
+     * @param account the client account
+     * @param credit the credit
+     */
+    public void onQuotaGranted(String account, long credit) {
+        quotaGranted.labelValues(account).inc(credit);
+    }
+
+    /**
+     * Records for how long a coordinator has not answered.
+     *
+     * @param millis the longest time since the first unanswered request, 0 when there is none
+     */
+    public void onQuotaAnswerAge(long millis) {
+        quotaAnswerAge.set(millis / 1_000.0);
+    }
+
     /**
      * Records how many upstreams state a limit on requests per second.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -577,6 +577,9 @@
         ended = true;
         deadlineTimer.cancel(false);
         log.ended(outcome, reason, sentAttempts.runs(), possibleExecutions);
+        if (sentAttempts.isEmpty() && !peerPass.hasAsked()) {
+            origin.quotaCharge().giveBack();
+        }
     }
 
     private void onCallerDisconnected() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RequestMetadata.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RequestMetadata.java
@@ -15,6 +15,8 @@
  * @param apiKey the API key, empty when none was sent
  * @param prompt the parts of the prompt, empty for plain services
  * @param expectedOutputTokens the number of output tokens that the caller expects, 0 when not stated
+ * @param countedTokens the prompt tokens and the maximum output tokens, which the quota of the account counts; empty
+ *     when not stated
  * @param lastEventId the last event that the caller has received of the stream that it resumes, empty when it
  *     resumes none
  * @param resumedRequest the id of the request whose response brought the first event of that stream, empty when not
@@ -26,6 +28,7 @@
         Optional<String> apiKey,
         List<PromptPart> prompt,
         int expectedOutputTokens,
+        OptionalLong countedTokens,
         OptionalLong lastEventId,
         Optional<RequestId> resumedRequest) {
     /** Copies the list of prompt parts. */
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -121,6 +121,7 @@
     private final PeerDatagramChannel gossipChannel;
     private final StreamOriginExchange streamOrigins;
     private final StreamVersionRepository streamVersions;
+    private final QuotaExchange quotas;
     private final NodeRegistration registration;
     private final DutyDriver dutyDriver;
     private final Optional<UsageReportDriver> usageReportDriver;
@@ -223,7 +224,8 @@
                 random));
         runtime.pool().setMismatchListener(ResponseMismatchLog.create(runtime.clock(), metrics, runtime.log()));
         RelayContext context = context(protocol, crashDetector, random);
-        this.callerServer = createServer(protocol, this::limits, Relay.create(context, follower::config));
+        this.quotas = createQuotaExchange(random);
+        this.callerServer = createServer(protocol, this::limits, Relay.create(context, follower::config, quotas));
         this.peerServer = createServer(
                 protocol, () -> PEER_LIMITS, PeerRequestHandler.create(context, peerToken, this::openPeerRequestCount));
         this.statusServers = StatusServers.create(runtime, protocol.readinessPath(), this::isReady, this::metricsText);
@@ -245,6 +247,20 @@
         return CallerServer.create(runtime.group(), runtime.clock(), limits, handler, protocol.codec(), runtime.log());
     }
 
+    private QuotaExchange createQuotaExchange(RandomGenerator random) {
+        return QuotaExchange.create(new QuotaExchange.Dependencies(
+                settings.instance(),
+                incarnation,
+                gossipChannel,
+                eventLoop,
+                runtime.clock(),
+                () -> follower.config().map(ServingConfig::quotas).orElse(Map.of()),
+                this::nodeCount,
+                metrics,
+                runtime.log(),
+                random));
+    }
+
     private FleetController createFleetController(FleetOrderClient client, Protocol protocol) {
         return FleetController.create(
                 client,
@@ -412,8 +428,11 @@
         peerServer.listen(settings.peerAddress());
         gossipChannel.bind(
                 settings.peerAddress(),
-                (message, sender) -> gossipReceiver.onMessage(
-                        message, addressText(sender), runtime.clock().monotonicMillis()),
+                (message, sender) -> {
+                    quotas.onHeard(message.node());
+                    gossipReceiver.onMessage(
+                            message, addressText(sender), runtime.clock().monotonicMillis());
+                },
                 streamOrigins::onMessage,
                 follower::onTold);
         eventLoop.execute(() -> {
@@ -501,6 +520,7 @@
         fleetController.ifPresent(controller -> controller.tick(dutyDriver.authority(fleetDuty), now));
         Map<InstanceId, InetSocketAddress> peerAddresses = peerAddressByNode();
         streamOrigins.setNodes(peerAddresses);
+        quotas.tick(registration.peerAddressByNode());
         if (follower.isReady()) {
             upstreamLimits.setNodes(peerAddresses.keySet(), now);
             Map<InstanceId, Set<ServiceId>> unreachable = gossipReceiver.unreachableServices();
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeDecoder.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeDecoder.java
@@ -43,8 +43,8 @@
 
     @Override
     public Either<String, ServingConfig> decodeConfig(byte[] value) {
-        return Either.right(
-                new ServingConfig(1, RouteTable.of(List.of()), services, CallerLimits.DEFAULT, Optional.empty()));
+        return Either.right(new ServingConfig(
+                1, RouteTable.of(List.of()), services, CallerLimits.DEFAULT, Optional.empty(), Map.of()));
     }
 
     @Override
