--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerPass.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerPass.java
@@ -76,6 +76,13 @@
         return true;
     }
 
+    /** Gives back what the request was charged if it was sent neither to an upstream nor to a peer. */
+    void onRequestEnded(boolean isUnsent) {
+        if (isUnsent && askedPeers.isEmpty()) {
+            origin.quotaCharge().giveBack();
+        }
+    }
+
     void onEnded(PeerAttempt ended, PeerAttempt.Result result, String reason) {
         attempt = null;
         relayedRequest.onPassEnded(ended, result, reason);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayedRequest.java
@@ -578,6 +578,7 @@
         ended = true;
         deadlineTimer.cancel(false);
         log.ended(outcome, reason, sentAttempts.runs(), possibleExecutions);
+        peerPass.onRequestEnded(sentAttempts.isEmpty());
     }
 
     private void onCallerDisconnected() {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -125,6 +125,7 @@
     private final StreamVersionRepository streamVersions;
     private final AnnouncedStages announcedStages;
     private final SharedReads sharedReads;
+    private final QuotaExchange quotas;
     private final NodeRegistration registration;
     private final DutyDriver dutyDriver;
     private final Optional<UsageReportDriver> usageReportDriver;
@@ -229,7 +230,9 @@
                 random));
         runtime.pool().setMismatchListener(ResponseMismatchLog.create(runtime.clock(), metrics, runtime.log()));
         RelayContext context = context(protocol, crashDetector, random);
-        this.callerServer = createServer(protocol, this::limits, Relay.create(context, follower::config));
+        this.quotas = QuotaExchange.create(new QuotaExchange.Dependencies(
+                self, gossipChannel, follower::config, this::nodeCount, metrics, runtime, random));
+        this.callerServer = createServer(protocol, this::limits, Relay.create(context, follower::config, quotas));
         this.peerServer = createServer(
                 protocol, () -> PEER_LIMITS, PeerRequestHandler.create(context, peerToken, this::openPeerRequestCount));
         this.statusServers = StatusServers.create(runtime, protocol.readinessPath(), this::isReady, this::metricsText);
@@ -315,7 +318,7 @@
                 upstreamLimits,
                 streamOrigins,
                 streamVersions,
-                entryAge(),
+                new FollowedEntryAge(follower, runtime.clock()),
                 account -> usage.add(account, siteEpochMillis()),
                 use -> gossipSender.onUse(use, runtime.clock().monotonicMillis()),
                 responseBuffers,
@@ -326,21 +329,6 @@
                 random);
     }
 
-    private RelayContext.EntryAge entryAge() {
-        return new RelayContext.EntryAge() {
-            @Override
-            public boolean isCurrent() {
-                return follower.isCurrent(
-                        runtime.clock().monotonicMillis(), runtime.clock().epochMillis());
-            }
-
-            @Override
-            public long readSinceMillis() {
-                return follower.readSinceMillis();
-            }
-        };
-    }
-
     /** Discards what this node holds by acknowledgements that a restored store may have lost. */
     private void onStoreRestored(long formerEra) {
         runtime.log()
@@ -523,6 +511,7 @@
         fleetController.ifPresent(controller -> controller.tick(dutyDriver.authority(fleetDuty), now));
         Map<InstanceId, InetSocketAddress> peerAddresses = peerAddressByNode();
         streamOrigins.setNodes(peerAddresses);
+        quotas.tick(registration.peerAddressByNode());
         if (follower.isReady()) {
             upstreamLimits.setNodes(peerAddresses.keySet(), now);
             Map<InstanceId, Set<ServiceId>> unreachable = gossipReceiver.unreachableServices();
