--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quota/AccountCredit.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/quota/AccountCredit.java
@@ -29,7 +29,7 @@
 
     /**
      * How long a node that was granted nothing refuses requests without asking again. All nodes together ask the
-     * coordinator of an account that is far over its quota at most 250 times a second, about 20 KB/s.
+     * coordinator of an account that is far over its quota at most 250 times a second in vain.
      */
     private static final long REFUSAL_PAUSE_MILLIS_PER_NODE = 4;
 
