Correct faults that a review of performance, stages and store reads found

By reading: a split placement reserved no memory at the engine that decodes; negative or overflowing token counts left held tokens behind for ever; the second change of an engine was ordered before its announcement was read; an engine that carried out no order kept its announcement for ever, and limited or resting engines were called; a list that was older than what other nodes had told undid it, and lists after an outage were not spread; refusals made the responses of an engine look faster; fast 4xx responses counted as fast work. The reservation has no test of its own. Open: samples are relative to each node's own mix, so that a node which uses one upstream only reports it as usual.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/performance/SustainableLoad.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/performance/SustainableLoad.java
@@ -28,12 +28,42 @@
     /** How long a range is avoided before it is tried again. */
     private static final long AVOIDANCE_MILLIS = 30_000;
 
-    private final double[] weights = new double[RANGES];
-    private final double[] sums = new double[RANGES];
+    private final Means means = new Means();
+
+    /** The same without refusals, which say nothing about the time of a response. */
+    private final Means responseMeans = new Means();
+
     private final double[] slowdowns = {1, 1, 1};
     private final long[] avoidedUntilMillis = {Long.MIN_VALUE, Long.MIN_VALUE, Long.MIN_VALUE};
     private long updatedAtMillis;
 
+    /** Weighted means of the logarithms of relative times, by range. */
+    private static final class Means {
+        final double[] weights = new double[RANGES];
+        final double[] sums = new double[RANGES];
+
+        void age(double retained) {
+            for (int range = 0; range < RANGES; range++) {
+                weights[range] *= retained;
+                sums[range] *= retained;
+            }
+        }
+
+        void add(int range, double logarithm) {
+            weights[range]++;
+            sums[range] += logarithm;
+        }
+
+        boolean areKnown(int upper) {
+            return weights[0] >= MINIMUM_WEIGHT && weights[upper] >= MINIMUM_WEIGHT;
+        }
+
+        /** Returns the time in an upper range relative to that in the lowest one. */
+        double slowdown(int upper) {
+            return Math.exp(sums[upper] / weights[upper] - sums[0] / weights[0]);
+        }
+    }
+
     private SustainableLoad() {}
 
     /**
@@ -72,26 +102,25 @@
         if (!(relativeTime > 0) || !Double.isFinite(relativeTime)) {
             return;
         }
+        age(nowMillis);
+        responseMeans.add(range, UpstreamPerformance.boundedLogarithm(relativeTime));
+        add(range, relativeTime, nowMillis);
+    }
+
+    private void age(long nowMillis) {
         double retained = Math.pow(2, -Math.max(0, nowMillis - updatedAtMillis) / SAMPLE_HALF_LIFE_MILLIS);
-        for (int each = 0; each < RANGES; each++) {
-            weights[each] *= retained;
-            sums[each] *= retained;
-        }
+        means.age(retained);
+        responseMeans.age(retained);
         updatedAtMillis = nowMillis;
-        weights[range]++;
-        sums[range] += UpstreamPerformance.boundedLogarithm(relativeTime);
-        for (int upper = 1; upper < RANGES; upper++) {
-            if (weights[0] >= MINIMUM_WEIGHT && weights[upper] >= MINIMUM_WEIGHT) {
-                compare(upper, nowMillis);
-            }
-        }
     }
 
-    private void compare(int upper, long nowMillis) {
-        double slowdown = Math.exp(sums[upper] / weights[upper] - sums[0] / weights[0]);
-        if (slowdown >= SLOWDOWN_LIMIT) {
-            slowdowns[upper] = slowdown;
-            avoidedUntilMillis[upper] = nowMillis + AVOIDANCE_MILLIS;
+    private void add(int range, double relativeTime, long nowMillis) {
+        means.add(range, UpstreamPerformance.boundedLogarithm(relativeTime));
+        for (int upper = 1; upper < RANGES; upper++) {
+            if (means.areKnown(upper) && means.slowdown(upper) >= SLOWDOWN_LIMIT) {
+                slowdowns[upper] = responseMeans.areKnown(upper) ? Math.max(1, responseMeans.slowdown(upper)) : 1;
+                avoidedUntilMillis[upper] = nowMillis + AVOIDANCE_MILLIS;
+            }
         }
     }
 
@@ -103,7 +132,8 @@
      */
     public void onRefused(int range, long nowMillis) {
         if (range > 0) {
-            onResponse(range, UpstreamPerformance.MAXIMUM_FACTOR, nowMillis);
+            age(nowMillis);
+            add(range, UpstreamPerformance.MAXIMUM_FACTOR, nowMillis);
         }
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServingRequest.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ServingRequest.java
@@ -57,7 +57,11 @@
      * @return the tokens of the prompt, and of the expected output unless it is a prefill
      */
     public long heldTokens(boolean isPrefill) {
-        return promptTokens() + (isPrefill ? 0L : expectedOutputTokens);
+        long tokens = isPrefill ? 0 : expectedOutputTokens;
+        for (PromptPart part : prompt) {
+            tokens += part.tokens();
+        }
+        return tokens;
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StageChanges.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/StageChanges.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cactusshift.internal.coordination.limits.UpstreamIncarnation;
 
 /**
@@ -46,6 +47,18 @@
         return new StageChanges(pending);
     }
 
+    /**
+     * Returns these changes without those of some engines.
+     *
+     * @param engines the engines
+     * @return the remaining changes
+     */
+    public StageChanges without(Set<UpstreamIncarnation> engines) {
+        Map<UpstreamIncarnation, EngineStage> remaining = new HashMap<>(stageByEngine);
+        remaining.keySet().removeAll(engines);
+        return new StageChanges(remaining);
+    }
+
     /**
      * Returns these changes and others.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -37,7 +37,7 @@
      * How long an announced change of stage keeps requests away: the announcement, an order and one repetition of it.
      * It ends, as the holder of the duty may have been lost before it sent the order.
      */
-    private static final long STAGE_CHANGE_LIMIT_MILLIS = 15_000;
+    public static final long STAGE_CHANGE_LIMIT_MILLIS = 15_000;
 
     private final UpstreamHealth health = UpstreamHealth.create();
     private final PrefixCacheEstimator prefixCache;
@@ -283,11 +283,14 @@
      * Records that the upstream refused a request; it receives no requests for a time that doubles with each further
      * refusal.
      *
+     * @param mayBeBusy whether its load may be the cause
      * @param nowMillis the current time
      */
-    public void onRefused(long nowMillis) {
+    public void onRefused(boolean mayBeBusy, long nowMillis) {
         health.onInconclusiveProbe(nowMillis);
-        sustainableLoad.onRefused(loadRange(nowMillis), nowMillis);
+        if (mayBeBusy && !isChangingStage(nowMillis)) {
+            sustainableLoad.onRefused(loadRange(nowMillis), nowMillis);
+        }
         pausedUntilMillis =
                 nowMillis + (FIRST_REFUSAL_PAUSE_MILLIS << Math.min(consecutiveRefusals, MAXIMUM_PAUSE_DOUBLINGS));
         consecutiveRefusals++;
@@ -365,6 +368,15 @@
         heldTokens = Math.max(0, heldTokens - tokens);
     }
 
+    /**
+     * Returns the tokens for which requests of this node take or reserve memory.
+     *
+     * @return the tokens
+     */
+    public long heldTokens() {
+        return heldTokens;
+    }
+
     /**
      * Returns the open requests of this node.
      *
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/AnnouncedStages.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/AnnouncedStages.java
@@ -14,6 +14,9 @@
     /** The mod revision of the value that was decoded last, 0 when there is none. */
     private long decodedRevision;
 
+    /** Whether the directory knows of changes. */
+    private boolean hasAnnounced;
+
     private AnnouncedStages(SiteStateFollower follower, UpstreamDirectory directory, String key) {
         this.follower = follower;
         this.directory = directory;
@@ -34,6 +37,10 @@
                     ? StageChanges.NONE
                     : StageChangesCodec.decode(value.value()).orElse(StageChanges.NONE);
         }
-        directory.announceStages(changes, nowMillis);
+        boolean isEmpty = changes.stageByEngine().isEmpty();
+        if (!isEmpty || hasAnnounced) {
+            directory.announceStages(changes, nowMillis);
+        }
+        hasAnnounced = !isEmpty;
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/GossipSender.java
@@ -224,9 +224,9 @@
             long nowMillis) {
         Map<UpstreamId, OpenWork> work = new HashMap<>();
         for (Upstream upstream : directory.all()) {
+            boolean hasWork = upstream.openRequests() > 0 || upstream.heldTokens() > 0;
             // Requests behind a lost link do not load the upstream.
-            if (upstream.openRequests() > 0
-                    && !reachability.isUnreachable(upstream.entry().service())) {
+            if (hasWork && !reachability.isUnreachable(upstream.entry().service())) {
                 work.put(upstream.id(), upstream.openWork());
             }
         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/SiteStateFollower.java
@@ -5,11 +5,9 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -51,6 +49,7 @@
 
     private final AsyncKeyValueStore store;
     private final StoreValueDecoder decoder;
+    private final StoreValueReader reader;
     private final UpstreamDirectory directory;
     private final CrashDetector crashDetector;
     private final EventLoop eventLoop;
@@ -65,7 +64,6 @@
     private IntSupplier readerRank = () -> 0;
     private Consumer<SiteChanges> changesListener = changes -> {};
     private final Map<String, VersionedValue> nodeValueByKey = new HashMap<>();
-    private final Set<String> malformedKeys = new HashSet<>();
     private Optional<ServingConfig> config = Optional.empty();
     private StorePosition position = StorePosition.START;
 
@@ -103,6 +101,7 @@
         this.contact = StoreContact.create(dependencies.log(), longestPeriodMillis);
         this.store = dependencies.store();
         this.decoder = dependencies.decoder();
+        this.reader = new StoreValueReader(decoder, dependencies.log());
         this.directory = dependencies.directory();
         this.crashDetector = dependencies.crashDetector();
         this.eventLoop = dependencies.eventLoop();
@@ -322,6 +321,7 @@
             case APPLY -> {
                 onReadAt(clock.monotonicMillis() - told.ageMillis());
                 apply(told.changes(), told.toRevision());
+                listsNext = false;
             }
             case READ -> readSoon();
             case READ_NEW_ERA -> {
@@ -364,8 +364,12 @@
         }
     }
 
-    private void scheduleRetry(long startedAtMillis) {
+    private void scheduleRetryOrList(long startedAtMillis) {
         long delayMillis = Math.max(0, startedAtMillis + RETRY_MILLIS - clock.monotonicMillis());
+        if (listsNext) {
+            // After an outage many nodes list, one after the other.
+            delayMillis += pacing.listDelayMillis(readerRank.getAsInt());
+        }
         nextRead = eventLoop.schedule(this::read, delayMillis, TimeUnit.MILLISECONDS);
     }
 
@@ -378,17 +382,23 @@
     private void onList(Either<Failure, AsyncKeyValueStore.Listing> values, long startedAtMillis) {
         if (values.isLeft()) {
             onReadFailed(values.getLeft());
-            scheduleRetry(startedAtMillis);
+            scheduleRetryOrList(startedAtMillis);
             return;
         }
         onReadSucceeded(startedAtMillis);
+        if (canFollowChanges && values.get().position().compareTo(position) < 0) {
+            // Other nodes have told of later changes while the list arrived, so that nothing is missing.
+            listsNext = false;
+            scheduleNextRead();
+            return;
+        }
         long now = clock.monotonicMillis();
         List<UpstreamEntry> entries = new ArrayList<>();
         nodeValueByKey.clear();
         nodeValuesVersion++;
         for (VersionedValue value : values.get().values()) {
             if (value.key().startsWith(decoder.upstreamPrefix())) {
-                readUpstream(value).ifPresent(entries::add);
+                reader.upstream(value).ifPresent(entries::add);
             } else {
                 onValue(value);
             }
@@ -443,7 +453,7 @@
             }
             listsNext = failure.kind() == Failure.Kind.UNKNOWN_EFFECT && contact.isFarBehind(clock.monotonicMillis());
             onReadFailed(failure);
-            scheduleRetry(startedAtMillis);
+            scheduleRetryOrList(startedAtMillis);
             return;
         }
         onReadSucceeded(startedAtMillis);
@@ -499,7 +509,7 @@
             VersionedValue value = change.value().get();
             if (value.key().startsWith(decoder.upstreamPrefix())) {
                 // An upstream whose new entry is malformed is treated as gone.
-                readUpstream(value)
+                reader.upstream(value)
                         .ifPresentOrElse(
                                 this::onUpstream,
                                 () -> onUpstreamGone(value.key()
@@ -551,24 +561,7 @@
                     .with("storeWasAway", contact.wasRecentlyUnavailable(now))
                     .write();
         } catch (IllegalArgumentException e) {
-            logMalformedOnce(id, e.getMessage());
-        }
-    }
-
-    private Optional<UpstreamEntry> readUpstream(VersionedValue value) {
-        String id = value.key().substring(decoder.upstreamPrefix().length());
-        Either<String, UpstreamEntry> entry = decoder.decodeUpstream(id, value.value());
-        if (entry.isLeft()) {
-            logMalformedOnce(value.key(), entry.getLeft());
-            return Optional.empty();
-        }
-        return Optional.of(entry.get());
-    }
-
-    /** Logs a malformed value, once for each key. */
-    private void logMalformedOnce(String key, String reason) {
-        if (malformedKeys.add(key)) {
-            log.event("store.malformed").with("key", key).with("reason", reason).write();
+            reader.logMalformed(id, e.getMessage());
         }
     }
 
@@ -582,9 +575,8 @@
     }
 
     private void onConfig(VersionedValue value) {
-        Either<String, ServingConfig> read = decoder.decodeConfig(value.value());
-        if (read.isLeft()) {
-            logMalformedOnce(value.key(), read.getLeft());
+        Optional<ServingConfig> read = reader.config(value);
+        if (read.isEmpty()) {
             return;
         }
         long activeVersion = config.map(ServingConfig::version).orElse(Long.MIN_VALUE);
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StageController.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StageController.java
@@ -3,9 +3,11 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import org.cactusshift.errors.Failure;
 import org.cactusshift.id.UpstreamId;
@@ -42,13 +44,24 @@
     private final BiConsumer<DutyCaller, Either<Failure, FleetOrderClient.Result>> resultListener;
     private final String key;
     private final EventLog log;
-    private final Map<UpstreamIncarnation, Long> announcedAtMillis = new HashMap<>();
-    private final Map<UpstreamIncarnation, Long> orderedUntilMillis = new HashMap<>();
+    private final Map<UpstreamIncarnation, Announcement> announcements = new HashMap<>();
     private boolean writePending;
 
     /** The mod revision of the changes that this node wrote last; 0 before the first write. */
     private long writtenRevision;
 
+    /** An announced change as this node has read it. */
+    private static final class Announcement {
+        final EngineStage stage;
+        final long readAtMillis;
+        long orderedUntilMillis = Long.MIN_VALUE;
+
+        Announcement(EngineStage stage, long readAtMillis) {
+            this.stage = stage;
+            this.readAtMillis = readAtMillis;
+        }
+    }
+
     private StageController(
             FleetOrderClient client,
             AsyncKeyValueStore store,
@@ -101,27 +114,59 @@
      */
     void tick(DutyCaller holder, ServedService service, List<Upstream> engines, long nowMillis) {
         VersionedValue stored = follower.nodeValueByKey().get(key);
-        if (writePending || (stored != null && stored.modRevision() < writtenRevision)) {
+        if (writePending || (stored == null ? 0 : stored.modRevision()) < writtenRevision) {
             return;
         }
-        StageChanges announced = (stored == null
-                        ? Optional.<StageChanges>empty()
-                        : StageChangesCodec.decode(stored.value()))
-                .orElse(StageChanges.NONE);
+        StageChanges announced = stored == null
+                ? StageChanges.NONE
+                : StageChangesCodec.decode(stored.value()).orElse(StageChanges.NONE);
         long switchMillis = service.engine().orElseThrow().roleSwitchMillis();
         Map<UpstreamId, EngineStage> pendingStages = new HashMap<>();
         for (Upstream engine : engines) {
-            announced.pendingStage(engine).ifPresent(stage -> {
-                pendingStages.put(engine.id(), stage);
-                orderWhenDue(holder, engine, stage, switchMillis, nowMillis);
-            });
+            Optional<EngineStage> stage = announced.pendingStage(engine);
+            if (stage.isEmpty()) {
+                announcements.remove(engine.incarnation());
+            } else if (!isExpired(engine, stage.get(), nowMillis)) {
+                pendingStages.put(engine.id(), stage.get());
+                orderWhenDue(holder, engine, stage.get(), switchMillis, nowMillis);
+            }
+        }
+        announcements.keySet().removeIf(engine -> !directory.lists(engine));
+        StageChanges pending = announced.pending(directory).without(expired(nowMillis));
+        if (!pending.equals(announced)) {
+            // Complete and expired changes are withdrawn first, so that a further change of the same engine is new.
+            announce(stored, pending);
+            return;
         }
         List<StagePlanner.Change> changes = planned(engines, pendingStages, nowMillis);
         if (!changes.isEmpty()) {
-            announce(stored, announced.pending(directory).plus(changes));
+            announce(stored, pending.plus(changes));
         }
-        announcedAtMillis.keySet().removeIf(engine -> !directory.lists(engine));
-        orderedUntilMillis.keySet().removeIf(engine -> !directory.lists(engine));
+    }
+
+    /** Returns whether an announced change has come to nothing, so that nodes use the engine again. */
+    private boolean isExpired(Upstream engine, EngineStage stage, long nowMillis) {
+        Announcement known = announcements.get(engine.incarnation());
+        if (known == null || known.stage != stage) {
+            known = new Announcement(stage, nowMillis);
+            announcements.put(engine.incarnation(), known);
+        }
+        return nowMillis - known.readAtMillis >= Upstream.STAGE_CHANGE_LIMIT_MILLIS;
+    }
+
+    private Set<UpstreamIncarnation> expired(long nowMillis) {
+        Set<UpstreamIncarnation> expired = new HashSet<>();
+        announcements.forEach((engine, announcement) -> {
+            if (nowMillis - announcement.readAtMillis >= Upstream.STAGE_CHANGE_LIMIT_MILLIS) {
+                expired.add(engine);
+            }
+        });
+        return expired;
+    }
+
+    private boolean mayBeCalled(Upstream engine, long nowMillis) {
+        // The calls would count against the limit of an engine that needs relief, or reach one that rests.
+        return !limits.isLimited(engine.incarnation()) && !engine.rest().lasts(nowMillis);
     }
 
     private List<StagePlanner.Change> planned(
@@ -130,10 +175,7 @@
         int maximumChanges = (engines.size() + 1) / 2 - pendingStages.size();
         List<StagePlanner.Change> changes = new ArrayList<>();
         for (StagePlanner.Change change : StagePlanner.plan(engines, pendingStages)) {
-            // The calls would count against the limit of an engine that needs relief, or reach one that rests.
-            boolean mayBeCalled = !limits.isLimited(change.engine().incarnation())
-                    && !change.engine().rest().lasts(nowMillis);
-            if (mayBeCalled && changes.size() < maximumChanges) {
+            if (mayBeCalled(change.engine(), nowMillis) && changes.size() < maximumChanges) {
                 changes.add(change);
             }
         }
@@ -142,20 +184,20 @@
 
     private void announce(VersionedValue stored, StageChanges changes) {
         writePending = true;
-        log.event("fleet.stagesAnnounced")
-                .with("engines", changes.stageByEngine().size())
-                .write();
         long expected = stored == null ? 0 : stored.modRevision();
         store.compareAndSwap(
                 new AsyncKeyValueStore.Write(
                         key, expected, StageChangesCodec.encode(changes), LeaseGrant.NONE, List.of()),
-                this::onAnnounced);
+                swap -> onAnnounced(changes, swap));
     }
 
-    private void onAnnounced(Either<Failure, SwapResult> swap) {
+    private void onAnnounced(StageChanges changes, Either<Failure, SwapResult> swap) {
         writePending = false;
         if (swap.isRight() && swap.get().isApplied()) {
             writtenRevision = swap.get().revision();
+            log.event("fleet.stagesAnnounced")
+                    .with("engines", changes.stageByEngine().size())
+                    .write();
         } else if (swap.isLeft()) {
             log.event("fleet.stagesNotAnnounced")
                     .with("failure", swap.getLeft())
@@ -165,13 +207,13 @@
 
     private void orderWhenDue(
             DutyCaller holder, Upstream engine, EngineStage stage, long switchMillis, long nowMillis) {
-        UpstreamIncarnation incarnation = engine.incarnation();
-        long announcedAt = announcedAtMillis.computeIfAbsent(incarnation, first -> nowMillis);
-        boolean isKnownToAll = nowMillis - announcedAt >= follower.longestReadPeriodMillis() + READ_MILLIS;
-        if (!isKnownToAll || nowMillis < orderedUntilMillis.getOrDefault(incarnation, Long.MIN_VALUE)) {
+        Announcement announcement = announcements.get(engine.incarnation());
+        boolean isKnownToAll =
+                nowMillis - announcement.readAtMillis >= follower.longestReadPeriodMillis() + READ_MILLIS;
+        if (!isKnownToAll || nowMillis < announcement.orderedUntilMillis || !mayBeCalled(engine, nowMillis)) {
             return;
         }
-        orderedUntilMillis.put(incarnation, nowMillis + switchMillis + ORDER_RETRY_DELAY_MILLIS);
+        announcement.orderedUntilMillis = nowMillis + switchMillis + ORDER_RETRY_DELAY_MILLIS;
         client.readAcceptedOrderCount(engine, accepted -> {
             if (accepted.isLeft()) {
                 logOrder(engine, stage, accepted.getLeft().toString());
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -68,6 +68,7 @@
     private final ByteArrayOutputStream content = new ByteArrayOutputStream();
     private final SseEventSplitter events = SseEventSplitter.create(MAXIMUM_EVENT_BYTES);
     private final ResponseBufferLimit.Account buffered;
+    private final HeldMemory heldMemory;
 
     /** Null until the request is sent. */
     private HttpClientConnection connection;
@@ -111,6 +112,7 @@
         this.kvSource = kvSource;
         this.buffered = relayedRequest.context().responseBuffers().open();
         this.upstream = isPrefill ? placement.prefillEngine().orElseThrow() : placement.target();
+        this.heldMemory = new HeldMemory(upstream, placement, relayedRequest.request(), isPrefill);
     }
 
     /** Returns the first of the one or two attempts that a placement takes. */
@@ -183,7 +185,7 @@
             context().upstreamLimits().onSend(upstream.incarnation(), startedAtMillis);
         }
         upstream.onSend(uncachedTokens(), nowMillis());
-        upstream.hold(request().heldTokens(isPrefill));
+        heldMemory.hold();
         String address = upstream.entry().address();
         relayedRequest.sentAttempts().connect(context().pool(), address, maximumIdleMillis, this::onConnection);
     }
@@ -349,7 +351,7 @@
         if (metadata != null && !metadata.notExecuted()) {
             recordCachedPrompt();
             // An error says nothing about the time that the work takes.
-            if (status.code() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+            if (status.code() < HttpResponseStatus.BAD_REQUEST.code()) {
                 context().responseTimes().onFirstPart(upstream, work, tookMillis, nowMillis());
             }
         }
@@ -498,7 +500,7 @@
 
     private void onNotExecuted() {
         end("not-run", "status " + status.code());
-        upstream.onRefused(nowMillis());
+        upstream.onRefused(!metadata.misdirected(), nowMillis());
         if (metadata.misdirected()) {
             // Another upstream now listens at this address.
             upstream.onUnreachable(nowMillis(), context().random());
@@ -561,7 +563,7 @@
         }
         settlePendingPrefill();
         upstream.onEnd();
-        upstream.release(request().heldTokens(isPrefill));
+        heldMemory.release();
         context().metrics().onAttemptEnded(request().service().value(), outcome);
         context()
                 .log()
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/performance/SustainableLoadTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/performance/SustainableLoadTest.java
@@ -58,5 +58,7 @@
             load.onRefused(range, 0);
         }
         assertEquals(expected, load.usableSlots(12, 0));
+        // Refusals say nothing about the time of the responses that come.
+        assertEquals(1, load.slowdown(range, 0));
     }
 }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/PlacerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/coordination/serving/PlacerTest.java
@@ -108,7 +108,7 @@
     void upstreamIsAvoidedForAPauseAfterARefusal() {
         Upstream refusing = fixture.add("a", ServingFixture.PLAIN, ServingFixture.LOCAL_DOMAIN, EngineStage.ANY);
         fixture.add("b", ServingFixture.PLAIN, ServingFixture.OTHER_DOMAIN, EngineStage.ANY);
-        refusing.onRefused(0);
+        refusing.onRefused(true, 0);
         for (long now = 0; now < 100; now += 10) {
             Placement placement = fixture.place(ServingFixture.request("q" + now, NON_REPEATABLE, List.of()), now)
                     .orElseThrow();
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/FakeStore.java
@@ -27,6 +27,9 @@
     /** The number of reads of changes. */
     volatile int reads;
 
+    /** Runs before the answer to a read of all keys. */
+    Runnable beforeList = () -> {};
+
     /** Whether reads of changes time out. */
     volatile boolean changesTimeOut;
 
@@ -76,6 +79,7 @@
     @Override
     public void list(String prefix, Consumer<Either<Failure, Listing>> receiver) {
         lists++;
+        beforeList.run();
         List<VersionedValue> listed = new ArrayList<>(values.values());
         listed.add(new VersionedValue("config", new byte[0], 1, 1));
         receiver.accept(Either.right(new Listing(position(), listed)));
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SiteStateFollowerTest.java
@@ -147,6 +147,27 @@
         assertEquals(lists, store.lists > 1);
     }
 
+    /** Guards against a list that undoes the changes of which other nodes told while it was on its way. */
+    @Test
+    void listThatIsOlderThanWhatWasToldIsNotUsed() throws InterruptedException {
+        SiteStateFollower follower = follower(DELAY_LIMIT_MILLIS);
+        eventLoop.submit(follower::start).sync();
+        store.changesTimeOut = true;
+        store.beforeList = () -> follower.onTold(new SiteChanges(ERA, 10, 30, 0, List.of(put(KEY, 25))));
+        clock.monotonicMillis += 5_000;
+        clock.epochMillis += 5_000;
+        eventLoop
+                .submit(() -> follower.onTold(new SiteChanges(ERA, 20, 20, 0, List.of())))
+                .sync();
+        long end = System.nanoTime() + LONGEST_WAIT_MILLIS * 1_000_000;
+        while (store.lists < 2) {
+            assertTrue(System.nanoTime() < end, "no list");
+            Thread.sleep(MESSAGE_INTERVAL_MILLIS);
+        }
+        eventLoop.submit(follower::stop).sync();
+        assertEquals(Set.of(KEY), follower.nodeValueByKey().keySet());
+    }
+
     /** Guards against a state without what was written after a restore under revisions that had been read before. */
     @Test
     void allKeysAreReadAgainAfterARestore() throws InterruptedException {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/StageControllerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/StageControllerTest.java
@@ -164,14 +164,53 @@
     @Test
     void furtherChangesFollowAsSoonAsTheFirstOnesAreComplete() {
         advance(2_500);
-        for (Upstream engine : List.copyOf(orders.changed)) {
-            register(Integer.parseInt(engine.id().value().substring("engine-".length())), EngineStage.PREFILL);
-        }
+        completeOrdered(EngineStage.PREFILL);
         advance(2_500);
         // Four engines in ten decode.
         assertEquals(6, orders.changed.size());
     }
 
+    /** Guards against a second change of an engine that is ordered before all nodes have read of it. */
+    @Test
+    void eachChangeOfAnEngineWaitsForItsOwnAnnouncement() {
+        advance(4_000);
+        completeOrdered(EngineStage.PREFILL);
+        advance(2_500);
+        completeOrdered(EngineStage.PREFILL);
+        advance(2_500);
+        orders.changed.clear();
+        // All others leave, so that the engines that prefill now have to decode.
+        for (int i = 0; i < 10; i++) {
+            UpstreamId id = UpstreamId.fromString("engine-" + i);
+            if (directory.find(id).orElseThrow().entry().stage() == EngineStage.DECODE) {
+                directory.remove(id, false, clock.monotonicMillis);
+            }
+        }
+        advance(LONGEST_READ_PERIOD_MILLIS);
+        assertTrue(orders.changed.isEmpty(), orders.changed.toString());
+        advance(1_500);
+        assertEquals(3, orders.changed.size());
+    }
+
+    /** Guards against a change that counts against the others for ever, as the engine carries out no order. */
+    @Test
+    void changeThatComesToNothingIsWithdrawnAndAnnouncedAnew() {
+        advance(2_500);
+        assertEquals(5, orders.changed.size());
+        advance(Upstream.STAGE_CHANGE_LIMIT_MILLIS - 2_000);
+        orders.changed.clear();
+        advance(LONGEST_READ_PERIOD_MILLIS);
+        assertTrue(orders.changed.isEmpty(), orders.changed.toString());
+        advance(2_000);
+        assertEquals(5, orders.changed.size());
+    }
+
+    private void completeOrdered(EngineStage stage) {
+        for (Upstream engine : List.copyOf(orders.changed)) {
+            register(Integer.parseInt(engine.id().value().substring("engine-".length())), stage);
+        }
+    }
+
     /** Guards against announced changes that nobody orders, as the holder was lost in between. */
     @Test
     void successorOrdersWhatWasAnnounced() {
@@ -191,9 +230,7 @@
         announced.apply(clock.monotonicMillis);
         assertEquals(5, changing());
         advance(2_500);
-        for (Upstream engine : List.copyOf(orders.changed)) {
-            register(Integer.parseInt(engine.id().value().substring("engine-".length())), EngineStage.PREFILL);
-        }
+        completeOrdered(EngineStage.PREFILL);
         assertEquals(0, changing());
     }
 
