Count started requests only and share the limits of caller memory

Requests that their quota refused increased the retry budget of the service; a request is now counted when it is started. The readiness and metrics servers had shares of the heap of their own, so that the sum could exceed the intended part; they use those of the node. No test shows either without a network.

Comments that described another field or promised more than the code does are corrected, and QuotaMessage.mayBeOne is renamed to isQuotaMessage.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -32,12 +32,12 @@
  * once.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
+    private static final byte[] STOPPING = "the node is stopping\n".getBytes(StandardCharsets.US_ASCII);
+
     /**
      * Maximum number of pipelined requests waiting behind the current one; the connection of a caller that sends more
      * is closed.
      */
-    private static final byte[] STOPPING = "the node is stopping\n".getBytes(StandardCharsets.US_ASCII);
-
     private static final int MAXIMUM_PIPELINED = 8;
 
     private final CallerServer server;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerDatagramChannel.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerDatagramChannel.java
@@ -78,7 +78,7 @@
                     protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
                         byte[] bytes = new byte[packet.content().readableBytes()];
                         packet.content().readBytes(bytes);
-                        if (QuotaMessage.mayBeOne(bytes)) {
+                        if (QuotaMessage.isQuotaMessage(bytes)) {
                             onQuotaMessage(bytes, packet.sender());
                             return;
                         }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/QuotaCharge.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/QuotaCharge.java
@@ -5,6 +5,9 @@
     /** Of a request that no quota counts, or that a peer has counted. */
     QuotaCharge NONE = () -> {};
 
-    /** Gives back the credit, as the request has reached no upstream. */
+    /**
+     * Gives back the credit of a request that was sent neither to an upstream nor to a peer. A request that was sent
+     * stays charged, whether it arrived or not.
+     */
     void giveBack();
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/QuotaMessage.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/QuotaMessage.java
@@ -48,8 +48,8 @@
         return String.join(SEPARATOR, fields).getBytes(StandardCharsets.UTF_8);
     }
 
-    /** Returns whether a datagram may be a message about quotas; every other kind begins with another character. */
-    static boolean mayBeOne(byte[] bytes) {
+    /** Returns whether a datagram is about quotas, malformed or not; every other kind begins with another character. */
+    static boolean isQuotaMessage(byte[] bytes) {
         return bytes.length > 0 && bytes[0] == REQUEST.charAt(0);
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/Relay.java
@@ -99,7 +99,6 @@
             refuseTooLarge(exchange, request, serving.version());
             return;
         }
-        context.retryBudgets().of(service.get()).onRequest(exchange.receivedAtMillis());
         AccountQuota quota = account.map(serving.quotas()::get).orElse(null);
         if (quota == null) {
             start(exchange, metadata, request, new RequestOrigin(account, serving.version(), QuotaCharge.NONE, false));
@@ -124,6 +123,8 @@
 
     private void start(
             CallerExchange exchange, RequestMetadata metadata, ServingRequest request, RequestOrigin origin) {
+        // Refused requests must not increase the budget.
+        context.retryBudgets().of(request.service()).onRequest(context.clock().monotonicMillis());
         new RelayedRequest(context, exchange, metadata, request, origin).start();
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ServingNode.java
@@ -235,7 +235,8 @@
         this.callerServer = createServer(protocol, this::limits, Relay.create(context, follower::config, quotas));
         this.peerServer = createServer(
                 protocol, () -> PEER_LIMITS, PeerRequestHandler.create(context, peerToken, this::openPeerRequestCount));
-        this.statusServers = StatusServers.create(runtime, protocol.readinessPath(), this::isReady, this::metricsText);
+        this.statusServers =
+                StatusServers.create(runtime, callerMemory, protocol.readinessPath(), this::isReady, this::metricsText);
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StatusServers.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StatusServers.java
@@ -24,18 +24,23 @@
      * Returns servers that do not listen yet.
      *
      * @param runtime the event loop, clock and log
+     * @param memory the limits that all servers of the node share
      * @param readinessPath the path of the readiness check
      * @param isReady whether the check succeeds
      * @param metricsText supplies the metrics in the Prometheus text format
      */
     static StatusServers create(
-            NodeRuntime runtime, String readinessPath, BooleanSupplier isReady, Supplier<byte[]> metricsText) {
-        CallerServer readiness = singlePathServer(runtime, readinessPath, exchange -> {
+            NodeRuntime runtime,
+            CallerMemory memory,
+            String readinessPath,
+            BooleanSupplier isReady,
+            Supplier<byte[]> metricsText) {
+        CallerServer readiness = singlePathServer(runtime, memory, readinessPath, exchange -> {
             HttpResponseStatus status =
                     isReady.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
             exchange.respond(status, new DefaultHttpHeaders(), new byte[0]);
         });
-        CallerServer metrics = singlePathServer(runtime, METRICS_PATH, exchange -> {
+        CallerServer metrics = singlePathServer(runtime, memory, METRICS_PATH, exchange -> {
             DefaultHttpHeaders headers = new DefaultHttpHeaders();
             headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
             exchange.respond(HttpResponseStatus.OK, headers, metricsText.get());
@@ -43,7 +48,8 @@
         return new StatusServers(readiness, metrics);
     }
 
-    private static CallerServer singlePathServer(NodeRuntime runtime, String path, CallerRequestHandler handler) {
+    private static CallerServer singlePathServer(
+            NodeRuntime runtime, CallerMemory memory, String path, CallerRequestHandler handler) {
         CallerRequestHandler handlerOrNotFound = exchange -> {
             if (exchange.request().uri().equals(path)) {
                 handler.onRequest(exchange);
@@ -58,7 +64,7 @@
                 handlerOrNotFound,
                 CallerServer.RequestNaming.NONE,
                 runtime.log(),
-                CallerMemory.ofHeap());
+                memory);
     }
 
     void listen(InetSocketAddress readinessAddress, InetSocketAddress metricsAddress) throws InterruptedException {
