--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StageController.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/StageController.java
@@ -60,6 +60,11 @@
             this.stage = stage;
             this.readAtMillis = readAtMillis;
         }
+
+        /** Returns whether nodes use the engine again although it has not changed its stage. */
+        boolean isExpired(long nowMillis) {
+            return nowMillis - readAtMillis >= Upstream.STAGE_CHANGE_LIMIT_MILLIS;
+        }
     }
 
     private StageController(
@@ -126,9 +131,12 @@
             Optional<EngineStage> stage = announced.pendingStage(engine);
             if (stage.isEmpty()) {
                 announcements.remove(engine.incarnation());
-            } else if (!isExpired(engine, stage.get(), nowMillis)) {
+                continue;
+            }
+            Announcement announcement = announcement(engine, stage.get(), nowMillis);
+            if (!announcement.isExpired(nowMillis)) {
                 pendingStages.put(engine.id(), stage.get());
-                orderWhenDue(holder, engine, stage.get(), switchMillis, nowMillis);
+                orderWhenDue(holder, engine, announcement, switchMillis, nowMillis);
             }
         }
         announcements.keySet().removeIf(engine -> !directory.lists(engine));
@@ -144,20 +152,21 @@
         }
     }
 
-    /** Returns whether an announced change has come to nothing, so that nodes use the engine again. */
-    private boolean isExpired(Upstream engine, EngineStage stage, long nowMillis) {
+    /** Returns the announcement of a change, recorded now if it was not read before. */
+    private Announcement announcement(Upstream engine, EngineStage stage, long nowMillis) {
         Announcement known = announcements.get(engine.incarnation());
-        if (known == null || known.stage != stage) {
-            known = new Announcement(stage, nowMillis);
-            announcements.put(engine.incarnation(), known);
+        if (known != null && known.stage == stage) {
+            return known;
         }
-        return nowMillis - known.readAtMillis >= Upstream.STAGE_CHANGE_LIMIT_MILLIS;
+        Announcement read = new Announcement(stage, nowMillis);
+        announcements.put(engine.incarnation(), read);
+        return read;
     }
 
     private Set<UpstreamIncarnation> expired(long nowMillis) {
         Set<UpstreamIncarnation> expired = new HashSet<>();
         announcements.forEach((engine, announcement) -> {
-            if (nowMillis - announcement.readAtMillis >= Upstream.STAGE_CHANGE_LIMIT_MILLIS) {
+            if (announcement.isExpired(nowMillis)) {
                 expired.add(engine);
             }
         });
@@ -206,14 +215,14 @@
     }
 
     private void orderWhenDue(
-            DutyCaller holder, Upstream engine, EngineStage stage, long switchMillis, long nowMillis) {
-        Announcement announcement = announcements.get(engine.incarnation());
+            DutyCaller holder, Upstream engine, Announcement announcement, long switchMillis, long nowMillis) {
         boolean isKnownToAll =
                 nowMillis - announcement.readAtMillis >= follower.longestReadPeriodMillis() + READ_MILLIS;
         if (!isKnownToAll || nowMillis < announcement.orderedUntilMillis || !mayBeCalled(engine, nowMillis)) {
             return;
         }
         announcement.orderedUntilMillis = nowMillis + switchMillis + ORDER_RETRY_DELAY_MILLIS;
+        EngineStage stage = announcement.stage;
         client.readAcceptedOrderCount(engine, accepted -> {
             if (accepted.isLeft()) {
                 logOrder(engine, stage, accepted.getLeft().toString());
