Let a sample at a model engine count less

A few samples of engines, whose work ahead is known only roughly, outweighed the cached parts of prompts. Change: the variance of a sample at an engine is 2; at plain upstreams it stays 0.3.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/performance/UpstreamPerformance.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/performance/UpstreamPerformance.java
@@ -39,6 +39,12 @@
     /** Variance of the logarithm of one sample, for requests that take different times at the same upstream. */
     private static final double SAMPLE_VARIANCE = 0.3;
 
+    /**
+     * The same at a model engine, where the prefills ahead of a request are known only roughly. A few samples must not
+     * outweigh the cached parts of a prompt, which would then be prefilled again elsewhere.
+     */
+    private static final double ENGINE_SAMPLE_VARIANCE = 2;
+
     private static final double PERCENT = 100;
 
     /** An upstream with a greater estimate is slow. */
@@ -69,7 +75,11 @@
         RECOVERED
     }
 
-    private UpstreamPerformance() {}
+    private final double sampleVariance;
+
+    private UpstreamPerformance(double sampleVariance) {
+        this.sampleVariance = sampleVariance;
+    }
 
     /**
      * Returns the estimate of an upstream without samples.
@@ -77,7 +87,16 @@
      * @return the estimate
      */
     public static UpstreamPerformance create() {
-        return new UpstreamPerformance();
+        return new UpstreamPerformance(SAMPLE_VARIANCE);
+    }
+
+    /**
+     * Returns the estimate of a model engine without samples.
+     *
+     * @return the estimate
+     */
+    public static UpstreamPerformance ofEngine() {
+        return new UpstreamPerformance(ENGINE_SAMPLE_VARIANCE);
     }
 
     /**
@@ -110,7 +129,7 @@
         double retained = retained(nowMillis);
         double predicted = logarithm * retained;
         double predictedVariance = varianceAfter(retained);
-        double gain = predictedVariance / (predictedVariance + SAMPLE_VARIANCE / count);
+        double gain = predictedVariance / (predictedVariance + sampleVariance / count);
         logarithm = predicted + gain * (sample - predicted);
         variance = (1 - gain) * predictedVariance;
         samples += count;
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -64,12 +64,14 @@
     private int consecutiveRefusals;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private final UpstreamRest rest = new UpstreamRest();
-    private final UpstreamPerformance performance = UpstreamPerformance.create();
+    private final UpstreamPerformance performance;
     private final SustainableLoad sustainableLoad = SustainableLoad.create();
     private final SentRequests sentRequests = SentRequests.none();
 
     Upstream(UpstreamEntry entry, long kvCapacityTokens) {
         this.entry = entry;
+        this.performance =
+                entry.stage() == EngineStage.ANY ? UpstreamPerformance.create() : UpstreamPerformance.ofEngine();
         this.leaving = entry.leaving();
         this.prefixCache = new PrefixCacheEstimator(kvCapacityTokens);
     }
