--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Placer.java
@@ -389,19 +389,15 @@
     private Scored directCost(
             PlacementQuery query, Upstream upstream, Prefill prefill, boolean isPreferred, long nowMillis) {
         ServingRequest request = query.request();
-        double relativeTime = upstream.performance().relativeTime(nowMillis);
-        double responseMillis = relativeTime
+        double responseMillis = upstream.averageRelativeLatency()
                 * latency.firstPartMillis(
                         request.service(),
                         upstream.prefillStage(),
                         upstream.totalPendingPrefillTokens() + prefill.uncachedTokens());
-        double relativeQueueLength =
-                SentWork.relativeQueueLength(upstream.totalRequests(nowMillis), upstream.usableSlots(nowMillis));
-        double costMillis = responseMillis * (1 + relativeQueueLength)
-                + relativeTime
-                        * (delayOfArrivals(request.service(), upstream.prefillStage(), prefill.uncachedTokens())
-                                + delayOfDecoding(upstream, prefill.uncachedTokens(), nowMillis)
-                                + batchingDelay(upstream, nowMillis))
+        double costMillis = responseMillis
+                + delayOfArrivals(request.service(), upstream.prefillStage(), prefill.uncachedTokens())
+                + delayOfDecoding(upstream, prefill.uncachedTokens(), nowMillis)
+                + batchingDelay(upstream, nowMillis)
                 + (prefill.isSharedPartUncached() && !isPreferred ? UNCACHED_NON_PREFERRED_PENALTY_MILLIS : 0)
                 + (prefill.fetchFrom().isPresent() && !prefill.isSharedPartUncached() ? KV_TRANSFER_PENALTY_MILLIS : 0)
                 + penaltyMillis(query, upstream, nowMillis)
@@ -429,18 +425,14 @@
     /** Selects the engine that decodes after a separate prefill. */
     private Upstream selectDecodeEngine(
             PlacementQuery query, List<Upstream> targets, Optional<Upstream> preferredTarget, long nowMillis) {
-        // Counted in full, so that an idle slow engine costs more than an idle fast one.
-        double decodeMillis = latency.firstPartMillis(query.request().service(), EngineStage.ANY, 0);
         return targets.stream()
-                .min(Comparator.comparingDouble(
-                        upstream -> upstream.performance().relativeTime(nowMillis)
-                                        * (decodeMillis + batchingDelay(upstream, nowMillis))
-                                + upstream.totalPendingPrefillTokens() * PREFILL_MILLIS_PER_TOKEN
-                                + (preferredTarget.isEmpty() || preferredTarget.get() == upstream
-                                        ? 0
-                                        : NON_PREFERRED_PENALTY_MILLIS)
-                                + penaltyMillis(query, upstream, nowMillis)
-                                + random.nextDouble() * TIE_BREAK_JITTER_MILLIS))
+                .min(Comparator.comparingDouble(upstream -> batchingDelay(upstream, nowMillis)
+                        + upstream.totalPendingPrefillTokens() * PREFILL_MILLIS_PER_TOKEN
+                        + (preferredTarget.isEmpty() || preferredTarget.get() == upstream
+                                ? 0
+                                : NON_PREFERRED_PENALTY_MILLIS)
+                        + penaltyMillis(query, upstream, nowMillis)
+                        + random.nextDouble() * TIE_BREAK_JITTER_MILLIS))
                 .orElseThrow();
     }
 
@@ -452,7 +444,7 @@
             boolean isPreferred,
             long nowMillis) {
         ServingRequest request = query.request();
-        double prefillMillis = prefillEngine.performance().relativeTime(nowMillis)
+        double prefillMillis = prefillEngine.averageRelativeLatency()
                 * latency.firstPartMillis(
                         request.service(),
                         EngineStage.PREFILL,
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ResponseTimeRecorder.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/ResponseTimeRecorder.java
@@ -62,6 +62,7 @@
         double usualMillis = tookMillis / (queueFactor * upstream.performance().statedFactor(nowMillis));
         double ownMillis = latency.firstPartMillis(service, work.stage(), work.uncachedTokens());
         double expectedMillis = latency.firstPartMillis(service, work.stage(), work.pendingTokens());
+        upstream.onRelativeLatency(tookMillis / Math.max(1, expectedMillis));
         // How long a request waits for the slot of an engine depends on the output of others, which is not known.
         boolean waitsForSlotOfEngine = !work.isPlain() && work.relativeQueueLength() > 0;
         if (!waitsForSlotOfEngine && queueFactor * expectedMillis <= MAXIMUM_LOAD_FACTOR * ownMillis) {
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/coordination/serving/Upstream.java
@@ -39,6 +39,9 @@
      */
     public static final long STAGE_CHANGE_LIMIT_MILLIS = 15_000;
 
+    /** Upper bound for one sample of relative latency, so that a single delayed response has limited effect. */
+    private static final double MAXIMUM_RELATIVE_LATENCY = 10;
+
     private final UpstreamHealth health = UpstreamHealth.create();
     private final PrefixCacheEstimator prefixCache;
     private UpstreamEntry entry;
@@ -55,6 +58,12 @@
     private long reportedAtMillis = Long.MIN_VALUE / 2;
 
     /** The failure rate at the time of the last failure, reduced by the successes since then. */
+    /**
+     * The moving average of actual over expected latency, by which engines are placed: their learned performance moved
+     * requests away from the engines that had the parts of their prompts cached.
+     */
+    private double averageRelativeLatency = 1;
+
     private double failureRate;
 
     private long failedAtMillis;
@@ -281,6 +290,17 @@
         failureRate -= SAMPLE_WEIGHT * failureRate;
     }
 
+    /** Records the time to the first part of a response relative to the estimate for the same work. */
+    void onRelativeLatency(double relativeLatency) {
+        averageRelativeLatency +=
+                SAMPLE_WEIGHT * (Math.min(relativeLatency, MAXIMUM_RELATIVE_LATENCY) - averageRelativeLatency);
+    }
+
+    /** Returns the moving average of actual over expected latency; 1 is as expected. */
+    double averageRelativeLatency() {
+        return averageRelativeLatency;
+    }
+
     /**
      * Records that the upstream refused a request; it receives no requests for a time that doubles with each further
      * refusal.
