--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins and the harness of the scripts in review/6 to review/10, after the build of the deploy file.
+# Builds the stand-ins and the harness of the scripts in review/6 and review/7, after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
 out=review/target/classes-2
