--- a/review/src-2/review2/HeldBodies.java
+++ b/review/src-2/review2/HeldBodies.java
@@ -21,13 +21,18 @@
 
 /** Many users come at once; each keeps its connection, and sends a body within the limits of the config. */
 final class HeldBodies {
-    private static final int BODY_BYTES = Integer.getInteger("body", 200_000);
+    private static final int BODY_BYTES = Integer.getInteger("body", 500_000);
     private static final int WORK_MILLIS = Integer.getInteger("work", 600);
     private static final int USUAL_PER_SECOND = Integer.getInteger("rate", 40);
-    private static final int REQUESTS = Integer.getInteger("requests", 1_000);
+    private static final int REQUESTS = Integer.getInteger("requests", 1_100);
+
+    /** Each fifth body is shorter: 10,000 to 49,000 bytes. */
+    private static int bodyBytes(int number) {
+        return number % 5 == 4 ? 10_000 + number * 37 % 40 * 1_000 : BODY_BYTES;
+    }
 
     /** Users of another kind, who have small payments all the time, in both runs. */
-    private static final int SMALL_USERS = 30;
+    private static final int SMALL_USERS = 60;
 
     private static final int SMALL_BYTES = 600;
     private static final int SMALL_WORK_MILLIS = 30;
@@ -113,7 +118,7 @@
                         () -> {
                             String id = "pay" + number;
                             record.add("sent " + id);
-                            String answer = exchange(kept.get(number % users), "POST", id, BODY_BYTES);
+                            String answer = exchange(kept.get(number % users), "POST", id, bodyBytes(number));
                             outcomes.put(id, answer);
                             record.add(id + " got " + answer);
                             ended.countDown();
@@ -142,7 +147,7 @@
                 lost += outcome.getValue().startsWith("no answer") && ran.contains(outcome.getKey()) ? 1 : 0;
             }
             boolean alive = node.process.isAlive();
-            String result = users + " users, sent " + REQUESTS + " of " + BODY_BYTES + " bytes at " + perSecond + " a second beside " + SMALL_USERS + " users with small ones; of all " + outcomes.size() + " served " + served + ", refused "
+            String result = users + " users, sent " + REQUESTS + " of up to " + BODY_BYTES + " bytes at " + perSecond + " a second beside " + SMALL_USERS + " users with small ones; of all " + outcomes.size() + " served " + served + ", refused "
                     + refused + ", passed on to a sound engine and closed without an answer " + lost + ", process "
                     + (alive ? "alive" : "ended by itself with status " + node.process.exitValue());
             record.add(result);
