Reject requests in another transfer coding than chunks alone

Cause: CallerConnection rejected a transfer coding only beside a length. Netty's decoder takes a request whose codings don't include chunked for one without a body, and decodes "chunked, chunked", "gzip, chunked" and a second header after chunked as chunks, whose coding was then lost on the way to the upstream.

Change: TransferCoding decides from the headers and the version alone whether a body is delimited; RequestValidity rejects the head with 400, or with 501 where chunks hold a further coding, and nothing that follows on the connection is decoded. The log line of a rejection states its reason.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -17,11 +17,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Optional;
 import org.cactusshift.internal.coordination.limits.BufferLimit;
 import org.cactusshift.internal.coordination.serving.CallerLimits;
 
@@ -110,18 +109,10 @@
     private void onHead(HttpRequest request) {
         receiving = true;
         receiveTimeoutStartMillis = server.monotonicMillis();
-        if (request.decoderResult().isFailure()) {
-            reject(statusOf(request.decoderResult().cause()));
-            return;
-        }
-        boolean ambiguousLength = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-                && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        if (ambiguousLength || request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
-            reject(HttpResponseStatus.BAD_REQUEST);
-            return;
-        }
-        if (HttpUtil.getContentLength(request, 0L) > server.limits().maximumBodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        Optional<RequestValidity.Fault> fault =
+                RequestValidity.faultOfHead(request, server.limits().maximumBodyBytes());
+        if (fault.isPresent()) {
+            reject(fault.get().status(), fault.get().reason());
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -132,23 +123,14 @@
         body = Unpooled.EMPTY_BUFFER;
     }
 
-    private static HttpResponseStatus statusOf(Throwable cause) {
-        if (cause instanceof TooLongHttpLineException) {
-            return HttpResponseStatus.REQUEST_URI_TOO_LONG;
-        }
-        return cause instanceof TooLongHttpHeaderException
-                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                : HttpResponseStatus.BAD_REQUEST;
-    }
-
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            reject(HttpResponseStatus.BAD_REQUEST);
+            reject(HttpResponseStatus.BAD_REQUEST, "the body is malformed");
             return;
         }
         ByteBuf bytes = content.content();
         if (body.readableBytes() + bytes.readableBytes() > server.limits().maximumBodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
             return;
         }
         if (bytes.isReadable()) {
@@ -193,7 +175,7 @@
 
     /** Ends an upload because of the node's limit; the request was not run, so another node may take it at once. */
     private void endSlowUpload() {
-        reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "incomplete requests take too much memory");
     }
 
     /** Closes the connection of a caller that doesn't read its response, which then has no end. */
@@ -222,11 +204,11 @@
      * Rejects a request that is malformed, too large or too slow, and closes the connection; no part of the request was
      * sent to an upstream. While another request is being served, no response is sent.
      */
-    private void reject(HttpResponseStatus status) {
+    private void reject(HttpResponseStatus status, String reason) {
         closing = true;
         closeUpload();
         body = Unpooled.EMPTY_BUFFER;
-        server.logRejected(status.code(), String.valueOf(channel.remoteAddress()));
+        server.logRejected(status.code(), reason, String.valueOf(channel.remoteAddress()));
         if (current != null) {
             // The request being served ends as if its caller had disconnected.
             current.onCallerDisconnected();
@@ -272,7 +254,7 @@
         }
         if (receiving) {
             if (nowMillis - receiveTimeoutStartMillis > limits.headerTimeoutMillis()) {
-                reject(HttpResponseStatus.REQUEST_TIMEOUT);
+                reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request arrives too slowly");
             }
         } else if (nowMillis - idleSinceMillis > limits.idleTimeoutMillis()) {
             closeNow();
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -21,10 +22,10 @@
 
 /** Accepts connections of callers and enforces the limits on their requests and idle times. */
 public final class CallerServer {
-    /** Maximum number of connections that wait to be accepted. */
     /** How long after the server stopped listening requests are still served: those that were on their way. */
     private static final long REFUSAL_DELAY_MILLIS = 500;
 
+    /** Maximum number of connections that wait to be accepted. */
     private static final int BACKLOG = 512;
 
     /** A longer request line is rejected with status 414. */
@@ -107,9 +108,7 @@
      * @throws InterruptedException if the thread is interrupted while it waits
      */
     public void listen(InetSocketAddress address) throws InterruptedException {
-        HttpDecoderConfig decoder = new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAXIMUM_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(limits.get().maximumHeaderBytes());
+        HttpDecoderConfig decoder = decoderConfig();
         serverChannel = new ServerBootstrap()
                 .group(eventLoopGroup)
                 .channel(NioServerSocketChannel.class)
@@ -120,10 +119,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        CallerConnection connection = new CallerConnection(CallerServer.this);
-                        connections.add(connection);
-                        channel.pipeline()
-                                .addLast(new RawByteListener(connection), new HttpServerCodec(decoder), connection);
+                        channel.pipeline().addLast(connectionHandlers(decoder));
                     }
                 })
                 .bind(address)
@@ -131,6 +127,19 @@
                 .channel();
     }
 
+    HttpDecoderConfig decoderConfig() {
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAXIMUM_REQUEST_LINE_BYTES)
+                .setMaxHeaderSize(limits.get().maximumHeaderBytes());
+    }
+
+    /** Returns the handlers of the channel of a new connection, in their order. */
+    ChannelHandler[] connectionHandlers(HttpDecoderConfig decoder) {
+        CallerConnection connection = new CallerConnection(this);
+        connections.add(connection);
+        return new ChannelHandler[] {new RawByteListener(connection), new HttpServerCodec(decoder), connection};
+    }
+
     private static final class RawByteListener extends ChannelInboundHandlerAdapter {
         private final CallerConnection connection;
 
@@ -198,10 +207,11 @@
         connections.remove(connection);
     }
 
-    void logRejected(int status, String callerAddress) {
+    void logRejected(int status, String reason, String callerAddress) {
         log.event("request.unreadable")
                 .with("caller", callerAddress)
                 .with("status", status)
+                .with("reason", reason)
                 .write();
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpListenerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpListenerTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -130,6 +131,34 @@
         }
     }
 
+    /** Guards against a body that is taken for a request. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "gzip",
+                "identity",
+                "xchunked",
+                "",
+                "chunked, gzip",
+                "chunked, chunked",
+                "chunked\r\nTransfer-Encoding: identity",
+                "chunked;a=b",
+                "gzip, chunked",
+                "gzip\r\nTransfer-Encoding: chunked"
+            })
+    void refusesOtherTransferCodings(String coding) throws Exception {
+        AtomicInteger handled = new AtomicInteger();
+        try (HttpListener listener = open(exchange -> handled.incrementAndGet());
+                RawClient client = RawClient.connect(listener.address())) {
+            String inner = "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+            String response = client.send(
+                            "POST /outer HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + inner)
+                    .readToEnd();
+            assertTrue(response.isEmpty() || response.matches("(?s)HTTP/1.1 (400|501).*"), response);
+            assertEquals(0, handled.get());
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
