Fail answers in another transfer coding than chunks alone

Callers saw: of an upstream that answers with "Transfer-Encoding: gzip" or "gzip, chunked", a 200 with the coded bytes and without the coding; with a length beside it, the connection was reused although the body ends elsewhere.

Cause: Netty's decoder takes a coding without chunked for none, the header is hop-by-hop, and ResponseValidity asked only for a length or chunks.

Change: ResponseValidity applies the rule of requests (TransferCoding) to the heads of all client connections: upstreams, peers, the store and the platform's API. The exchange fails as possibly run.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseValidity.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/ResponseValidity.java
@@ -1,13 +1,17 @@
 package org.cactusshift.internal.transport.relay;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import org.cactusshift.internal.transport.http.TransferCoding;
 
 /**
- * The rule by which all clients of the relay accept a response: a status that HTTP defines, and a proof that the body
- * is complete. Whether the response answers the request is decided by {@link ResponseProof}.
+ * The rule by which all clients of the relay accept a response: a status that HTTP defines, a framing that is decoded
+ * here, and a proof that the body is complete. Whether the response answers the request is decided by
+ * {@link ResponseProof}.
  */
 final class ResponseValidity {
     private static final int FIRST_INTERIM_STATUS = 100;
@@ -36,7 +40,12 @@
             // No request of ours asks for another protocol; what follows is no HTTP.
             return Optional.of("the answer switches to another protocol");
         }
-        return Optional.empty();
+        TransferCoding coding = TransferCoding.of(
+                response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING),
+                response.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0);
+        return coding == TransferCoding.NONE || coding == TransferCoding.CHUNKED
+                ? Optional.empty()
+                : Optional.of("the answer is in another transfer coding than chunks alone");
     }
 
     /** Returns whether nothing but the end of the connection marks the end of the body. */
