Apply the rule of transfer codings to the gateway

Callers saw nothing by itself: the gateway served a request in HTTP/1.0 with chunks, and passed on an answer in chunks with a length beside them. A proxy in front that reads the end of such a body differently can be made to hide a request in it.

Cause: HttpCore takes chunks in any version and prefers them to a length; the listener and the clients did not look at the version, and the clients not at both.

Change: FramingCheck applies TransferCoding to the heads that the listener and the clients read.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/ClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/ClientConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
@@ -13,7 +14,7 @@
 
 /**
  * An HTTP/1.1 connection to a server on which a response that was cut is an error, as is one with a status that HTTP
- * does not define or with a switch of the protocol, which no request asks for.
+ * does not define, with a switch of the protocol, which no request asks for, or with a body whose end is not certain.
  */
 public class ClientConnection extends DefaultBHttpClientConnection {
     private static final int LAST_FINAL_STATUS = 599;
@@ -56,6 +57,10 @@
         if (code == HttpStatus.SC_SWITCHING_PROTOCOLS) {
             throw new ProtocolException("the server switches to another protocol");
         }
+        Optional<String> fault = FramingCheck.faultOf(response);
+        if (fault.isPresent()) {
+            throw new ProtocolException(fault.get());
+        }
         return response;
     }
 
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/RequestReader.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/http/RequestReader.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.Locale;
+import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.Header;
@@ -39,10 +40,9 @@
             throw new RequestRefusedException(
                     HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header section is too large");
         }
-        boolean hasLength = request.containsHeader(HttpHeaders.CONTENT_LENGTH);
-        boolean hasEncoding = request.containsHeader(HttpHeaders.TRANSFER_ENCODING);
-        if (hasLength && hasEncoding || request.countHeaders(HttpHeaders.CONTENT_LENGTH) > 1) {
-            throw new RequestRefusedException(HttpStatus.SC_BAD_REQUEST, "the body's length is ambiguous");
+        Optional<String> fault = FramingCheck.faultOf(request);
+        if (fault.isPresent()) {
+            throw new RequestRefusedException(HttpStatus.SC_BAD_REQUEST, fault.get());
         }
     }
 
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpClientPoolTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpClientPoolTest.java
@@ -140,6 +140,30 @@
         }
     }
 
+    /** Guards against a body that is passed on in a coding that its head no longer names, or with another end. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "gzip\r\n\r\nfull",
+                "identity\r\n\r\nfull",
+                "gzip\r\nContent-Length: 4\r\n\r\nfull",
+                "gzip, chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+                "chunked, chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+                "chunked\r\nTransfer-Encoding: gzip\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+                "chunked\r\nContent-Length: 9\r\n\r\n4\r\nfull\r\n0\r\n\r\n"
+            })
+    void failsAtAnotherTransferCoding(String rest) throws Exception {
+        try (ScriptedServer server = ScriptedServer.start((request, socket, out) -> {
+            out.write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + rest).getBytes(StandardCharsets.US_ASCII));
+            socket.shutdownOutput();
+        })) {
+            for (int i = 0; i < 3; i++) {
+                HttpExchangeException failure = send(server.address()).getLeft();
+                assertEquals(Failure.Kind.UNKNOWN_EFFECT, failure.failure().kind());
+            }
+        }
+    }
+
     @Test
     void reportsNotSentWhenTheConnectionIsRefused() throws Exception {
         String address;
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpListenerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/http/HttpListenerTest.java
@@ -119,6 +119,7 @@
                 "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
                 "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                 "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+                "POST /x HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                 "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
             })
     void refusesMalformedRequests(String request) throws Exception {
