Keep end-to-end headers that Connection names

Callers saw: a request with "Connection: close, request-id" ran without an id and got 504; with Model, Token-Counts, Prefix-Hash, Last-Event-Id, Resumes, Content-Type or Host in that place it ran without that header. An upstream with "Connection: Response-Signature" made a 200 that reached its caller without a signature.

Cause: the relay and the gateway removed each header that Connection names, also those that are meant for the final recipient, which HTTP forbids a sender to name.

Change: ConnectionOptions decides which headers are removed, for both; RelayCodec.endToEndHeaders lists those of the protocol. HopByHopHeader- Filter becomes ForwardedHeaders, which both kinds of attempts use for requests and responses.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/GatewayHeaders.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/gateway/GatewayHeaders.java
@@ -1,13 +1,13 @@
 package org.cactusshift.internal.transport.gateway;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpMessage;
+import org.cactusshift.internal.transport.http.ConnectionOptions;
 import org.cactusshift.internal.transport.http.HopByHopHeaders;
 
 /** The names of HTTP headers, and the rule that decides which headers the gateway forwards. */
@@ -71,13 +71,10 @@
     }
 
     private static Set<String> connectionOptions(HttpMessage message) {
-        Set<String> names = new HashSet<>();
+        List<String> values = new ArrayList<>();
         for (Header header : message.getHeaders(HttpHeaders.CONNECTION)) {
-            String value = header.getValue() == null ? "" : header.getValue();
-            for (String name : value.split(",")) {
-                names.add(name.trim().toLowerCase(Locale.ROOT));
-            }
+            values.add(header.getValue() == null ? "" : header.getValue());
         }
-        return names;
+        return ConnectionOptions.removableHeaders(values, Set.of());
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/PeerAttempt.java
@@ -89,8 +89,8 @@
         }
         connection = acquired.get();
         CallerExchange exchange = relayedRequest.exchange();
-        HttpHeaders requestHeaders = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(
-                exchange.request().headers());
+        HttpHeaders requestHeaders = ForwardedHeaders.ofRequest(
+                exchange.request().headers(), context().codec());
         passed.writeTo(requestHeaders, peer.token());
         connection.send(
                 exchange.request().method(),
@@ -112,8 +112,7 @@
     public void onHead(HttpResponse response) {
         metadata = context().codec().readResponse(response);
         status = response.status();
-        headers = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(response.headers());
-        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        headers = ForwardedHeaders.ofResponse(response.headers(), context().codec());
         Optional<UpstreamId> upstream = PassedRequest.removeUpstream(headers);
         if (metadata.leaving()) {
             // This node passes on that the upstream leaves, so it is bound by that too.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayCodec.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayCodec.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Encodes and decodes the headers and bodies that the platform's protocol adds to HTTP. Makes no decisions. */
 public interface RelayCodec extends CallerServer.RequestNaming {
@@ -17,6 +18,13 @@
      */
     RequestMetadata readRequest(HttpRequest request) throws MalformedRequestException;
 
+    /**
+     * Returns the headers of the protocol that are passed on even where their sender lists them in {@code Connection}.
+     *
+     * @return the names, in lower case
+     */
+    Set<String> endToEndHeaders();
+
     /**
      * Turns the headers of a caller's request, in place, into those for an upstream: removes headers that a caller may
      * not set and adds the directives of the node.
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/UpstreamAttempt.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -226,8 +225,8 @@
         sentAtMillis = nowMillis();
         relayedRequest.sentAttempts().add(this);
         isContinuation = relayedRequest.exchange().isStreaming();
-        HttpHeaders requestHeaders = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(
-                relayedRequest.exchange().request().headers());
+        HttpHeaders requestHeaders = ForwardedHeaders.ofRequest(
+                relayedRequest.exchange().request().headers(), context().codec());
         context().codec().writeDirectives(requestHeaders, relayedRequest.directives(this));
         connection.send(
                 relayedRequest.exchange().request().method(),
@@ -322,8 +321,7 @@
     public void onHead(HttpResponse response) {
         metadata = context().codec().readResponse(response);
         status = response.status();
-        headers = HopByHopHeaderFilter.copyWithoutHopByHopHeaders(response.headers());
-        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        headers = ForwardedHeaders.ofResponse(response.headers(), context().codec());
         if (relayedRequest.origin().isPeer()) {
             PassedRequest.writeUpstream(headers, upstream.id());
         }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/ServiceGatewayTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/gateway/ServiceGatewayTest.java
@@ -85,8 +85,11 @@
                 GatewayFixture gateway = GatewayFixture.withServices(service.address());
                 RawClient caller = RawClient.connect(gateway.listener.address())) {
             caller.send("GET /services/settle-app/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
-                    + GatewayFixture.BEARER_TOKEN + "\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n\r\n");
+                    + GatewayFixture.BEARER_TOKEN
+                    + "\r\nConnection: close, X-Hop, Content-Type\r\nX-Hop: 1\r\nTE: trailers\r\n"
+                    + "Content-Type: text/x\r\n\r\n");
             assertTrue(caller.readToEnd().startsWith("HTTP/1.1 201"));
+            assertEquals("text/x", service.receivedRequests().get(0).header("Content-Type"));
             assertNull(service.receivedRequests().get(0).header("X-Hop"));
             assertNull(service.receivedRequests().get(0).header("TE"));
         }
