Send the responses before a rejected request

Callers saw: when a request that a node rejects came behind another one on the same connection, the connection was closed at once and the caller of the request in front, which an upstream was running, never got its response.

Cause: CallerConnection.reject ended the request being served as if its caller had disconnected.

Change: the rejection is kept and sent after the responses to the requests before it; nothing that follows is decoded. One request too many is rejected with 503.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -33,10 +33,7 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final byte[] STOPPING = "the node is stopping\n".getBytes(StandardCharsets.US_ASCII);
 
-    /**
-     * Maximum number of pipelined requests waiting behind the current one; the connection of a caller that sends more
-     * is closed.
-     */
+    /** Maximum number of pipelined requests waiting behind the current one; a further one is rejected. */
     private static final int MAXIMUM_PIPELINED = 8;
 
     private final CallerServer server;
@@ -50,6 +47,10 @@
     private BufferLimit.Account upload;
 
     private CallerOutput output;
+
+    /** The status of a rejected request, which is sent after the responses before it; null while none was rejected. */
+    private HttpResponseStatus rejection;
+
     private boolean closing;
     private long idleSinceMillis;
 
@@ -92,13 +93,10 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (closing) {
-                return;
-            }
-            if (message instanceof HttpRequest request) {
+            if (isReading() && message instanceof HttpRequest request) {
                 onHead(request);
             }
-            if (!closing && message instanceof HttpContent content) {
+            if (isReading() && message instanceof HttpContent content) {
                 onContent(content);
             }
         } finally {
@@ -106,6 +104,10 @@
         }
     }
 
+    private boolean isReading() {
+        return !closing && rejection == null;
+    }
+
     private void onHead(HttpRequest request) {
         receiving = true;
         receiveTimeoutStartMillis = server.monotonicMillis();
@@ -136,7 +138,7 @@
         if (bytes.isReadable()) {
             receiveTimeoutStartMillis = server.monotonicMillis();
             addToBody(bytes);
-            if (closing) {
+            if (!isReading()) {
                 return;
             }
         }
@@ -150,7 +152,7 @@
             } else if (pipelined.size() < MAXIMUM_PIPELINED) {
                 pipelined.addLast(exchange);
             } else {
-                closeNow();
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests wait on the connection");
             }
         }
     }
@@ -201,21 +203,22 @@
     }
 
     /**
-     * Rejects a request that is malformed, too large or too slow, and closes the connection; no part of the request was
-     * sent to an upstream. While another request is being served, no response is sent.
+     * Rejects a request that is malformed, too large, too slow or one too many; no part of it was sent to an upstream.
+     * The requests before it keep their responses; nothing that follows it is read.
      */
     private void reject(HttpResponseStatus status, String reason) {
-        closing = true;
         closeUpload();
         body = Unpooled.EMPTY_BUFFER;
         server.logRejected(status.code(), reason, String.valueOf(channel.remoteAddress()));
-        if (current != null) {
-            // The request being served ends as if its caller had disconnected.
-            current.onCallerDisconnected();
-            channel.close();
-            return;
+        rejection = status;
+        if (current == null) {
+            sendRejection();
         }
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+    }
+
+    private void sendRejection() {
+        closing = true;
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, rejection);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
@@ -232,6 +235,8 @@
             closeNow();
         } else if (!pipelined.isEmpty()) {
             start(pipelined.removeFirst());
+        } else if (rejection != null) {
+            sendRejection();
         }
     }
 
