Let idle connections of callers drop the body of their last request

Cause: CallerConnection handed the body of a request to its exchange and kept the buffer itself until the next head on that connection, for up to the idle timeout.

Change: the connection drops the buffer when the request is handed on; only the exchange holds it, which ends with its response.

KeptConnectionTest failed before (the body of 50,000 bytes was still reachable) and passes now.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -146,7 +146,9 @@
             closeUpload();
             receiving = false;
             CallerExchange exchange = new CallerExchange(this, channel, head, body, server.monotonicMillis());
+            // An idle connection must not keep the body of its last request.
             head = null;
+            body = Unpooled.EMPTY_BUFFER;
             if (current == null) {
                 start(exchange);
             } else if (pipelined.size() < MAXIMUM_PIPELINED) {
