Limit the memory of requests in progress

Cause: the account of an upload ends when the upload is complete; from then on its body was in no limit.

A request that doesn't fit is refused with 503, without a time to retry after, so that another node can take it at once; none that was taken is ended. Two metrics and a log line show it.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerConnection.java
@@ -32,6 +32,8 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final byte[] STOPPING = "the node is stopping\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] OVER_MEMORY =
+            "the node has no memory for the request\n".getBytes(StandardCharsets.US_ASCII);
 
     /** Maximum number of pipelined requests waiting behind the current one; a further one is rejected. */
     private static final int MAXIMUM_PIPELINED = 8;
@@ -143,22 +145,39 @@
             }
         }
         if (content instanceof LastHttpContent) {
-            closeUpload();
-            receiving = false;
-            CallerExchange exchange = new CallerExchange(this, channel, head, body, server.monotonicMillis());
-            // An idle connection must not keep the body of its last request.
-            head = null;
-            body = Unpooled.EMPTY_BUFFER;
-            if (current == null) {
-                start(exchange);
-            } else if (pipelined.size() < MAXIMUM_PIPELINED) {
-                pipelined.addLast(exchange);
-            } else {
-                reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests wait on the connection");
-            }
+            onRequestComplete();
         }
     }
 
+    private void onRequestComplete() {
+        closeUpload();
+        receiving = false;
+        if (current == null) {
+            start(takeRequest());
+        } else if (pipelined.size() < MAXIMUM_PIPELINED) {
+            pipelined.addLast(takeRequest());
+        } else {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests wait on the connection");
+        }
+    }
+
+    /** Returns the request that has arrived; its memory is held until {@link #releaseRequest}. */
+    private CallerExchange takeRequest() {
+        boolean fits = server.memory().requests().take(body.capacity());
+        long nowMillis = server.monotonicMillis();
+        CallerExchange exchange = fits
+                ? new CallerExchange(this, channel, head, body, nowMillis)
+                : CallerExchange.withoutBody(this, channel, head, nowMillis);
+        // An idle connection must not keep the body of its last request.
+        head = null;
+        body = Unpooled.EMPTY_BUFFER;
+        return exchange;
+    }
+
+    private void releaseRequest(CallerExchange exchange) {
+        server.memory().requests().release(exchange.body().capacity());
+    }
+
     /** Adds a part; the buffer grows with what arrives, since a caller may state a length that it never sends. */
     private void addToBody(ByteBuf bytes) {
         if (body == Unpooled.EMPTY_BUFFER) {
@@ -201,6 +220,11 @@
             exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(), STOPPING);
             return;
         }
+        if (exchange.isBodyMissing()) {
+            server.logOverMemory(String.valueOf(channel.remoteAddress()));
+            exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, new DefaultHttpHeaders(), OVER_MEMORY);
+            return;
+        }
         server.handler().onRequest(exchange);
     }
 
@@ -231,6 +255,7 @@
             return;
         }
         current = null;
+        releaseRequest(exchange);
         server.onRequestEnded();
         idleSinceMillis = server.monotonicMillis();
         if (!keepAlive) {
@@ -298,9 +323,11 @@
         if (current != null) {
             CallerExchange interrupted = current;
             current = null;
+            releaseRequest(interrupted);
             server.onRequestEnded();
             interrupted.onCallerDisconnected();
         }
+        pipelined.forEach(this::releaseRequest);
         pipelined.clear();
     }
 }
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerExchange.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerExchange.java
@@ -22,6 +22,7 @@
     private final HttpRequest request;
     private final ByteBuf body;
     private final long receivedAtMillis;
+    private final boolean bodyMissing;
     private Runnable disconnectListener = () -> {};
     private Runnable writableListener = () -> {};
     private long stallLimitMillis = Long.MAX_VALUE;
@@ -40,11 +41,32 @@
 
     CallerExchange(
             CallerConnection connection, Channel channel, HttpRequest request, ByteBuf body, long receivedAtMillis) {
+        this(connection, channel, request, body, receivedAtMillis, false);
+    }
+
+    private CallerExchange(
+            CallerConnection connection,
+            Channel channel,
+            HttpRequest request,
+            ByteBuf body,
+            long receivedAtMillis,
+            boolean bodyMissing) {
         this.connection = connection;
         this.channel = channel;
         this.request = request;
         this.body = body;
         this.receivedAtMillis = receivedAtMillis;
+        this.bodyMissing = bodyMissing;
+    }
+
+    /** Returns the exchange of a request whose body was dropped for want of memory: it can only be refused. */
+    static CallerExchange withoutBody(
+            CallerConnection connection, Channel channel, HttpRequest request, long receivedAtMillis) {
+        return new CallerExchange(connection, channel, request, Unpooled.EMPTY_BUFFER, receivedAtMillis, true);
+    }
+
+    boolean isBodyMissing() {
+        return bodyMissing;
     }
 
     /**
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/CallerServer.java
@@ -215,6 +215,13 @@
                 .write();
     }
 
+    void logOverMemory(String callerAddress) {
+        log.event("request.overMemory")
+                .with("caller", callerAddress)
+                .with("heldBytes", memory.requests().bytes())
+                .write();
+    }
+
     void logSlowReader(String callerAddress, String reason, long pendingBytes) {
         log.event("caller.slow")
                 .with("caller", callerAddress)
--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/RelayMetrics.java
@@ -54,6 +54,14 @@
             .name("cactusshift_relay_incomplete_upload_bytes")
             .help("Bytes of requests that are not complete.")
             .register(registry);
+    private final Gauge heldRequests = Gauge.builder()
+            .name("cactusshift_relay_held_request_bytes")
+            .help("Bytes of requests that are being served or wait behind others on their connection.")
+            .register(registry);
+    private final Gauge refusedForMemory = Gauge.builder()
+            .name("cactusshift_relay_requests_over_memory")
+            .help("Requests that were refused since the start because of the limit for the memory of requests.")
+            .register(registry);
     private final Gauge endedForMemory = Gauge.builder()
             .name("cactusshift_relay_slow_callers_ended")
             .help("Connections of slow callers that were ended since the start because of the limit for their memory.")
@@ -158,15 +166,17 @@
     }
 
     /**
-     * Records how much memory incomplete responses and slow callers take.
+     * Records how much memory incomplete responses and callers take.
      *
      * @param incompleteResponseBytes the bytes of incomplete responses
-     * @param callers what slow callers take
+     * @param callers what callers take
      */
     public void onBuffers(long incompleteResponseBytes, CallerMemory callers) {
         incompleteResponses.set(incompleteResponseBytes);
         unreadResponses.set(callers.responses().bytes());
         incompleteUploads.set(callers.uploads().bytes());
+        heldRequests.set(callers.requests().bytes());
+        refusedForMemory.set(callers.requests().refusedCount());
         endedForMemory.labelValues("response").set(callers.responses().endedCount());
         endedForMemory.labelValues("upload").set(callers.uploads().endedCount());
     }
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/RequestFramingTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/RequestFramingTest.java
@@ -17,6 +17,7 @@
 import java.util.regex.Pattern;
 import org.cactusshift.internal.coordination.limits.BufferLimit;
 import org.cactusshift.internal.coordination.limits.BufferLimit.Selection;
+import org.cactusshift.internal.coordination.limits.RequestMemory;
 import org.cactusshift.internal.coordination.serving.CallerLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -55,7 +56,9 @@
             CallerServer.RequestNaming.NONE,
             (event, fields) -> {},
             new CallerMemory(
-                    BufferLimit.of(Selection.LARGEST, 1_000_000), BufferLimit.of(Selection.SLOWEST, 1_000_000)));
+                    BufferLimit.of(Selection.LARGEST, 1_000_000),
+                    BufferLimit.of(Selection.SLOWEST, 1_000_000),
+                    RequestMemory.of(100_000_000)));
 
     @AfterEach
     void close() {
--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SlowCallerTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/SlowCallerTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cactusshift.internal.coordination.limits.BufferLimit;
 import org.cactusshift.internal.coordination.limits.BufferLimit.Selection;
+import org.cactusshift.internal.coordination.limits.RequestMemory;
 import org.cactusshift.internal.coordination.serving.CallerLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -39,7 +40,8 @@
     private final SettableClock clock = new SettableClock();
     private final CallerMemory memory = new CallerMemory(
             BufferLimit.of(Selection.LARGEST, RESPONSE_LIMIT_BYTES),
-            BufferLimit.of(Selection.SLOWEST, UPLOAD_LIMIT_BYTES));
+            BufferLimit.of(Selection.SLOWEST, UPLOAD_LIMIT_BYTES),
+            RequestMemory.of(100_000_000));
     private final List<String> log = new CopyOnWriteArrayList<>();
     private final List<Socket> callers = new ArrayList<>();
     private final CallerServer server = CallerServer.create(
