Pass on the bytes of a request target unchanged

Cause: Netty reads a target as one character for each byte and writes it in UTF-8.

Change: RequestEncoder writes the request line as it was read.

Measured: HeadersAndStatusesTest.targetReachesTheUpstreamByteByByte failed before for such a target and passes now.

--- a/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
+++ b/org.cactusshift/src/main/java/org/cactusshift/internal/transport/relay/HttpClientConnection.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -78,7 +77,7 @@
     /** Returns the handlers of a channel for the connection, in their order. */
     ChannelHandler[] handlers(HttpDecoderConfig config) {
         decoder = new ResponseDecoder(config, this);
-        return new ChannelHandler[] {new HttpRequestEncoder(), decoder, this};
+        return new ChannelHandler[] {new RequestEncoder(), decoder, this};
     }
 
     @Override
