--- a/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/RequestFramingTest.java
+++ b/org.cactusshift/src/test/java/org/cactusshift/internal/transport/relay/RequestFramingTest.java
@@ -3,22 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.regex.Pattern;
-import org.cactusshift.internal.coordination.limits.BufferLimit;
-import org.cactusshift.internal.coordination.limits.BufferLimit.Selection;
-import org.cactusshift.internal.coordination.limits.RequestMemory;
-import org.cactusshift.internal.coordination.serving.CallerLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,74 +16,26 @@
 /** Guards against a body that is taken for a request: the two ends of a connection must agree on where it ends. */
 class RequestFramingTest {
     private static final String INNER = "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
-    private static final String SLOW = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.1 ([0-9]{3}) ");
     private static final List<Integer> PART_BYTES = List.of(1_000, 1);
     private static final String INNER_IN_CHUNKS =
             Integer.toHexString(INNER.length()) + "\r\n" + INNER + "\r\n0\r\n\r\n";
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<String> served = new ArrayList<>();
-
-    /** The requests that are responded to only later. */
-    private final List<CallerExchange> slow = new ArrayList<>();
-
-    private final CallerServer server = CallerServer.create(
-            group,
-            new SettableClock(),
-            () -> new CallerLimits(8_192, 100_000, 60_000, 60_000),
-            exchange -> {
-                if (exchange.request().uri().equals("/slow")) {
-                    exchange.setDisconnectListener(() -> served.add("disconnected"));
-                    slow.add(exchange);
-                    return;
-                }
-                served.add(exchange.request().uri() + " " + exchange.body().toString(StandardCharsets.US_ASCII));
-                exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(), new byte[0]);
-            },
-            CallerServer.RequestNaming.NONE,
-            (event, fields) -> {},
-            new CallerMemory(
-                    BufferLimit.of(Selection.LARGEST, 1_000_000),
-                    BufferLimit.of(Selection.SLOWEST, 1_000_000),
-                    RequestMemory.of(100_000_000)));
+    private final EmbeddedCallers callers = new EmbeddedCallers(
+            1_000_000,
+            exchange ->
+                    served.add(exchange.request().uri() + " " + exchange.body().toString(StandardCharsets.US_ASCII)));
 
     @AfterEach
     void close() {
-        group.shutdownGracefully();
-    }
-
-    private EmbeddedChannel connect() {
-        return new EmbeddedChannel(server.connectionHandlers(server.decoderConfig()));
+        callers.close();
     }
 
     /** Sends a text on a new connection, in parts of a number of bytes; returns the statuses of the responses. */
     private List<String> send(String text, int partBytes) {
-        EmbeddedChannel channel = connect();
-        write(channel, text, partBytes);
-        List<String> statuses = responseStatuses(channel);
-        channel.finishAndReleaseAll();
-        return statuses;
-    }
-
-    private static void write(EmbeddedChannel channel, String text, int partBytes) {
-        for (int start = 0; start < text.length() && channel.isOpen(); start += partBytes) {
-            String part = text.substring(start, Math.min(text.length(), start + partBytes));
-            channel.writeInbound(Unpooled.copiedBuffer(part, StandardCharsets.US_ASCII));
-        }
-    }
-
-    private static List<String> responseStatuses(EmbeddedChannel channel) {
-        StringBuilder responses = new StringBuilder();
-        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
-            responses.append(part.toString(StandardCharsets.US_ASCII));
-            part.release();
-        }
-        return STATUS_LINE
-                .matcher(responses)
-                .results()
-                .map(line -> line.group(1))
-                .toList();
+        EmbeddedChannel channel = callers.connect();
+        EmbeddedCallers.write(channel, text, partBytes);
+        return EmbeddedCallers.responseStatuses(channel);
     }
 
     private static String outer(String version, String framing) {
@@ -163,9 +103,12 @@
     })
     void rejectionFollowsTheResponsesBeforeIt(String rejected, String status) {
         for (int partBytes : PART_BYTES) {
-            EmbeddedChannel channel = connect();
-            write(channel, SLOW + SLOW + rejected.replace("|", "\r\n") + INNER, partBytes);
-            assertEquals(List.of(), responseStatuses(channel));
+            EmbeddedChannel channel = callers.connect();
+            EmbeddedCallers.write(
+                    channel,
+                    EmbeddedCallers.SLOW + EmbeddedCallers.SLOW + rejected.replace("|", "\r\n") + INNER,
+                    partBytes);
+            assertEquals(List.of(), EmbeddedCallers.responseStatuses(channel));
             assertEquals(List.of("200"), statusesAfterNextResponse(channel));
             assertEquals(List.of("200", status), statusesAfterNextResponse(channel));
             assertFalse(channel.isOpen());
@@ -176,19 +119,19 @@
     /** Guards against a request that runs and whose response is lost because of too many requests behind it. */
     @Test
     void requestsBeforeOneTooManyAreServed() {
-        EmbeddedChannel channel = connect();
-        write(channel, SLOW.repeat(15), 1_000);
+        EmbeddedChannel channel = callers.connect();
+        EmbeddedCallers.write(channel, EmbeddedCallers.SLOW.repeat(15), 1_000);
         for (int i = 1; i < 9; i++) {
             assertEquals(List.of("200"), statusesAfterNextResponse(channel));
         }
         assertEquals(List.of("200", "503"), statusesAfterNextResponse(channel));
         assertFalse(channel.isOpen());
-        assertEquals(List.of(), slow);
+        assertFalse(callers.respondToSlow());
         assertEquals(List.of(), served);
     }
 
     private List<String> statusesAfterNextResponse(EmbeddedChannel channel) {
-        slow.remove(0).respond(HttpResponseStatus.OK, new DefaultHttpHeaders(), new byte[0]);
-        return responseStatuses(channel);
+        callers.respondToSlow();
+        return EmbeddedCallers.responseStatuses(channel);
     }
 }
