--- a/review/src-3/EndlessBlankLines.java
+++ b/review/src-3/EndlessBlankLines.java
@@ -21,7 +21,7 @@
     private static final int PAYOUT_CALLERS = 3;
     private static final long PAUSE_MILLIS = 200;
     private static final long CONTACT_MILLIS = 3_000;
-    private static final long END_AT = 100_000;
+    private static final long END_AT = 106_000;
     private static final int ENOUGH = 60;
 
     private static final AtomicInteger IDS = new AtomicInteger();
@@ -116,7 +116,7 @@
                         () -> call(node, kind, counts.get(node.name).get(kind), readyAt + CONTACT_MILLIS, record));
             }
         }
-        while (Kit.now() - readyAt < END_AT && sum(counts, count -> count.unanswered.get()) < ENOUGH) {
+        while (Kit.now() < END_AT && sum(counts, count -> count.unanswered.get()) < ENOUGH) {
             Kit.sleep(500);
             long sinceTrouble = Kit.now() - readyAt - TROUBLE_AT;
             troubleIsOn = withTrouble && sinceTrouble > 0 && sinceTrouble % TROUBLE_PERIOD_MILLIS < TROUBLE_MILLIS;
--- a/review/src-3/EndlessRelease.java
+++ b/review/src-3/EndlessRelease.java
@@ -28,7 +28,7 @@
     private static final double TROUBLE_SHARE = 1;
     private static final long ENDLESS_BYTES_PER_SECOND = 4_000_000;
     private static final int TOKEN_BYTES = 1;
-    private static final long END_AT = 100_000;
+    private static final long END_AT = 106_000;
     private static final int ENOUGH = 100;
 
     private static final AtomicInteger IDS = new AtomicInteger();
@@ -176,7 +176,7 @@
                         () -> call(node, kind, counts.get(node.name).get(kind), readyAt + CONTACT_MILLIS, record));
             }
         }
-        while (Kit.now() - readyAt < END_AT && sum(counts, count -> count.unanswered.get()) < ENOUGH) {
+        while (Kit.now() < END_AT && sum(counts, count -> count.unanswered.get()) < ENOUGH) {
             Kit.sleep(500);
             long sinceTrouble = Kit.now() - readyAt - TROUBLE_AT;
             troubleIsOn = withTrouble && sinceTrouble > 0 && sinceTrouble % TROUBLE_PERIOD_MILLIS < TROUBLE_MILLIS;
--- a/review/src-3/EndlessReport.java
+++ b/review/src-3/EndlessReport.java
@@ -16,7 +16,7 @@
     private static final int PAYOUT_CALLERS = 6;
     private static final long CONTACT_MILLIS = 3_000;
     private static final long TROUBLE_AT = 12_000;
-    private static final long END_AT = 100_000;
+    private static final long END_AT = 106_000;
     private static final int ENOUGH = 150;
 
     private static final AtomicInteger IDS = new AtomicInteger();
@@ -154,7 +154,7 @@
                         "caller", () -> call(node, kind, counts.get(node.name), readyAt + CONTACT_MILLIS, record));
             }
         }
-        while (Kit.now() - readyAt < END_AT && counts.get(busy.name).unanswered.get() < ENOUGH) {
+        while (Kit.now() < END_AT && counts.get(busy.name).unanswered.get() < ENOUGH) {
             Kit.sleep(1_000);
             troubleIsOn = withTrouble && Kit.now() - readyAt > TROUBLE_AT;
             counts.forEach((name, count) -> record.line(
